--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product: paired runs, experiments and capacity slopes."""
--- /dev/null
+++ b/tarragonwind/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the outside: sockets, HTTP, the key-value service, peers and operators."""
--- /dev/null
+++ b/tarragonwind/errors.py
@@ -0,0 +1,130 @@
+"""List every kind of error that a caller can be given, with the answer for each."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class NotRun(enum.Enum):
+    """Tell a caller whether the work of a refused request was performed.
+
+    ``TRUE`` means that no upstream has performed it, ``FALSE`` that one has, ``UNKNOWN`` that an
+    upstream may have.
+    """
+
+    TRUE = "true"
+    FALSE = "false"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Name each kind of refusal; the list is closed."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_ROUTE = "unknown_route"
+    METHOD_REFUSED = "method_refused"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TOO_SLOW = "request_too_slow"
+    OVER_LIMIT = "over_limit"
+    SHED = "shed"
+    DEADLINE_UNMEETABLE = "deadline_unmeetable"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_UPSTREAM = "no_upstream"
+    NO_CATALOGUE = "no_catalogue"
+    STORE_UNAVAILABLE = "store_unavailable"
+    KEY_IN_USE = "key_in_use"
+    KEY_ALREADY_RUN = "key_already_run"
+    STOPPING = "stopping"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_OUTCOME_UNKNOWN = "upstream_outcome_unknown"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """Describe the answer that one kind of error becomes.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    not_run : NotRun
+        What the caller is told about its work.
+    retry : bool
+        Whether ``Retry-After`` is sent.
+    """
+
+    status: int
+    not_run: NotRun
+    retry: bool = False
+
+
+ERROR_ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(400, NotRun.TRUE),
+    ErrorKind.UNAUTHORIZED: ErrorAnswer(401, NotRun.TRUE),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(404, NotRun.TRUE),
+    ErrorKind.METHOD_REFUSED: ErrorAnswer(405, NotRun.TRUE),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorAnswer(431, NotRun.TRUE),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, NotRun.TRUE),
+    ErrorKind.REQUEST_TOO_SLOW: ErrorAnswer(408, NotRun.TRUE),
+    ErrorKind.OVER_LIMIT: ErrorAnswer(429, NotRun.TRUE, retry=True),
+    ErrorKind.SHED: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.DEADLINE_UNMEETABLE: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(504, NotRun.TRUE, retry=True),
+    ErrorKind.NO_UPSTREAM: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.NO_CATALOGUE: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.KEY_IN_USE: ErrorAnswer(409, NotRun.UNKNOWN, retry=True),
+    ErrorKind.KEY_ALREADY_RUN: ErrorAnswer(409, NotRun.FALSE),
+    ErrorKind.STOPPING: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.UPSTREAM_REFUSED: ErrorAnswer(503, NotRun.TRUE, retry=True),
+    ErrorKind.UPSTREAM_OUTCOME_UNKNOWN: ErrorAnswer(502, NotRun.UNKNOWN),
+    ErrorKind.INTERNAL: ErrorAnswer(500, NotRun.UNKNOWN),
+}
+
+
+class RequestError(Exception):
+    """End a request with one kind of error.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Kind of the error.
+    message : str
+        Sentence for the caller; carries no content of the request.
+    retry_after_s : float, optional
+        Seconds until asking again makes sense.
+    """
+
+    def __init__(self, kind: ErrorKind, message: str, retry_after_s: float = 1.0) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
+class StoreError(Exception):
+    """Report that the key-value service gave no usable answer.
+
+    Parameters
+    ----------
+    message : str
+        What was seen.
+    maybe_applied : bool
+        Whether a write may have taken effect all the same.
+    """
+
+    def __init__(self, message: str, maybe_applied: bool = False) -> None:
+        super().__init__(message)
+        self.maybe_applied = maybe_applied
+
+
+class PeerUnreachable(Exception):
+    """Report that a message to another daemon could not be delivered or answered in time."""
+
+
+class EntryError(Exception):
+    """Report a catalogue entry that is refused before anything is written."""
--- /dev/null
+++ b/tarragonwind/ports.py
@@ -0,0 +1,170 @@
+"""Name what the core and the daemon need from the outside; adapters provide it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from tarragonwind.futures import Future
+
+
+class Timer(Protocol):
+    """Stand for one subscription to the timer service."""
+
+    def cancel(self) -> None:
+        """End the subscription; harmless when it has ended."""
+
+
+class Timers(Protocol):
+    """Tell the time and call subscribers when theirs has come."""
+
+    def now(self) -> float:
+        """Return seconds on the monotonic clock."""
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once, `delay_s` seconds from now."""
+
+    def call_every(self, period_s: float, callback: Callable[[], None]) -> Timer:
+        """Call `callback` every `period_s` seconds until cancelled."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """Hold one key of the store.
+
+    Attributes
+    ----------
+    key : str
+        Full key.
+    value : bytes
+        At most one megabyte.
+    mod_revision : int
+        Store revision of the last write to the key.
+    lease_id : int
+        Lease that the key ends with, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Require that a key was last written at a revision; 0 requires that it does not exist."""
+
+    key: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write a key, optionally bound to a lease."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Remove a key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class TxnResult:
+    """Tell whether a transaction's comparisons held, and the store's revision after it."""
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RangeResult:
+    """Hold the keys under a prefix, sorted, and the store's revision at the read."""
+
+    items: list[KeyValue]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """Report one change: the new state of a key, or its removal (`value` is None)."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+@dataclass(slots=True)
+class Watch:
+    """Follow a prefix; `cancel` ends it.
+
+    Attributes
+    ----------
+    cancel : callable
+        Ends the watch and its connection.
+    """
+
+    cancel: Callable[[], None] = field(default=lambda: None)
+
+
+class Store(ABC):
+    """Reach the platform's key-value service. Each call is counted, a waiting watch as one.
+
+    Every returned future may fail with `tarragonwind.errors.StoreError`.
+    """
+
+    @abstractmethod
+    def get(self, key: str) -> Future[KeyValue | None]:
+        """Read one key."""
+
+    @abstractmethod
+    def read_range(self, prefix: str) -> Future[RangeResult]:
+        """Read all keys that begin with `prefix`."""
+
+    @abstractmethod
+    def commit(self, compares: list[Compare], ops: list[Put | Delete]) -> Future[TxnResult]:
+        """Apply `ops` in one transaction if all `compares` hold."""
+
+    @abstractmethod
+    def grant_lease(self, ttl_s: int) -> Future[int]:
+        """Create a lease and return its id."""
+
+    @abstractmethod
+    def keep_lease(self, lease_id: int) -> Future[float]:
+        """Renew a lease and return the seconds that it now has; 0 when it has lapsed."""
+
+    @abstractmethod
+    def revoke_lease(self, lease_id: int) -> Future[None]:
+        """End a lease and remove its keys."""
+
+    @abstractmethod
+    def watch(
+        self,
+        prefix: str,
+        from_revision: int,
+        on_events: Callable[[list[WatchEvent]], None],
+        on_end: Callable[[str], None],
+    ) -> Watch:
+        """Follow changes under `prefix` from a revision on.
+
+        Parameters
+        ----------
+        prefix : str
+            Keys to follow.
+        from_revision : int
+            First revision wanted.
+        on_events : callable
+            Called with each batch of changes, in order.
+        on_end : callable
+            Called once with the reason when the watch is cut or refused.
+        """
--- /dev/null
+++ b/tarragonwind/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Help the command line."""
