--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -5,9 +5,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from tarragonwind.futures import Future
+from tarragonwind.messages import Message
+
+MessageT = TypeVar("MessageT", bound=Message)
 
 
 class Timer(Protocol):
@@ -168,3 +171,117 @@
         on_end : callable
             Called once with the reason when the watch is cut or refused.
         """
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name a TCP endpoint by IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """Hold a whole request to an outside system.
+
+    Attributes
+    ----------
+    method, target : str
+        Method and request target.
+    headers : list of (bytes, bytes)
+        Header fields without Host and Content-Length, which the client adds.
+    body : bytes
+        Whole body.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class HttpResponse:
+    """Hold a whole response of an outside system."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class HttpError(Exception):
+    """Report an exchange that gave no whole response.
+
+    Parameters
+    ----------
+    message : str
+        What was seen.
+    sent : bool
+        Whether a byte of the request may have reached the other side.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class HttpCaller(ABC):
+    """Exchange one request for one whole response; never repeats a request by itself."""
+
+    @abstractmethod
+    def fetch(self, address: Address, req: HttpRequest, timeout_s: float) -> Future[HttpResponse]:
+        """Send a request and wait for the whole response.
+
+        The future may fail with `HttpError`.
+        """
+
+    @abstractmethod
+    def follow(
+        self,
+        address: Address,
+        req: HttpRequest,
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[str], None],
+    ) -> Callable[[], None]:
+        """Send a request and pass on the response's body as it comes.
+
+        Returns
+        -------
+        callable
+            Ends the exchange. `on_end` is called once otherwise, with the reason.
+        """
+
+
+class Members(ABC):
+    """Tell which daemons are alive, as this daemon sees it."""
+
+    name: str
+    """Name of this daemon."""
+
+    @abstractmethod
+    def live(self) -> tuple[str, ...]:
+        """Return the sorted names of live daemons that take part, this one included."""
+
+    @abstractmethod
+    def owner_of(self, key: str) -> str:
+        """Return the live daemon that a key belongs to, by rendezvous hashing."""
+
+    @abstractmethod
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the live daemons."""
+
+
+class Peers(ABC):
+    """Carry messages between daemons; in order for each pair, lost when a connection breaks."""
+
+    @abstractmethod
+    def send(self, host: str, msg: Message) -> bool:
+        """Queue a message to a daemon (this one included); false when it can't be reached now."""
+
+    @abstractmethod
+    def subscribe(self, cls: type[MessageT], callback: Callable[[str, MessageT], None]) -> None:
+        """Call `callback` with the sender's name and each message of a class."""
