--- /dev/null
+++ b/tarragonwind/core/permit_clients.py
@@ -0,0 +1,498 @@
+"""Get permits on an entry host: from the pool's owner, or from a local share while it is silent."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tarragonwind.core.permit_messages import (
+    REFUSAL_KINDS,
+    HeldPermit,
+    Outcome,
+    PermitAsk,
+    PermitBeat,
+    PermitCancel,
+    PermitDone,
+    PermitGrant,
+    PermitRefusal,
+    PermitSync,
+    list_ask,
+    list_permit,
+)
+from tarragonwind.core.permits import PoolOwner
+from tarragonwind.errors import ErrorKind
+from tarragonwind.messages import Message
+
+LOCAL = ""
+"""Stands for the local share where a host's name is expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Set how an entry host deals with owners.
+
+    Attributes
+    ----------
+    owner_doubt_s : float
+        Time without a sign of the owner after which it is told everything again.
+    owner_silence_s : float
+        Time without a sign of the owner after which the local share is used.
+    resend_period_s : float
+        Time between tries to tell an owner what was lost or couldn't be sent.
+    sync_period_s : float
+        Time between two full statements to the owner while there is something to state.
+    beats_to_resync : int
+        Signs of life in a row with a wrong number of asks that lead to a full statement.
+    """
+
+    owner_doubt_s: float = 0.5
+    owner_silence_s: float = 1.0
+    resend_period_s: float = 0.25
+    sync_period_s: float = 10.0
+    beats_to_resync: int = 2
+
+
+@dataclass(slots=True)
+class PermitRequest:
+    """Describe the request that a permit is wanted for.
+
+    Attributes
+    ----------
+    pool, route, organisation : str
+        Names in the catalogue.
+    tier : int
+        Importance, 0 the highest.
+    cost_tokens, prompt_tokens : int
+        Estimated work and prompt length.
+    deadline : float
+        Time by which the first byte is due, in seconds on this host's clock.
+    prefixes : list of int
+        32-bit hashes of prompt prefixes, the shortest first.
+    avoid : list of str
+        Upstreams that have failed this request.
+    """
+
+    pool: str
+    route: str
+    organisation: str
+    tier: int
+    cost_tokens: int
+    prompt_tokens: int
+    deadline: float
+    prefixes: list[int] = field(default_factory=list)
+    avoid: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Name the upstream that one request may be dispatched to.
+
+    Attributes
+    ----------
+    ask_id : int
+        Names the permit on this host.
+    pool, upstream, version : str
+        Where to dispatch.
+    granted_by : str
+        Host that granted it; empty for the local share.
+    """
+
+    ask_id: int
+    pool: str
+    upstream: str
+    version: str
+    granted_by: str
+
+
+OnGranted = Callable[[Permit], None]
+OnRefused = Callable[[ErrorKind, float], None]
+
+
+@dataclass(slots=True)
+class _Wait:
+    """Hold one waiting ask."""
+
+    request: PermitRequest
+    on_granted: OnGranted
+    on_refused: OnRefused
+
+
+@dataclass(slots=True)
+class _Held:
+    """Hold one permit in use."""
+
+    permit: Permit
+    request: PermitRequest
+
+
+class _PoolState:
+    """Hold what a host waits for and holds in one pool."""
+
+    __slots__ = (
+        "epoch",
+        "heard_at",
+        "held",
+        "local",
+        "needs_sync",
+        "owner",
+        "pool",
+        "synced_at",
+        "waits",
+        "wrong_beats",
+    )
+
+    def __init__(self, pool: str, owner: str, now: float) -> None:
+        self.pool = pool
+        self.owner = owner
+        self.waits: dict[int, _Wait] = {}
+        self.held: dict[int, _Held] = {}
+        self.epoch: int | None = None
+        self.heard_at = now
+        self.synced_at = now
+        self.needs_sync = False
+        self.wrong_beats = 0
+        self.local: PoolOwner | None = None
+
+
+class PermitClient:
+    """Ask for permits and keep account of them.
+
+    Parameters
+    ----------
+    name : str
+        Name of this host.
+    send : callable
+        Sends a message to a host; returns false when it can't be reached now.
+    rng : random.Random
+        Source of randomness.
+    owner_of : callable
+        Gives the live host that owns a pool.
+    create_local_owner : callable
+        Makes an owner of a pool, with its upstreams configured, that sends by the callable given
+        and uses no more than this host's share of the pool.
+    settings : ClientSettings
+        How it works.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        send: Callable[[str, Message], object],
+        rng: random.Random,
+        owner_of: Callable[[str], str],
+        create_local_owner: Callable[[float, str, Callable[[str, Message], object]], PoolOwner],
+        settings: ClientSettings | None = None,
+    ) -> None:
+        self._name = name
+        self._send = send
+        self._owner_of = owner_of
+        self._create_local_owner = create_local_owner
+        self._settings = settings or ClientSettings()
+        self._pools: dict[str, _PoolState] = {}
+        self._pool_of: dict[int, str] = {}
+        self._deadlines: list[tuple[float, int]] = []
+        self._next_id = rng.getrandbits(30)
+        self._local_inbox: deque[Message] = deque()
+        self._delivering = False
+
+    # What requests want.
+
+    def ask(
+        self, now: float, request: PermitRequest, on_granted: OnGranted, on_refused: OnRefused
+    ) -> int:
+        """Ask for a permit; one of the callbacks is called once, unless cancelled before.
+
+        Returns
+        -------
+        int
+            Names the ask, and the permit once granted.
+        """
+        self._next_id += 1
+        ask_id = self._next_id
+        state = self._state_of(now, request.pool)
+        if not state.waits:
+            state.heard_at = max(state.heard_at, now)
+        state.waits[ask_id] = _Wait(request, on_granted, on_refused)
+        self._pool_of[ask_id] = request.pool
+        heapq.heappush(self._deadlines, (request.deadline, ask_id))
+        msg = self._ask_message(now, ask_id, request)
+        if state.local is not None:
+            state.local.on_message(now, self._name, msg)
+            self._deliver_local(now)
+        else:
+            self._send_to_owner(state, msg)
+        return ask_id
+
+    def cancel(self, now: float, ask_id: int) -> bool:
+        """Withdraw a waiting ask; return whether it was waiting."""
+        state = self._find(ask_id)
+        if state is None or state.waits.pop(ask_id, None) is None:
+            return False
+        del self._pool_of[ask_id]
+        self._withdraw(now, state, ask_id)
+        return True
+
+    def done(
+        self,
+        now: float,
+        ask_id: int,
+        outcome: Outcome,
+        first_byte_ms: int = 0,
+        duration_ms: int = 0,
+        output_tokens: int = 0,
+        cached_tokens: int = 0,
+    ) -> None:
+        """Give a permit back with what was seen; harmless when it was given back before."""
+        state = self._find(ask_id)
+        if state is None or state.held.pop(ask_id, None) is None:
+            return
+        pool = self._pool_of.pop(ask_id)
+        msg = PermitDone(
+            pool, ask_id, outcome, first_byte_ms, duration_ms, output_tokens, cached_tokens
+        )
+        self._send_to_owner(state, msg)
+        if state.local is not None:
+            state.local.on_message(now, self._name, msg)
+            self._deliver_local(now)
+
+    # What the daemon tells.
+
+    def on_message(self, now: float, host: str, msg: Message) -> None:
+        """Take in a message of an owner; messages of other kinds are ignored."""
+        if isinstance(msg, PermitGrant):
+            self._on_grant(now, host, msg)
+        elif isinstance(msg, PermitRefusal):
+            self._on_refusal(now, host, msg)
+        elif isinstance(msg, PermitBeat):
+            self._on_beat(now, host, msg)
+
+    def on_members_changed(self, now: float) -> None:
+        """Turn to the new owners of pools whose owner has changed."""
+        for state in self._pools.values():
+            owner = self._owner_of(state.pool)
+            if owner == state.owner:
+                continue
+            state.owner = owner
+            state.epoch = None
+            state.heard_at = now
+            state.local = None
+            self._sync(now, state)
+
+    def on_resumed(self, now: float) -> None:
+        """Start anew with every owner after a pause of this process."""
+        for state in self._pools.values():
+            state.heard_at = now
+            self._sync(now, state)
+        self._end_passed(now)
+
+    def tick(self, now: float) -> None:
+        """End asks whose deadline has passed and look after silent owners."""
+        self._end_passed(now)
+        for state in list(self._pools.values()):
+            self._watch_owner(now, state)
+            if state.local is not None:
+                state.local.tick(now)
+            if self._is_sync_due(now, state):
+                self._sync(now, state)
+        self._deliver_local(now)
+
+    # What others may read.
+
+    def waiting(self) -> int:
+        """Return the number of waiting asks."""
+        return sum(len(state.waits) for state in self._pools.values())
+
+    def held(self) -> int:
+        """Return the number of permits in use."""
+        return sum(len(state.held) for state in self._pools.values())
+
+    def uses_local_share(self, pool: str) -> bool:
+        """Tell whether a pool's owner is silent and the local share is used."""
+        state = self._pools.get(pool)
+        return state is not None and state.local is not None
+
+    # Answers.
+
+    def _on_grant(self, now: float, host: str, msg: PermitGrant) -> None:
+        state = self._pools.get(msg.pool)
+        if state is None:
+            self._return(host, msg)
+            return
+        self._note_heard(now, state, host)
+        held = state.held.get(msg.ask_id)
+        if held is not None and held.permit.upstream == msg.upstream:
+            return
+        wait = state.waits.pop(msg.ask_id, None)
+        if wait is None:
+            self._return(host, msg)
+            return
+        if wait.request.deadline <= now:
+            self._return(host, msg)
+            self._refuse(msg.ask_id, wait, ErrorKind.DEADLINE_PASSED, 1.0)
+            return
+        permit = Permit(msg.ask_id, msg.pool, msg.upstream, msg.version, host)
+        state.held[msg.ask_id] = _Held(permit, wait.request)
+        self._withdraw_elsewhere(now, state, host, msg.ask_id)
+        wait.on_granted(permit)
+
+    def _on_refusal(self, now: float, host: str, msg: PermitRefusal) -> None:
+        state = self._pools.get(msg.pool)
+        if state is None or host not in (state.owner, LOCAL):
+            return
+        if host == LOCAL and state.local is None:
+            return
+        self._note_heard(now, state, host)
+        wait = state.waits.pop(msg.ask_id, None)
+        if wait is None:
+            return
+        self._withdraw_elsewhere(now, state, host, msg.ask_id)
+        self._refuse(msg.ask_id, wait, REFUSAL_KINDS[msg.kind], msg.retry_after_ms / 1_000)
+
+    def _on_beat(self, now: float, host: str, msg: PermitBeat) -> None:
+        state = self._pools.get(msg.pool)
+        if state is None:
+            if msg.waiting:
+                self._send(host, PermitSync(msg.pool))
+            return
+        if host != state.owner:
+            return
+        self._note_heard(now, state, host)
+        if msg.epoch != state.epoch:
+            state.epoch = msg.epoch
+            self._sync(now, state)
+            return
+        state.wrong_beats = state.wrong_beats + 1 if msg.waiting != len(state.waits) else 0
+        if state.wrong_beats >= self._settings.beats_to_resync:
+            self._sync(now, state)
+
+    def _refuse(self, ask_id: int, wait: _Wait, kind: ErrorKind, retry_after_s: float) -> None:
+        del self._pool_of[ask_id]
+        wait.on_refused(kind, retry_after_s)
+
+    def _return(self, host: str, msg: PermitGrant) -> None:
+        if host != LOCAL:
+            self._send(host, PermitDone(msg.pool, msg.ask_id, Outcome.UNUSED))
+
+    def _withdraw(self, now: float, state: _PoolState, ask_id: int) -> None:
+        self._withdraw_elsewhere(now, state, None, ask_id)
+
+    def _withdraw_elsewhere(
+        self, now: float, state: _PoolState, host: str | None, ask_id: int
+    ) -> None:
+        msg = PermitCancel(state.pool, ask_id)
+        if host != state.owner:
+            self._send_to_owner(state, msg)
+        if state.local is not None and host != LOCAL:
+            state.local.on_message(now, self._name, msg)
+
+    # Owners.
+
+    def _note_heard(self, now: float, state: _PoolState, host: str) -> None:
+        if host != state.owner:
+            return
+        state.heard_at = now
+        if state.local is not None:
+            state.local = None
+            self._sync(now, state)
+
+    def _watch_owner(self, now: float, state: _PoolState) -> None:
+        if state.local is not None or not state.waits:
+            return
+        if now - state.heard_at < self._settings.owner_silence_s:
+            return
+
+        def send_local(_host: str, msg: Message) -> bool:
+            self._local_inbox.append(msg)
+            return True
+
+        state.local = self._create_local_owner(now, state.pool, send_local)
+        state.local.on_message(now, self._name, self._sync_message(now, state))
+        self._sync(now, state)
+
+    def _deliver_local(self, now: float) -> None:
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._local_inbox:
+                msg = self._local_inbox.popleft()
+                if not isinstance(msg, PermitBeat):
+                    self.on_message(now, LOCAL, msg)
+        finally:
+            self._delivering = False
+
+    def _is_sync_due(self, now: float, state: _PoolState) -> bool:
+        since_s = now - state.synced_at
+        if state.needs_sync:
+            return since_s >= self._settings.resend_period_s
+        if state.local is not None:
+            return since_s >= self._settings.owner_silence_s
+        if state.waits and state.synced_at < state.heard_at + self._settings.owner_doubt_s <= now:
+            return True
+        has_content = bool(state.waits or state.held)
+        return has_content and since_s >= self._settings.sync_period_s
+
+    def _sync(self, now: float, state: _PoolState) -> None:
+        state.synced_at = now
+        state.wrong_beats = 0
+        state.needs_sync = False
+        self._send_to_owner(state, self._sync_message(now, state))
+
+    def _sync_message(self, now: float, state: _PoolState) -> PermitSync:
+        asks = [
+            list_ask(self._ask_message(now, ask_id, wait.request))
+            for ask_id, wait in state.waits.items()
+        ]
+        permits = [
+            list_permit(
+                HeldPermit(
+                    ask_id, held.permit.upstream, held.request.tier, held.request.cost_tokens
+                )
+            )
+            for ask_id, held in state.held.items()
+        ]
+        return PermitSync(state.pool, asks, permits)
+
+    def _ask_message(self, now: float, ask_id: int, request: PermitRequest) -> PermitAsk:
+        return PermitAsk(
+            ask_id=ask_id,
+            pool=request.pool,
+            route=request.route,
+            tier=request.tier,
+            organisation=request.organisation,
+            cost_tokens=request.cost_tokens,
+            prompt_tokens=request.prompt_tokens,
+            deadline_ms=max(0, int(1_000 * (request.deadline - now))),
+            prefixes=request.prefixes,
+            avoid=request.avoid,
+        )
+
+    def _send_to_owner(self, state: _PoolState, msg: Message) -> None:
+        if self._send(state.owner, msg) is False:
+            state.needs_sync = True
+
+    # Book-keeping.
+
+    def _state_of(self, now: float, pool: str) -> _PoolState:
+        state = self._pools.get(pool)
+        if state is None:
+            state = _PoolState(pool, self._owner_of(pool), now)
+            self._pools[pool] = state
+        return state
+
+    def _find(self, ask_id: int) -> _PoolState | None:
+        pool = self._pool_of.get(ask_id)
+        return self._pools[pool] if pool is not None else None
+
+    def _end_passed(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, ask_id = heapq.heappop(self._deadlines)
+            state = self._find(ask_id)
+            wait = state.waits.pop(ask_id, None) if state is not None else None
+            if state is None or wait is None:
+                continue
+            self._withdraw(now, state, ask_id)
+            self._refuse(ask_id, wait, ErrorKind.DEADLINE_PASSED, 1.0)
--- /dev/null
+++ b/tarragonwind/core/permit_messages.py
@@ -0,0 +1,211 @@
+"""Define the messages between entry hosts and the owner of a pool."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from tarragonwind.errors import ErrorKind
+from tarragonwind.messages import Message, message
+
+
+class Outcome(enum.IntEnum):
+    """Tell the owner how the use of a permit ended."""
+
+    OK = 0
+    UNUSED = 1
+    CONNECT_FAILED = 2
+    REFUSED = 3
+    FAILED = 4
+    CANCELLED = 5
+    TIMED_OUT = 6
+
+
+REFUSAL_KINDS: tuple[ErrorKind, ...] = (
+    ErrorKind.SHED,
+    ErrorKind.DEADLINE_UNMEETABLE,
+    ErrorKind.DEADLINE_PASSED,
+    ErrorKind.NO_UPSTREAM,
+)
+"""Error kinds that an owner may refuse with; their positions travel in `PermitRefusal`."""
+
+
+@message(30)
+@dataclass(slots=True)
+class PermitAsk(Message):
+    """Ask the owner of a pool for a permit to dispatch one request.
+
+    Attributes
+    ----------
+    ask_id : int
+        Unique on the asking host; a repeated try has a new one.
+    pool, route, organisation : str
+        Names in the catalogue.
+    tier : int
+        Importance, 0 the highest.
+    cost_tokens : int
+        Estimated work, in output tokens.
+    prompt_tokens : int
+        Estimated length of the prompt.
+    deadline_ms : int
+        Time left for the first byte, in milliseconds.
+    prefixes : list of int
+        32-bit hashes of prompt prefixes, the shortest first.
+    avoid : list of str
+        Upstreams that have failed this request.
+    """
+
+    ask_id: int
+    pool: str
+    route: str
+    tier: int
+    organisation: str
+    cost_tokens: int
+    prompt_tokens: int
+    deadline_ms: int
+    prefixes: list[int] = field(default_factory=list)
+    avoid: list[str] = field(default_factory=list)
+
+
+@message(31)
+@dataclass(slots=True)
+class PermitGrant(Message):
+    """Permit one dispatch to one upstream."""
+
+    pool: str
+    ask_id: int
+    upstream: str
+    version: str
+
+
+@message(32)
+@dataclass(slots=True)
+class PermitRefusal(Message):
+    """Refuse an ask.
+
+    Attributes
+    ----------
+    pool : str
+        Pool that was asked for.
+    ask_id : int
+        Ask that is refused.
+    kind : int
+        Position in `REFUSAL_KINDS`.
+    retry_after_ms : int
+        Time until asking again makes sense, in milliseconds.
+    """
+
+    pool: str
+    ask_id: int
+    kind: int
+    retry_after_ms: int
+
+
+@message(33)
+@dataclass(slots=True)
+class PermitCancel(Message):
+    """Withdraw an ask whose caller has left or has been answered."""
+
+    pool: str
+    ask_id: int
+
+
+@message(34)
+@dataclass(slots=True)
+class PermitDone(Message):
+    """Give a permit back and report what was seen.
+
+    Attributes
+    ----------
+    pool : str
+        Pool of the permit.
+    ask_id : int
+        Ask that the permit was granted for.
+    outcome : int
+        An `Outcome`.
+    first_byte_ms, duration_ms : int
+        Times from dispatch, in milliseconds; 0 when not seen.
+    output_tokens : int
+        Tokens that the upstream generated.
+    cached_tokens : int
+        Prompt tokens that the upstream had in its cache.
+    """
+
+    pool: str
+    ask_id: int
+    outcome: int
+    first_byte_ms: int = 0
+    duration_ms: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
+
+
+@dataclass(slots=True)
+class HeldPermit:
+    """Describe a permit that a host holds, for an owner that may not know it."""
+
+    ask_id: int
+    upstream: str
+    tier: int
+    cost_tokens: int
+
+
+@message(35)
+@dataclass(slots=True)
+class PermitSync(Message):
+    """Tell an owner everything that a host waits for and holds in a pool.
+
+    Attributes
+    ----------
+    pool : str
+        Pool of the asks and permits.
+    asks : list of list
+        Field values of each waiting `PermitAsk`.
+    permits : list of list
+        Field values of each `HeldPermit`.
+    """
+
+    pool: str
+    asks: list[list[object]] = field(default_factory=list)
+    permits: list[list[object]] = field(default_factory=list)
+
+
+@message(36)
+@dataclass(slots=True)
+class PermitBeat(Message):
+    """Show a host that its asks are kept.
+
+    Attributes
+    ----------
+    pool : str
+        Pool of the asks.
+    epoch : int
+        Changes whenever the owner has lost what hosts told it; they send `PermitSync` then.
+    waiting : int
+        Asks of the receiving host that the owner holds.
+    """
+
+    pool: str
+    epoch: int
+    waiting: int
+
+
+def list_ask(ask: PermitAsk) -> list[object]:
+    """Return the field values of an ask for `PermitSync`."""
+    return [
+        ask.ask_id,
+        ask.pool,
+        ask.route,
+        ask.tier,
+        ask.organisation,
+        ask.cost_tokens,
+        ask.prompt_tokens,
+        ask.deadline_ms,
+        ask.prefixes,
+        ask.avoid,
+    ]
+
+
+def list_permit(permit: HeldPermit) -> list[object]:
+    """Return the field values of a held permit for `PermitSync`."""
+    return [permit.ask_id, permit.upstream, permit.tier, permit.cost_tokens]
--- /dev/null
+++ b/tarragonwind/core/permits.py
@@ -0,0 +1,551 @@
+"""Own a pool: keep its one queue and hand out permits to dispatch."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from tarragonwind.core.drain_rates import DrainRate
+from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.core.permit_messages import (
+    REFUSAL_KINDS,
+    HeldPermit,
+    Outcome,
+    PermitAsk,
+    PermitBeat,
+    PermitCancel,
+    PermitDone,
+    PermitGrant,
+    PermitRefusal,
+    PermitSync,
+)
+from tarragonwind.core.placements import Placer
+from tarragonwind.core.prefix_hints import PrefixHints
+from tarragonwind.core.queues import AskKey, TierQueue, WaitingAsk
+from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
+from tarragonwind.errors import ErrorKind
+from tarragonwind.messages import Message
+
+Send = Callable[[str, Message], object]
+"""Sends a message to a host, this one included."""
+
+
+class VersionChooser(Protocol):
+    """Choose the version that serves one request."""
+
+    def __call__(self, now: float, rng: random.Random, pool: str, route: str) -> str:
+        """Return a version, or an empty text for any."""
+
+
+@dataclass(frozen=True, slots=True)
+class PermitSettings:
+    """Set how an owner works.
+
+    Attributes
+    ----------
+    settle_s : float
+        Time without grants after becoming the owner, while hosts tell what they hold.
+    pause_limit_s : float
+        Time between two calls after which the owner takes what it knows for stale.
+    host_grace_s : float
+        Time after which the permits of a lost host are free again.
+    beat_period_s : float
+        Time between two signs of life to hosts with waiting asks.
+    resend_after_s : float
+        Time after which a permit that a host doesn't know of is granted to it again.
+    max_waiting : int
+        Most asks that wait.
+    max_retry_after_s : float
+        Longest time to come back that is given.
+    """
+
+    settle_s: float = 0.4
+    pause_limit_s: float = 1.5
+    host_grace_s: float = 5.0
+    beat_period_s: float = 0.3
+    resend_after_s: float = 0.4
+    max_waiting: int = 2_000
+    max_retry_after_s: float = 120.0
+
+
+@dataclass(slots=True)
+class _Permit:
+    """Hold a permit that is out."""
+
+    host: str
+    ask_id: int
+    upstream: str
+    version: str
+    tier: int
+    cost_tokens: int
+    granted_at: float
+    predicted_s: float
+    output_tokens: float
+    prefixes: tuple[int, ...]
+
+    @property
+    def key(self) -> AskKey:
+        return (self.host, self.ask_id)
+
+
+class PoolOwner:
+    """Grant permits for one pool.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    send : callable
+        Sends a message to a host.
+    rng : random.Random
+        Source of randomness.
+    choose_version : VersionChooser
+        Chooses the version of each request.
+    weight_of : callable
+        Gives an organisation's weight.
+    settings : PermitSettings
+        How it works.
+    load_settings : LoadSettings
+        How upstreams are loaded and judged.
+    distance_s : dict of str to float
+        Way to each data centre and back, in seconds.
+    share : float
+        Part of the pool's capacity that may be used.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        send: Send,
+        rng: random.Random,
+        choose_version: VersionChooser,
+        weight_of: Callable[[str], float],
+        settings: PermitSettings | None = None,
+        load_settings: LoadSettings | None = None,
+        distance_s: dict[str, float] | None = None,
+        share: float = 1.0,
+    ) -> None:
+        self.pool = pool
+        self.share = share
+        self.hints = PrefixHints()
+        self._send = send
+        self._rng = rng
+        self._choose_version = choose_version
+        self._settings = settings or PermitSettings()
+        self._load_settings = load_settings or LoadSettings()
+        self._placer = Placer(self._load_settings, self.hints, distance_s)
+        self._queue = TierQueue(self._settings.max_waiting, weight_of)
+        self._rate = DrainRate()
+        self._loads: dict[str, UpstreamLoad] = {}
+        self._permits: dict[AskKey, _Permit] = {}
+        self._hosts: set[str] = set()
+        self._lost: dict[str, float] = {}
+        self._active = False
+        self._settled_at = 0.0
+        self._epoch = rng.getrandbits(31)
+        self._called_at: float | None = None
+        self._beat_at = 0.0
+        self._idle_swept_at = 0.0
+
+    # What the daemon tells.
+
+    def configure(self, now: float, upstreams: Iterable[UpstreamEntry]) -> None:
+        """Put the pool's upstreams from the catalogue in force."""
+        self._note_call(now)
+        entries = {entry.name: entry for entry in upstreams}
+        for name, entry in entries.items():
+            load = self._loads.get(name)
+            if load is None:
+                self._loads[name] = UpstreamLoad(entry, self._load_settings)
+            else:
+                load.entry = entry
+        for name in [name for name in self._loads if name not in entries]:
+            self._forget_upstream(name)
+        self._rate.set_nominal(self._nominal_rate())
+        self.on_versions_changed(now)
+
+    def on_members_changed(self, now: float, live: Iterable[str], is_owner: bool) -> None:
+        """Take in which hosts are alive and whether this host owns the pool."""
+        self._note_call(now)
+        live_hosts = set(live)
+        was_owner = self._active
+        self._active = is_owner
+        if is_owner and not was_owner:
+            self._restart(now)
+        elif was_owner and not is_owner:
+            self._clear(now)
+        known = self._hosts | {permit.host for permit in self._permits.values()}
+        for host in known - live_hosts:
+            self._lost.setdefault(host, now)
+            self._drop_asks(host)
+        for host in [host for host in self._lost if host in live_hosts]:
+            del self._lost[host]
+            self._hosts.discard(host)
+            self._send_beat(host)
+        self._drain(now)
+
+    def on_resumed(self, now: float) -> None:
+        """Stop granting on what was known before a pause of this process."""
+        if self._active:
+            self._restart(now)
+        self._called_at = now
+
+    def on_versions_changed(self, now: float) -> None:
+        """Choose the version of each waiting ask anew."""
+        asks = sorted(self._queue, key=lambda ask: (ask.deadline, ask.key))
+        for ask in asks:
+            self._queue.remove(ask.key)
+        for ask in asks:
+            ask.version = self._version_for(now, ask.route)
+            self._queue.push(ask)
+        self._drain(now)
+
+    def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
+        """Take in a load report of an upstream."""
+        load = self._loads.get(upstream)
+        if load is not None:
+            load.on_report(now, in_flight, age_s)
+
+    def tick(self, now: float) -> None:
+        """Refuse what can't be met, free what lost hosts held and show signs of life."""
+        self._note_call(now)
+        self._free_lost_hosts(now)
+        self._rate.observe(now, len(self._queue) > 0)
+        self._refuse_unmeetable(now)
+        self._drain(now)
+        if now - self._beat_at >= self._settings.beat_period_s:
+            self._beat_at = now
+            self._send_beats()
+        if now - self._idle_swept_at >= 10.0:
+            self._idle_swept_at = now
+            self._queue.forget_idle()
+
+    # What hosts send.
+
+    def on_message(self, now: float, host: str, msg: Message) -> None:
+        """Take in a message of a host; messages of other kinds are ignored."""
+        self._note_call(now)
+        if isinstance(msg, PermitSync):
+            self._on_sync(now, host, msg)
+        elif isinstance(msg, PermitAsk):
+            self._greet(host)
+            self._add_ask(now, host, msg)
+        elif isinstance(msg, PermitDone):
+            self._greet(host)
+            self._on_done(now, host, msg)
+        elif isinstance(msg, PermitCancel):
+            self._greet(host)
+            self._queue.remove((host, msg.ask_id))
+        self._drain(now)
+
+    # What others may read.
+
+    @property
+    def active(self) -> bool:
+        """Tell whether this host takes itself for the owner."""
+        return self._active
+
+    def waiting_by_tier(self) -> list[int]:
+        """Return the number of waiting asks of each tier."""
+        return self._queue.waiting_by_tier()
+
+    def loads(self) -> list[UpstreamLoad]:
+        """Return what is known of each upstream."""
+        return list(self._loads.values())
+
+    def in_flight(self) -> int:
+        """Return the number of permits out."""
+        return len(self._permits)
+
+    def retry_after_s(self, tier: int, organisation: str) -> float:
+        """Return the expected wait of a new ask, in seconds."""
+        wait_s = self._queue.work_before(tier, organisation) / self._rate.tokens_per_s
+        return min(self._settings.max_retry_after_s, max(0.1, wait_s))
+
+    # Asks.
+
+    def _add_ask(self, now: float, host: str, msg: PermitAsk) -> None:
+        key = (host, msg.ask_id)
+        if host in self._lost or key in self._queue:
+            return
+        permit = self._permits.get(key)
+        if permit is not None:
+            self._resend(now, permit)
+            return
+        ask = WaitingAsk(
+            host=host,
+            ask_id=msg.ask_id,
+            tier=msg.tier,
+            organisation=msg.organisation,
+            route=msg.route,
+            cost_tokens=max(1, msg.cost_tokens),
+            prompt_tokens=msg.prompt_tokens,
+            deadline=now + msg.deadline_ms / 1_000,
+            version=self._version_for(now, msg.route),
+            prefixes=tuple(msg.prefixes),
+            avoid=frozenset(msg.avoid),
+        )
+        if self._active and not self._has_upstream(ask.version):
+            self._refuse(ask, ErrorKind.NO_UPSTREAM)
+            return
+        if self._active and self._is_unmeetable(now, ask):
+            self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
+            return
+        shed = self._queue.push(ask)
+        if shed is not None:
+            self._refuse(shed, ErrorKind.SHED)
+
+    def _version_for(self, now: float, route: str) -> str:
+        return self._choose_version(now, self._rng, self.pool, route)
+
+    def _has_upstream(self, version: str) -> bool:
+        return any(
+            load.entry.state is UpstreamState.LIVE and version in ("", load.entry.version)
+            for load in self._loads.values()
+        )
+
+    def _is_unmeetable(self, now: float, ask: WaitingAsk) -> bool:
+        if len(self._queue) == 0:
+            return False
+        work = self._queue.work_before(ask.tier, ask.organisation)
+        return now + work / self._rate.tokens_per_s > ask.deadline
+
+    def _refuse_unmeetable(self, now: float) -> None:
+        for ask in self._queue.lowest_first():
+            if ask.deadline <= now:
+                self._queue.remove(ask.key)
+                self._refuse(ask, ErrorKind.DEADLINE_PASSED)
+        if not self._active or not self._rate.measured:
+            return
+        ahead = [0.0]
+        for lines in self._queue.work_by_tier():
+            ahead.append(ahead[-1] + lines)
+        for ask in self._queue.lowest_first():
+            if now + ahead[ask.tier] / self._rate.tokens_per_s > ask.deadline:
+                self._queue.remove(ask.key)
+                self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
+
+    def _refuse(self, ask: WaitingAsk, kind: ErrorKind) -> None:
+        wait_ms = int(1_000 * self.retry_after_s(ask.tier, ask.organisation))
+        refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
+        self._send(ask.host, refusal)
+
+    def _drop_asks(self, host: str) -> None:
+        for ask in self._queue:
+            if ask.host == host:
+                self._queue.remove(ask.key)
+
+    # Grants.
+
+    def _drain(self, now: float) -> None:
+        if not self._active or now < self._settled_at:
+            return
+        while len(self._queue) > 0 and self._below_share():
+            open_versions = self._versions_with_room(now)
+            if not open_versions:
+                return
+            ask = self._queue.pop(lambda version: version in open_versions)  # noqa: B023
+            if ask is None:
+                return
+            self._grant(now, ask)
+
+    def _below_share(self) -> bool:
+        if self.share >= 1.0:
+            return True
+        slots = sum(load.entry.slots for load in self._loads.values() if load.takes_work())
+        return len(self._permits) < max(1, round(slots * self.share))
+
+    def _versions_with_room(self, now: float) -> set[str]:
+        versions = {load.entry.version for load in self._loads.values() if load.has_room(now)}
+        if versions:
+            versions.add("")
+        return versions
+
+    def _grant(self, now: float, ask: WaitingAsk) -> None:
+        loads = [load for load in self._loads.values() if ask.version in ("", load.entry.version)]
+        placement = self._placer.choose(now, self._rng, loads, ask)
+        if placement is None:
+            raise AssertionError("a popped ask has an upstream with room")
+        if now + placement.first_byte_s > ask.deadline:
+            self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
+            return
+        load = placement.load
+        permit = _Permit(
+            host=ask.host,
+            ask_id=ask.ask_id,
+            upstream=load.entry.name,
+            version=load.entry.version,
+            tier=ask.tier,
+            cost_tokens=ask.cost_tokens,
+            granted_at=now,
+            predicted_s=placement.expected_s,
+            output_tokens=max(
+                1.0, ask.cost_tokens - ask.prompt_tokens / self._load_settings.prefill_speedup
+            ),
+            prefixes=ask.prefixes,
+        )
+        self._permits[permit.key] = permit
+        load.add(now, permit.cost_tokens)
+        self._rate.add(permit.cost_tokens)
+        if ask.prefixes:
+            self.hints.add(load.entry.name, ask.prefixes)
+        self._send(ask.host, PermitGrant(self.pool, ask.ask_id, permit.upstream, permit.version))
+
+    def _resend(self, now: float, permit: _Permit) -> None:
+        if now - permit.granted_at < self._settings.resend_after_s:
+            return
+        permit.granted_at = now
+        grant = PermitGrant(self.pool, permit.ask_id, permit.upstream, permit.version)
+        self._send(permit.host, grant)
+
+    # Releases.
+
+    def _on_done(self, now: float, host: str, msg: PermitDone) -> None:
+        permit = self._release(now, (host, msg.ask_id))
+        if permit is None:
+            return
+        load = self._loads.get(permit.upstream)
+        if load is None:
+            return
+        if msg.outcome == Outcome.OK:
+            load.on_success()
+            self._observe(now, load, permit, msg)
+        elif msg.outcome == Outcome.CONNECT_FAILED:
+            load.on_connect_failed(now, self._rng)
+            self.hints.forget(permit.upstream)
+        elif msg.outcome in (Outcome.FAILED, Outcome.REFUSED, Outcome.TIMED_OUT):
+            load.on_failed(now, self._rng)
+
+    def _observe(self, now: float, load: UpstreamLoad, permit: _Permit, msg: PermitDone) -> None:
+        if permit.predicted_s <= 0 or msg.duration_ms <= 0:
+            return
+        predicted_s = permit.predicted_s
+        if msg.output_tokens > 0:
+            predicted_s *= max(1.0, msg.output_tokens) / permit.output_tokens
+        load.on_observed(now, predicted_s, msg.duration_ms / 1_000)
+
+    def _release(self, now: float, key: AskKey) -> _Permit | None:
+        permit = self._permits.pop(key, None)
+        if permit is not None:
+            load = self._loads.get(permit.upstream)
+            if load is not None:
+                load.release(now, permit.cost_tokens)
+        return permit
+
+    def _forget_upstream(self, name: str) -> None:
+        del self._loads[name]
+        self.hints.forget(name)
+        for key in [key for key, permit in self._permits.items() if permit.upstream == name]:
+            del self._permits[key]
+
+    def _free_lost_hosts(self, now: float) -> None:
+        ended = [
+            host
+            for host, lost_at in self._lost.items()
+            if now - lost_at >= self._settings.host_grace_s
+        ]
+        for host in ended:
+            del self._lost[host]
+            self._hosts.discard(host)
+            for key in [key for key in self._permits if key[0] == host]:
+                self._release(now, key)
+
+    # Hand-over.
+
+    def _on_sync(self, now: float, host: str, msg: PermitSync) -> None:
+        self._hosts.add(host)
+        asks = [_read_ask(values) for values in msg.asks]
+        held = [_read_permit(values) for values in msg.permits]
+        waiting_ids = {ask.ask_id for ask in asks}
+        held_ids = {permit.ask_id for permit in held}
+        for key in [key for key in self._permits if key[0] == host]:
+            if key[1] not in held_ids and key[1] not in waiting_ids:
+                self._release(now, key)
+        for waiting in self._queue:
+            if waiting.host == host and waiting.ask_id not in waiting_ids:
+                self._queue.remove(waiting.key)
+        for permit in held:
+            self._adopt(now, host, permit)
+        for ask in asks:
+            self._add_ask(now, host, ask)
+        self._send_beat(host)
+
+    def _adopt(self, now: float, host: str, held: HeldPermit) -> None:
+        key = (host, held.ask_id)
+        known = self._permits.get(key)
+        if known is not None and known.upstream == held.upstream:
+            return
+        self._release(now, key)
+        self._queue.remove(key)
+        load = self._loads.get(held.upstream)
+        if load is None:
+            return
+        self._permits[key] = _Permit(
+            host=host,
+            ask_id=held.ask_id,
+            upstream=held.upstream,
+            version=load.entry.version,
+            tier=held.tier,
+            cost_tokens=held.cost_tokens,
+            granted_at=now,
+            predicted_s=0.0,
+            output_tokens=1.0,
+            prefixes=(),
+        )
+        load.add(now, held.cost_tokens)
+
+    def _restart(self, now: float) -> None:
+        hosts = self._hosts | {permit.host for permit in self._permits.values()}
+        self._clear(now)
+        self._settled_at = now + self._settings.settle_s
+        for host in sorted(hosts):
+            self._send_beat(host)
+
+    def _clear(self, now: float) -> None:
+        for key in list(self._permits):
+            self._release(now, key)
+        for ask in self._queue:
+            self._queue.remove(ask.key)
+        self._hosts.clear()
+        self._lost.clear()
+        self._epoch = self._rng.getrandbits(31)
+
+    def _note_call(self, now: float) -> None:
+        called_at = self._called_at
+        self._called_at = now
+        if called_at is not None and now - called_at > self._settings.pause_limit_s:
+            self.on_resumed(now)
+
+    def _greet(self, host: str) -> None:
+        if host not in self._hosts and host not in self._lost:
+            self._hosts.add(host)
+            self._send_beat(host)
+
+    def _send_beat(self, host: str) -> None:
+        if not self._active:
+            return
+        waiting = sum(1 for ask in self._queue if ask.host == host)
+        self._send(host, PermitBeat(self.pool, self._epoch, waiting))
+
+    def _send_beats(self) -> None:
+        if not self._active:
+            return
+        counts: dict[str, int] = {}
+        for ask in self._queue:
+            counts[ask.host] = counts.get(ask.host, 0) + 1
+        for host in sorted(counts):
+            self._send(host, PermitBeat(self.pool, self._epoch, counts[host]))
+
+    def _nominal_rate(self) -> float:
+        total = sum(load.entry.tokens_per_s for load in self._loads.values())
+        return total * min(1.0, self.share)
+
+
+def _read_ask(values: list[Any]) -> PermitAsk:
+    return PermitAsk(*values)
+
+
+def _read_permit(values: list[Any]) -> HeldPermit:
+    return HeldPermit(*values)
--- /dev/null
+++ b/tarragonwind/core/pool_owners.py
@@ -0,0 +1,173 @@
+"""Keep the owners of all pools on one host and pass them what concerns them."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+from collections.abc import Callable, Iterable
+
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.permit_messages import (
+    PermitAsk,
+    PermitCancel,
+    PermitDone,
+    PermitSync,
+)
+from tarragonwind.core.permits import PermitSettings, PoolOwner, Send, VersionChooser
+from tarragonwind.core.upstream_loads import LoadSettings
+from tarragonwind.messages import Message
+
+OWNER_MESSAGES = (PermitAsk, PermitCancel, PermitDone, PermitSync)
+"""Classes of the messages that go to owners."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerParts:
+    """Hold what every owner on a host is made with.
+
+    Attributes
+    ----------
+    send : callable
+        Sends a message to a host, this one included.
+    rng : random.Random
+        Source of randomness.
+    choose_version : VersionChooser
+        Chooses the version of each request.
+    weight_of : callable
+        Gives an organisation's weight.
+    settings : PermitSettings
+        How owners work.
+    load_settings : LoadSettings
+        How upstreams are loaded and judged.
+    distance_s : dict of str to float
+        Way to each data centre and back, in seconds.
+    """
+
+    send: Send
+    rng: random.Random
+    choose_version: VersionChooser
+    weight_of: Callable[[str], float]
+    settings: PermitSettings = dataclasses.field(default_factory=PermitSettings)
+    load_settings: LoadSettings = dataclasses.field(default_factory=LoadSettings)
+    distance_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def create_owner(pool: str, parts: OwnerParts) -> PoolOwner:
+    """Create the owner of a pool; it grants nothing before it is told that it owns the pool."""
+    return PoolOwner(
+        pool,
+        parts.send,
+        parts.rng,
+        parts.choose_version,
+        parts.weight_of,
+        parts.settings,
+        parts.load_settings,
+        parts.distance_s,
+    )
+
+
+class PoolOwners:
+    """Hold an owner for each pool of the catalogue, active for those that this host owns.
+
+    Parameters
+    ----------
+    name : str
+        Name of this host.
+    parts : OwnerParts
+        What owners are made with.
+    owner_of : callable
+        Gives the live host that owns a pool.
+    live : callable
+        Gives the names of live hosts, this one included.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        parts: OwnerParts,
+        owner_of: Callable[[str], str],
+        live: Callable[[], Iterable[str]],
+    ) -> None:
+        self._name = name
+        self._parts = parts
+        self._owner_of = owner_of
+        self._live = live
+        self._owners: dict[str, PoolOwner] = {}
+        self._upstreams: dict[str, list[UpstreamEntry]] = {}
+
+    def configure(self, now: float, pools: Iterable[str], upstreams: list[UpstreamEntry]) -> None:
+        """Put the catalogue's pools and upstreams in force."""
+        names = set(pools)
+        for pool in [pool for pool in self._owners if pool not in names]:
+            del self._owners[pool]
+        live = tuple(self._live())
+        for pool in sorted(names):
+            self._upstreams[pool] = [entry for entry in upstreams if entry.pool == pool]
+            if pool not in self._owners:
+                self._owners[pool] = create_owner(pool, self._parts)
+            owner = self._owners[pool]
+            owner.configure(now, self._upstreams[pool])
+            owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
+
+    def on_members_changed(self, now: float) -> None:
+        """Take in a change of the live hosts."""
+        live = tuple(self._live())
+        for pool, owner in self._owners.items():
+            owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
+
+    def on_resumed(self, now: float) -> None:
+        """Take in that this process was paused."""
+        for owner in self._owners.values():
+            owner.on_resumed(now)
+
+    def on_versions_changed(self, now: float, pool: str) -> None:
+        """Choose the versions of a pool's waiting asks anew, as after a version is taken back."""
+        owner = self._owners.get(pool)
+        if owner is not None:
+            owner.on_versions_changed(now)
+
+    def on_message(self, now: float, host: str, msg: Message) -> None:
+        """Pass a message of `OWNER_MESSAGES` to the owner of its pool."""
+        if not isinstance(msg, OWNER_MESSAGES):
+            return
+        owner = self._owners.get(msg.pool)
+        if owner is not None:
+            owner.on_message(now, host, msg)
+
+    def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
+        """Pass on a load report of an upstream."""
+        for owner in self._owners.values():
+            owner.on_load_report(now, upstream, in_flight, age_s)
+
+    def tick(self, now: float) -> None:
+        """Let every owner do what is due."""
+        for owner in self._owners.values():
+            owner.tick(now)
+
+    def owner(self, pool: str) -> PoolOwner | None:
+        """Return the owner of a pool on this host, active or not."""
+        return self._owners.get(pool)
+
+    def active_pools(self) -> list[str]:
+        """Return the pools that this host owns."""
+        return [pool for pool, owner in self._owners.items() if owner.active]
+
+    def create_local_owner(self, now: float, pool: str, send: Send) -> PoolOwner:
+        """Create an owner that hands this host's share of a pool to itself.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        pool : str
+            Name of the pool.
+        send : callable
+            Takes the messages to this host.
+        """
+        settings = dataclasses.replace(self._parts.settings, settle_s=0.0, pause_limit_s=math.inf)
+        owner = create_owner(pool, dataclasses.replace(self._parts, send=send, settings=settings))
+        owner.share = 1.0 / max(1, len(tuple(self._live())))
+        owner.configure(now, self._upstreams.get(pool, []))
+        owner.on_members_changed(now, [self._name], True)
+        return owner
--- /dev/null
+++ b/tarragonwind/core/upstream_loads.py
@@ -0,0 +1,218 @@
+"""Follow the load, the speed and the health of one upstream."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+
+HISTORY_LENGTH = 256
+"""Changes of the number in flight that are remembered to compare reports with."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSettings:
+    """Set how upstreams are loaded and judged.
+
+    Attributes
+    ----------
+    work_ahead_s : float
+        Work in flight on an engine, in seconds of its full speed, above which none is added.
+    report_half_life_s : float
+        Age at which a load report counts half.
+    slowness_weight : float
+        Weight of one observation in the running estimate of slowness.
+    slowness_half_life_s : float
+        Time in which the estimate returns half-way to normal without observations.
+    max_slowness : float
+        Bound on the estimate, and its reciprocal.
+    outlier_slowness : float
+        Slowness relative to the pool's fastest at which an upstream is only probed.
+    retry_min_s, retry_max_s : float
+        First and longest time without work after failures to connect.
+    failures_to_eject : int
+        Failed answers in a row that eject an upstream.
+    prefill_speedup : float
+        Prompt tokens read in the time of generating one.
+    """
+
+    work_ahead_s: float = 12.0
+    report_half_life_s: float = 1.0
+    slowness_weight: float = 0.2
+    slowness_half_life_s: float = 10.0
+    max_slowness: float = 16.0
+    outlier_slowness: float = 5.0
+    retry_min_s: float = 0.5
+    retry_max_s: float = 15.0
+    failures_to_eject: int = 5
+    prefill_speedup: float = 10.0
+
+
+class UpstreamLoad:
+    """Hold what an owner knows about one upstream.
+
+    Attributes
+    ----------
+    entry : UpstreamEntry
+        Its entry in the catalogue.
+    in_flight : int
+        Permits out.
+    work : int
+        Estimated tokens of these permits.
+    """
+
+    __slots__ = (
+        "_failures",
+        "_history",
+        "_log_slowness",
+        "_observed_at",
+        "_probing",
+        "_report_at",
+        "_report_extra",
+        "_retry_at",
+        "_retry_s",
+        "_settings",
+        "entry",
+        "in_flight",
+        "work",
+    )
+
+    def __init__(self, entry: UpstreamEntry, settings: LoadSettings) -> None:
+        self.entry = entry
+        self.in_flight = 0
+        self.work = 0
+        self._settings = settings
+        self._failures = 0
+        self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_LENGTH)
+        self._retry_at = 0.0
+        self._retry_s = 0.0
+        self._probing = False
+        self._log_slowness = 0.0
+        self._observed_at = 0.0
+        self._report_extra = 0.0
+        self._report_at = -math.inf
+
+    @property
+    def ejected(self) -> bool:
+        """Tell whether the upstream is without work until a probe has succeeded."""
+        return self._retry_s > 0
+
+    def takes_work(self) -> bool:
+        """Tell whether the upstream counts as capacity now."""
+        return self.entry.state is UpstreamState.LIVE and not self.ejected
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether one more request fits what the upstream can batch."""
+        if self.entry.state is not UpstreamState.LIVE:
+            return False
+        if self.ejected:
+            return now >= self._retry_at and not self._probing
+        if self.in_flight + self._foreign_in_flight(now) >= self.entry.slots:
+            return self.in_flight == 0
+        return self.work < self.entry.tokens_per_s * self._settings.work_ahead_s
+
+    def add(self, now: float, cost_tokens: int) -> None:
+        """Count a permit."""
+        self._history.append((now, self.in_flight))
+        self.in_flight += 1
+        self.work += cost_tokens
+        if self.ejected:
+            self._probing = True
+
+    def release(self, now: float, cost_tokens: int) -> None:
+        """Count a permit out."""
+        self._history.append((now, self.in_flight))
+        self.in_flight -= 1
+        self.work -= cost_tokens
+        if self.ejected and self.in_flight == 0:
+            self._probing = False
+
+    def on_success(self) -> None:
+        """Note a whole answer."""
+        self._failures = 0
+        self._retry_s = 0.0
+        self._probing = False
+
+    def on_connect_failed(self, now: float, rng: random.Random) -> None:
+        """Note that a connection was refused: no work until a probe later on."""
+        self._eject(now, rng)
+
+    def on_failed(self, now: float, rng: random.Random) -> None:
+        """Note a failed answer; several in a row eject the upstream."""
+        self._failures += 1
+        if self.ejected or self._failures >= self._settings.failures_to_eject:
+            self._eject(now, rng)
+
+    def on_report(self, now: float, in_flight: int, age_s: float) -> None:
+        """Note a load report: work that others than this owner have there.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        in_flight : int
+            Requests that the upstream said it had.
+        age_s : float
+            Age of the report, in seconds.
+        """
+        own_in_flight = self._in_flight_at(now - age_s)
+        self._report_extra = max(0.0, float(in_flight - own_in_flight))
+        self._report_at = now - age_s
+
+    def on_observed(self, now: float, predicted_s: float, observed_s: float) -> None:
+        """Correct the estimate of slowness by one finished request."""
+        if predicted_s <= 0 or observed_s <= 0:
+            return
+        bound = math.log(self._settings.max_slowness)
+        error = math.log(observed_s / predicted_s)
+        current = self._decayed_log_slowness(now)
+        moved = current + self._settings.slowness_weight * error
+        self._log_slowness = min(bound, max(-bound, moved))
+        self._observed_at = now
+
+    def slowness(self, now: float) -> float:
+        """Return how many times slower than its entry says the upstream is."""
+        return math.exp(self._decayed_log_slowness(now))
+
+    def prefill_s(self, prompt_tokens: float, now: float) -> float:
+        """Return the expected time to read a prompt, in seconds."""
+        speed = self.entry.tokens_per_s * self._settings.prefill_speedup
+        return prompt_tokens / speed * self.slowness(now)
+
+    def step_s(self, now: float) -> float:
+        """Return the expected time of one token of one more request, in seconds."""
+        slots = self.entry.slots
+        running = self.in_flight + 1 + self._foreign_in_flight(now)
+        full_step_s = slots / self.entry.tokens_per_s
+        return full_step_s * (0.5 + 0.5 * running / slots) * self.slowness(now)
+
+    def _in_flight_at(self, then: float) -> int:
+        in_flight = self.in_flight
+        for changed_at, before in reversed(self._history):
+            if changed_at <= then:
+                break
+            in_flight = before
+        return in_flight
+
+    def _foreign_in_flight(self, now: float) -> float:
+        age_s = max(0.0, now - self._report_at)
+        if age_s > 10 * self._settings.report_half_life_s:
+            return 0.0
+        return self._report_extra * 0.5 ** (age_s / self._settings.report_half_life_s)
+
+    def _decayed_log_slowness(self, now: float) -> float:
+        idle_s = max(0.0, now - self._observed_at)
+        decay = 0.5 ** (idle_s / self._settings.slowness_half_life_s)
+        return float(self._log_slowness * decay)
+
+    def _eject(self, now: float, rng: random.Random) -> None:
+        self._failures = 0
+        if now < self._retry_at and self.ejected:
+            return
+        longer_s = max(self._settings.retry_min_s, self._retry_s * 2)
+        self._retry_s = min(self._settings.retry_max_s, longer_s)
+        self._retry_at = now + self._retry_s * (0.75 + 0.5 * rng.random())
+        self._probing = False
--- /dev/null
+++ b/tests/permit_fleets.py
@@ -0,0 +1,167 @@
+"""Drive permit clients and owners of several hosts over a network that a test controls."""
+
+import random
+from collections import deque
+
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.permit_clients import PermitClient, PermitRequest
+from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
+
+POOL = "drafting"
+VERSION = "v1"
+
+
+def create_upstream(name, slots=2, tokens_per_s=100.0, version=VERSION, **fields):
+    return UpstreamEntry(
+        name=name,
+        owner="ops",
+        pool=POOL,
+        version=version,
+        host="127.0.0.1",
+        port=9000,
+        data_centre=fields.pop("data_centre", "etna"),
+        slots=slots,
+        tokens_per_s=tokens_per_s,
+        **fields,
+    )
+
+
+def create_request(tier=0, organisation="a", cost=10, deadline=30.0, prefixes=(), **fields):
+    return PermitRequest(
+        pool=POOL,
+        route=fields.pop("route", "chat"),
+        organisation=organisation,
+        tier=tier,
+        cost_tokens=cost,
+        prompt_tokens=fields.pop("prompt_tokens", 0),
+        deadline=deadline,
+        prefixes=list(prefixes),
+        **fields,
+    )
+
+
+class FleetHost:
+    """Hold one host: its view of the members, its client and its owners."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.owner_name = "h0"
+        self.live = tuple(fleet.names)
+        self.paused = False
+        self.granted = {}
+        self.refused = {}
+        rng = random.Random(f"{fleet.seed}{name}")
+        parts = OwnerParts(
+            lambda host, msg: fleet.send(name, host, msg),
+            rng,
+            fleet.choose_version,
+            lambda organisation: fleet.weights.get(organisation, 1.0),
+        )
+        self.owners = PoolOwners(name, parts, lambda pool: self.owner_name, lambda: self.live)
+        self.client = PermitClient(
+            name,
+            lambda host, msg: fleet.send(name, host, msg),
+            rng,
+            lambda pool: self.owner_name,
+            self.owners.create_local_owner,
+        )
+        self.owners.configure(fleet.now, [POOL], fleet.upstreams)
+
+    def ask(self, request):
+        cell = []
+
+        def on_granted(permit):
+            assert permit.ask_id not in self.granted
+            self.granted[permit.ask_id] = permit
+
+        def on_refused(kind, retry_after_s):
+            ask_id = cell[0]
+            assert ask_id not in self.refused and ask_id not in self.granted
+            self.refused[ask_id] = (kind, retry_after_s)
+
+        cell.append(self.client.ask(self.fleet.now, request, on_granted, on_refused))
+        return cell[0]
+
+    def set_view(self, owner_name, live):
+        self.owner_name = owner_name
+        self.live = tuple(live)
+        self.owners.on_members_changed(self.fleet.now)
+        self.client.on_members_changed(self.fleet.now)
+
+    def receive(self, sender, msg):
+        if isinstance(msg, OWNER_MESSAGES):
+            self.owners.on_message(self.fleet.now, sender, msg)
+        else:
+            self.client.on_message(self.fleet.now, sender, msg)
+
+
+class Fleet:
+    """Hold hosts and the messages between them."""
+
+    def __init__(self, upstreams, host_count=3, seed=0, settle=True):
+        self.seed = seed
+        self.now = 100.0
+        self.names = [f"h{number}" for number in range(host_count)]
+        self.upstreams = list(upstreams)
+        self.weights = {}
+        self.version = VERSION
+        self.links = {}
+        self.cut = set()
+        self.dead = set()
+        self.sent = []
+        self.hosts = {}
+        for name in self.names:
+            self.hosts[name] = FleetHost(self, name)
+        if settle:
+            self.advance(1.0)
+
+    def choose_version(self, now, rng, pool, route):
+        return self.version
+
+    def send(self, sender, receiver, msg):
+        if receiver in self.dead or (sender, receiver) in self.cut:
+            return False
+        self.sent.append((sender, receiver, msg))
+        self.links.setdefault((sender, receiver), deque()).append(msg)
+        return True
+
+    def deliver(self, link):
+        sender, receiver = link
+        msg = self.links[link].popleft()
+        if receiver not in self.dead:
+            self.hosts[receiver].receive(sender, msg)
+
+    def waiting_links(self):
+        return sorted(
+            link
+            for link, messages in self.links.items()
+            if messages and link not in self.cut and not self.hosts[link[1]].paused
+        )
+
+    def settle_messages(self):
+        while links := self.waiting_links():
+            for link in links:
+                self.deliver(link)
+
+    def tick(self):
+        for name, host in self.hosts.items():
+            if name not in self.dead and not host.paused:
+                host.owners.tick(self.now)
+                host.client.tick(self.now)
+
+    def advance(self, seconds, step=0.1):
+        for _ in range(round(seconds / step)):
+            self.now += step
+            self.settle_messages()
+            self.tick()
+            self.settle_messages()
+
+    def owner(self, name="h0"):
+        return self.hosts[name].owners.owner(POOL)
+
+    def kill(self, name):
+        self.dead.add(name)
+        for link in list(self.links):
+            if name in link:
+                self.links[link].clear()
--- /dev/null
+++ b/tests/test_permit_clients.py
@@ -0,0 +1,144 @@
+"""Test asking for permits: owners that change, die, fall silent or are paused."""
+
+from permit_fleets import Fleet, create_request, create_upstream
+
+from tarragonwind.core.permit_messages import Outcome, PermitGrant
+from tarragonwind.errors import ErrorKind
+
+
+def test_a_request_is_granted_and_given_back():
+    fleet = Fleet([create_upstream("u1")])
+    host = fleet.hosts["h1"]
+    ask_id = host.ask(create_request(deadline=fleet.now + 5))
+    fleet.settle_messages()
+    assert host.granted[ask_id].upstream == "u1"
+    assert fleet.owner().in_flight() == 1
+    host.client.done(fleet.now, ask_id, Outcome.OK, 10, 100, 10)
+    fleet.settle_messages()
+    assert fleet.owner().in_flight() == 0
+
+
+def test_a_new_owner_learns_waiting_asks_and_held_permits():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    first = host.ask(create_request(deadline=fleet.now + 50))
+    second = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.settle_messages()
+    fleet.kill("h0")
+    for name in ("h1", "h2"):
+        fleet.hosts[name].set_view("h2", ["h1", "h2"])
+    fleet.advance(2.0)
+    assert set(host.granted) == {first}
+    host.client.done(fleet.now, first, Outcome.OK, 10, 100, 10)
+    fleet.settle_messages()
+    assert set(host.granted) == {first, second}
+
+
+def test_a_new_owner_grants_nothing_before_hosts_have_told_what_they_hold():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    holder, asker = fleet.hosts["h1"], fleet.hosts["h2"]
+    holder.ask(create_request(deadline=fleet.now + 50))
+    fleet.settle_messages()
+    fleet.kill("h0")
+    asker.set_view("h2", ["h1", "h2"])
+    asker.ask(create_request(deadline=fleet.now + 50))
+    fleet.settle_messages()
+    fleet.now += 0.2
+    holder.set_view("h2", ["h1", "h2"])
+    fleet.advance(1.0)
+    assert not asker.granted
+
+
+def test_a_silent_owner_is_replaced_by_the_local_share_until_it_answers():
+    fleet = Fleet([create_upstream("u1", slots=3)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    asks = [host.ask(create_request(deadline=fleet.now + 50)) for _ in range(3)]
+    fleet.advance(2.0)
+    assert host.client.uses_local_share("drafting")
+    assert set(host.granted) == {asks[0]}
+    fleet.hosts["h0"].paused = False
+    fleet.advance(3.0)
+    assert not host.client.uses_local_share("drafting")
+    assert set(host.granted) == set(asks)
+    assert fleet.owner().in_flight() == 3
+
+
+def test_two_owners_never_grant_one_request_twice():
+    fleet = Fleet([create_upstream("u1", slots=1), create_upstream("u2", slots=1)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    ask_id = host.ask(create_request(deadline=fleet.now + 50))
+    for name in ("h1", "h2"):
+        fleet.hosts[name].set_view("h2", ["h1", "h2"])
+    fleet.advance(1.0)
+    assert set(host.granted) == {ask_id}
+    host.receive("h0", PermitGrant("drafting", ask_id, "u2", "v1"))
+    host.receive("h0", PermitGrant("drafting", ask_id, "u1", "v1"))
+    returned = [msg for _, receiver, msg in fleet.sent if receiver == "h0"]
+    assert returned[-1].outcome == Outcome.UNUSED
+
+
+def test_a_lost_ask_is_sent_again():
+    fleet = Fleet([create_upstream("u1")])
+    host = fleet.hosts["h1"]
+    fleet.cut.add(("h1", "h0"))
+    ask_id = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.cut.clear()
+    fleet.advance(0.5)
+    assert ask_id in host.granted
+
+
+def test_a_lost_grant_is_found_by_the_next_statement():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    host.ask(create_request(deadline=fleet.now + 50))
+    fleet.deliver(("h1", "h0"))
+    fleet.links[("h0", "h1")].clear()
+    fleet.advance(0.8)
+    assert [permit.granted_by for permit in host.granted.values()] == ["h0"]
+    assert fleet.owner().in_flight() == 1
+
+
+def test_a_lost_release_is_found_by_the_next_statement():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    first = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.settle_messages()
+    host.client.done(fleet.now, first, Outcome.OK)
+    fleet.links[("h1", "h0")].clear()
+    second = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.advance(15.0)
+    assert second in host.granted
+
+
+def test_a_passed_deadline_is_answered_at_once():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    late = host.ask(create_request(deadline=fleet.now + 0.5))
+    fleet.advance(0.6)
+    assert host.refused[late][0] is ErrorKind.DEADLINE_PASSED
+
+
+def test_a_cancelled_ask_leaves_the_queue():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    host.ask(create_request(deadline=fleet.now + 50))
+    waiting = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.settle_messages()
+    assert host.client.cancel(fleet.now, waiting)
+    fleet.settle_messages()
+    assert sum(fleet.owner().waiting_by_tier()) == 0
+    assert not host.client.cancel(fleet.now, waiting)
+
+
+def test_a_grant_for_a_cancelled_ask_is_returned():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    ask_id = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.deliver(("h1", "h0"))
+    host.client.cancel(fleet.now, ask_id)
+    fleet.settle_messages()
+    assert fleet.owner().in_flight() == 0
+    assert not host.granted
