--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -346,7 +346,7 @@
             open_versions = self._versions_with_room(now)
             if not open_versions:
                 return
-            ask = self._queue.pop(lambda version: version in open_versions)  # noqa: B023
+            ask = self._queue.pop(open_versions.__contains__)
             if ask is None:
                 return
             self._grant(now, ask)
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -85,7 +85,7 @@
     def push(self, ask: WaitingAsk, weight: float) -> None:
         line = self._lines.get(ask.organisation)
         if line is None:
-            line = _Line(ask.organisation, virtual_time=self._virtual_time)
+            line = _Line(ask.organisation)
             self._lines[ask.organisation] = line
         line.weight = weight
         line.by_version.setdefault(ask.version, OrderedDict())[ask.key] = ask
