Drive owners and clients through lost messages, pauses and changes of owner

Cause: a hypothesis machine (250 examples of 40 steps, derandomized) loses, repeats and delays messages, pauses hosts and gives hosts unlike views of the owner. It found a leak: an ask granted and cancelled at the same time, with the grant lost, left its permit out for ever since the host had nothing to state. Owners now ask hosts that hold a permit and have said nothing for 15 s.

A second fault was found by a plain test: an owner back from a pause granted on asks that had waited in its sockets. An owner now takes asks only from hosts that have made a statement in its present epoch; hosts that follow another owner by then ignore its request for one.

Excluded: resending every release until it is acknowledged, which costs a message a request.

Conclusion: at the end of every example each ask is answered and no permit is out.

--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -17,6 +17,7 @@
     PermitCancel,
     PermitDone,
     PermitGrant,
+    PermitQuery,
     PermitRefusal,
     PermitSync,
     list_ask,
@@ -268,6 +269,8 @@
             self._on_refusal(now, host, msg)
         elif isinstance(msg, PermitBeat):
             self._on_beat(now, host, msg)
+        elif isinstance(msg, PermitQuery):
+            self._on_query(now, host, msg)
 
     def on_members_changed(self, now: float) -> None:
         """Turn to the new owners of pools whose owner has changed."""
@@ -353,11 +356,7 @@
 
     def _on_beat(self, now: float, host: str, msg: PermitBeat) -> None:
         state = self._pools.get(msg.pool)
-        if state is None:
-            if msg.waiting:
-                self._send(host, PermitSync(msg.pool))
-            return
-        if host != state.owner:
+        if state is None or host != state.owner:
             return
         self._note_heard(now, state, host)
         if msg.epoch != state.epoch:
@@ -368,6 +367,14 @@
         if state.wrong_beats >= self._settings.beats_to_resync:
             self._sync(now, state)
 
+    def _on_query(self, now: float, host: str, msg: PermitQuery) -> None:
+        state = self._pools.get(msg.pool)
+        if state is None:
+            self._send(host, PermitSync(msg.pool))
+        else:
+            self._note_heard(now, state, host)
+            self._send(host, self._sync_message(now, state))
+
     def _refuse(self, ask_id: int, wait: _Wait, kind: ErrorKind, retry_after_s: float) -> None:
         del self._pool_of[ask_id]
         wait.on_refused(kind, retry_after_s)
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -190,6 +190,14 @@
     waiting: int
 
 
+@message(37)
+@dataclass(slots=True)
+class PermitQuery(Message):
+    """Ask a host for its `PermitSync`, after a time without one."""
+
+    pool: str
+
+
 def list_ask(ask: PermitAsk) -> list[object]:
     """Return the field values of an ask for `PermitSync`."""
     return [
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -18,6 +18,7 @@
     PermitCancel,
     PermitDone,
     PermitGrant,
+    PermitQuery,
     PermitRefusal,
     PermitSync,
 )
@@ -28,6 +29,9 @@
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
 
+SWEEP_PERIOD_S = 5.0
+"""Time between two sweeps over idle state, in seconds."""
+
 Send = Callable[[str, Message], object]
 """Sends a message to a host, this one included."""
 
@@ -55,6 +59,8 @@
         Time between two signs of life to hosts with waiting asks.
     resend_after_s : float
         Time after which a permit that a host doesn't know of is granted to it again.
+    query_after_s : float
+        Time without a statement after which a host that holds permits is asked for one.
     max_waiting : int
         Most asks that wait.
     max_retry_after_s : float
@@ -66,6 +72,7 @@
     host_grace_s: float = 5.0
     beat_period_s: float = 0.3
     resend_after_s: float = 0.4
+    query_after_s: float = 15.0
     max_waiting: int = 2_000
     max_retry_after_s: float = 120.0
 
@@ -142,6 +149,7 @@
         self._permits: dict[AskKey, _Permit] = {}
         self._hosts: set[str] = set()
         self._lost: dict[str, float] = {}
+        self._stated_at: dict[str, float] = {}
         self._active = False
         self._settled_at = 0.0
         self._epoch = rng.getrandbits(31)
@@ -218,9 +226,10 @@
         if now - self._beat_at >= self._settings.beat_period_s:
             self._beat_at = now
             self._send_beats()
-        if now - self._idle_swept_at >= 10.0:
+        if now - self._idle_swept_at >= SWEEP_PERIOD_S:
             self._idle_swept_at = now
             self._queue.forget_idle()
+            self._query_silent_hosts(now)
 
     # What hosts send.
 
@@ -230,8 +239,8 @@
         if isinstance(msg, PermitSync):
             self._on_sync(now, host, msg)
         elif isinstance(msg, PermitAsk):
-            self._greet(host)
-            self._add_ask(now, host, msg)
+            if self._greet(host):
+                self._add_ask(now, host, msg)
         elif isinstance(msg, PermitDone):
             self._greet(host)
             self._on_done(now, host, msg)
@@ -332,6 +341,16 @@
         refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
         self._send(ask.host, refusal)
 
+    def _query_silent_hosts(self, now: float) -> None:
+        if not self._active:
+            return
+        before = now - self._settings.query_after_s
+        old = {permit.host for permit in self._permits.values() if permit.granted_at < before}
+        for host in sorted(old - set(self._lost)):
+            if self._stated_at.get(host, before) <= before:
+                self._stated_at[host] = now
+                self._send(host, PermitQuery(self.pool))
+
     def _drop_asks(self, host: str) -> None:
         for ask in self._queue:
             if ask.host == host:
@@ -456,6 +475,7 @@
 
     def _on_sync(self, now: float, host: str, msg: PermitSync) -> None:
         self._hosts.add(host)
+        self._stated_at[host] = now
         asks = [_read_ask(values) for values in msg.asks]
         held = [_read_permit(values) for values in msg.permits]
         waiting_ids = {ask.ask_id for ask in asks}
@@ -510,6 +530,7 @@
             self._queue.remove(ask.key)
         self._hosts.clear()
         self._lost.clear()
+        self._stated_at.clear()
         self._epoch = self._rng.getrandbits(31)
 
     def _note_call(self, now: float) -> None:
@@ -518,10 +539,11 @@
         if called_at is not None and now - called_at > self._settings.pause_limit_s:
             self.on_resumed(now)
 
-    def _greet(self, host: str) -> None:
+    def _greet(self, host: str) -> bool:
+        """Tell whether a host has stated what it holds in this epoch; if not, ask it to."""
         if host not in self._hosts and host not in self._lost:
-            self._hosts.add(host)
             self._send_beat(host)
+        return host in self._hosts
 
     def _send_beat(self, host: str) -> None:
         if not self._active:
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -5,6 +5,8 @@
 
 from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.permit_clients import PermitClient, PermitRequest
+from tarragonwind.core.permit_messages import PermitSync
+from tarragonwind.core.permits import PermitSettings
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 
 POOL = "drafting"
@@ -57,6 +59,7 @@
             rng,
             fleet.choose_version,
             lambda organisation: fleet.weights.get(organisation, 1.0),
+            fleet.settings,
         )
         self.owners = PoolOwners(name, parts, lambda pool: self.owner_name, lambda: self.live)
         self.client = PermitClient(
@@ -99,12 +102,14 @@
 class Fleet:
     """Hold hosts and the messages between them."""
 
-    def __init__(self, upstreams, host_count=3, seed=0, settle=True):
+    def __init__(self, upstreams, host_count=3, seed=0, settings=None):
         self.seed = seed
         self.now = 100.0
         self.names = [f"h{number}" for number in range(host_count)]
         self.upstreams = list(upstreams)
         self.weights = {}
+        self.settings = settings or PermitSettings()
+        self.on_sent = lambda sender, receiver, msg: None
         self.version = VERSION
         self.links = {}
         self.cut = set()
@@ -113,8 +118,9 @@
         self.hosts = {}
         for name in self.names:
             self.hosts[name] = FleetHost(self, name)
-        if settle:
-            self.advance(1.0)
+        for name in self.names:
+            self.send(name, "h0", PermitSync(POOL))
+        self.advance(1.0)
 
     def choose_version(self, now, rng, pool, route):
         return self.version
@@ -123,6 +129,7 @@
         if receiver in self.dead or (sender, receiver) in self.cut:
             return False
         self.sent.append((sender, receiver, msg))
+        self.on_sent(sender, receiver, msg)
         self.links.setdefault((sender, receiver), deque()).append(msg)
         return True
 
@@ -157,6 +164,11 @@
             self.tick()
             self.settle_messages()
 
+    def configure(self, upstreams):
+        self.upstreams = list(upstreams)
+        for host in self.hosts.values():
+            host.owners.configure(self.now, [POOL], self.upstreams)
+
     def owner(self, name="h0"):
         return self.hosts[name].owners.owner(POOL)
 
--- a/tests/test_permit_clients.py
+++ b/tests/test_permit_clients.py
@@ -142,3 +142,28 @@
     fleet.settle_messages()
     assert fleet.owner().in_flight() == 0
     assert not host.granted
+
+
+def test_a_host_that_holds_nothing_is_asked_about_a_permit_that_got_lost():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    ask_id = host.ask(create_request(deadline=fleet.now + 50))
+    fleet.deliver(("h1", "h0"))
+    fleet.links[("h0", "h1")].clear()
+    host.client.cancel(fleet.now, ask_id)
+    fleet.settle_messages()
+    assert fleet.owner().in_flight() == 1
+    fleet.advance(25.0)
+    assert fleet.owner().in_flight() == 0
+
+
+def test_a_grant_that_comes_after_the_deadline_is_not_used():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    ask_id = host.ask(create_request(deadline=fleet.now + 0.5))
+    fleet.deliver(("h1", "h0"))
+    fleet.now += 1.0
+    fleet.settle_messages()
+    assert not host.granted
+    assert host.refused[ask_id][0] is ErrorKind.DEADLINE_PASSED
+    assert fleet.owner().in_flight() == 0
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,287 @@
+"""Test the owner of a pool: order, capacity, health of upstreams and changes of owner."""
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from permit_fleets import POOL, Fleet, create_request, create_upstream
+
+from tarragonwind.core.entries import UpstreamState
+from tarragonwind.core.permit_messages import (
+    REFUSAL_KINDS,
+    Outcome,
+    PermitGrant,
+    PermitRefusal,
+)
+from tarragonwind.core.permits import PermitSettings
+from tarragonwind.errors import ErrorKind
+
+
+def ask_many(fleet, host, count, **fields):
+    deadline = fleet.now + fields.pop("within", 50)
+    asks = [host.ask(create_request(deadline=deadline, **fields)) for _ in range(count)]
+    fleet.settle_messages()
+    return asks
+
+
+def give_back(fleet, host, ask_id, outcome=Outcome.OK, **seen):
+    host.client.done(fleet.now, ask_id, outcome, **seen)
+    fleet.settle_messages()
+
+
+def test_in_flight_work_is_held_at_the_slots():
+    fleet = Fleet([create_upstream("u1", slots=2), create_upstream("u2", slots=3)])
+    host = fleet.hosts["h1"]
+    asks = ask_many(fleet, host, 9)
+    assert len(host.granted) == 5
+    give_back(fleet, host, next(iter(host.granted)))
+    assert len(host.granted) == 6
+    assert set(host.granted) < set(asks)
+
+
+def test_in_flight_work_is_held_by_estimated_cost():
+    fleet = Fleet([create_upstream("u1", slots=16, tokens_per_s=100.0)])
+    host = fleet.hosts["h1"]
+    ask_many(fleet, host, 8, cost=700)
+    assert len(host.granted) == 2
+
+
+def test_a_higher_tier_on_another_host_goes_first():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    low, high = fleet.hosts["h1"], fleet.hosts["h2"]
+    low_asks = ask_many(fleet, low, 3, tier=3)
+    high_asks = ask_many(fleet, high, 2, tier=0)
+    for host, ask_id in ((low, low_asks[0]), (high, high_asks[0])):
+        give_back(fleet, host, ask_id)
+    assert set(high.granted) == set(high_asks)
+    assert set(low.granted) == {low_asks[0]}
+
+
+def test_a_leaving_upstream_gets_no_new_work():
+    fleet = Fleet([create_upstream("u1", slots=9)])
+    host = fleet.hosts["h1"]
+    leaving = create_upstream("u1", slots=9, state=UpstreamState.LEAVING)
+    fleet.configure([leaving, create_upstream("u2", slots=1)])
+    ask_many(fleet, host, 3)
+    assert [permit.upstream for permit in host.granted.values()] == ["u2"]
+
+
+def test_an_upstream_that_refuses_connections_is_probed_with_one_request():
+    fleet = Fleet([create_upstream("u1", slots=4)])
+    host = fleet.hosts["h1"]
+    first = ask_many(fleet, host, 1)[0]
+    give_back(fleet, host, first, Outcome.CONNECT_FAILED)
+    ask_many(fleet, host, 3)
+    assert len(host.granted) == 1
+    fleet.advance(1.0)
+    assert len(host.granted) == 2
+    probe = max(host.granted)
+    give_back(fleet, host, probe, Outcome.CONNECT_FAILED)
+    fleet.advance(0.5)
+    assert len(host.granted) == 2
+    fleet.advance(1.5)
+    assert len(host.granted) == 3
+    give_back(fleet, host, max(host.granted), Outcome.OK, duration_ms=100)
+    ask_many(fleet, host, 3)
+    assert len(host.granted) == 7
+
+
+def test_a_pool_without_upstreams_is_told_at_once():
+    fleet = Fleet([create_upstream("u1", state=UpstreamState.LEAVING)])
+    host = fleet.hosts["h1"]
+    asks = ask_many(fleet, host, 1)
+    assert host.refused[asks[0]][0] is ErrorKind.NO_UPSTREAM
+
+
+def test_what_cannot_be_met_is_refused_at_once_and_the_time_to_come_back_is_true():
+    fleet = Fleet([create_upstream("u1", slots=1, tokens_per_s=100.0)])
+    host = fleet.hosts["h1"]
+    ask_many(fleet, host, 1, cost=100, within=500)
+    ask_many(fleet, host, 20, cost=100, within=500)
+    hopeless = ask_many(fleet, host, 1, cost=100, within=5)
+    kind, retry_after_s = host.refused[hopeless[0]]
+    assert kind is ErrorKind.DEADLINE_UNMEETABLE
+    assert 18 <= retry_after_s <= 22
+    urgent = ask_many(fleet, host, 1, tier=0, cost=100, within=retry_after_s + 3)
+    assert urgent[0] not in host.refused
+
+
+def test_a_burst_of_a_higher_tier_ends_what_it_makes_unmeetable():
+    fleet = Fleet([create_upstream("u1", slots=1, tokens_per_s=100.0)])
+    host = fleet.hosts["h1"]
+    running = ask_many(fleet, host, 1, cost=100, within=500)[0]
+    for _ in range(4):
+        ask_many(fleet, host, 1, tier=1, cost=100, within=500)
+        fleet.advance(1.0)
+        give_back(fleet, host, running)
+        running = max(host.granted)
+    low = ask_many(fleet, host, 2, tier=2, cost=100, within=8)
+    ask_many(fleet, host, 30, tier=0, cost=100, within=500)
+    fleet.advance(0.2)
+    assert [host.refused[ask_id][0] for ask_id in low] == [ErrorKind.DEADLINE_UNMEETABLE] * 2
+
+
+def test_permits_of_a_lost_host_are_free_after_the_grace():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    ask_many(fleet, fleet.hosts["h1"], 1)
+    fleet.kill("h1")
+    for name in ("h0", "h2"):
+        fleet.hosts[name].set_view("h0", ["h0", "h2"])
+    other = fleet.hosts["h2"]
+    ask_many(fleet, other, 1)
+    fleet.advance(4.0)
+    assert not other.granted
+    fleet.advance(2.0)
+    assert len(other.granted) == 1
+
+
+def test_waiting_asks_follow_a_version_that_is_taken_back():
+    upstreams = [
+        create_upstream("u1", slots=1, version="v1"),
+        create_upstream("u2", slots=1, version="v2"),
+    ]
+    fleet = Fleet(upstreams)
+    host = fleet.hosts["h1"]
+    fleet.version = "v2"
+    ask_many(fleet, host, 2)
+    fleet.version = "v1"
+    fleet.hosts["h0"].owners.on_versions_changed(fleet.now, POOL)
+    fleet.settle_messages()
+    assert [permit.upstream for permit in host.granted.values()] == ["u2", "u1"]
+
+
+def test_an_owner_that_was_paused_grants_nothing_on_what_it_knew():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    holder, asker = fleet.hosts["h1"], fleet.hosts["h2"]
+    held = ask_many(fleet, holder, 1)[0]
+    fleet.hosts["h0"].paused = True
+    asker.ask(create_request(deadline=fleet.now + 50))
+    for name in ("h1", "h2"):
+        fleet.hosts[name].set_view("h2", ["h1", "h2"])
+    fleet.advance(3.0)
+    give_back(fleet, holder, held)
+    fleet.advance(0.5)
+    assert len(asker.granted) == 1
+    sent = len(fleet.sent)
+    fleet.hosts["h0"].paused = False
+    fleet.advance(3.0)
+    assert not [msg for sender, _, msg in fleet.sent[sent:] if isinstance(msg, PermitGrant)]
+    assert len(asker.granted) == 1
+
+
+class PermitMachine(RuleBasedStateMachine):
+    """Lose, repeat and delay messages while owners change, are paused and come back."""
+
+    def __init__(self):
+        super().__init__()
+        upstreams = [create_upstream("u1", slots=2), create_upstream("u2", slots=1)]
+        self.fleet = Fleet(upstreams, settings=PermitSettings(max_waiting=6))
+        self.fleet.on_sent = self.check_sent
+        self.tiers = {}
+
+    def check_sent(self, sender, receiver, msg):
+        owner = self.fleet.hosts[sender].owners.owner(POOL)
+        if isinstance(msg, PermitGrant) and owner.active:
+            higher = owner.waiting_by_tier()[: self.tiers[receiver, msg.ask_id]]
+            assert sum(higher) == 0, "a lower tier was granted while a higher one waited"
+        elif isinstance(msg, PermitRefusal) and REFUSAL_KINDS[msg.kind] is ErrorKind.SHED:
+            lower = owner.waiting_by_tier()[self.tiers[receiver, msg.ask_id] + 1 :]
+            assert sum(lower) == 0, "a higher tier was shed before a lower one"
+
+    def pick(self, names, number):
+        return sorted(names)[number % len(names)]
+
+    @rule(number=st.integers(0, 2), tier=st.integers(0, 3), organisation=st.sampled_from("ab"))
+    def ask(self, number, tier, organisation):
+        host = self.fleet.hosts[f"h{number}"]
+        if not host.paused:
+            next_id = host.client._next_id + 1
+            self.tiers[host.name, next_id] = tier
+            deadline = self.fleet.now + 20
+            host.ask(create_request(tier=tier, organisation=organisation, deadline=deadline))
+
+    @precondition(lambda self: self.fleet.waiting_links())
+    @rule(number=st.integers(0, 20), fate=st.sampled_from(["take", "take", "lose", "repeat"]))
+    def treat_message(self, number, fate):
+        link = self.pick(self.fleet.waiting_links(), number)
+        messages = self.fleet.links[link]
+        if fate == "lose":
+            messages.popleft()
+            return
+        if fate == "repeat":
+            messages.append(messages[0])
+        self.fleet.deliver(link)
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 3.0, 7.0]))
+    def advance(self, seconds):
+        self.fleet.advance(seconds, step=0.1 if seconds <= 1 else 0.5)
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 2.0]))
+    def pass_time_without_delivery(self, seconds):
+        self.fleet.now += seconds
+        self.fleet.tick()
+
+    @rule(number=st.integers(0, 2), choice=st.integers(0, 9), outcome=st.sampled_from(Outcome))
+    def give_back(self, number, choice, outcome):
+        host = self.fleet.hosts[f"h{number}"]
+        if host.granted and not host.paused:
+            ask_id = self.pick(host.granted, choice)
+            host.client.done(self.fleet.now, ask_id, outcome, 10, 100, 10)
+
+    @rule(number=st.integers(0, 2), choice=st.integers(0, 9))
+    def cancel(self, number, choice):
+        host = self.fleet.hosts[f"h{number}"]
+        asked = [key[1] for key in self.tiers if key[0] == host.name]
+        if asked and not host.paused:
+            host.client.cancel(self.fleet.now, self.pick(asked, choice))
+
+    @rule(number=st.integers(0, 2), owner=st.integers(0, 2), lost=st.integers(0, 2))
+    def change_view(self, number, owner, lost):
+        host = self.fleet.hosts[f"h{number}"]
+        if not host.paused:
+            live = {name for name in self.fleet.names if name != f"h{lost}"}
+            host.set_view(f"h{owner}", sorted(live | {host.name, f"h{owner}"}))
+
+    @rule(number=st.integers(0, 2))
+    def pause_or_resume(self, number):
+        host = self.fleet.hosts[f"h{number}"]
+        host.paused = not host.paused
+
+    @invariant()
+    def accounts_are_even(self):
+        for name in self.fleet.names:
+            owner = self.fleet.owner(name)
+            assert sum(load.in_flight for load in owner.loads()) == owner.in_flight()
+            for load in owner.loads():
+                assert load.in_flight >= 0 and load.work >= 0
+
+    @invariant()
+    def nothing_is_granted_and_refused(self):
+        for host in self.fleet.hosts.values():
+            assert not set(host.granted) & set(host.refused)
+
+    def teardown(self):
+        fleet = self.fleet
+        for host in fleet.hosts.values():
+            host.paused = False
+        for host in fleet.hosts.values():
+            host.set_view("h0", fleet.names)
+        for _ in range(30):
+            fleet.advance(2.0, step=0.25)
+            for host in fleet.hosts.values():
+                for ask_id in host.granted:
+                    host.client.done(fleet.now, ask_id, Outcome.OK, 10, 100, 10)
+        fleet.settle_messages()
+        for host in fleet.hosts.values():
+            assert host.client.waiting() == 0, "an ask was never answered"
+            assert not host.client.uses_local_share(POOL)
+        assert fleet.owner().in_flight() == 0, "capacity has leaked"
+
+
+PermitMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=250,
+    stateful_step_count=40,
+    deadline=None,
+    phases=[Phase.explicit, Phase.generate],
+)
+TestPermitMachine = PermitMachine.TestCase
