--- /dev/null
+++ b/bench/fake_engines.py
@@ -0,0 +1,166 @@
+"""Stand in for a model engine: continuous batching, first come first served, a prefix cache."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.schedules import Schedule
+from bench.traces import PREFILL_SPEEDUP
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold one request in an engine."""
+
+    prompt_tokens: int
+    output_tokens: int
+    on_start: Callable[[], None]
+    on_first: Callable[[], None]
+    on_end: Callable[[], None]
+    prefixes: tuple[int, ...] = ()
+    state: str = "new"
+    prefilled: float = 0.0
+    started_at: float = 0.0
+    cached_share: float = 0.0
+    first_seen: bool = field(default=False)
+
+
+class FakeEngine:
+    """Run up to `slots` jobs at one time; each step takes longer the more there are.
+
+    Parameters
+    ----------
+    schedule : Schedule
+        Time of the experiment.
+    slots : int
+        Largest batch; more jobs wait in order.
+    tokens_per_s : float
+        Tokens a second with a full batch.
+    max_prefixes : int
+        Prefixes that the cache holds.
+    """
+
+    def __init__(
+        self, schedule: Schedule, slots: int, tokens_per_s: float, max_prefixes: int = 0
+    ) -> None:
+        self.slots = slots
+        self.tokens_per_s = tokens_per_s
+        self.slowness = 1.0
+        self.running = 0
+        self.waiting: deque[Job] = deque()
+        self.cache: OrderedDict[int, None] = OrderedDict()
+        self.prefilled_tokens = 0.0
+        self._max_prefixes = max_prefixes
+        self._schedule = schedule
+        self._progress = 0.0
+        self._progress_at = 0.0
+        self._marks: list[tuple[float, int, Job, bool]] = []
+        self._numbers = itertools.count()
+        self._plan = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of jobs that run or wait."""
+        return self.running + len(self.waiting)
+
+    def submit(self, job: Job) -> None:
+        """Take a job in."""
+        self._advance()
+        job.state = "waiting"
+        self.waiting.append(job)
+        self._start_waiting()
+        self._replan()
+
+    def cancel(self, job: Job) -> None:
+        """End a job whose caller has left."""
+        self._advance()
+        if job.state == "running":
+            self.running -= 1
+        elif job.state == "waiting":
+            self.waiting.remove(job)
+        job.state = "cancelled"
+        self._start_waiting()
+        self._replan()
+
+    def set_slowness(self, slowness: float) -> None:
+        """Slow the engine down by a factor."""
+        self._advance()
+        self.slowness = slowness
+        self._replan()
+
+    def _step_s(self) -> float:
+        full_step_s = self.slots / self.tokens_per_s
+        return full_step_s * (0.5 + 0.5 * self.running / self.slots) * self.slowness
+
+    def _advance(self) -> None:
+        now = self._schedule.now
+        if self.running:
+            self._progress += (now - self._progress_at) / self._step_s()
+        self._progress_at = now
+
+    def _start_waiting(self) -> None:
+        while self.waiting and self.running < self.slots:
+            self._start(self.waiting.popleft())
+
+    def _start(self, job: Job) -> None:
+        self.running += 1
+        job.state = "running"
+        job.started_at = self._schedule.now
+        job.cached_share = self._cached_share(job.prefixes)
+        job.prefilled = job.prompt_tokens * (1.0 - job.cached_share)
+        self.prefilled_tokens += job.prefilled
+        self._remember(job.prefixes)
+        first = self._progress + job.prefilled / PREFILL_SPEEDUP + 1
+        heapq.heappush(self._marks, (first, next(self._numbers), job, False))
+        end = first + job.output_tokens - 1
+        heapq.heappush(self._marks, (end, next(self._numbers), job, True))
+        job.on_start()
+
+    def _replan(self) -> None:
+        self._plan += 1
+        while self._marks and self._marks[0][2].state == "cancelled":
+            heapq.heappop(self._marks)
+        if not self._marks or not self.running:
+            return
+        plan = self._plan
+        due = self._schedule.now + max(0.0, self._marks[0][0] - self._progress) * self._step_s()
+        self._schedule.call_at(due, lambda: self._on_due(plan))
+
+    def _on_due(self, plan: int) -> None:
+        if plan != self._plan:
+            return
+        self._advance()
+        reached: list[tuple[Job, bool]] = []
+        while self._marks and self._marks[0][0] <= self._progress + 1e-6:
+            _, _, job, is_end = heapq.heappop(self._marks)
+            if job.state == "running":
+                reached.append((job, is_end))
+            if job.state == "running" and is_end:
+                job.state = "ended"
+                self.running -= 1
+        self._start_waiting()
+        self._replan()
+        for job, is_end in reached:
+            if is_end:
+                job.on_end()
+            else:
+                job.on_first()
+
+    def _cached_share(self, prefixes: tuple[int, ...]) -> float:
+        for count in range(len(prefixes), 0, -1):
+            if prefixes[count - 1] in self.cache:
+                return count / (len(prefixes) + 1)
+        return 0.0
+
+    def _remember(self, prefixes: tuple[int, ...]) -> None:
+        if not self._max_prefixes:
+            return
+        for prefix in prefixes:
+            self.cache[prefix] = None
+            self.cache.move_to_end(prefix)
+        while len(self.cache) > self._max_prefixes:
+            self.cache.popitem(last=False)
--- /dev/null
+++ b/bench/fleets.py
@@ -0,0 +1,360 @@
+"""Run entry hosts of the core over fake engines and a fake network."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import functools
+import random
+from collections import deque
+from collections.abc import Callable
+
+from bench.fake_engines import FakeEngine, Job
+from bench.schedules import Schedule
+from bench.traces import Arrival
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.estimates import CostEstimator
+from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
+from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
+from tarragonwind.errors import ErrorKind
+from tarragonwind.messages import Message, pack_message
+
+POOL = "drafting"
+VERSION = "v1"
+LATENCY_S = 0.001
+TICK_S = 0.1
+BYTES_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """Hold what became of one request.
+
+    Attributes
+    ----------
+    arrival : Arrival
+        The request.
+    dispatches : int
+        Times that it was sent to an engine.
+    started_at, first_at, ended_at : float or None
+        Times at which an engine began, gave the first token and the last one.
+    refused_at : float or None
+        Time at which it was refused.
+    retry_after_s : float
+        Time to come back that was given.
+    """
+
+    arrival: Arrival
+    dispatches: int = 0
+    started_at: float | None = None
+    first_at: float | None = None
+    ended_at: float | None = None
+    refused_at: float | None = None
+    retry_after_s: float = 0.0
+    left_at: float | None = None
+    prefilled: float = 0.0
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether the first token and the whole answer came in time."""
+        if self.first_at is None or self.ended_at is None:
+            return False
+        arrival = self.arrival
+        return self.first_at <= arrival.first_byte_by and self.ended_at <= arrival.whole_by
+
+
+@dataclasses.dataclass(slots=True)
+class EngineSpec:
+    """Describe one engine."""
+
+    name: str
+    slots: int
+    tokens_per_s: float
+
+    def entry(self) -> UpstreamEntry:
+        """Return the engine's entry in the catalogue."""
+        return UpstreamEntry(
+            name=self.name,
+            owner="ops",
+            pool=POOL,
+            version=VERSION,
+            host="127.0.0.1",
+            port=9000,
+            data_centre="etna",
+            slots=self.slots,
+            tokens_per_s=self.tokens_per_s,
+        )
+
+
+ENGINES = (
+    EngineSpec("e1", 16, 800.0),
+    EngineSpec("e2", 16, 800.0),
+    EngineSpec("e3", 16, 1_200.0),
+    EngineSpec("e4", 16, 400.0),
+)
+
+
+class BenchHost:
+    """Hold one entry host: its client, its owners and its requests."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.owner_name = fleet.names[0]
+        self.live: tuple[str, ...] = tuple(fleet.names)
+        self.paused = False
+        self.dead = False
+        self.inbox: deque[Callable[[], None]] = deque()
+        self.control_bytes = 0
+        self.estimator = CostEstimator()
+        self.jobs: dict[int, tuple[FakeEngine, Job]] = {}
+        rng = random.Random(f"{fleet.seed} {name}")
+        parts = OwnerParts(self.send, rng, lambda *_: VERSION, lambda _: 1.0)
+        self.owners = PoolOwners(name, parts, lambda _: self.owner_name, lambda: self.live)
+        self.client = PermitClient(
+            name,
+            self.send,
+            rng,
+            lambda _: self.owner_name,
+            self.owners.create_local_owner,
+        )
+        self.owners.configure(0.0, [POOL], [spec.entry() for spec in fleet.specs])
+
+    @property
+    def owner(self) -> PoolOwner:
+        """Return this host's owner of the pool, active or not."""
+        owner = self.owners.owner(POOL)
+        assert owner is not None
+        return owner
+
+    def send(self, host: str, msg: Message) -> bool:
+        """Send a message to another host."""
+        return self.fleet.send(self, host, msg)
+
+    def call(self, callback: Callable[[], None]) -> None:
+        """Run something on this host, later when it is paused and never when it is dead."""
+        if self.dead:
+            return
+        if self.paused:
+            self.inbox.append(callback)
+            return
+        callback()
+
+    def resume(self) -> None:
+        """End a pause."""
+        self.paused = False
+        while self.inbox:
+            self.inbox.popleft()()
+
+    def receive(self, sender: str, msg: Message) -> None:
+        """Take in a message."""
+        if isinstance(msg, OWNER_MESSAGES):
+            self.owners.on_message(self.fleet.schedule.now, sender, msg)
+        else:
+            self.client.on_message(self.fleet.schedule.now, sender, msg)
+
+    def set_view(self, owner_name: str, live: list[str]) -> None:
+        """Change which hosts this one takes for alive and for the owner."""
+        self.owner_name = owner_name
+        self.live = tuple(live)
+        self.owners.on_members_changed(self.fleet.schedule.now)
+        self.client.on_members_changed(self.fleet.schedule.now)
+
+    def tick(self) -> None:
+        """Do what is due."""
+        if not self.paused and not self.dead:
+            self.owners.tick(self.fleet.schedule.now)
+            self.client.tick(self.fleet.schedule.now)
+
+    def handle(self, record: Record) -> None:
+        """Take a request in."""
+        arrival = record.arrival
+        now = self.fleet.schedule.now
+        prompt_bytes = arrival.prompt_tokens * BYTES_PER_TOKEN
+        estimate = self.estimator.estimate("chat", arrival.organisation, prompt_bytes, None)
+        request = PermitRequest(
+            pool=POOL,
+            route="chat",
+            organisation=arrival.organisation,
+            tier=arrival.tier,
+            cost_tokens=estimate.cost_tokens,
+            prompt_tokens=estimate.prompt_tokens,
+            deadline=arrival.first_byte_by,
+            prefixes=list(arrival.prefixes),
+        )
+
+        def on_refused(_kind: ErrorKind, retry_after_s: float) -> None:
+            record.refused_at = self.fleet.schedule.now
+            record.retry_after_s = retry_after_s
+            self.fleet.on_refused(record)
+
+        self.client.ask(now, request, lambda permit: self._dispatch(record, permit), on_refused)
+
+    def _dispatch(self, record: Record, permit: Permit) -> None:
+        schedule = self.fleet.schedule
+        engine = self.fleet.engines[permit.upstream]
+        dispatched_at = schedule.now
+        record.dispatches += 1
+
+        def on_end() -> None:
+            record.ended_at = schedule.now
+            self.call(lambda: self._finish(record, permit, dispatched_at))
+
+        job = self.fleet.create_job(record, on_end)
+        self.jobs[permit.ask_id] = (engine, job)
+        engine.submit(job)
+        self.fleet.note_load()
+
+    def _finish(self, record: Record, permit: Permit, dispatched_at: float) -> None:
+        arrival = record.arrival
+        now = self.fleet.schedule.now
+        self.jobs.pop(permit.ask_id, None)
+        self.estimator.observe(
+            "chat",
+            arrival.organisation,
+            arrival.prompt_tokens * BYTES_PER_TOKEN,
+            arrival.output_tokens,
+            arrival.prompt_tokens,
+        )
+        first_at = record.first_at or now
+        self.client.done(
+            now,
+            permit.ask_id,
+            Outcome.OK,
+            round(1_000 * (first_at - dispatched_at)),
+            round(1_000 * (now - dispatched_at)),
+            arrival.output_tokens,
+        )
+
+
+class Fleet:
+    """Hold hosts, engines and what became of each request."""
+
+    def __init__(
+        self,
+        seed: int,
+        host_count: int = 8,
+        specs: tuple[EngineSpec, ...] = ENGINES,
+        max_prefixes: int = 0,
+    ) -> None:
+        self.seed = seed
+        self.specs = specs
+        self.schedule = Schedule()
+        self.names = [f"h{number}" for number in range(host_count)]
+        self.engines = {
+            spec.name: FakeEngine(self.schedule, spec.slots, spec.tokens_per_s, max_prefixes)
+            for spec in specs
+        }
+        self.cut: set[str] = set()
+        self.records: list[Record] = []
+        self.waiting_since: list[dict[int, float]] = [{}, {}, {}, {}]
+        self.inversions = 0
+        self.start_times: list[list[float]] = [[], [], [], []]
+        self.max_overcommit = 0.0
+        self.hosts = {name: BenchHost(self, name) for name in self.names}
+        for number, host in enumerate(self.hosts.values()):
+            first = TICK_S * number / host_count
+            self.schedule.call_every(TICK_S, host.tick, first)
+
+    def send(self, sender: BenchHost, receiver: str, msg: Message) -> bool:
+        """Carry a message; lost when one side is dead or one of the two is cut off."""
+        target = self.hosts[receiver]
+        is_cut = (sender.name in self.cut) != (receiver in self.cut)
+        if target.dead or is_cut:
+            return False
+        if receiver != sender.name:
+            sender.control_bytes += len(pack_message(msg))
+        latency_s = 0.0 if receiver == sender.name else LATENCY_S
+        self.schedule.call_at(
+            self.schedule.now + latency_s,
+            lambda: target.call(lambda: target.receive(sender.name, msg)),
+        )
+        return True
+
+    def load_trace(self, trace: list[Arrival], take: Callable[[Record], None]) -> None:
+        """Schedule the arrivals of a trace."""
+        for arrival in trace:
+            record = Record(arrival)
+            self.records.append(record)
+            self.schedule.call_at(arrival.at, functools.partial(self._arrive, record, take))
+
+    def give_to_host(self, record: Record) -> None:
+        """Give a request to its entry host, or to the next one when that is dead."""
+        number = record.arrival.host
+        while self.hosts[self.names[number]].dead:
+            number = (number + 1) % len(self.names)
+        host = self.hosts[self.names[number]]
+        host.call(lambda: host.handle(record))
+
+    def create_job(self, record: Record, on_end: Callable[[], None]) -> Job:
+        """Create the job of a request; its times are noted in the record."""
+
+        def on_first() -> None:
+            record.first_at = self.schedule.now
+
+        return Job(
+            prompt_tokens=record.arrival.prompt_tokens,
+            output_tokens=record.arrival.output_tokens,
+            on_start=lambda: self._on_start(record),
+            on_first=on_first,
+            on_end=on_end,
+            prefixes=record.arrival.prefixes,
+        )
+
+    def on_refused(self, record: Record) -> None:
+        """Note a refusal."""
+        arrival = record.arrival
+        self.waiting_since[arrival.tier].pop(arrival.number, None)
+
+    @property
+    def starts(self) -> int:
+        """Return the number of requests that engines have started."""
+        return sum(len(times) for times in self.start_times)
+
+    def shed_inversions(self) -> float:
+        """Return the part of refusals in whose time a lower tier was started."""
+        refused = [
+            record.arrival
+            for record in self.records
+            if record.refused_at is not None and record.arrival.tier < 3
+        ]
+        return sum(map(self._was_overtaken, refused)) / max(1, len(refused))
+
+    def _was_overtaken(self, arrival: Arrival) -> bool:
+        begin, end = arrival.at + INVERSION_S, arrival.first_byte_by - FIRST_BYTE_MARGIN_S
+        for times in self.start_times[arrival.tier + 1 :]:
+            position = bisect.bisect_left(times, begin)
+            if position < len(times) and times[position] < end:
+                return True
+        return False
+
+    def note_load(self) -> None:
+        """Note how far any engine is over its batch."""
+        for engine in self.engines.values():
+            self.max_overcommit = max(self.max_overcommit, engine.in_flight / engine.slots)
+
+    def _arrive(self, record: Record, take: Callable[[Record], None]) -> None:
+        arrival = record.arrival
+        self.waiting_since[arrival.tier][arrival.number] = self.schedule.now
+        take(record)
+
+    def _on_start(self, record: Record) -> None:
+        arrival = record.arrival
+        self.waiting_since[arrival.tier].pop(arrival.number, None)
+        record.started_at = self.schedule.now
+        self.start_times[arrival.tier].append(self.schedule.now)
+        before = self.schedule.now - INVERSION_S
+        for tier in range(arrival.tier):
+            oldest = next(iter(self.waiting_since[tier].values()), None)
+            if oldest is not None and oldest < before:
+                self.inversions += 1
+                return
+
+
+FIRST_BYTE_MARGIN_S = 0.5
+"""Time before its deadline at which starting a request makes no sense, in seconds."""
+
+INVERSION_S = 0.1
+"""Time that a higher tier has waited for when a start of a lower one counts as an inversion."""
--- /dev/null
+++ b/bench/tiers.py
@@ -0,0 +1,388 @@
+"""Compare ways to share a pool between entry hosts when capacity is short.
+
+Run ``python -m bench.tiers``; it prints tables, writes ``docs/bench/tiers.json`` and plots
+``docs/bench/tiers.png``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import statistics
+from collections.abc import Callable
+
+import fire
+
+from bench.fake_engines import FakeEngine
+from bench.fleets import ENGINES, POOL, Fleet, Record
+from bench.traces import draw_trace
+from tarragonwind.core.entries import TIER_COUNT
+
+LOADS = (0.8, 1.0, 1.5, 2.0, 3.0)
+LENGTH_S = 60.0
+DRAIN_S = 40.0
+HOST_COUNT = 8
+FAULT_AT_S = 20.0
+FAULT_LENGTH_S = 8.0
+NOTICE_S = 2.0
+REDIVIDE_PERIOD_S = 0.5
+CAPACITY_TOKENS_PER_S = sum(spec.tokens_per_s for spec in ENGINES)
+
+POLICIES: dict[str, Callable[[Fleet], Callable[[Record], None]]] = {}
+"""Ways to set a fleet up, by name; each returns what takes a request in."""
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Hold the figures of one run.
+
+    Attributes
+    ----------
+    policy : str
+        How the pool was shared.
+    load : float
+        Offered work relative to capacity.
+    seed : int
+        Seed of the trace.
+    goodput : list of float
+        Part of the requests of each tier answered in time.
+    wait_p50_s, wait_p95_s : list of float
+        Time from arrival to the start in an engine by tier, of those started, in seconds.
+    inversions : float
+        Part of the starts while a higher tier had waited for more than 0.1 s.
+    shed_inversions : float
+        Part of the refusals of tiers 0 to 2 after whose arrival, by 0.1 s or more, and before
+        whose deadline, by 0.5 s or more, an engine started a request of a lower tier.
+    control_bytes_per_s : float
+        Bytes sent a second by a host, on average.
+    control_bytes_per_s_max : float
+        The same, of the host that sent most.
+    max_overcommit : float
+        Most jobs in an engine relative to its batch.
+    double_dispatches : int
+        Requests dispatched more than once.
+    """
+
+    policy: str
+    load: float
+    seed: int
+    goodput: list[float]
+    wait_p50_s: list[float]
+    wait_p95_s: list[float]
+    inversions: float
+    shed_inversions: float
+    control_bytes_per_s: float
+    control_bytes_per_s_max: float
+    max_overcommit: float
+    double_dispatches: int
+
+
+def policy(name: str) -> Callable[..., Callable[[Fleet], Callable[[Record], None]]]:
+    """Register a way to share a pool."""
+
+    def register(
+        func: Callable[[Fleet], Callable[[Record], None]],
+    ) -> Callable[[Fleet], Callable[[Record], None]]:
+        POLICIES[name] = func
+        return func
+
+    return register
+
+
+@policy("round robin")
+def use_round_robin(fleet: Fleet) -> Callable[[Record], None]:
+    """Send each request at once to the next engine, which serves first come first served."""
+    engines: list[FakeEngine] = list(fleet.engines.values())
+    turns = {name: number for number, name in enumerate(fleet.names)}
+
+    def take(record: Record) -> None:
+        host = fleet.names[record.arrival.host]
+        turns[host] += 1
+        record.dispatches += 1
+
+        def on_end() -> None:
+            record.ended_at = fleet.schedule.now
+
+        engines[turns[host] % len(engines)].submit(fleet.create_job(record, on_end))
+        fleet.note_load()
+
+    return take
+
+
+@policy("fixed share")
+def use_fixed_shares(fleet: Fleet) -> Callable[[Record], None]:
+    """Give each host a queue of its own and an equal part of the pool."""
+    for host in fleet.hosts.values():
+        host.owner.set_share(0.0, 1.0 / len(fleet.names))
+        host.set_view(host.name, [host.name])
+    return fleet.give_to_host
+
+
+@policy("re-divided shares")
+def use_redivided_shares(fleet: Fleet) -> Callable[[Record], None]:
+    """Give each host a queue of its own and a part that follows reported demand, by tier."""
+    take = use_fixed_shares(fleet)
+
+    def redivide() -> None:
+        demands = {name: _demand(fleet, name) for name in fleet.names}
+        slots = float(sum(spec.slots for spec in ENGINES))
+        shares = {name: 0.0 for name in fleet.names}
+        for tier in range(TIER_COUNT):
+            total = sum(demand[tier] for demand in demands.values())
+            part = min(1.0, slots / total) if total else 0.0
+            for name, demand in demands.items():
+                shares[name] += demand[tier] * part
+            slots -= total * part
+        for name in fleet.names:
+            shares[name] += slots / len(fleet.names)
+            total_slots = sum(spec.slots for spec in ENGINES)
+            share = max(0.01, min(1.0, shares[name] / total_slots))
+            fleet.hosts[name].owner.set_share(fleet.schedule.now, share)
+            fleet.hosts[name].control_bytes += REPORT_BYTES
+
+    fleet.schedule.call_every(REDIVIDE_PERIOD_S, redivide, REDIVIDE_PERIOD_S)
+    return take
+
+
+REPORT_BYTES = 40
+"""Size of a report of demand with the share that answers it, in bytes."""
+
+
+def _demand(fleet: Fleet, name: str) -> list[float]:
+    owner = fleet.hosts[name].owner
+    return [
+        float(waiting + running)
+        for waiting, running in zip(owner.waiting_by_tier(), owner.in_flight_by_tier(), strict=True)
+    ]
+
+
+@policy("one owner")
+def use_one_owner(fleet: Fleet) -> Callable[[Record], None]:
+    """Let one host keep the pool's queue and hand out permits."""
+    for host in fleet.hosts.values():
+        host.set_view(fleet.names[0], fleet.names)
+    return fleet.give_to_host
+
+
+FAULTS: dict[str, Callable[[Fleet], None]] = {}
+"""Faults of the owner, by name; each is put into the schedule of a fleet."""
+
+
+def fault(name: str) -> Callable[..., Callable[[Fleet], None]]:
+    """Register a fault."""
+
+    def register(func: Callable[[Fleet], None]) -> Callable[[Fleet], None]:
+        FAULTS[name] = func
+        return func
+
+    return register
+
+
+@fault("none")
+def do_nothing(fleet: Fleet) -> None:
+    """Leave the fleet as it is."""
+
+
+@fault("owner dies")
+def kill_owner(fleet: Fleet) -> None:
+    """Kill the owner; its connections break and the others notice after a while."""
+
+    def kill() -> None:
+        host = fleet.hosts["h0"]
+        host.dead = True
+        for engine, job in list(host.jobs.values()):
+            engine.cancel(job)
+
+    fleet.schedule.call_at(FAULT_AT_S, kill)
+    fleet.schedule.call_at(FAULT_AT_S + NOTICE_S, lambda: _move_owner(fleet, without_h0=True))
+
+
+@fault("owner paused")
+def pause_owner(fleet: Fleet) -> None:
+    """Stop the owner for a while; it comes back believing that it is the owner."""
+    host = fleet.hosts["h0"]
+
+    def pause() -> None:
+        host.paused = True
+
+    fleet.schedule.call_at(FAULT_AT_S, pause)
+    fleet.schedule.call_at(FAULT_AT_S + NOTICE_S, lambda: _move_owner(fleet, without_h0=True))
+    fleet.schedule.call_at(FAULT_AT_S + FAULT_LENGTH_S, host.resume)
+    fleet.schedule.call_at(
+        FAULT_AT_S + FAULT_LENGTH_S + NOTICE_S, lambda: _move_owner(fleet, without_h0=False)
+    )
+
+
+@fault("owner cut off")
+def cut_owner(fleet: Fleet) -> None:
+    """Cut the owner off from the other hosts; both sides have an owner for a while."""
+    fleet.schedule.call_at(FAULT_AT_S, lambda: fleet.cut.add("h0"))
+
+    def notice() -> None:
+        _move_owner(fleet, without_h0=True)
+        fleet.hosts["h0"].set_view("h0", ["h0"])
+
+    fleet.schedule.call_at(FAULT_AT_S + NOTICE_S, notice)
+    end = FAULT_AT_S + FAULT_LENGTH_S
+    fleet.schedule.call_at(end, fleet.cut.clear)
+    fleet.schedule.call_at(end + NOTICE_S, lambda: _move_owner(fleet, without_h0=False))
+
+
+@fault("two owners")
+def split_owner(fleet: Fleet) -> None:
+    """Let half of the hosts follow another owner than the other half."""
+
+    def split() -> None:
+        for name in fleet.names[4:]:
+            fleet.hosts[name].set_view("h4", fleet.names)
+
+    fleet.schedule.call_at(FAULT_AT_S, split)
+    fleet.schedule.call_at(
+        FAULT_AT_S + FAULT_LENGTH_S, lambda: _move_owner(fleet, without_h0=False)
+    )
+
+
+def _move_owner(fleet: Fleet, without_h0: bool) -> None:
+    names = fleet.names[1:] if without_h0 else fleet.names
+    for name in names:
+        fleet.hosts[name].set_view(names[0], names)
+
+
+def run_once(name: str, load: float, seed: int, fault_name: str = "none") -> Result:
+    """Run one trace under one policy and return its figures."""
+    fleet = Fleet(seed, HOST_COUNT)
+    take = POLICIES[name](fleet)
+    trace = draw_trace(seed, load, CAPACITY_TOKENS_PER_S, LENGTH_S, HOST_COUNT)
+    FAULTS[fault_name](fleet)
+    fleet.load_trace(trace, take)
+    fleet.schedule.run(LENGTH_S)
+    sent = [host.control_bytes for host in fleet.hosts.values()]
+    fleet.schedule.run(LENGTH_S + DRAIN_S)
+    by_tier = [
+        [record for record in fleet.records if record.arrival.tier == tier]
+        for tier in range(TIER_COUNT)
+    ]
+    return Result(
+        policy=name,
+        load=load,
+        seed=seed,
+        goodput=[sum(r.is_good for r in records) / len(records) for records in by_tier],
+        wait_p50_s=[_wait(records, 0.5) for records in by_tier],
+        wait_p95_s=[_wait(records, 0.95) for records in by_tier],
+        inversions=fleet.inversions / max(1, fleet.starts),
+        shed_inversions=fleet.shed_inversions(),
+        control_bytes_per_s=sum(sent) / len(sent) / LENGTH_S,
+        control_bytes_per_s_max=max(sent) / LENGTH_S,
+        max_overcommit=fleet.max_overcommit,
+        double_dispatches=sum(record.dispatches > 1 for record in fleet.records),
+    )
+
+
+def _wait(records: list[Record], quantile: float) -> float:
+    waits = sorted(
+        record.started_at - record.arrival.at for record in records if record.started_at is not None
+    )
+    return waits[int(quantile * (len(waits) - 1))] if waits else float("nan")
+
+
+def merge(results: list[Result]) -> Result:
+    """Average the figures of several seeds; maxima and counts are taken at their worst."""
+
+    def mean(values: list[float]) -> float:
+        return statistics.fmean(values)
+
+    def by_tier(name: str) -> list[float]:
+        return [mean([getattr(r, name)[tier] for r in results]) for tier in range(TIER_COUNT)]
+
+    return Result(
+        policy=results[0].policy,
+        load=results[0].load,
+        seed=-1,
+        goodput=by_tier("goodput"),
+        wait_p50_s=by_tier("wait_p50_s"),
+        wait_p95_s=by_tier("wait_p95_s"),
+        inversions=mean([r.inversions for r in results]),
+        shed_inversions=mean([r.shed_inversions for r in results]),
+        control_bytes_per_s=mean([r.control_bytes_per_s for r in results]),
+        control_bytes_per_s_max=max(r.control_bytes_per_s_max for r in results),
+        max_overcommit=max(r.max_overcommit for r in results),
+        double_dispatches=max(r.double_dispatches for r in results),
+    )
+
+
+def render(label: str, result: Result) -> str:
+    """Return one line of the table."""
+    good = " ".join(f"{value:5.3f}" for value in result.goodput)
+    waits = " ".join(f"{value:6.2f}" for value in result.wait_p95_s)
+    return (
+        f"{label:<18} {result.load:4.1f}  {good}  {waits}  {result.inversions:6.3f} "
+        f"{result.shed_inversions:6.3f} {result.control_bytes_per_s:7.0f} "
+        f"{result.control_bytes_per_s_max:7.0f} {result.max_overcommit:6.2f} "
+        f"{result.double_dispatches:4d}"
+    )
+
+
+HEADER = (
+    f"{'':<18} load  goodput, tiers 0 to 3      wait p95 by tier, s          inver- shed   "
+    "bytes/s a host  over-  twice\n"
+    f"{'':<18}                                                          sions  invers.  mean    "
+    "max  commit"
+)
+
+
+def plot(results: list[Result], path: pathlib.Path) -> None:
+    """Plot goodput by tier over the load."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, TIER_COUNT, figsize=(14, 3.5), sharey=True)
+    for tier, axis in enumerate(axes):
+        for name in POLICIES:
+            of_policy = [result for result in results if result.policy == name]
+            axis.plot(
+                [result.load for result in of_policy],
+                [result.goodput[tier] for result in of_policy],
+                marker="o",
+                label=name,
+            )
+        axis.set_title(f"tier {tier}")
+        axis.set_xlabel("load / capacity")
+    axes[0].set_ylabel("goodput (part in time)")
+    axes[0].legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+
+
+def main(seeds: int = 3, out: str = "docs/bench") -> None:
+    """Run all policies and faults and write the figures."""
+    directory = pathlib.Path(out)
+    directory.mkdir(parents=True, exist_ok=True)
+    print(HEADER)
+    results: list[Result] = []
+    for load in LOADS:
+        for name in POLICIES:
+            result = merge([run_once(name, load, seed) for seed in range(seeds)])
+            results.append(result)
+            print(render(name, result), flush=True)
+    print("\nfaults of the owner at 1.5 times capacity")
+    faults: dict[str, Result] = {}
+    for fault_name in FAULTS:
+        runs = [run_once("one owner", 1.5, seed, fault_name) for seed in range(seeds)]
+        faults[fault_name] = merge(runs)
+        print(render(fault_name, faults[fault_name]), flush=True)
+    doc = {
+        "seeds": seeds,
+        "pool": POOL,
+        "capacity_tokens_per_s": CAPACITY_TOKENS_PER_S,
+        "loads": [dataclasses.asdict(result) for result in results],
+        "faults": {name: dataclasses.asdict(result) for name, result in faults.items()},
+    }
+    (directory / "tiers.json").write_text(json.dumps(doc, indent=1) + "\n")
+    plot(results, directory / "tiers.png")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/bench/traces.py
@@ -0,0 +1,138 @@
+"""Draw arrival traces by seed: tiers, organisations, short questions and long dossiers."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+FIRST_BYTE_S = (2.0, 4.0, 8.0, 20.0)
+"""Time for the first token of each tier, in seconds."""
+
+S_PER_TOKEN = 0.08
+"""Time that callers allow for each token after the first, in seconds."""
+
+S_PER_PROMPT_TOKEN = 0.005
+"""Time that callers allow for each token of the prompt, in seconds."""
+
+TIER_SHARES = (0.2, 0.3, 0.3, 0.2)
+"""Part of the requests in each tier."""
+
+DOSSIER_SHARE = 0.03
+"""Part of the requests that are a hundred times as long as the others."""
+
+BURST_PERIOD_S = 20.0
+"""Time from one burst of arrivals to the next, in seconds."""
+
+BURST_LENGTH_S = 4.0
+"""Length of a burst, in seconds."""
+
+BURST_FACTOR = 2.0
+"""Rate in a burst, relative to the rate outside."""
+
+PREFILL_SPEEDUP = 10.0
+"""Prompt tokens that an engine reads in the time of generating one."""
+
+
+@dataclass(slots=True)
+class Arrival:
+    """Hold one request of a trace.
+
+    Attributes
+    ----------
+    number : int
+        Position in the trace.
+    at : float
+        Time of arrival, in seconds.
+    host : int
+        Entry host that the balancer gives it to.
+    tier : int
+        Importance, 0 the highest.
+    organisation : str
+        Who asks.
+    prompt_tokens, output_tokens : int
+        Its true lengths.
+    prefixes : tuple of int
+        Hashes of its prompt's prefixes, the shortest first.
+    leaves_at : float
+        Time at which the caller gives up, in seconds.
+    """
+
+    number: int
+    at: float
+    host: int
+    tier: int
+    organisation: str
+    prompt_tokens: int
+    output_tokens: int
+    prefixes: tuple[int, ...] = ()
+    leaves_at: float = float("inf")
+
+    @property
+    def cost_tokens(self) -> float:
+        """Return the true work, in output tokens."""
+        return self.prompt_tokens / PREFILL_SPEEDUP + self.output_tokens
+
+    @property
+    def first_byte_by(self) -> float:
+        """Return the time by which the first token is due."""
+        return self.at + FIRST_BYTE_S[self.tier] + S_PER_PROMPT_TOKEN * self.prompt_tokens
+
+    @property
+    def whole_by(self) -> float:
+        """Return the time by which the whole answer is due."""
+        return self.first_byte_by + S_PER_TOKEN * self.output_tokens
+
+
+ORGANISATIONS = ("scaravilli", "conca", "ortigia", "bagheria", "enna")
+ORGANISATION_SHARES = (0.45, 0.3, 0.15, 0.06, 0.04)
+
+
+def draw_trace(
+    seed: int, load: float, tokens_per_s: float, length_s: float, host_count: int
+) -> list[Arrival]:
+    """Draw a trace whose work is `load` times what a pool can do.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the trace.
+    load : float
+        Offered work relative to capacity.
+    tokens_per_s : float
+        Capacity of the pool.
+    length_s : float
+        Length of the trace, in seconds.
+    host_count : int
+        Number of entry hosts.
+    """
+    rng = random.Random(f"trace {seed}")
+    mean_cost = _mean_cost()
+    part = BURST_LENGTH_S / BURST_PERIOD_S
+    base_rate = load * tokens_per_s / mean_cost / (1 - part + part * BURST_FACTOR)
+    arrivals: list[Arrival] = []
+    at = 0.0
+    while True:
+        in_burst = at % BURST_PERIOD_S < BURST_LENGTH_S
+        at += rng.expovariate(base_rate * (BURST_FACTOR if in_burst else 1.0))
+        if at >= length_s:
+            return arrivals
+        arrivals.append(_draw_arrival(rng, len(arrivals), at, host_count))
+
+
+def _draw_arrival(rng: random.Random, number: int, at: float, host_count: int) -> Arrival:
+    is_dossier = rng.random() < DOSSIER_SHARE
+    return Arrival(
+        number=number,
+        at=at,
+        host=rng.randrange(host_count),
+        tier=rng.choices(range(4), TIER_SHARES)[0],
+        organisation=rng.choices(ORGANISATIONS, ORGANISATION_SHARES)[0],
+        prompt_tokens=rng.randint(4_000, 8_000) if is_dossier else rng.randint(20, 80),
+        output_tokens=rng.randint(700, 1_300) if is_dossier else rng.randint(5, 35),
+    )
+
+
+def _mean_cost() -> float:
+    dossier = 6_000 / PREFILL_SPEEDUP + 1_000
+    question = 50 / PREFILL_SPEEDUP + 20
+    return DOSSIER_SHARE * dossier + (1 - DOSSIER_SHARE) * question
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from tarragonwind.core.drain_rates import DrainRate
-from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry, UpstreamState
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
     HeldPermit,
@@ -118,8 +118,6 @@
         How upstreams are loaded and judged.
     distance_s : dict of str to float
         Way to each data centre and back, in seconds.
-    share : float
-        Part of the pool's capacity that may be used.
     """
 
     def __init__(
@@ -132,10 +130,8 @@
         settings: PermitSettings | None = None,
         load_settings: LoadSettings | None = None,
         distance_s: dict[str, float] | None = None,
-        share: float = 1.0,
     ) -> None:
         self.pool = pool
-        self.share = share
         self.hints = PrefixHints()
         self._send = send
         self._rng = rng
@@ -146,6 +142,7 @@
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
         self._loads: dict[str, UpstreamLoad] = {}
+        self._share = 1.0
         self._permits: dict[AskKey, _Permit] = {}
         self._hosts: set[str] = set()
         self._lost: dict[str, float] = {}
@@ -167,6 +164,7 @@
             load = self._loads.get(name)
             if load is None:
                 self._loads[name] = UpstreamLoad(entry, self._load_settings)
+                self._loads[name].share = self._share
             else:
                 load.entry = entry
         for name in [name for name in self._loads if name not in entries]:
@@ -174,6 +172,22 @@
         self._rate.set_nominal(self._nominal_rate())
         self.on_versions_changed(now)
 
+    def set_share(self, now: float, share: float) -> None:
+        """Use no more than a part of the pool's capacity.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        share : float
+            Above 0, at most 1.
+        """
+        self._share = share
+        for load in self._loads.values():
+            load.share = share
+        self._rate.set_nominal(self._nominal_rate())
+        self._drain(now)
+
     def on_members_changed(self, now: float, live: Iterable[str], is_owner: bool) -> None:
         """Take in which hosts are alive and whether this host owns the pool."""
         self._note_call(now)
@@ -268,6 +282,13 @@
         """Return the number of permits out."""
         return len(self._permits)
 
+    def in_flight_by_tier(self) -> list[int]:
+        """Return the number of permits out of each tier."""
+        counts = [0] * TIER_COUNT
+        for permit in self._permits.values():
+            counts[permit.tier] += 1
+        return counts
+
     def retry_after_s(self, tier: int, organisation: str) -> float:
         """Return the expected wait of a new ask, in seconds."""
         wait_s = self._queue.work_before(tier, organisation) / self._rate.tokens_per_s
@@ -371,10 +392,10 @@
             self._grant(now, ask)
 
     def _below_share(self) -> bool:
-        if self.share >= 1.0:
+        if self._share >= 1.0:
             return True
         slots = sum(load.entry.slots for load in self._loads.values() if load.takes_work())
-        return len(self._permits) < max(1, round(slots * self.share))
+        return len(self._permits) < max(1, round(slots * self._share))
 
     def _versions_with_room(self, now: float) -> set[str]:
         versions = {load.entry.version for load in self._loads.values() if load.has_room(now)}
@@ -562,7 +583,7 @@
 
     def _nominal_rate(self) -> float:
         total = sum(load.entry.tokens_per_s for load in self._loads.values())
-        return total * min(1.0, self.share)
+        return total * self._share
 
 
 def _read_ask(values: list[Any]) -> PermitAsk:
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -167,7 +167,7 @@
         """
         settings = dataclasses.replace(self._parts.settings, settle_s=0.0, pause_limit_s=math.inf)
         owner = create_owner(pool, dataclasses.replace(self._parts, send=send, settings=settings))
-        owner.share = 1.0 / max(1, len(tuple(self._live())))
         owner.configure(now, self._upstreams.get(pool, []))
+        owner.set_share(now, 1.0 / max(1, len(tuple(self._live()))))
         owner.on_members_changed(now, [self._name], True)
         return owner
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -62,6 +62,8 @@
         Permits out.
     work : int
         Estimated tokens of these permits.
+    share : float
+        Part of the upstream that this owner may use; others use the rest.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         "_settings",
         "entry",
         "in_flight",
+        "share",
         "work",
     )
 
@@ -84,6 +87,7 @@
         self.entry = entry
         self.in_flight = 0
         self.work = 0
+        self.share = 1.0
         self._settings = settings
         self._failures = 0
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_LENGTH)
@@ -110,9 +114,11 @@
             return False
         if self.ejected:
             return now >= self._retry_at and not self._probing
-        if self.in_flight + self._foreign_in_flight(now) >= self.entry.slots:
-            return self.in_flight == 0
-        return self.work < self.entry.tokens_per_s * self._settings.work_ahead_s
+        if self.in_flight == 0:
+            return True
+        if self.in_flight + self._foreign_in_flight(now) >= self.entry.slots * self.share:
+            return False
+        return self.work < self.entry.tokens_per_s * self._settings.work_ahead_s * self.share
 
     def add(self, now: float, cost_tokens: int) -> None:
         """Count a permit."""
@@ -185,7 +191,8 @@
     def step_s(self, now: float) -> float:
         """Return the expected time of one token of one more request, in seconds."""
         slots = self.entry.slots
-        running = self.in_flight + 1 + self._foreign_in_flight(now)
+        own = self.in_flight / self.share
+        running = min(slots, own + 1 + self._foreign_in_flight(now))
         full_step_s = slots / self.entry.tokens_per_s
         return full_step_s * (0.5 + 0.5 * running / slots) * self.slowness(now)
 
