--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -39,7 +39,7 @@
         Prompt tokens read in the time of generating one.
     """
 
-    work_ahead_s: float = 12.0
+    work_ahead_s: float = 30.0
     report_half_life_s: float = 1.0
     slowness_weight: float = 0.2
     slowness_half_life_s: float = 10.0
--- /dev/null
+++ b/tests/test_placements.py
@@ -0,0 +1,160 @@
+"""Test the choice of upstreams and what it rests on."""
+
+import random
+
+import pytest
+from permit_fleets import create_upstream
+
+from tarragonwind.core.placements import Placer
+from tarragonwind.core.prefix_hints import PrefixHints
+from tarragonwind.core.queues import WaitingAsk
+from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
+
+SETTINGS = LoadSettings()
+
+
+def create_load(name, **fields):
+    fields.setdefault("slots", 8)
+    return UpstreamLoad(create_upstream(name, **fields), SETTINGS)
+
+
+def create_ask(**fields):
+    values = {
+        "host": "h1",
+        "ask_id": 1,
+        "tier": 0,
+        "organisation": "a",
+        "route": "chat",
+        "cost_tokens": 100,
+        "prompt_tokens": 0,
+        "deadline": 100.0,
+    }
+    return WaitingAsk(**{**values, **fields})
+
+
+def choose(loads, ask=None, now=0.0, hints=None, distance_s=None):
+    placer = Placer(SETTINGS, hints or PrefixHints(), distance_s)
+    names = set()
+    for seed in range(8):
+        placement = placer.choose(now, random.Random(seed), loads, ask or create_ask())
+        names.add(placement.load.entry.name if placement is not None else None)
+    assert len(names) == 1, "the choice depends on the seed"
+    return names.pop()
+
+
+def test_the_faster_upstream_is_chosen_until_it_is_fuller():
+    fast = create_load("fast", tokens_per_s=200.0)
+    slow = create_load("slow", tokens_per_s=110.0)
+    assert choose([slow, fast]) == "fast"
+    for _ in range(8):
+        fast.add(0.0, 100)
+    assert choose([slow, fast]) == "slow"
+
+
+def test_work_known_to_the_owner_counts():
+    busy, idle = create_load("busy"), create_load("idle")
+    for _ in range(3):
+        busy.add(0.0, 100)
+    assert choose([busy, idle]) == "idle"
+
+
+def test_a_report_counts_less_as_it_ages():
+    reported, busy = create_load("reported"), create_load("busy")
+    for _ in range(3):
+        busy.add(0.0, 100)
+    reported.on_report(0.0, in_flight=6, age_s=0.0)
+    assert choose([reported, busy], now=0.0) == "busy"
+    assert choose([reported, busy], now=3.0) == "reported"
+
+
+def test_a_report_is_compared_with_what_was_in_flight_at_its_time():
+    load = create_load("u1")
+    for _ in range(5):
+        load.add(1.0, 100)
+    for _ in range(5):
+        load.release(2.0, 100)
+    idle_step_s = load.step_s(2.0)
+    load.on_report(2.0, in_flight=5, age_s=0.5)
+    assert load.step_s(2.0) == idle_step_s
+
+
+def test_measured_slowness_moves_work_away_and_is_forgotten():
+    slowed, normal = create_load("slowed", tokens_per_s=110.0), create_load("normal")
+    assert choose([slowed, normal]) == "slowed"
+    for _ in range(10):
+        slowed.on_observed(0.0, predicted_s=1.0, observed_s=3.0)
+    assert choose([slowed, normal]) == "normal"
+    assert choose([slowed, normal], now=120.0) == "slowed"
+
+
+def test_an_outlier_gets_one_request_at_a_time():
+    outlier = create_load("outlier", tokens_per_s=10_000.0)
+    for _ in range(40):
+        outlier.on_observed(0.0, predicted_s=1.0, observed_s=20.0)
+    full = create_load("full")
+    for _ in range(7):
+        full.add(0.0, 100)
+    assert choose([outlier, full]) == "outlier"
+    outlier.add(0.0, 100)
+    assert choose([outlier, full]) == "full"
+
+
+def test_failed_answers_in_a_row_eject_an_upstream_until_a_probe_succeeds():
+    load = create_load("u1")
+    rng = random.Random(1)
+    for _ in range(SETTINGS.failures_to_eject):
+        assert choose([load]) == "u1"
+        load.on_failed(0.0, rng)
+    assert choose([load]) is None
+    assert choose([load], now=1.0) == "u1"
+    load.add(1.0, 100)
+    assert choose([load], now=1.0) is None
+    load.on_success()
+    assert choose([load], now=1.0) == "u1"
+
+
+def test_a_cached_prefix_draws_a_request_unless_the_upstream_is_full():
+    cached, other = create_load("cached"), create_load("other", tokens_per_s=130.0)
+    hints = PrefixHints()
+    hints.add("cached", [1, 2, 3])
+    ask = create_ask(prompt_tokens=4_000, prefixes=(1, 2, 3), cost_tokens=420)
+    assert choose([cached, other], create_ask(prompt_tokens=4_000, cost_tokens=420)) == "other"
+    assert choose([cached, other], ask, hints=hints) == "cached"
+    for _ in range(8):
+        cached.add(0.0, 100)
+    assert choose([cached, other], ask, hints=hints) == "other"
+
+
+def test_of_equal_upstreams_the_near_one_is_chosen():
+    near = create_load("near", data_centre="etna")
+    far = create_load("far", data_centre="ortigia")
+    distance_s = {"etna": 0.0, "ortigia": 0.001}
+    assert choose([far, near], distance_s=distance_s) == "near"
+
+
+def test_an_upstream_that_failed_the_request_is_the_last_choice():
+    fast, slow = create_load("fast", tokens_per_s=500.0), create_load("slow")
+    ask = create_ask(avoid=frozenset(["fast"]))
+    assert choose([fast, slow], ask) == "slow"
+    assert choose([fast], ask) == "fast"
+
+
+@pytest.mark.parametrize(
+    ("held", "share"), [([], 0.0), ([1], 1 / 3), ([1, 2], 2 / 3), ([3], 1.0), ([9], 0.0)]
+)
+def test_the_longest_known_prefix_counts(held, share):
+    hints = PrefixHints()
+    hints.add("u1", held)
+    assert hints.cached_share("u1", (1, 2, 3)) == pytest.approx(share)
+
+
+def test_hints_are_bounded_and_the_least_recent_goes():
+    hints = PrefixHints(max_prefixes=2)
+    hints.add("u1", [1, 2])
+    hints.add("u1", [1])
+    hints.add("u1", [3])
+    assert [hints.cached_share("u1", (number,)) for number in (1, 2, 3)] == [1.0, 0.0, 1.0]
+    hints.remove("u1", [1])
+    assert hints.cached_share("u1", (1,)) == 0.0
+    hints.forget("u1")
+    assert hints.cached_share("u1", (3,)) == 0.0
