Learn times to the first byte and of a token apart; add the experiment on placement

Two corrections take its place; a prediction that counted on a cached prefix teaches nothing.

Excluded: the hint's accuracy alone; counting the end of a prompt as uncached changed little.

--- a/bench/fake_engines.py
+++ b/bench/fake_engines.py
@@ -6,7 +6,7 @@
 import itertools
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bench.schedules import Schedule
 from bench.traces import PREFILL_SPEEDUP
@@ -25,8 +25,9 @@
     state: str = "new"
     prefilled: float = 0.0
     started_at: float = 0.0
+    start_progress: float = 0.0
     cached_share: float = 0.0
-    first_seen: bool = field(default=False)
+    read: float = 0.0
 
 
 class FakeEngine:
@@ -54,6 +55,8 @@
         self.waiting: deque[Job] = deque()
         self.cache: OrderedDict[int, None] = OrderedDict()
         self.prefilled_tokens = 0.0
+        self.on_cached: Callable[[tuple[int, ...]], None] = lambda prefixes: None
+        self.on_evicted: Callable[[int], None] = lambda prefix: None
         self._max_prefixes = max_prefixes
         self._schedule = schedule
         self._progress = 0.0
@@ -80,6 +83,7 @@
         self._advance()
         if job.state == "running":
             self.running -= 1
+            job.read = (self._progress - job.start_progress) * PREFILL_SPEEDUP
         elif job.state == "waiting":
             self.waiting.remove(job)
         job.state = "cancelled"
@@ -110,6 +114,7 @@
         self.running += 1
         job.state = "running"
         job.started_at = self._schedule.now
+        job.start_progress = self._progress
         job.cached_share = self._cached_share(job.prefixes)
         job.prefilled = job.prompt_tokens * (1.0 - job.cached_share)
         self.prefilled_tokens += job.prefilled
@@ -163,4 +168,7 @@
             self.cache[prefix] = None
             self.cache.move_to_end(prefix)
         while len(self.cache) > self._max_prefixes:
-            self.cache.popitem(last=False)
+            evicted, _ = self.cache.popitem(last=False)
+            self.on_evicted(evicted)
+        if prefixes:
+            self.on_cached(prefixes)
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -38,6 +38,10 @@
         The request.
     dispatches : int
         Times that it was sent to an engine.
+    ask_id : int
+        Names its ask on the entry host.
+    job : Job or None
+        What an engine runs for it.
     started_at, first_at, ended_at : float or None
         Times at which an engine began, gave the first token and the last one.
     refused_at : float or None
@@ -53,8 +57,8 @@
     ended_at: float | None = None
     refused_at: float | None = None
     retry_after_s: float = 0.0
-    left_at: float | None = None
-    prefilled: float = 0.0
+    ask_id: int = 0
+    job: Job | None = None
 
     @property
     def is_good(self) -> bool:
@@ -62,6 +66,8 @@
         if self.first_at is None or self.ended_at is None:
             return False
         arrival = self.arrival
+        if self.ended_at > arrival.leaves_at:
+            return False
         return self.first_at <= arrival.first_byte_by and self.ended_at <= arrival.whole_by
 
 
@@ -190,7 +196,20 @@
             record.retry_after_s = retry_after_s
             self.fleet.on_refused(record)
 
-        self.client.ask(now, request, lambda permit: self._dispatch(record, permit), on_refused)
+        record.ask_id = self.client.ask(
+            now, request, lambda permit: self._dispatch(record, permit), on_refused
+        )
+
+    def leave(self, record: Record) -> None:
+        """Cancel the work of a caller that has left."""
+        now = self.fleet.schedule.now
+        if self.client.cancel(now, record.ask_id):
+            self.fleet.on_refused(record)
+            return
+        engine, job = self.jobs.pop(record.ask_id, (None, None))
+        if engine is not None and job is not None:
+            engine.cancel(job)
+            self.client.done(now, record.ask_id, Outcome.CANCELLED)
 
     def _dispatch(self, record: Record, permit: Permit) -> None:
         schedule = self.fleet.schedule
@@ -203,6 +222,7 @@
             self.call(lambda: self._finish(record, permit, dispatched_at))
 
         job = self.fleet.create_job(record, on_end)
+        record.job = job
         self.jobs[permit.ask_id] = (engine, job)
         engine.submit(job)
         self.fleet.note_load()
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,301 @@
+"""Compare ways to choose an upstream, with and without prefix routing and cancelling.
+
+Run ``python -m bench.placement``; it prints a table, writes ``docs/bench/placement.json`` and
+plots ``docs/bench/placement.png``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import json
+import pathlib
+import random
+import statistics
+
+import fire
+
+from bench.fake_engines import FakeEngine
+from bench.fleets import ENGINES, Fleet, Record
+from bench.tiers import use_one_owner, use_round_robin
+from bench.traces import PREFILL_SPEEDUP, Arrival
+from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.placements import Placement, Placer
+from tarragonwind.core.prefix_hints import PrefixHints
+from tarragonwind.core.queues import WaitingAsk
+from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
+
+LENGTH_S = 60.0
+DRAIN_S = 40.0
+HOST_COUNT = 8
+LOAD = 0.85
+DOCUMENT_COUNT = 60
+CACHED_PREFIXES = 60
+CHUNK_TOKENS = 500
+CHUNKS = 3
+LEAVING_SHARE = 0.15
+SLOW_FROM_S, SLOW_UNTIL_S, SLOW_FACTOR = 20.0, 40.0, 3.0
+REPORT_PERIOD_S = 1.0
+REPORT_LAG_S = 1.0
+EVENT_LAG_S = 1.0
+EVENT_LOSS = 0.2
+
+
+class NoHints(PrefixHints):
+    """Know no prefix."""
+
+    __slots__ = ()
+
+    def cached_share(self, upstream: str, prefixes: tuple[int, ...]) -> float:
+        """Return 0."""
+        return 0.0
+
+
+class TurnPlacer(Placer):
+    """Take upstreams with room in turn."""
+
+    __slots__ = ("_turn",)
+
+    def choose_among(self, now: float, loads: list[UpstreamLoad], ask: WaitingAsk) -> Placement:
+        """Choose the next upstream by name."""
+        loads = sorted(loads, key=lambda load: load.entry.name)
+        self._turn = getattr(self, "_turn", 0) + 1
+        return self.expect(now, loads[self._turn % len(loads)], ask)
+
+
+class LeastInFlightPlacer(Placer):
+    """Take the upstream with the fewest requests in flight."""
+
+    __slots__ = ()
+
+    def choose_among(self, now: float, loads: list[UpstreamLoad], ask: WaitingAsk) -> Placement:
+        """Choose by the number in flight."""
+        return self.expect(now, min(loads, key=lambda load: load.in_flight), ask)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Way:
+    """Describe one way to place requests.
+
+    Attributes
+    ----------
+    name : str
+        Name in the table.
+    placer : type or None
+        How an upstream is chosen; None sends each request on at once, in turn.
+    prefixes : bool
+        Whether cached prefixes are known.
+    cancel : bool
+        Whether the work of callers that left is cancelled.
+    """
+
+    name: str
+    placer: type[Placer] | None
+    prefixes: bool = False
+    cancel: bool = True
+
+
+WAYS = (
+    Way("round robin, no queue", None, cancel=False),
+    Way("in turn", TurnPlacer),
+    Way("least in flight", LeastInFlightPlacer),
+    Way("completion", Placer),
+    Way("completion, prefix", Placer, prefixes=True),
+    Way("same, no cancel", Placer, prefixes=True, cancel=False),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Hold the figures of one way over several seeds.
+
+    Attributes
+    ----------
+    goodput : float
+        Part of the requests answered in time, of those whose caller stayed.
+    first_p50_s, first_p95_s, whole_p95_s : float
+        Time from arrival to the first token and to the whole answer, in seconds.
+    prefill_per_good : float
+        Prompt tokens that engines read for each answer in time.
+    wasted : float
+        Part of these read for answers that nobody got in time.
+    cached : float
+        Part of the prompt tokens of started requests found in the cache.
+    """
+
+    name: str
+    goodput: float
+    first_p50_s: float
+    first_p95_s: float
+    whole_p95_s: float
+    prefill_per_good: float
+    wasted: float
+    cached: float
+
+
+def draw_documents(seed: int) -> list[Arrival]:
+    """Draw a trace of questions on documents that repeat; some callers leave early."""
+    rng = random.Random(f"documents {seed}")
+    weights = [1.0 / (1 + rank) ** 0.7 for rank in range(DOCUMENT_COUNT)]
+    cost = (CHUNKS * CHUNK_TOKENS + 60) / PREFILL_SPEEDUP + 60
+    rate = LOAD * sum(spec.tokens_per_s for spec in ENGINES) / cost
+    arrivals: list[Arrival] = []
+    at = 0.0
+    while (at := at + rng.expovariate(rate)) < LENGTH_S:
+        document = rng.choices(range(DOCUMENT_COUNT), weights)[0]
+        leaves = rng.random() < LEAVING_SHARE
+        arrivals.append(
+            Arrival(
+                number=len(arrivals),
+                at=at,
+                host=rng.randrange(HOST_COUNT),
+                tier=rng.randrange(4),
+                organisation="scaravilli",
+                prompt_tokens=CHUNKS * CHUNK_TOKENS + rng.randint(20, 100),
+                output_tokens=rng.randint(20, 100),
+                prefixes=tuple(document * 10 + chunk for chunk in range(CHUNKS)),
+                leaves_at=at + rng.uniform(0.2, 3.0) if leaves else float("inf"),
+            )
+        )
+    return arrivals
+
+
+def run_once(way: Way, seed: int) -> list[Record]:
+    """Run one trace and return what became of its requests."""
+    fleet = Fleet(seed, HOST_COUNT, max_prefixes=CACHED_PREFIXES)
+    if way.placer is None:
+        take = use_round_robin(fleet)
+    else:
+        take = use_one_owner(fleet)
+        owner = fleet.hosts["h0"].owner
+        hints = PrefixHints() if way.prefixes else NoHints()
+        owner.hints = hints
+        owner.placer = way.placer(LoadSettings(), hints)
+        report_loads(fleet, owner)
+        report_cache_events(fleet, owner, seed)
+    fleet.load_trace(draw_documents(seed), take)
+    if way.cancel:
+        cancel_left(fleet)
+    slow = fleet.engines["e3"]
+    fleet.schedule.call_at(SLOW_FROM_S, lambda: slow.set_slowness(SLOW_FACTOR))
+    fleet.schedule.call_at(SLOW_UNTIL_S, lambda: slow.set_slowness(1.0))
+    fleet.schedule.run(LENGTH_S + DRAIN_S)
+    return fleet.records
+
+
+def cancel_left(fleet: Fleet) -> None:
+    """Schedule the leaving of callers."""
+    for record in fleet.records:
+        host = fleet.hosts[fleet.names[record.arrival.host]]
+        if record.arrival.leaves_at < LENGTH_S:
+            leave = functools.partial(host.leave, record)
+            fleet.schedule.call_at(record.arrival.leaves_at, leave)
+
+
+def report_loads(fleet: Fleet, owner: PoolOwner) -> None:
+    """Send the owner load reports that are old when they come."""
+
+    def report() -> None:
+        for name, engine in fleet.engines.items():
+            tell = functools.partial(_tell_load, fleet, owner, name, engine.in_flight)
+            fleet.schedule.call_at(fleet.schedule.now + REPORT_LAG_S, tell)
+
+    fleet.schedule.call_every(REPORT_PERIOD_S, report, REPORT_PERIOD_S)
+
+
+def _tell_load(fleet: Fleet, owner: PoolOwner, name: str, in_flight: int) -> None:
+    owner.on_load_report(fleet.schedule.now, name, in_flight, REPORT_LAG_S)
+
+
+def report_cache_events(fleet: Fleet, owner: PoolOwner, seed: int) -> None:
+    """Send the owner cache events, late and with gaps."""
+    rng = random.Random(f"events {seed}")
+
+    def follow(name: str, engine: FakeEngine) -> None:
+        def later(call: functools.partial[None]) -> None:
+            if rng.random() >= EVENT_LOSS:
+                fleet.schedule.call_at(fleet.schedule.now + EVENT_LAG_S, call)
+
+        engine.on_cached = lambda held: later(functools.partial(owner.hints.add, name, held))
+        engine.on_evicted = lambda old: later(functools.partial(owner.hints.remove, name, [old]))
+
+    for name, engine in fleet.engines.items():
+        follow(name, engine)
+
+
+def measure(way: Way, seeds: int) -> Result:
+    """Run a way over several seeds and return its figures."""
+    records = [record for seed in range(seeds) for record in run_once(way, seed)]
+    staying = [r for r in records if r.arrival.leaves_at == float("inf")]
+    answered = [r for r in staying if r.first_at is not None and r.ended_at is not None]
+    firsts = sorted((r.first_at or 0.0) - r.arrival.at for r in answered)
+    wholes = sorted((r.ended_at or 0.0) - r.arrival.at for r in answered)
+    started = [r for r in records if r.started_at is not None]
+    prefilled = sum(_prefilled(r) for r in started)
+    good = [r for r in records if r.is_good]
+    prompts = sum(r.arrival.prompt_tokens for r in started)
+    return Result(
+        name=way.name,
+        goodput=sum(r.is_good for r in staying) / len(staying),
+        first_p50_s=statistics.median(firsts),
+        first_p95_s=firsts[int(0.95 * len(firsts))],
+        whole_p95_s=wholes[int(0.95 * len(wholes))],
+        prefill_per_good=prefilled / len(good),
+        wasted=1.0 - sum(_prefilled(r) for r in good) / prefilled,
+        cached=1.0 - sum(r.job.prefilled for r in started if r.job is not None) / prompts,
+    )
+
+
+def _prefilled(record: Record) -> float:
+    """Return the prompt tokens read, in part when the job was cancelled on the way."""
+    job = record.job
+    if job is None:
+        return 0.0
+    return job.prefilled if job.state != "cancelled" else min(job.prefilled, job.read)
+
+
+def plot(results: list[Result], path: pathlib.Path) -> None:
+    """Plot goodput and wasted prefill of each way."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 3, figsize=(13, 3.2))
+    names = [result.name for result in results]
+    axes[0].barh(names, [result.goodput for result in results])
+    axes[0].set_title("goodput")
+    axes[1].barh(names, [result.first_p95_s for result in results])
+    axes[1].set_title("time to first token, p95, s")
+    axes[1].set_yticklabels([])
+    axes[2].barh(names, [result.prefill_per_good for result in results])
+    axes[2].set_title("prompt tokens read for each good answer")
+    axes[2].set_yticklabels([])
+    for axis in axes:
+        axis.invert_yaxis()
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+
+
+def main(seeds: int = 3, out: str = "docs/bench") -> None:
+    """Run all ways and write the figures."""
+    directory = pathlib.Path(out)
+    directory.mkdir(parents=True, exist_ok=True)
+    print(f"{'':<22} goodput  first p50  first p95  whole p95  prefill/good  wasted  cached")
+    results = []
+    for way in WAYS:
+        result = measure(way, seeds)
+        results.append(result)
+        print(
+            f"{result.name:<22} {result.goodput:7.3f} {result.first_p50_s:10.2f} "
+            f"{result.first_p95_s:10.2f} {result.whole_p95_s:10.2f} "
+            f"{result.prefill_per_good:13.0f} {result.wasted:7.3f} {result.cached:7.3f}",
+            flush=True,
+        )
+    doc = {"seeds": seeds, "load": LOAD, "ways": [dataclasses.asdict(r) for r in results]}
+    (directory / "placement.json").write_text(json.dumps(doc, indent=1) + "\n")
+    plot(results, directory / "placement.png")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/tiers.py
+++ b/bench/tiers.py
@@ -104,7 +104,8 @@
         def on_end() -> None:
             record.ended_at = fleet.schedule.now
 
-        engines[turns[host] % len(engines)].submit(fleet.create_job(record, on_end))
+        record.job = fleet.create_job(record, on_end)
+        engines[turns[host] % len(engines)].submit(record.job)
         fleet.note_load()
 
     return take
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -88,9 +88,8 @@
     tier: int
     cost_tokens: int
     granted_at: float
-    predicted_s: float
-    output_tokens: float
-    prefixes: tuple[int, ...]
+    first_byte_s: float = 0.0
+    token_s: float = 0.0
 
     @property
     def key(self) -> AskKey:
@@ -138,7 +137,7 @@
         self._choose_version = choose_version
         self._settings = settings or PermitSettings()
         self._load_settings = load_settings or LoadSettings()
-        self._placer = Placer(self._load_settings, self.hints, distance_s)
+        self.placer = Placer(self._load_settings, self.hints, distance_s)
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
         self._loads: dict[str, UpstreamLoad] = {}
@@ -405,10 +404,10 @@
 
     def _grant(self, now: float, ask: WaitingAsk) -> None:
         loads = [load for load in self._loads.values() if ask.version in ("", load.entry.version)]
-        placement = self._placer.choose(now, self._rng, loads, ask)
+        placement = self.placer.choose(now, self._rng, loads, ask)
         if placement is None:
             raise AssertionError("a popped ask has an upstream with room")
-        if now + placement.first_byte_s > ask.deadline:
+        if now + placement.least_first_byte_s > ask.deadline:
             self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
             return
         load = placement.load
@@ -420,11 +419,8 @@
             tier=ask.tier,
             cost_tokens=ask.cost_tokens,
             granted_at=now,
-            predicted_s=placement.expected_s,
-            output_tokens=max(
-                1.0, ask.cost_tokens - ask.prompt_tokens / self._load_settings.prefill_speedup
-            ),
-            prefixes=ask.prefixes,
+            first_byte_s=0.0 if placement.cached_share else placement.first_byte_s,
+            token_s=placement.token_s,
         )
         self._permits[permit.key] = permit
         load.add(now, permit.cost_tokens)
@@ -459,12 +455,11 @@
             load.on_failed(now, self._rng)
 
     def _observe(self, now: float, load: UpstreamLoad, permit: _Permit, msg: PermitDone) -> None:
-        if permit.predicted_s <= 0 or msg.duration_ms <= 0:
-            return
-        predicted_s = permit.predicted_s
-        if msg.output_tokens > 0:
-            predicted_s *= max(1.0, msg.output_tokens) / permit.output_tokens
-        load.on_observed(now, predicted_s, msg.duration_ms / 1_000)
+        first_byte_s = msg.first_byte_ms / 1_000
+        load.on_first_byte(now, permit.first_byte_s, first_byte_s)
+        if msg.output_tokens > 1:
+            rest_s = msg.duration_ms / 1_000 - first_byte_s
+            load.on_tokens(now, permit.token_s * (msg.output_tokens - 1), rest_s)
 
     def _release(self, now: float, key: AskKey) -> _Permit | None:
         permit = self._permits.pop(key, None)
@@ -531,9 +526,6 @@
             tier=held.tier,
             cost_tokens=held.cost_tokens,
             granted_at=now,
-            predicted_s=0.0,
-            output_tokens=1.0,
-            prefixes=(),
         )
         load.add(now, held.cost_tokens)
 
--- a/tarragonwind/core/prefix_hints.py
+++ b/tarragonwind/core/prefix_hints.py
@@ -45,11 +45,14 @@
         self._by_upstream.pop(upstream, None)
 
     def cached_share(self, upstream: str, prefixes: tuple[int, ...]) -> float:
-        """Return the share of a prompt that is probably cached, by its longest known prefix."""
+        """Return the share of a prompt that is probably cached, by its longest known prefix.
+
+        The end of a prompt is in no prefix and counts as one more.
+        """
         held = self._by_upstream.get(upstream)
         if not held or not prefixes:
             return 0.0
         for count in range(len(prefixes), 0, -1):
             if prefixes[count - 1] in held:
-                return count / len(prefixes)
+                return count / (len(prefixes) + 1)
         return 0.0
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -7,6 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from tarragonwind.core.corrections import Correction
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState
 
 HISTORY_LENGTH = 256
@@ -43,7 +44,7 @@
     report_half_life_s: float = 1.0
     slowness_weight: float = 0.2
     slowness_half_life_s: float = 10.0
-    max_slowness: float = 16.0
+    max_slowness: float = 32.0
     outlier_slowness: float = 5.0
     retry_min_s: float = 0.5
     retry_max_s: float = 15.0
@@ -68,15 +69,15 @@
 
     __slots__ = (
         "_failures",
+        "_first_byte_times",
         "_history",
-        "_log_slowness",
-        "_observed_at",
         "_probing",
         "_report_at",
         "_report_extra",
         "_retry_at",
         "_retry_s",
         "_settings",
+        "_token_times",
         "entry",
         "in_flight",
         "share",
@@ -94,8 +95,8 @@
         self._retry_at = 0.0
         self._retry_s = 0.0
         self._probing = False
-        self._log_slowness = 0.0
-        self._observed_at = 0.0
+        self._first_byte_times = _create_correction(settings)
+        self._token_times = _create_correction(settings)
         self._report_extra = 0.0
         self._report_at = -math.inf
 
@@ -168,33 +169,39 @@
         self._report_extra = max(0.0, float(in_flight - own_in_flight))
         self._report_at = now - age_s
 
-    def on_observed(self, now: float, predicted_s: float, observed_s: float) -> None:
-        """Correct the estimate of slowness by one finished request."""
-        if predicted_s <= 0 or observed_s <= 0:
-            return
-        bound = math.log(self._settings.max_slowness)
-        error = math.log(observed_s / predicted_s)
-        current = self._decayed_log_slowness(now)
-        moved = current + self._settings.slowness_weight * error
-        self._log_slowness = min(bound, max(-bound, moved))
-        self._observed_at = now
+    def on_first_byte(self, now: float, predicted_s: float, observed_s: float) -> None:
+        """Correct the expected time to the first byte by one finished request."""
+        self._first_byte_times.observe(now, predicted_s, observed_s)
+
+    def on_tokens(self, now: float, predicted_s: float, observed_s: float) -> None:
+        """Correct the expected time of a token by one finished request."""
+        self._token_times.observe(now, predicted_s, observed_s)
 
     def slowness(self, now: float) -> float:
         """Return how many times slower than its entry says the upstream is."""
-        return math.exp(self._decayed_log_slowness(now))
+        return max(self._first_byte_times.ratio(now), self._token_times.ratio(now))
 
-    def prefill_s(self, prompt_tokens: float, now: float) -> float:
-        """Return the expected time to read a prompt, in seconds."""
-        speed = self.entry.tokens_per_s * self._settings.prefill_speedup
-        return prompt_tokens / speed * self.slowness(now)
+    def first_byte_s(self, now: float, prompt_tokens: float) -> float:
+        """Return the expected time to the first byte of one more request, in seconds."""
+        steps = 1.0 + prompt_tokens / self._settings.prefill_speedup
+        return steps * self._nominal_step_s(now) * self._first_byte_times.ratio(now)
 
-    def step_s(self, now: float) -> float:
+    def least_first_byte_s(self, now: float, prompt_tokens: float) -> float:
+        """Return the time to the first byte that a request takes at least, in seconds."""
+        steps = 1.0 + prompt_tokens / self._settings.prefill_speedup
+        least_step_s = 0.5 * self.entry.slots / self.entry.tokens_per_s
+        return steps * least_step_s * min(1.0, self._first_byte_times.ratio(now))
+
+    def token_s(self, now: float) -> float:
         """Return the expected time of one token of one more request, in seconds."""
+        return self._nominal_step_s(now) * self._token_times.ratio(now)
+
+    def _nominal_step_s(self, now: float) -> float:
         slots = self.entry.slots
         own = self.in_flight / self.share
         running = min(slots, own + 1 + self._foreign_in_flight(now))
         full_step_s = slots / self.entry.tokens_per_s
-        return full_step_s * (0.5 + 0.5 * running / slots) * self.slowness(now)
+        return full_step_s * (0.5 + 0.5 * running / slots)
 
     def _in_flight_at(self, then: float) -> int:
         in_flight = self.in_flight
@@ -210,11 +217,6 @@
             return 0.0
         return self._report_extra * 0.5 ** (age_s / self._settings.report_half_life_s)
 
-    def _decayed_log_slowness(self, now: float) -> float:
-        idle_s = max(0.0, now - self._observed_at)
-        decay = 0.5 ** (idle_s / self._settings.slowness_half_life_s)
-        return float(self._log_slowness * decay)
-
     def _eject(self, now: float, rng: random.Random) -> None:
         self._failures = 0
         if now < self._retry_at and self.ejected:
@@ -223,3 +225,9 @@
         self._retry_s = min(self._settings.retry_max_s, longer_s)
         self._retry_at = now + self._retry_s * (0.75 + 0.5 * rng.random())
         self._probing = False
+
+
+def _create_correction(settings: LoadSettings) -> Correction:
+    return Correction(
+        settings.slowness_weight, settings.slowness_half_life_s, settings.max_slowness
+    )
