Give higher tiers more patience; measure what permits cost

An ask of tier 0 is refused at once only when its expected wait is twice the time left (1.5 and 1.25 times for tiers 1 and 2); the lowest tier goes first on the same evidence.

--- /dev/null
+++ b/bench/permit_costs.py
@@ -0,0 +1,242 @@
+"""Measure what permits cost on the wire and in processor time, and work out the target.
+
+Run ``python -m bench.permit_costs``; it prints a table and writes
+``docs/bench/permit_costs.json``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import random
+import time
+
+import fire
+
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
+from tarragonwind.core.permit_messages import (
+    HeldPermit,
+    Outcome,
+    PermitAsk,
+    PermitBeat,
+    PermitDone,
+    PermitGrant,
+    PermitQuery,
+    PermitRefusal,
+    PermitSync,
+    list_permit,
+)
+from tarragonwind.core.pool_owners import OwnerParts, create_owner
+from tarragonwind.messages import Message, build_message, new_unpacker, pack_message
+
+DAEMONS = 320
+REQUESTS_PER_S = 5_500.0
+POOLS = 36
+UPSTREAMS = 600
+BUDGET_BYTES_PER_S = 3_000.0
+BUDGET_CORE = 0.021
+POOL = "drafting-17"
+ROUNDS = 4_000
+
+
+@dataclasses.dataclass(slots=True)
+class Slope:
+    """Hold the processor time of one request on one side.
+
+    Attributes
+    ----------
+    side : str
+        Owner or client.
+    upstreams, hosts, waiting : int
+        Size of the pool, number of hosts and waiting asks.
+    us_per_request : float
+        Microseconds for a request, packing included.
+    """
+
+    side: str
+    upstreams: int
+    hosts: int
+    waiting: int
+    us_per_request: float
+
+
+def sample_messages() -> dict[str, Message]:
+    """Return one message of each kind with names as long as at the target."""
+    ask = PermitAsk(
+        ask_id=900_000_000,
+        pool=POOL,
+        route="assessments",
+        tier=2,
+        organisation="organisation-09876",
+        cost_tokens=480,
+        prompt_tokens=1_800,
+        deadline_ms=8_000,
+        prefixes=[4_000_000_000, 4_000_000_001],
+    )
+    held = list_permit(HeldPermit(900_000_000, "drafting-17-05", 2, 480))
+    return {
+        "ask": ask,
+        "grant": PermitGrant(POOL, 900_000_000, "drafting-17-05", "2026.11"),
+        "done": PermitDone(POOL, 900_000_000, Outcome.OK, 350, 2_400, 210, 0),
+        "refusal": PermitRefusal(POOL, 900_000_000, 0, 4_000),
+        "beat": PermitBeat(POOL, 2_000_000_000, 3),
+        "query": PermitQuery(POOL),
+        "sync, one permit held": PermitSync(POOL, [], [held]),
+    }
+
+
+def measure_owner(upstreams: int, hosts: int, waiting: int) -> Slope:
+    """Time ask, grant and release on an owner, messages unpacked and packed."""
+    packed: list[bytes] = []
+    parts = OwnerParts(
+        lambda host, msg: packed.append(pack_message(msg)),
+        random.Random(1),
+        lambda *_: "2026.11",
+        lambda _: 1.0,
+    )
+    owner = create_owner(POOL, parts)
+    owner.configure(0.0, [_entry(number) for number in range(upstreams)])
+    names = [f"entry-{number}" for number in range(hosts)]
+    owner.on_members_changed(0.0, names, True)
+    for name in names:
+        owner.on_message(0.0, name, PermitSync(POOL))
+    owner.tick(1.0)
+    rng = random.Random(2)
+    for number in range(waiting):
+        # Asks of the lowest tier that no slot is left for.
+        owner.on_message(1.0, rng.choice(names), _ask(10_000_000 + number, 3))
+    started = time.process_time()
+    for number in range(ROUNDS):
+        now = 1.0 + number * 0.002
+        name = names[number % hosts]
+        owner.on_message(now, name, _unpack(pack_message(_ask(number, 1))))
+        done = PermitDone(POOL, number, Outcome.OK, 350, 2_400, 210)
+        owner.on_message(now, name, _unpack(pack_message(done)))
+        if number % 50 == 0:
+            owner.tick(now)
+    spent = time.process_time() - started
+    return Slope("owner", upstreams, hosts, waiting, 1e6 * spent / ROUNDS)
+
+
+def measure_client() -> Slope:
+    """Time ask, grant and release on an entry host, messages unpacked and packed."""
+    sent: list[bytes] = []
+    client = PermitClient(
+        "entry-1",
+        lambda host, msg: sent.append(pack_message(msg)),
+        random.Random(1),
+        lambda pool: "entry-0",
+        lambda now, pool, send: create_owner(
+            pool, OwnerParts(send, random.Random(1), lambda *_: "", lambda _: 1.0)
+        ),
+    )
+    request = PermitRequest(
+        POOL, "assessments", "organisation-09876", 2, 480, 1_800, 9_999.0, [1 << 31, 1 << 30]
+    )
+    granted: list[Permit] = []
+    started = time.process_time()
+    for number in range(ROUNDS):
+        now = 1.0 + number * 0.002
+        ask_id = client.ask(now, request, granted.append, lambda kind, retry_after_s: None)
+        grant = PermitGrant(POOL, ask_id, "drafting-17-05", "2026.11")
+        client.on_message(now, "entry-0", _unpack(pack_message(grant)))
+        client.done(now, ask_id, Outcome.OK, 350, 2_400, 210)
+        if number % 50 == 0:
+            client.tick(now)
+    spent = time.process_time() - started
+    return Slope("client", 0, 0, 0, 1e6 * spent / ROUNDS)
+
+
+def _entry(number: int) -> UpstreamEntry:
+    return UpstreamEntry(
+        name=f"{POOL}-{number:02}",
+        owner="ops",
+        pool=POOL,
+        version="2026.11",
+        host="127.0.0.1",
+        port=9000,
+        data_centre="etna",
+    )
+
+
+def _ask(number: int, tier: int) -> PermitAsk:
+    return PermitAsk(
+        number, POOL, "assessments", tier, f"organisation-{number % 997}", 480, 1_800, 60_000
+    )
+
+
+def _unpack(data: bytes) -> Message:
+    unpacker = new_unpacker()
+    unpacker.feed(data)
+    return build_message(next(iter(unpacker)))
+
+
+def main(out: str = "docs/bench") -> None:
+    """Measure and print everything."""
+    sizes = {name: len(pack_message(msg)) for name, msg in sample_messages().items()}
+    for name, size in sizes.items():
+        print(f"{name:<24} {size:4d} bytes")
+    slopes = [measure_client()]
+    for upstreams, hosts, waiting in (
+        (4, 8, 0),
+        (17, 8, 0),
+        (17, 320, 0),
+        (60, 320, 0),
+        (4, 320, 0),
+        (17, 320, 1_000),
+    ):
+        slopes.append(measure_owner(upstreams, hosts, waiting))
+    for slope in slopes:
+        print(
+            f"{slope.side:<7} upstreams {slope.upstreams:3d} hosts {slope.hosts:3d} "
+            f"waiting {slope.waiting:5d}: {slope.us_per_request:7.1f} us a request"
+        )
+    rate = REQUESTS_PER_S / DAEMONS
+    exchange = sizes["ask"] + sizes["grant"] + sizes["done"]
+    client_us = slopes[0].us_per_request
+    print(f"\nat the target, {rate:.1f} requests/s a daemon, {exchange} bytes an exchange")
+    rows = []
+    for owners in (POOLS, 150, DAEMONS):
+        owned = REQUESTS_PER_S / owners
+        owner_us = next(
+            s.us_per_request
+            for s in slopes
+            if s.side == "owner"
+            and s.hosts == DAEMONS
+            and s.upstreams == (17 if owners == POOLS else 4)
+            and not s.waiting
+        )
+        sent = rate * (sizes["ask"] + sizes["done"]) + owned * sizes["grant"]
+        received = rate * sizes["grant"] + owned * (sizes["ask"] + sizes["done"])
+        core = (rate * client_us + owned * owner_us) / 1e6
+        rows.append(
+            {
+                "owners": owners,
+                "owned_per_s": owned,
+                "sent_bytes_per_s": sent,
+                "received_bytes_per_s": received,
+                "core": core,
+            }
+        )
+        print(
+            f"{owners:4d} owners: owner's daemon sends {sent:7.0f} and receives {received:7.0f} "
+            f"bytes/s (budget {BUDGET_BYTES_PER_S:.0f}), {100 * core:5.2f}% of a core "
+            f"(budget {100 * BUDGET_CORE:.1f}%)"
+        )
+    mean = rate * exchange
+    print(f"mean over all daemons: sends {mean:.0f} bytes/s")
+    directory = pathlib.Path(out)
+    directory.mkdir(parents=True, exist_ok=True)
+    doc = {
+        "sizes_bytes": sizes,
+        "slopes": [dataclasses.asdict(slope) for slope in slopes],
+        "target": rows,
+        "mean_sent_bytes_per_s": mean,
+    }
+    (directory / "permit_costs.json").write_text(json.dumps(doc, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -29,6 +29,9 @@
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
 
+WAIT_MARGINS = (2.0, 1.5, 1.25, 1.0)
+"""How far an expected wait must exceed the time left for an ask of each tier to be refused."""
+
 SWEEP_PERIOD_S = 5.0
 """Time between two sweeps over idle state, in seconds."""
 
@@ -339,7 +342,7 @@
         if len(self._queue) == 0:
             return False
         work = self._queue.work_before(ask.tier, ask.organisation)
-        return now + work / self._rate.tokens_per_s > ask.deadline
+        return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
     def _refuse_unmeetable(self, now: float) -> None:
         for ask in self._queue.lowest_first():
@@ -352,7 +355,7 @@
         for lines in self._queue.work_by_tier():
             ahead.append(ahead[-1] + lines)
         for ask in self._queue.lowest_first():
-            if now + ahead[ask.tier] / self._rate.tokens_per_s > ask.deadline:
+            if ahead[ask.tier] / self._rate.tokens_per_s > _patience_s(now, ask):
                 self._queue.remove(ask.key)
                 self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
 
@@ -578,6 +581,10 @@
         return total * self._share
 
 
+def _patience_s(now: float, ask: WaitingAsk) -> float:
+    return (ask.deadline - now) * WAIT_MARGINS[ask.tier]
+
+
 def _read_ask(values: list[Any]) -> PermitAsk:
     return PermitAsk(*values)
 
