--- /dev/null
+++ b/tarragonwind/adapters/connections.py
@@ -0,0 +1,303 @@
+"""Hold non-blocking TCP connections and listeners on the daemon's loop."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import select
+import socket
+import struct
+from collections.abc import Callable
+
+from tarragonwind.adapters.loops import POLL_READ, POLL_WRITE, Loop, SocketHandler
+from tarragonwind.ports import Address
+
+READ_CHUNK_BYTES = 64 * 1024
+HIGH_WATER_BYTES = 256 * 1024
+"""Unsent bytes above which a writer should stop."""
+LOW_WATER_BYTES = 64 * 1024
+"""Unsent bytes below which a writer may go on."""
+ACCEPT_BATCH = 64
+LISTEN_BACKLOG = 1024
+
+POLL_GONE = select.EPOLLHUP | select.EPOLLERR
+POLL_PEER_CLOSED = select.EPOLLRDHUP
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ConnectionEvents:
+    """Name the calls that a connection's owner receives."""
+
+    __slots__ = ()
+
+    def on_connected(self) -> None:
+        """Handle the end of a connect."""
+
+    def on_data(self, data: bytes) -> None:
+        """Handle bytes that arrived."""
+
+    def on_drained(self) -> None:
+        """Handle unsent bytes having fallen below the low-water mark."""
+
+    def on_closed(self, reason: str) -> None:
+        """Handle the end of the connection; called once, not after `Connection.close`."""
+
+
+class Connection(SocketHandler):
+    """Read and write one TCP socket without blocking.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that polls the socket.
+    sock : socket.socket
+        Non-blocking socket.
+    events : ConnectionEvents
+        Owner of the connection.
+    connecting : bool
+        Whether the socket's connect is still under way.
+    """
+
+    __slots__ = (
+        "_closing",
+        "_connecting",
+        "_fileno",
+        "_mask",
+        "_out",
+        "_over_high_water",
+        "_poller",
+        "closed",
+        "events",
+        "sock",
+        "written",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        events: ConnectionEvents,
+        connecting: bool = False,
+    ) -> None:
+        self.sock = sock
+        self.events = events
+        self.closed = False
+        self.written = False
+        self._poller = loop.poller
+        self._fileno = sock.fileno()
+        self._connecting = connecting
+        self._closing = False
+        self._over_high_water = False
+        self._out = bytearray()
+        self._mask = POLL_WRITE if connecting else POLL_READ | POLL_PEER_CLOSED
+        self._poller.add_handler(self._fileno, self, self._mask)
+
+    @property
+    def unsent(self) -> int:
+        """Return the bytes that wait to be sent."""
+        return len(self._out)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes now as far as the socket takes them and keep the rest."""
+        if self.closed or self._closing or not data:
+            return
+        self.written = True
+        if self._out or self._connecting:
+            self._out += data
+        else:
+            self._send_first(data)
+        if len(self._out) > HIGH_WATER_BYTES:
+            self._over_high_water = True
+
+    def _send_first(self, data: bytes) -> None:
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            # The error shows again at the next poll, which reports the end to the owner.
+            return
+        if sent < len(data):
+            self._out += data[sent:]
+            self._set_mask(self._mask | POLL_WRITE)
+
+    def congested(self) -> bool:
+        """Tell whether the writer should stop until `on_drained`."""
+        return self._over_high_water
+
+    def pause_reading(self) -> None:
+        """Stop reading; the end of the connection is still noticed."""
+        self._set_mask(self._mask & ~POLL_READ)
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._set_mask(self._mask | POLL_READ)
+
+    def close(self) -> None:
+        """Close at once without telling the owner; unsent bytes are lost."""
+        if self.closed:
+            return
+        self.closed = True
+        self._poller.remove_handler(self._fileno)
+        with contextlib.suppress(OSError):
+            self.sock.close()
+        self._out.clear()
+
+    def close_when_sent(self) -> None:
+        """Close after the unsent bytes have gone out."""
+        if self._out and not self.closed:
+            self._closing = True
+        else:
+            self.close()
+
+    def reset(self) -> None:
+        """Close so that the other side sees an error and not an ordinary end."""
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
+    def is_stale(self) -> bool:
+        """Tell whether an idle connection has ended or holds bytes nobody asked for."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def on_ready(self, events: int) -> None:
+        """Handle readiness of the socket."""
+        if self._connecting:
+            self._finish_connect()
+            return
+        if events & POLL_READ:
+            self._read()
+        if not self.closed and events & POLL_WRITE:
+            self._flush()
+        if not self.closed and events & (POLL_GONE | POLL_PEER_CLOSED):
+            self._handle_end(events)
+
+    def _handle_end(self, events: int) -> None:
+        if events & POLL_GONE:
+            self._end("connection reset")
+        elif not self._mask & POLL_READ:
+            self._end("closed by the other side")
+
+    def _finish_connect(self) -> None:
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._end(errno.errorcode.get(error, str(error)))
+            return
+        self._connecting = False
+        mask = POLL_READ | POLL_PEER_CLOSED
+        self._set_mask(mask | POLL_WRITE if self._out else mask)
+        self.events.on_connected()
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(READ_CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            self._end(str(exc))
+            return
+        if data:
+            self.events.on_data(data)
+        else:
+            self._end("closed by the other side")
+
+    def _flush(self) -> None:
+        try:
+            sent = self.sock.send(self._out)
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            self._end(str(exc))
+            return
+        del self._out[:sent]
+        if not self._out:
+            self._set_mask(self._mask & ~POLL_WRITE)
+        if self._closing and not self._out:
+            self.close()
+        elif self._over_high_water and len(self._out) < LOW_WATER_BYTES:
+            self._over_high_water = False
+            self.events.on_drained()
+
+    def _end(self, reason: str) -> None:
+        self.close()
+        self.events.on_closed(reason)
+
+    def _set_mask(self, mask: int) -> None:
+        if self.closed or mask == self._mask:
+            return
+        self._mask = mask
+        self._poller.change_events(self._fileno, mask)
+
+
+class Listener(SocketHandler):
+    """Accept connections on one address.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that polls the socket.
+    address : Address
+        Where to listen; port 0 takes a free one.
+    on_accept : callable
+        Called with each accepted non-blocking socket and the other side's address.
+    """
+
+    __slots__ = ("_on_accept", "_poller", "_sock", "address")
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        on_accept: Callable[[socket.socket, Address], None],
+    ) -> None:
+        self._on_accept = on_accept
+        self._poller = loop.poller
+        self._sock = socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
+        self._sock.setblocking(False)
+        host, port = self._sock.getsockname()[:2]
+        self.address = Address(host, port)
+        self._poller.add_handler(self._sock.fileno(), self, POLL_READ)
+
+    def on_ready(self, events: int) -> None:
+        """Accept what waits, up to a bound for each pass of the loop."""
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, peer = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._on_accept(sock, Address(peer[0], peer[1]))
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._sock.fileno() >= 0:
+            self._poller.remove_handler(self._sock.fileno())
+            self._sock.close()
+
+
+def open_connection(loop: Loop, address: Address, events: ConnectionEvents) -> Connection:
+    """Start a connect and return the connection; `events` hears how it ends.
+
+    Raises
+    ------
+    OSError
+        When the connect can't even be started.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    error = sock.connect_ex((address.host, address.port))
+    if error not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise OSError(error, errno.errorcode.get(error, "connect failed"))
+    return Connection(loop, sock, events, connecting=True)
