--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -17,6 +17,8 @@
 """Unsent bytes above which a writer should stop."""
 LOW_WATER_BYTES = 64 * 1024
 """Unsent bytes below which a writer may go on."""
+LINGER_S = 1.0
+"""Longest time that a closed connection still reads, in seconds."""
 ACCEPT_BATCH = 64
 LISTEN_BACKLOG = 1024
 
@@ -67,10 +69,11 @@
         "_out",
         "_over_high_water",
         "_poller",
+        "_timers",
         "closed",
         "events",
+        "sent_bytes",
         "sock",
-        "written",
     )
 
     def __init__(
@@ -83,8 +86,9 @@
         self.sock = sock
         self.events = events
         self.closed = False
-        self.written = False
+        self.sent_bytes = 0
         self._poller = loop.poller
+        self._timers = loop.timers
         self._fileno = sock.fileno()
         self._connecting = connecting
         self._closing = False
@@ -102,7 +106,6 @@
         """Send bytes now as far as the socket takes them and keep the rest."""
         if self.closed or self._closing or not data:
             return
-        self.written = True
         if self._out or self._connecting:
             self._out += data
         else:
@@ -118,6 +121,7 @@
         except OSError:
             # The error shows again at the next poll, which reports the end to the owner.
             return
+        self.sent_bytes += sent
         if sent < len(data):
             self._out += data[sent:]
             self._set_mask(self._mask | POLL_WRITE)
@@ -126,13 +130,21 @@
         """Tell whether the writer should stop until `on_drained`."""
         return self._over_high_water
 
-    def pause_reading(self) -> None:
-        """Stop reading; the end of the connection is still noticed."""
-        self._set_mask(self._mask & ~POLL_READ)
+    def pause_reading(self, notice_end: bool = True) -> None:
+        """Stop reading.
+
+        Parameters
+        ----------
+        notice_end : bool
+            Whether an ordinary end of the other side is acted on meanwhile. When bytes that were
+            sent before the end still matter, it must not be.
+        """
+        mask = self._mask & ~POLL_READ
+        self._set_mask(mask if notice_end else mask & ~POLL_PEER_CLOSED)
 
     def resume_reading(self) -> None:
         """Read again."""
-        self._set_mask(self._mask | POLL_READ)
+        self._set_mask(self._mask | POLL_READ | POLL_PEER_CLOSED)
 
     def close(self) -> None:
         """Close at once without telling the owner; unsent bytes are lost."""
@@ -145,10 +157,23 @@
         self._out.clear()
 
     def close_when_sent(self) -> None:
-        """Close after the unsent bytes have gone out."""
-        if self._out and not self.closed:
-            self._closing = True
-        else:
+        """Close after the unsent bytes have gone out and the other side has had time to read.
+
+        Closing while unread bytes wait would reset the connection and could destroy the answer on
+        its way, so what still arrives is discarded for a bounded time.
+        """
+        if self.closed or self._closing:
+            return
+        self._closing = True
+        self._timers.call_later(LINGER_S, self.close)
+        self.resume_reading()
+        if not self._out:
+            self._shut_down_writing()
+
+    def _shut_down_writing(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
             self.close()
 
     def reset(self) -> None:
@@ -204,6 +229,8 @@
         except OSError as exc:
             self._end(str(exc))
             return
+        if data and self._closing:
+            return
         if data:
             self.events.on_data(data)
         else:
@@ -217,18 +244,20 @@
         except OSError as exc:
             self._end(str(exc))
             return
+        self.sent_bytes += sent
         del self._out[:sent]
         if not self._out:
             self._set_mask(self._mask & ~POLL_WRITE)
         if self._closing and not self._out:
-            self.close()
+            self._shut_down_writing()
         elif self._over_high_water and len(self._out) < LOW_WATER_BYTES:
             self._over_high_water = False
             self.events.on_drained()
 
     def _end(self, reason: str) -> None:
         self.close()
-        self.events.on_closed(reason)
+        if not self._closing:
+            self.events.on_closed(reason)
 
     def _set_mask(self, mask: int) -> None:
         if self.closed or mask == self._mask:
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -138,7 +138,7 @@
     def pause(self) -> None:
         """Stop reading the response."""
         if self._conn is not None:
-            self._conn.pause_reading()
+            self._conn.pause_reading(notice_end=False)
 
     def resume(self) -> None:
         """Read the response again."""
@@ -156,19 +156,22 @@
 
     def on_data(self, data: bytes) -> None:
         """Parse what arrived and pass it on."""
+        fault = ""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("the response switches protocols")
-            return
+            fault = "the response switches protocols"
         except (httptools.HttpParserError, ValueError) as exc:
-            self._fail(f"malformed response: {exc}"[:200])
-            return
+            fault = f"malformed response: {exc}"[:200]
         if self._ended:
             return
+        if fault and not self._complete:
+            self._fail(fault)
+            return
         self._pass_body()
         if self._complete and not self._ended:
-            self._finish(reuse=self._parser.should_keep_alive() and not self._until_close)
+            keep = not fault and not self._until_close and self._parser.should_keep_alive()
+            self._finish(reuse=keep)
 
     def on_closed(self, reason: str) -> None:
         """Tell the sink how the exchange ended."""
--- /dev/null
+++ b/tarragonwind/core/request_lives.py
@@ -0,0 +1,111 @@
+"""Follow one request from its arrival to its end, and tell what may still be done with it."""
+
+from __future__ import annotations
+
+import enum
+
+from tarragonwind.errors import ERROR_ANSWERS, ErrorKind, NotRun
+
+
+class LifeState(enum.Enum):
+    """Name where a request stands."""
+
+    RECEIVED = "received"
+    WAITING = "waiting"
+    PERMITTED = "permitted"
+    DISPATCHED = "dispatched"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+class Outcome(enum.Enum):
+    """Name how a request ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    CUT = "cut"
+    UNKNOWN = "unknown"
+    CALLER_LEFT = "caller_left"
+
+
+TRANSITIONS: dict[LifeState, frozenset[LifeState]] = {
+    LifeState.RECEIVED: frozenset([LifeState.WAITING, LifeState.ENDED]),
+    LifeState.WAITING: frozenset([LifeState.PERMITTED, LifeState.ENDED]),
+    LifeState.PERMITTED: frozenset([LifeState.DISPATCHED, LifeState.WAITING, LifeState.ENDED]),
+    LifeState.DISPATCHED: frozenset([LifeState.STREAMING, LifeState.ENDED]),
+    LifeState.STREAMING: frozenset([LifeState.ENDED]),
+    LifeState.ENDED: frozenset(),
+}
+"""States that may follow each state. Nothing leads back from ``DISPATCHED``."""
+
+
+class LifeError(Exception):
+    """Report a step that a request's state does not allow."""
+
+
+class RequestLife:
+    """Hold the state of one request.
+
+    Attributes
+    ----------
+    state : LifeState
+        Where it stands.
+    outcome : Outcome or None
+        How it ended.
+    refusal_proven : bool
+        Whether the upstream that it was dispatched to has proved that it did not run.
+    """
+
+    __slots__ = ("outcome", "refusal_proven", "state")
+
+    def __init__(self) -> None:
+        self.state = LifeState.RECEIVED
+        self.outcome: Outcome | None = None
+        self.refusal_proven = False
+
+    def advance(self, state: LifeState) -> None:
+        """Go to the next state.
+
+        Raises
+        ------
+        LifeError
+            When the current state does not allow it; a second dispatch is one such step.
+        """
+        if state not in TRANSITIONS[self.state]:
+            raise LifeError(f"a request can't go from {self.state.value} to {state.value}")
+        self.state = state
+
+    def end(self, outcome: Outcome) -> None:
+        """End the request; a second end is ignored."""
+        if self.state is LifeState.ENDED:
+            return
+        self.outcome = outcome
+        self.state = LifeState.ENDED
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the request has ended."""
+        return self.state is LifeState.ENDED
+
+    @property
+    def dispatched(self) -> bool:
+        """Tell whether a byte may have reached an upstream."""
+        return self.state in (LifeState.DISPATCHED, LifeState.STREAMING)
+
+    def not_run(self, kind: ErrorKind) -> NotRun:
+        """Tell what a refusal of one kind may say about the work.
+
+        Parameters
+        ----------
+        kind : ErrorKind
+            Kind of the refusal.
+
+        Returns
+        -------
+        NotRun
+            The kind's word, but never ``TRUE`` once the request was dispatched without a proof.
+        """
+        said = ERROR_ANSWERS[kind].not_run
+        if said is NotRun.TRUE and self.dispatched and not self.refusal_proven:
+            return NotRun.UNKNOWN
+        return said
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,111 @@
+"""Share what tests need: a loop that runs until a state is reached, and small fakes at ports."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import threading
+from collections.abc import Callable
+
+from tarragonwind.adapters.loops import Loop, create_loop
+from tarragonwind.core.entries import OrganisationEntry, RouteEntry, UpstreamEntry
+from tarragonwind.core.permit_sources import Permit, PermitReport, PermitRequest, PermitSource
+
+WAIT_LIMIT_S = 20.0
+TOKEN = "token-a"
+
+
+class StateNotReached(AssertionError):
+    """Report that a state was not reached within the limit."""
+
+
+class LoopRunner:
+    """Run a loop on a thread of its own, so that a test can use blocking clients."""
+
+    def __init__(self) -> None:
+        self.loop: Loop = create_loop()
+        self._thread = threading.Thread(target=self.loop.run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def call(self, function: Callable[[], object]) -> object:
+        """Run a function on the loop and return its result."""
+        done = threading.Event()
+        results: list[object] = []
+
+        def run() -> None:
+            results.append(function())
+            done.set()
+
+        self.loop.timers.call_later(0.0, run)
+        self.loop.poller.resume()
+        assert done.wait(WAIT_LIMIT_S)
+        return results[0]
+
+    def stop(self) -> None:
+        self.loop.timers.call_later(0.0, self.loop.stop)
+        self.loop.poller.resume()
+        self._thread.join(WAIT_LIMIT_S)
+
+
+def run_until(loop: Loop, reached: Callable[[], bool], limit_s: float = WAIT_LIMIT_S) -> None:
+    """Run a loop on this thread until a state is reached."""
+    timers = loop.timers
+    late = [False]
+
+    def check() -> None:
+        if reached():
+            loop.stop()
+
+    def give_up() -> None:
+        late[0] = True
+        loop.stop()
+
+    poll = timers.call_every(0.005, check)
+    limit = timers.call_later(limit_s, give_up)
+    loop.run()
+    poll.cancel()
+    limit.cancel()
+    if late[0] and not reached():
+        raise StateNotReached("the state was not reached in time")
+
+
+class FakeCatalogue:
+    """Answer the gateway's questions from lists of entries."""
+
+    def __init__(self, upstreams: list[UpstreamEntry], routes: list[RouteEntry]) -> None:
+        self.upstreams = upstreams
+        self.routes = routes
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        self.organisation = OrganisationEntry(name="org-a", owner="o", token_sha256=[digest])
+
+    def organisation_by_token(self, token_sha256: str) -> OrganisationEntry | None:
+        return self.organisation if token_sha256 in self.organisation.token_sha256 else None
+
+    def route_by_model(self, model: str) -> RouteEntry | None:
+        return next((route for route in self.routes if route.model == model), None)
+
+    def route_by_path(self, path: str) -> RouteEntry | None:
+        found = [r for r in self.routes if r.path_prefix and path.startswith(r.path_prefix)]
+        return found[0] if found else None
+
+    def upstream(self, name: str) -> UpstreamEntry | None:
+        return next((one for one in self.upstreams if one.name == name), None)
+
+
+class TurnPermits(PermitSource):
+    """Grant at once, each upstream in turn."""
+
+    def __init__(self, upstreams: list[str]) -> None:
+        self.names = itertools.cycle(upstreams)
+        self.reports: list[PermitReport] = []
+
+    def ask(self, req: PermitRequest, on_grant, on_refusal) -> None:
+        on_grant(Permit(req.request_id, next(self.names), "v1"))
+
+    def cancel(self, request_id: int) -> None:
+        pass
+
+    def finish(self, report: PermitReport) -> None:
+        self.reports.append(report)
--- /dev/null
+++ b/tests/test_gateways.py
@@ -0,0 +1,268 @@
+"""Test the way of a request through the gateway, against upstreams on loopback."""
+
+import http.client
+import json
+import socket
+import threading
+
+import pytest
+from support import TOKEN, FakeCatalogue, LoopRunner, TurnPermits
+
+from standins.engine import Engine
+from tarragonwind.adapters.gateways import Gateway
+from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.http_servers import HttpLimits
+from tarragonwind.core.entries import RouteEntry, UpstreamEntry
+from tarragonwind.ports import Address
+
+AUTH = {"Authorization": f"Bearer {TOKEN}"}
+
+
+class ScriptedUpstream:
+    """Answer each accepted connection with given bytes after the request's end is seen."""
+
+    def __init__(self, answer: bytes, keep: bool = False) -> None:
+        self.requests: list[bytes] = []
+        self._answer = answer
+        self._keep = keep
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self._sock.getsockname()[1]
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except OSError:
+                return
+            self.requests.append(conn.recv(65536))
+            conn.sendall(self._answer)
+            if not self._keep:
+                conn.close()
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+class Bench:
+    """Hold a gateway, its loop and an engine of its own on the same loop."""
+
+    def __init__(self, upstream_port: int | None = None, refusal_not_run: bool = False) -> None:
+        self.runner = LoopRunner()
+        self.engine = Engine(0, token_ms=1.0)
+        self.engine_runner = threading.Thread(target=self.engine.loop.run, daemon=True)
+        self.engine_runner.start()
+        port = upstream_port or self.engine._server.address.port
+        upstream = UpstreamEntry(
+            name="up-1",
+            owner="o",
+            pool="chat",
+            version="v1",
+            host="127.0.0.1",
+            port=port,
+            data_centre="etna",
+            refusal_not_run=refusal_not_run,
+        )
+        routes = [
+            RouteEntry(name="chat", owner="o", pool="chat", tier=1, model="m", deadline_s=5.0),
+            RouteEntry(name="stamp", owner="o", pool="chat", tier=0, path_prefix="/stamp"),
+        ]
+        self.catalogue = FakeCatalogue([upstream], routes)
+        self.permits = TurnPermits(["up-1"])
+        loop = self.runner.loop
+        self.gateway = Gateway(
+            loop,
+            Address("127.0.0.1", 0),
+            HttpLimits(),
+            HttpClient(loop, connect_timeout_s=1.0),
+            lambda: self.catalogue,
+            self.permits,
+        )
+        self.runner.start()
+
+    def post(self, doc: dict, headers: dict | None = None, path: str = "/v1/chat/completions"):
+        conn = http.client.HTTPConnection("127.0.0.1", self.gateway.address.port, timeout=10)
+        conn.request("POST", path, json.dumps(doc), headers or AUTH)
+        answer = conn.getresponse()
+        return answer, conn
+
+    def close(self) -> None:
+        self.runner.stop()
+        self.engine.loop.timers.call_later(0.0, self.engine.loop.stop)
+        self.engine.loop.poller.resume()
+        self.engine_runner.join(5)
+
+
+@pytest.fixture
+def bench():
+    one = Bench()
+    yield one
+    one.close()
+
+
+def chat(stream: bool = False, tokens: int = 5) -> dict:
+    message = {"role": "user", "content": "hello"}
+    return {"model": "m", "messages": [message], "max_tokens": tokens, "stream": stream}
+
+
+def test_a_whole_answer_comes_back(bench):
+    answer, _ = bench.post(chat())
+    assert answer.status == 200
+    assert json.loads(answer.read())["choices"][0]["message"]["content"] == "w1 w2 w3 w4 w5 "
+
+
+def test_a_stream_comes_back_event_by_event(bench):
+    answer, _ = bench.post(chat(stream=True, tokens=7))
+    body = answer.read()
+    assert body.count(b"data: ") == 8
+    assert body.endswith(b"data: [DONE]\n\n")
+
+
+def test_a_wrong_token_is_refused_and_not_run(bench):
+    answer, _ = bench.post(chat(), {"Authorization": "Bearer wrong"})
+    assert answer.status == 401
+    assert json.loads(answer.read())["not_run"] is True
+
+
+def test_a_caller_can_lower_its_tier_but_not_raise_it(bench):
+    seen = []
+    original = bench.permits.ask
+    bench.permits.ask = lambda req, *rest: (seen.append(req.tier), original(req, *rest))
+    bench.post(chat(), {**AUTH, "Tarragonwind-Tier": "3"})[0].read()
+    bench.post(chat(), {**AUTH, "Tarragonwind-Tier": "0"})[0].read()
+    assert seen == [3, 1]
+
+
+def test_pipelined_requests_get_their_own_answers_in_order(bench):
+    sock = socket.create_connection(("127.0.0.1", bench.gateway.address.port))
+    requests = b""
+    for tokens in (3, 1, 2):
+        body = json.dumps(chat(tokens=tokens)).encode()
+        requests += (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+            + TOKEN.encode()
+            + b"\r\nContent-Length: %d\r\n\r\n" % len(body)
+            + body
+        )
+    sock.sendall(requests)
+    sock.settimeout(10)
+    got = b""
+    while got.count(b'"usage"') < 3:
+        got += sock.recv(65536)
+    assert got.find(b'"w1 w2 w3 "') < got.find(b'"w1 "') < got.find(b'"w1 w2 "')
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET /x HTTP/1.1\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 40_000,
+        b"GET /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n",
+    ],
+)
+def test_malformed_requests_are_refused_and_the_connection_closes(bench, raw):
+    sock = socket.create_connection(("127.0.0.1", bench.gateway.address.port))
+    sock.sendall(raw)
+    sock.settimeout(10)
+    got = b""
+    while data := sock.recv(65536):
+        got += data
+    assert got.startswith(b"HTTP/1.1 4")
+    assert got.count(b"HTTP/1.1") == 1
+    assert b'"not_run": true' in got
+    assert bench.post(chat())[0].status == 200
+
+
+CUT_ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer", [CUT_ANSWER, b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello"]
+)
+def test_a_cut_answer_never_ends_as_whole(answer):
+    upstream = ScriptedUpstream(answer)
+    bench = Bench(upstream.port)
+    got, _ = bench.post(chat())
+    with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+        got.read()
+    bench.close()
+    upstream.close()
+
+
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 2", b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nX: " + b"a" * 80_000]
+)
+def test_an_upstream_without_an_answer_leaves_the_outcome_unknown(answer):
+    upstream = ScriptedUpstream(answer)
+    bench = Bench(upstream.port)
+    got, _ = bench.post(chat())
+    doc = json.loads(got.read())
+    assert (got.status, doc["kind"], doc["not_run"]) == (502, "upstream_outcome_unknown", "unknown")
+    assert len(upstream.requests) == 1
+    bench.close()
+    upstream.close()
+
+
+def test_extra_bytes_after_an_answer_reach_nobody():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+    upstream = ScriptedUpstream(answer + b"Content-Length: 5\r\n\r\nother", keep=True)
+    bench = Bench(upstream.port)
+    got, _ = bench.post(chat())
+    first = got.read()
+    got, _ = bench.post(chat())
+    assert (first, got.read()) == (b"ok", b"ok")
+    bench.close()
+    upstream.close()
+
+
+@pytest.mark.parametrize(("proves", "not_run"), [(True, True), (False, None)])
+def test_a_refusal_says_not_run_only_where_it_is_proof(proves, not_run):
+    upstream = ScriptedUpstream(b"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\n{}")
+    bench = Bench(upstream.port, refusal_not_run=proves)
+    got, _ = bench.post(chat())
+    assert got.status == 503
+    assert json.loads(got.read()).get("not_run") is not_run
+    bench.close()
+    upstream.close()
+
+
+def test_an_unreachable_upstream_means_not_run():
+    probe = socket.create_server(("127.0.0.1", 0))
+    port = probe.getsockname()[1]
+    probe.close()
+    bench = Bench(port)
+    got, _ = bench.post(chat())
+    doc = json.loads(got.read())
+    assert (doc["kind"], doc["not_run"]) == ("no_upstream", True)
+    bench.close()
+
+
+def test_a_deadline_after_dispatch_is_answered_at_once_and_unknown():
+    upstream = ScriptedUpstream(b"", keep=True)
+    bench = Bench(upstream.port)
+    got, _ = bench.post(chat(), {**AUTH, "Tarragonwind-Timeout-Ms": "200"})
+    doc = json.loads(got.read())
+    assert (got.status, doc["kind"], doc["not_run"]) == (504, "deadline_passed", "unknown")
+    bench.close()
+    upstream.close()
+
+
+def test_a_caller_that_leaves_cancels_the_upstreams_work(bench):
+    answer, conn = bench.post(chat(stream=True, tokens=100_000))
+    answer.read(100)
+    answer.close()
+    conn.close()
+    done = threading.Event()
+    for _ in range(2_000):
+        if not bench.engine._running and bench.permits.reports:
+            done.set()
+            break
+        done.wait(0.005)
+    assert done.is_set()
