--- /dev/null
+++ b/standins/kv.py
@@ -0,0 +1,418 @@
+"""Stand in for the key-value service: the subset of the etcd v3 JSON gateway that is used.
+
+``POST /control`` brings faults about, ``GET /control`` counts calls; see `KvServer.control`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+from standins.kv_state import MAX_TXN_OPS, MAX_VALUE_BYTES, Change, Item, KvError, KvState
+
+LAPSE_PERIOD_S = 0.1
+WATCH_WAIT_S = 0.5
+DEFAULT_LIFETIME_S = 3_600.0
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+Doc = dict[str, Any]
+CALLS: dict[str, tuple[str, bool, Callable[[KvState, Doc], Doc]]] = {}
+"""Calls by target: kind, whether it writes, and the function that answers it."""
+
+
+def call(target: str, kind: str, writes: bool) -> Callable[[Any], Any]:
+    """Register a function as the answer to a target."""
+
+    def register(function: Callable[[KvState, Doc], Doc]) -> Callable[[KvState, Doc], Doc]:
+        CALLS[target] = (kind, writes, function)
+        return function
+
+    return register
+
+
+def read_key(doc: Doc, name: str) -> bytes:
+    """Return a base64 field, empty when it is absent."""
+    return base64.b64decode(doc.get(name, ""))
+
+
+def header(state: KvState) -> Doc:
+    """Return the header of an answer."""
+    return {"cluster_id": "1", "member_id": "1", "revision": str(state.revision), "raft_term": "1"}
+
+
+def render_item(item: Item) -> Doc:
+    """Return a key in the gateway's form, which leaves zeros out."""
+    doc = {
+        "key": base64.b64encode(item.key).decode(),
+        "create_revision": str(item.create_revision),
+        "mod_revision": str(item.mod_revision),
+        "version": str(item.version),
+    }
+    if item.value:
+        doc["value"] = base64.b64encode(item.value).decode()
+    if item.lease_id:
+        doc["lease"] = str(item.lease_id)
+    return doc
+
+
+def render_change(change: Change) -> Doc:
+    """Return a change in the form of a watch."""
+    if change.after is not None:
+        return {"kv": render_item(change.after)}
+    kv = {"key": base64.b64encode(change.key).decode(), "mod_revision": str(change.revision)}
+    return {"type": "DELETE", "kv": kv}
+
+
+@call("/v3/kv/range", "range", writes=False)
+def answer_range(state: KvState, doc: Doc) -> Doc:
+    """Answer a read."""
+    revision = int(doc.get("revision", 0))
+    items = state.select(read_key(doc, "key"), read_key(doc, "range_end"), revision)
+    limit = int(doc.get("limit", 0)) or len(items)
+    answer: Doc = {"header": header(state), "count": str(len(items))}
+    if items:
+        answer["kvs"] = [render_item(item) for item in items[:limit]]
+    if len(items) > limit:
+        answer["more"] = True
+    return answer
+
+
+@call("/v3/kv/put", "put", writes=True)
+def answer_put(state: KvState, doc: Doc) -> Doc:
+    """Answer a write without comparisons."""
+    put = (read_key(doc, "key"), read_key(doc, "value"), int(doc.get("lease", 0)))
+    state.put(*put, state.revision + 1)
+    return {"header": header(state)}
+
+
+@call("/v3/kv/txn", "txn", writes=True)
+def answer_txn(state: KvState, doc: Doc) -> Doc:
+    """Answer a transaction of comparisons and operations."""
+    for compare in doc.get("compare", []):
+        if compare.get("target") != "MOD" or compare.get("result") != "EQUAL":
+            raise KvError("the stand-in compares mod_revision for equality only")
+    holds = all(
+        state.mod_revision(read_key(item, "key")) == int(item.get("mod_revision", 0))
+        for item in doc.get("compare", [])
+    )
+    ops = doc.get("success" if holds else "failure", [])
+    if len(ops) > MAX_TXN_OPS:
+        raise KvError("etcdserver: too many operations in txn request")
+    check_ops(state, ops)
+    revision = state.revision + 1
+    for op in ops:
+        apply_op(state, op, revision)
+    answer: Doc = {"header": header(state)}
+    if holds:
+        answer["succeeded"] = True
+    return answer
+
+
+def check_ops(state: KvState, ops: list[Doc]) -> None:
+    """Refuse a transaction as a whole before any of it is applied."""
+    seen: set[bytes] = set()
+    for op in ops:
+        body = op.get("request_put") or op.get("request_delete_range")
+        if body is None:
+            raise KvError("the stand-in applies puts and deletes only")
+        key = read_key(body, "key")
+        if key in seen:
+            raise KvError("etcdserver: duplicate key given in txn request")
+        seen.add(key)
+        lease_id = int(body.get("lease", 0))
+        if lease_id and lease_id not in state.leases:
+            raise KvError("etcdserver: requested lease not found")
+        if len(read_key(body, "value")) > MAX_VALUE_BYTES:
+            raise KvError("etcdserver: request is too large")
+
+
+def apply_op(state: KvState, op: Doc, revision: int) -> None:
+    """Apply one operation of a transaction."""
+    if "request_put" in op:
+        put = op["request_put"]
+        lease_id = int(put.get("lease", 0))
+        state.put(read_key(put, "key"), read_key(put, "value"), lease_id, revision)
+        return
+    state.delete(read_key(op["request_delete_range"], "key"), revision)
+
+
+@call("/v3/lease/grant", "lease_grant", writes=True)
+def answer_grant(state: KvState, doc: Doc) -> Doc:
+    """Create a lease."""
+    ttl_s = int(doc["TTL"])
+    return {"header": header(state), "ID": str(state.grant(ttl_s)), "TTL": str(ttl_s)}
+
+
+@call("/v3/lease/keepalive", "lease_keepalive", writes=True)
+def answer_keep(state: KvState, doc: Doc) -> Doc:
+    """Renew a lease."""
+    result: Doc = {"header": header(state), "ID": doc["ID"]}
+    ttl_s = state.keep(int(doc["ID"]))
+    if ttl_s:
+        result["TTL"] = str(ttl_s)
+    return {"result": result}
+
+
+@call("/v3/lease/revoke", "lease_revoke", writes=True)
+def answer_revoke(state: KvState, doc: Doc) -> Doc:
+    """End a lease."""
+    if int(doc["ID"]) not in state.leases:
+        raise KvError("etcdserver: requested lease not found")
+    state.end_lease(int(doc["ID"]))
+    return {"header": header(state)}
+
+
+class Faults:
+    """Hold the faults that are on, the calls counted and the snapshots."""
+
+    def __init__(self) -> None:
+        self.outage = ""
+        self.delay_s = 0.0
+        self.drop_write_answers = 0
+        self.nonsense = False
+        self.watch_generation = 0
+        self.watches = 0
+        self.calls: Counter[str] = Counter()
+        self.snapshots: dict[str, KvState] = {}
+
+
+class KvServer(ThreadingHTTPServer):
+    """Serve one state to many clients, each on a thread."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address, KvHandler)
+        self.state = KvState()
+        self.faults = Faults()
+        self.changed = threading.Condition()
+
+    def control(self, doc: Doc) -> None:
+        """Change the faults.
+
+        Parameters
+        ----------
+        doc : dict
+            ``outage`` ("drop", "hang", "refuse" or "" for none; true means "drop"), ``delay_ms``,
+            ``drop_write_answers`` (a count), ``nonsense``, ``cut_watches``, ``snapshot`` and
+            ``restore`` (a name), ``lapse_leases``, ``reset_counts``.
+        """
+        faults = self.faults
+        with self.changed:
+            if "outage" in doc:
+                faults.outage = "drop" if doc["outage"] is True else doc["outage"] or ""
+            faults.delay_s = float(doc.get("delay_ms", faults.delay_s * 1_000)) / 1_000
+            faults.drop_write_answers = doc.get("drop_write_answers", faults.drop_write_answers)
+            faults.nonsense = bool(doc.get("nonsense", faults.nonsense))
+            if doc.get("cut_watches") or faults.outage == "drop":
+                faults.watch_generation += 1
+            if doc.get("reset_counts"):
+                faults.calls.clear()
+            if doc.get("lapse_leases"):
+                self.state.lapse(float("inf"))
+            if "snapshot" in doc:
+                faults.snapshots[doc["snapshot"]] = self.state.copy()
+            if "restore" in doc:
+                self.state = faults.snapshots[doc["restore"]].copy()
+                faults.watch_generation += 1
+            self.changed.notify_all()
+
+    def report(self) -> Doc:
+        """Return the calls counted by kind, the open watches and the revision."""
+        with self.changed:
+            return {
+                "calls": dict(self.faults.calls),
+                "watches": self.faults.watches,
+                "revision": self.state.revision,
+                "keys": len(self.state.items),
+            }
+
+    def lapse_leases(self) -> None:
+        """End lapsed leases for as long as the process lives."""
+        while True:
+            time.sleep(LAPSE_PERIOD_S)
+            with self.changed:
+                if self.state.lapse(time.monotonic()):
+                    self.changed.notify_all()
+
+
+class KvHandler(BaseHTTPRequestHandler):
+    """Answer one client's requests."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    server: KvServer
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Write no log line for a request."""
+
+    def do_GET(self) -> None:
+        """Answer the report."""
+        self._send(200, self.server.report())
+
+    def do_POST(self) -> None:
+        """Answer a call or change the faults."""
+        length = int(self.headers.get("Content-Length", 0))
+        if length > MAX_BODY_BYTES:
+            self._send(413, {"error": "too large"})
+            return
+        try:
+            doc = json.loads(self.rfile.read(length) or b"{}")
+        except ValueError:
+            self._send(400, {"error": "not JSON", "code": 3})
+            return
+        if self.path == "/control":
+            self.server.control(doc)
+            self._send(200, self.server.report())
+        elif self._pass_faults():
+            self._answer(doc)
+
+    def _pass_faults(self) -> bool:
+        """Hold the call up as the faults demand; return whether it goes on."""
+        faults = self.server.faults
+        while faults.outage == "hang":
+            time.sleep(0.05)
+        if faults.outage == "refuse":
+            self._send(503, {"error": "etcdserver: no leader", "code": 14})
+            return False
+        if faults.outage:
+            self._cut()
+            return False
+        if faults.delay_s:
+            time.sleep(faults.delay_s)
+        if faults.nonsense:
+            self._send_bytes(200, b"<html>not what you asked for")
+            return False
+        return True
+
+    def _answer(self, doc: Doc) -> None:
+        if self.path == "/v3/watch":
+            self._watch(doc["create_request"])
+            return
+        entry = CALLS.get(self.path)
+        if entry is None:
+            self._send(404, {"error": "Not Found", "code": 5})
+            return
+        kind, writes, function = entry
+        server = self.server
+        with server.changed:
+            server.faults.calls[kind] += 1
+            try:
+                answer = function(server.state, doc)
+            except KvError as exc:
+                answer = {"error": str(exc), "code": 3}
+            drop = writes and "error" not in answer and server.faults.drop_write_answers > 0
+            if drop:
+                server.faults.drop_write_answers -= 1
+            server.changed.notify_all()
+        if drop:
+            self._cut()
+            return
+        self._send(400 if "error" in answer else 200, answer)
+
+    def _watch(self, create: Doc) -> None:
+        server = self.server
+        with server.changed:
+            server.faults.calls["watch"] += 1
+            server.faults.watches += 1
+            generation = server.faults.watch_generation
+        try:
+            self.send_response(200)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            self._send_chunk({"result": {"header": header(server.state), "created": True}})
+            self._follow(create, generation)
+        except OSError:
+            pass
+        finally:
+            with server.changed:
+                server.faults.watches -= 1
+            self._cut()
+
+    def _follow(self, create: Doc, generation: int) -> None:
+        server = self.server
+        key, end = read_key(create, "key"), read_key(create, "range_end")
+        next_revision = int(create.get("start_revision", 0)) or server.state.revision + 1
+        while True:
+            with server.changed:
+                if server.faults.watch_generation != generation:
+                    return
+                try:
+                    changes = server.state.changes_from(next_revision, key, end)
+                except KvError as exc:
+                    canceled = {"canceled": True, "cancel_reason": str(exc)}
+                    self._send_chunk({"result": canceled})
+                    return
+                if not changes:
+                    server.changed.wait(WATCH_WAIT_S)
+                    if self._client_left():
+                        return
+                    continue
+                answer = {"header": header(server.state)}
+                next_revision = changes[-1].revision + 1
+            while server.faults.outage == "hang":
+                time.sleep(0.05)
+            time.sleep(server.faults.delay_s)
+            events = [render_change(change) for change in changes]
+            self._send_chunk({"result": {**answer, "events": events}})
+
+    def _client_left(self) -> bool:
+        self.connection.setblocking(False)
+        try:
+            return self.connection.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        finally:
+            self.connection.setblocking(True)
+
+    def _send_chunk(self, doc: Doc) -> None:
+        data = json.dumps(doc).encode() + b"\n"
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def _send(self, status: int, doc: Doc) -> None:
+        self._send_bytes(status, json.dumps(doc).encode())
+
+    def _send_bytes(self, status: int, body: bytes) -> None:
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _cut(self) -> None:
+        self.close_connection = True
+        try:
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+
+def main() -> None:
+    """Serve until the lifetime is over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--lifetime-s", type=float, default=DEFAULT_LIFETIME_S)
+    args = parser.parse_args()
+    server = KvServer((args.host, args.port))
+    print(f"kv listening on {args.host}:{server.server_address[1]}", flush=True)
+    for target in (server.lapse_leases, server.serve_forever):
+        threading.Thread(target=target, daemon=True).start()
+    with contextlib.suppress(KeyboardInterrupt):
+        time.sleep(args.lifetime_s)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_stores.py
@@ -0,0 +1,205 @@
+"""Test both stores: the same promises over memory and over the stand-in's gateway."""
+
+import json
+import subprocess
+import sys
+import urllib.request
+from contextlib import contextmanager
+
+import pytest
+
+from tarragonwind.adapters.etcd_stores import EtcdStore
+from tarragonwind.adapters.stores import StoreSettings, create_store
+from tarragonwind.errors import StoreError
+from tarragonwind.futures import Future
+from tarragonwind.ports import Address, Compare, Delete, HttpCaller, HttpError, HttpResponse, Put
+from tests.store_fakes import BlockingHttp, FakeTimers
+
+
+@contextmanager
+def run_kv():
+    """Run the stand-in as a process and yield its address."""
+    command = [sys.executable, "-m", "standins.kv", "--lifetime-s", "120"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            port = int(process.stdout.readline().rsplit(":", 1)[1])
+            yield Address("127.0.0.1", port)
+        finally:
+            process.terminate()
+
+
+def control(address, **doc):
+    """Change the stand-in's faults and return its report."""
+    body = json.dumps(doc).encode()
+    with urllib.request.urlopen(f"http://{address}/control", body, timeout=10) as response:
+        return json.load(response)
+
+
+@pytest.fixture(scope="module")
+def kv():
+    with run_kv() as address:
+        control(address, snapshot="empty")
+        yield address
+
+
+@pytest.fixture(params=["memory", pytest.param("etcd", marks=pytest.mark.process)])
+def store(request):
+    if request.param == "memory":
+        return create_store(StoreSettings("memory"), FakeTimers())
+    address = request.getfixturevalue("kv")
+    control(address, restore="empty", outage="", drop_write_answers=0, nonsense=False)
+    cfg = StoreSettings("etcd", [address], 5.0)
+    return create_store(cfg, FakeTimers(), BlockingHttp())
+
+
+def test_a_write_holds_only_when_its_comparisons_do(store):
+    first = store.commit([Compare("a", 0)], [Put("a", b"1"), Put("b", b"2")]).result()
+    assert first.succeeded
+    assert not store.commit([Compare("a", 0)], [Put("a", b"9")]).result().succeeded
+    item = store.get("a").result()
+    assert (item.value, item.mod_revision) == (b"1", first.revision)
+    second = store.commit([Compare("a", item.mod_revision)], [Delete("a")]).result()
+    assert second.succeeded
+    assert store.get("a").result() is None
+    assert second.revision > first.revision
+
+
+def test_a_range_gives_all_keys_under_a_prefix_in_order(store):
+    for start in range(0, 2_500, 100):
+        ops = [Put(f"p/{number:05}", b"x") for number in range(start, start + 100)]
+        store.commit([], ops).result()
+    store.commit([], [Put("q", b"other")]).result()
+    items = store.read_range("p/").result().items
+    assert [item.key for item in items] == [f"p/{number:05}" for number in range(2_500)]
+
+
+def test_a_revoked_lease_takes_its_keys(store):
+    lease_id = store.grant_lease(60).result()
+    store.commit([], [Put("held", b"1", lease_id)]).result()
+    assert store.get("held").result().lease_id == lease_id
+    assert store.keep_lease(lease_id).result() == 60
+    store.revoke_lease(lease_id).result()
+    assert store.get("held").result() is None
+    assert store.keep_lease(lease_id).result() == 0
+    with pytest.raises(StoreError) as caught:
+        store.commit([], [Put("held", b"1", lease_id)]).result()
+    assert not caught.value.maybe_applied
+
+
+def test_memory_leases_lapse_and_watches_report_changes_in_order():
+    timers = FakeTimers()
+    calls = []
+    store = create_store(StoreSettings("memory"), timers, on_call=calls.append)
+    seen = []
+    watch = store.watch("p/", store.revision + 1, seen.extend, seen.append)
+    lease_id = store.grant_lease(5).result()
+    store.commit([], [Put("p/a", b"1", lease_id), Put("q", b"2")])
+    timers.advance(6)
+    assert [(event.key, event.value) for event in seen] == [("p/a", b"1"), ("p/a", None)]
+    watch.cancel()
+    store.commit([], [Put("p/b", b"1")])
+    timers.advance(1)
+    assert len(seen) == 2
+    assert calls == ["watch", "lease_grant", "txn", "txn"]
+
+
+@pytest.mark.process
+def test_a_lost_answer_is_told_as_maybe_applied_and_not_sent_twice(kv):
+    control(kv, restore="empty", reset_counts=True, drop_write_answers=1)
+    store = EtcdStore(BlockingHttp(), [kv, kv], 5.0, lambda kind: None)
+    with pytest.raises(StoreError) as caught:
+        store.commit([Compare("a", 0)], [Put("a", b"1")]).result()
+    assert caught.value.maybe_applied
+    assert store.get("a").result().value == b"1"
+    assert control(kv)["calls"] == {"txn": 1, "range": 1}
+
+
+@pytest.mark.process
+def test_an_outage_and_nonsense_are_store_errors(kv):
+    store = EtcdStore(BlockingHttp(), [kv], 5.0, lambda kind: None)
+    for fault in ({"outage": "drop"}, {"outage": "refuse"}, {"nonsense": True}):
+        control(kv, **{"outage": "", **fault})
+        with pytest.raises(StoreError):
+            store.get("a").result()
+    control(kv, outage="", nonsense=False)
+
+
+@pytest.mark.process
+def test_the_store_comes_back_old(kv):
+    control(kv, restore="empty")
+    store = EtcdStore(BlockingHttp(), [kv], 5.0, lambda kind: None)
+    store.commit([], [Put("a", b"old")]).result()
+    control(kv, snapshot="old")
+    store.commit([], [Put("a", b"new")]).result()
+    control(kv, restore="old")
+    assert store.get("a").result().value == b"old"
+
+
+class ScriptedHttp(HttpCaller):
+    """Answer each call with the next of a script and keep the addresses asked."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.asked = []
+        self.closed = 0
+
+    def fetch(self, address, req, timeout_s):
+        self.asked.append(address.port)
+        fut = Future()
+        answer = self.script.pop(0)
+        if isinstance(answer, Exception):
+            fut.set_exception(answer)
+        else:
+            fut.set_result(HttpResponse(answer[0], [], answer[1]))
+        return fut
+
+    def follow(self, address, req, on_data, on_end):
+        self.on_data, self.on_end = on_data, on_end
+
+        def close():
+            self.closed += 1
+
+        return close
+
+
+ENDPOINTS = [Address("127.0.0.1", 1), Address("127.0.0.1", 2)]
+WRITTEN = (200, b'{"header":{"revision":"7"},"succeeded":true}')
+
+
+def scripted(*script):
+    http = ScriptedHttp(*script)
+    return http, EtcdStore(http, ENDPOINTS, 2.0, lambda kind: None)
+
+
+def test_a_write_goes_to_the_next_endpoint_only_when_unsent():
+    http, store = scripted(HttpError("refused", sent=False), WRITTEN)
+    assert store.commit([], [Put("a", b"")]).result().revision == 7
+    assert http.asked == [1, 2]
+    for answer in (HttpError("cut", sent=True), (503, b"late"), (200, b"nonsense"), (200, b"[]")):
+        http, store = scripted(answer, WRITTEN)
+        with pytest.raises(StoreError) as caught:
+            store.commit([], [Put("a", b"")]).result()
+        assert caught.value.maybe_applied, answer
+        assert http.asked == [1]
+
+
+def test_a_read_goes_to_the_next_endpoint_and_is_checked():
+    http, store = scripted(HttpError("cut", sent=True), (200, b'{"header":{"revision":"7"}}'))
+    assert store.get("a").result() is None
+    for body in (b'{"kvs":[{}]}', b'{"kvs":[{"key":"Yg==","mod_revision":"1"}]}', b'{"kvs":3}'):
+        with pytest.raises(StoreError):
+            scripted((200, body))[1].get("a").result()
+
+
+@pytest.mark.parametrize(
+    "data", [b'{"result":{"canceled":true}}\n', b"zzz\n", b'{"result":{"events":[{"kv":1}]}}\n']
+)
+def test_a_wrong_watch_message_ends_the_watch_once(data):
+    http, store = scripted()
+    seen, ends = [], []
+    store.watch("p", 1, seen.extend, ends.append)
+    http.on_data(b'{"result":{"created":true}}\n{"result":{"events":[{"kv":{"key":"cA==",')
+    http.on_data(b'"mod_revision":"3"}}]}}\n' + data)
+    http.on_end("closed")
+    assert [(event.key, event.value) for event in seen] == [("p", b"")]
+    assert (len(ends), http.closed) == (1, 1)
