--- a/tests/store_fakes.py
+++ b/tests/store_fakes.py
@@ -5,9 +5,12 @@
 import heapq
 import http.client
 import itertools
+from collections import Counter
 
+from tarragonwind.adapters.memory_stores import MemoryStore
+from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
-from tarragonwind.ports import HttpCaller, HttpError, HttpResponse
+from tarragonwind.ports import HttpCaller, HttpError, HttpResponse, Store
 
 
 class FakeTimer:
@@ -80,3 +83,94 @@
 
     def follow(self, address, req, on_data, on_end):
         raise NotImplementedError
+
+
+class FaultyStore(Store):
+    """Pass calls to a store in memory and bring faults about."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.inner = MemoryStore(timers, lambda kind: None)
+        self.away = False
+        self.drop_answers = 0
+        self.late_writes = 0
+        self.before_commit = []
+        self.watches = []
+        self.calls = Counter()
+
+    def _call(self, kind, function, *args):
+        self.calls[kind] += 1
+        if self.away:
+            fut = Future()
+            fut.set_exception(StoreError("away"))
+            return fut
+        return function(*args)
+
+    def get(self, key):
+        return self._call("get", self.inner.get, key)
+
+    def read_range(self, prefix):
+        return self._call("range", self.inner.read_range, prefix)
+
+    def commit(self, compares, ops):
+        return self._call("txn", self._commit, compares, ops)
+
+    def _commit(self, compares, ops):
+        if self.before_commit:
+            self.before_commit.pop(0)()
+        fut = Future()
+        if self.late_writes:
+            self.late_writes -= 1
+            self.timers.call_later(0.3, lambda: self.inner.commit(compares, ops))
+        elif self.drop_answers:
+            self.drop_answers -= 1
+            self.inner.commit(compares, ops)
+        else:
+            return self.inner.commit(compares, ops)
+        fut.set_exception(StoreError("the answer was lost", maybe_applied=True))
+        return fut
+
+    def grant_lease(self, ttl_s):
+        return self._call("lease_grant", self.inner.grant_lease, ttl_s)
+
+    def keep_lease(self, lease_id):
+        return self._call("lease_keepalive", self.inner.keep_lease, lease_id)
+
+    def revoke_lease(self, lease_id):
+        return self._call("lease_revoke", self.inner.revoke_lease, lease_id)
+
+    def watch(self, prefix, from_revision, on_events, on_end):
+        self.calls["watch"] += 1
+        watch = self.inner.watch(prefix, from_revision, on_events, on_end)
+        self.watches.append((watch, on_end))
+        return watch
+
+    def cut_watches(self):
+        """End every watch with a report."""
+        watches, self.watches = self.watches, []
+        for watch, on_end in watches:
+            watch.cancel()
+            on_end("cut")
+
+    def freeze_watches(self):
+        """Let every watch go silent without a report."""
+        for watch, _ in self.watches:
+            watch.cancel()
+
+    def snapshot(self):
+        """Return the present content."""
+        return dict(self.inner._items)
+
+    def restore(self, items):
+        """Come back with an older content; revisions go on."""
+        self.cut_watches()
+        self.inner._items = dict(items)
+        self.inner._sorted_keys = sorted(items)
+
+
+def settle(timers, fut, limit_s=60.0):
+    """Move time on until a future is done, and return its result."""
+    end = timers.now() + limit_s
+    while not fut.done() and timers.now() < end:
+        timers.advance(0.05)
+    return fut.result()
