Add the transport between daemons and a first membership

Cause: ownership of pools needs one view of the live daemons, and permits, moves and the catalogue need messages between them.

TCP streams with msgpack on the direct poller, opened on demand, closed after a quiet minute by a goodbye that loses nothing; a keyed proof of the fleet's token in each greeting. Membership probes the successors on four hash rings, so that connections and cost stay flat; news is pushed to the same neighbours and repaired by digests of the view.

Excluded: random targets as in SWIM, because over streams nearly every probe at 320 hosts would open a connection.

DirectPoller kept its handlers under circuits' own name _handlers, so no socket was ever polled (test_messages_arrive_in_order_over_one_connection_each: 'not reached in 20.0 s: all notes'); renamed.

--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -41,11 +41,11 @@
 
     def __init__(self) -> None:
         super().__init__(channel=self.channel)
-        self._handlers: dict[int, SocketHandler] = {}
+        self._socket_handlers: dict[int, SocketHandler] = {}
 
     def add_handler(self, fileno: int, socket_handler: SocketHandler, events: int) -> None:
         """Call `socket_handler` when `fileno` is ready for `events`."""
-        self._handlers[fileno] = socket_handler
+        self._socket_handlers[fileno] = socket_handler
         self._poller.register(fileno, events)
 
     def change_events(self, fileno: int, events: int) -> None:
@@ -54,11 +54,11 @@
 
     def remove_handler(self, fileno: int) -> None:
         """Forget a socket; call it before the socket is closed."""
-        if self._handlers.pop(fileno, None) is not None:
+        if self._socket_handlers.pop(fileno, None) is not None:
             self._poller.unregister(fileno)
 
     def _process(self, fileno: int, event: int) -> None:
-        socket_handler = self._handlers.get(fileno)
+        socket_handler = self._socket_handlers.get(fileno)
         if socket_handler is None:
             super()._process(fileno, event)
             return
--- /dev/null
+++ b/tarragonwind/adapters/memberships.py
@@ -0,0 +1,308 @@
+"""Run the membership protocol over the transport and the timers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from tarragonwind.adapters.peer_conns import PeerIdentity
+from tarragonwind.adapters.peers import TcpPeers
+from tarragonwind.core.member_views import Health, Member
+from tarragonwind.core.memberships import (
+    PROTOCOL_MESSAGES,
+    FactSource,
+    MembershipCore,
+    Outgoing,
+)
+from tarragonwind.core.rendezvous import choose_owner, rank_names
+from tarragonwind.messages import Message, MessageError
+from tarragonwind.ports import Address, Gossip, Members, Timer, Timers
+
+SEED_PERIOD_S = 1.0
+"""Time between two attempts to reach the seeds that have not answered yet."""
+MAX_FACT_BYTES = 200
+"""Most bytes of facts on one message of the protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """Hold one host of the platform's list."""
+
+    name: str
+    address: Address
+    data_centre: str
+    leaving: bool
+
+
+@dataclass(slots=True)
+class FactSlot:
+    """Hold one subscription to the facts on probes."""
+
+    name: str
+    provider: Callable[[], bytes | None]
+    consumer: Callable[[str, bytes], None]
+
+
+class FactSlots(FactSource):
+    """Attach facts to probes within a bound of bytes, the slots in turn."""
+
+    def __init__(self) -> None:
+        self._slots: dict[str, FactSlot] = {}
+        self._first = 0
+
+    def attach(self, slot: FactSlot) -> None:
+        """Add a slot.
+
+        Raises
+        ------
+        ValueError
+            When the name is taken.
+        """
+        if slot.name in self._slots:
+            raise ValueError(f"fact slot {slot.name} is taken")
+        self._slots[slot.name] = slot
+
+    def collect(self) -> list[list]:
+        """Return the facts for one message; a slot that finds no room goes first next time."""
+        slots = list(self._slots.values())
+        room = MAX_FACT_BYTES
+        facts: list[list] = []
+        for offset in range(len(slots)):
+            index = (self._first + offset) % len(slots)
+            value = slots[index].provider()
+            if not value:
+                continue
+            if len(value) > room:
+                self._first = index
+                break
+            room -= len(value)
+            facts.append([slots[index].name, value])
+        return facts
+
+    def consume(self, sender: str, facts: Any) -> None:
+        """Hand the facts of a message to their slots.
+
+        Raises
+        ------
+        MessageError
+            When the facts are malformed.
+        """
+        if not isinstance(facts, list):
+            raise MessageError("facts are an array")
+        for fact in facts:
+            if not isinstance(fact, list) or len(fact) != 2 or not isinstance(fact[1], bytes):
+                raise MessageError("a fact is a name and bytes")
+            slot = self._slots.get(fact[0]) if isinstance(fact[0], str) else None
+            if slot is not None:
+                slot.consumer(sender, fact[1])
+
+
+@dataclass(slots=True)
+class MembershipSettings:
+    """Hold what the membership needs to know.
+
+    Attributes
+    ----------
+    seeds : list of Address
+        Where to ask first; they may be away.
+    """
+
+    seeds: list[Address] = field(default_factory=list)
+
+
+class Membership(Members, Gossip):
+    """Tell who is alive, from probes between peers joined with the platform's list."""
+
+    def __init__(
+        self, peers: TcpPeers, timers: Timers, cfg: MembershipSettings, rng: random.Random
+    ) -> None:
+        identity = peers.identity
+        self.name = identity.name
+        self._peers = peers
+        self._timers = timers
+        self._facts = FactSlots()
+        own = Member(identity.name, identity.address, identity.data_centre, int(timers.wall()))
+        self._core = MembershipCore(own, rng, timers.now(), self._facts)
+        self._core.on_changed = self._tell_changed
+        self._core.on_resumed = self._tell_resumed
+        self._core.on_dead = peers.drop
+        self._changed: list[Callable[[], None]] = []
+        self._resumed: list[Callable[[], None]] = []
+        self._owners: dict[str, str] = {}
+        self._seeds = [seed for seed in cfg.seeds if seed != identity.address]
+        self._seeds_left = set(self._seeds)
+        self._timer: Timer | None = None
+        self._timer_due = float("inf")
+        self._seed_timer: Timer | None = None
+        self._settling = False
+        for cls in PROTOCOL_MESSAGES:
+            peers.subscribe(cls, self._on_message)
+        peers.subscribe_greeted(self._on_greeted)
+        peers.subscribe_lost(self._on_lost)
+
+    def start(self) -> None:
+        """Begin to probe and to look for the others."""
+        self._greet_seeds()
+        self._seed_timer = self._timers.call_every(SEED_PERIOD_S, self._greet_seeds)
+        self._settle()
+
+    def stop(self) -> None:
+        """Tell the neighbours that the process ends, and stop."""
+        self._core.depart(self._timers.now())
+        self._settle()
+        for timer in (self._timer, self._seed_timer):
+            if timer is not None:
+                timer.cancel()
+
+    def live(self) -> tuple[str, ...]:
+        """Return the sorted names of live daemons that take part."""
+        return self._core.live()
+
+    def owner_of(self, key: str) -> str:
+        """Return the live daemon that a key belongs to; this one when nobody takes part."""
+        owner = self._owners.get(key)
+        if owner is None:
+            owner = choose_owner(key, self._core.live() or (self.name,))
+            self._owners[key] = owner
+        return owner
+
+    def rank(self, key: str, count: int) -> list[str]:
+        """Return the first live daemons for a key, the owner first."""
+        return rank_names(key, self._core.live(), count)
+
+    @property
+    def isolated(self) -> bool:
+        """Tell whether this daemon can't reach the larger part of the fleet."""
+        return self._core.isolated
+
+    @property
+    def stale(self) -> bool:
+        """Tell whether this process was paused and has not compared its view since."""
+        return self._core.stale
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this daemon has announced its planned stop."""
+        return self._core.own.leaving
+
+    def joined(self) -> bool:
+        """Tell whether the view was compared with another daemon's, or there is none to ask."""
+        return self._core.joined or not (self._seeds or self._core.knows_others())
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the live daemons or of `isolated`."""
+        self._changed.append(callback)
+
+    def subscribe_resumed(self, callback: Callable[[], None]) -> None:
+        """Call `callback` when this process finds that it was paused."""
+        self._resumed.append(callback)
+
+    def leave(self) -> None:
+        """Announce the planned stop."""
+        self._core.leave(self._timers.now())
+        self._settle()
+
+    def members(self) -> list[Member]:
+        """Return the records of all known members, this one first."""
+        return [self._core.own, *self._core.view.members.values()]
+
+    def set_listed(self, hosts: list[ListedHost]) -> None:
+        """Take the platform's list."""
+        for host in hosts:
+            member = self._core.view.get(host.name)
+            if member is None or member.health is Health.DEAD:
+                self._peers.set_address(host.name, host.address)
+        live = [host.name for host in hosts if not host.leaving]
+        leaving = [host.name for host in hosts if host.leaving]
+        self._core.set_listed(self._timers.now(), live, leaving)
+        self._settle()
+
+    def attach(
+        self,
+        name: str,
+        provider: Callable[[], bytes | None],
+        consumer: Callable[[str, bytes], None],
+    ) -> None:
+        """Let a small fact ride on every probe, see `tarragonwind.ports.Gossip`."""
+        self._facts.attach(FactSlot(name, provider, consumer))
+
+    def spread(self) -> None:
+        """Send the facts to the neighbours now."""
+        self._core.push_facts(self._timers.now())
+        self._settle()
+
+    def _greet_seeds(self) -> None:
+        for seed in sorted(self._seeds_left, key=str):
+            self._peers.greet(seed)
+        if not self._seeds_left and self._seed_timer is not None:
+            self._seed_timer.cancel()
+
+    def _on_greeted(self, identity: PeerIdentity) -> None:
+        self._seeds_left.discard(identity.address)
+        self._core.add_contact(identity.name)
+        self._settle()
+
+    def _on_lost(self, host: str) -> None:
+        self._core.on_unreachable(self._timers.now(), host)
+        self._settle()
+
+    def _on_message(self, sender: str, msg: Message) -> None:
+        self._core.on_message(self._timers.now(), sender, msg)
+        self._settle()
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        now = self._timers.now()
+        if now >= self._core.due():
+            self._core.tick(now)
+        self._settle()
+
+    def _settle(self) -> None:
+        """Send what the core decided and wait for its next time."""
+        if self._settling:
+            return
+        self._settling = True
+        while outbox := self._core.take_outbox():
+            for outgoing in outbox:
+                self._send(outgoing)
+        self._settling = False
+        self._arm_timer()
+
+    def _send(self, outgoing: Outgoing) -> None:
+        member = self._core.view.get(outgoing.host)
+        if member is not None:
+            self._peers.set_address(member.name, member.address)
+        self._peers.send(outgoing.host, outgoing.msg)
+
+    def _arm_timer(self) -> None:
+        due = self._core.due()
+        if self._timer is not None and due >= self._timer_due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_due = due
+        self._timer = self._timers.call_later(due - self._timers.now(), self._on_timer)
+
+    def _tell_changed(self) -> None:
+        self._owners.clear()
+        logger.info(
+            "event=members_changed live={} isolated={}", len(self._core.live()), self.isolated
+        )
+        for callback in self._changed:
+            callback()
+
+    def _tell_resumed(self) -> None:
+        logger.warning("event=resumed_after_pause hint=check_for_a_stopped_or_overloaded_host")
+        for callback in self._resumed:
+            callback()
+
+
+def create_membership(
+    peers: TcpPeers, timers: Timers, cfg: MembershipSettings, rng: random.Random
+) -> Membership:
+    """Return the membership of a daemon; call `start` on it once the loop runs."""
+    return Membership(peers, timers, cfg, rng)
--- /dev/null
+++ b/tarragonwind/adapters/peer_conns.py
@@ -0,0 +1,427 @@
+"""Run one TCP connection between two daemons: greeting, framing and a bounded send queue."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from tarragonwind.adapters.loops import POLL_READ, POLL_WRITE, Loop, SocketHandler
+from tarragonwind.messages import (
+    Message,
+    MessageError,
+    build_message,
+    message,
+    new_unpacker,
+    pack_message,
+)
+from tarragonwind.ports import Address
+
+PROTOCOL_VERSION = 1
+MAX_HELLO_BYTES = 2048
+MAX_QUEUE_BYTES = 8 * 1024 * 1024
+"""Most bytes that wait for a peer which doesn't read."""
+READ_BYTES = 256 * 1024
+USER_TIMEOUT_MS = 5000
+"""Time after which the kernel gives up on bytes that the other machine doesn't acknowledge."""
+KEEPALIVE_S = 15
+"""Quiet time after which the kernel asks whether the other machine is there."""
+
+
+@message(1)
+@dataclass(slots=True)
+class Hello(Message):
+    """Open a connection by naming the sender; the first message in each direction.
+
+    Attributes
+    ----------
+    version : int
+        Version of the protocol.
+    name, data_centre : str
+        Sender's host name and data centre.
+    start_id : int
+        Random number of this start of the sender's process.
+    host, port : str, int
+        Where the sender listens for peers.
+    proof : bytes
+        Keyed digest of the fields above with the fleet's token.
+    """
+
+    version: int
+    name: str
+    data_centre: str
+    start_id: int
+    host: str
+    port: int
+    proof: bytes
+
+
+@message(2)
+@dataclass(slots=True)
+class Goodbye(Message):
+    """Announce that the sender will use the connection no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Name the daemon at the other end of a connection.
+
+    Attributes
+    ----------
+    name, data_centre : str
+        Host name and data centre.
+    start_id : int
+        Random number of this start of its process.
+    address : Address
+        Where it listens.
+    """
+
+    name: str
+    data_centre: str
+    start_id: int
+    address: Address
+
+
+def prove_identity(identity: PeerIdentity, token: bytes) -> bytes:
+    """Return the keyed digest that shows knowledge of the fleet's token."""
+    text = (
+        f"{PROTOCOL_VERSION}\x00{identity.name}\x00{identity.data_centre}"
+        f"\x00{identity.start_id}\x00{identity.address}"
+    )
+    return hmac.digest(token, text.encode(), hashlib.sha256)
+
+
+def create_hello(identity: PeerIdentity, token: bytes) -> Hello:
+    """Return the greeting of a daemon."""
+    return Hello(
+        PROTOCOL_VERSION,
+        identity.name,
+        identity.data_centre,
+        identity.start_id,
+        identity.address.host,
+        identity.address.port,
+        prove_identity(identity, token),
+    )
+
+
+def check_hello(hello: Message, token: bytes) -> PeerIdentity:
+    """Return the sender of a greeting.
+
+    Raises
+    ------
+    MessageError
+        When the message is no greeting, is malformed or doesn't prove knowledge of the token.
+    """
+    if not isinstance(hello, Hello) or hello.version != PROTOCOL_VERSION:
+        raise MessageError("the first message is no greeting of this version")
+    texts = (hello.name, hello.data_centre, hello.host)
+    numbers = (hello.start_id, hello.port)
+    typed = all(isinstance(text, str) for text in texts)
+    typed = typed and all(isinstance(number, int) for number in numbers)
+    if not typed or not isinstance(hello.proof, bytes):
+        raise MessageError("a field of the greeting has the wrong type")
+    identity = PeerIdentity(
+        hello.name, hello.data_centre, hello.start_id, Address(hello.host, hello.port)
+    )
+    if not hmac.compare_digest(hello.proof, prove_identity(identity, token)):
+        raise MessageError("the greeting's proof is wrong; is fleet_token the same on all hosts?")
+    return identity
+
+
+class ConnOwner:
+    """Name the calls that a connection makes on the transport."""
+
+    def on_hello(self, conn: PeerConn, hello: Message, size: int) -> None:
+        """Check the greeting; raise `MessageError` to refuse it."""
+        raise NotImplementedError
+
+    def on_message(self, conn: PeerConn, msg: Message, size: int) -> None:
+        """Take a message of `size` packed bytes."""
+        raise NotImplementedError
+
+    def on_closed(self, conn: PeerConn, reason: str) -> None:
+        """Forget a connection."""
+        raise NotImplementedError
+
+
+class PeerConn(SocketHandler):
+    """Frame messages over one socket.
+
+    Attributes
+    ----------
+    opened : bool
+        Whether this daemon opened the connection.
+    wanted : str
+        Name that the other end must have, empty for any.
+    identity : PeerIdentity or None
+        The other end, once its greeting was checked.
+    created_at, used_at : float
+        When the connection was made and when it last carried a message, in seconds.
+    part_since : float
+        When the last part of an unfinished message arrived, infinity for none, in seconds.
+    closing : bool
+        Whether a goodbye was sent or received; nothing more is sent then.
+    """
+
+    __slots__ = (
+        "_connecting",
+        "_fed_bytes",
+        "_greeting",
+        "_held",
+        "_loop",
+        "_out",
+        "_owner",
+        "_peer_finished",
+        "_sock",
+        "_unpacker",
+        "_want_write",
+        "closed",
+        "closing",
+        "created_at",
+        "identity",
+        "opened",
+        "part_since",
+        "queued_bytes",
+        "remote",
+        "used_at",
+        "wanted",
+    )
+
+    def __init__(
+        self, loop: Loop, owner: ConnOwner, sock: socket.socket, remote: Address, wanted: str | None
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self._sock = sock
+        self._out: list[bytes] = []
+        self._held: list[bytes] = []
+        self._greeting = bytearray()
+        self._peer_finished = False
+        self._fed_bytes = 0
+        self.part_since = float("inf")
+        self._unpacker: Any = None
+        self.remote = remote
+        self.opened = wanted is not None
+        self.wanted = wanted or ""
+        self.identity: PeerIdentity | None = None
+        self.closed = False
+        self.closing = False
+        self.queued_bytes = 0
+        self.created_at = loop.timers.now()
+        self.used_at = self.created_at
+        self._connecting = self.opened
+        self._want_write = self.opened
+        _set_options(sock)
+        events = POLL_READ | (POLL_WRITE if self._want_write else 0)
+        loop.poller.add_handler(sock.fileno(), self, events)
+
+    def queue(self, data: bytes) -> bool:
+        """Queue packed bytes until `flush`; close and return false when too much waits.
+
+        Nothing but the greeting is sent before the other end has proved who it is.
+        """
+        if self.closed:
+            return False
+        if self.queued_bytes + len(data) > MAX_QUEUE_BYTES:
+            self.close("send_queue_full")
+            return False
+        if self.identity is None:
+            self._held.append(data)
+        else:
+            self._out.append(data)
+        self.queued_bytes += len(data)
+        self.used_at = self._loop.timers.now()
+        return True
+
+    def queue_greeting(self, data: bytes) -> None:
+        """Queue the greeting ahead of everything else."""
+        self._out.append(data)
+        self.queued_bytes += len(data)
+
+    def release_held(self) -> None:
+        """Let the messages go that waited for the other end's greeting."""
+        self._out += self._held
+        self._held = []
+
+    def take_held(self) -> list[bytes]:
+        """Return and forget the messages that wait for the other end's greeting."""
+        held = self._held
+        self._held = []
+        return held
+
+    def flush(self) -> None:
+        """Write what waits, as far as the socket takes it."""
+        if self.closed or self._connecting:
+            return
+        while self._out:
+            data = b"".join(self._out)
+            try:
+                sent = self._sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError as exc:
+                self.close(f"send_failed:{exc.errno}")
+                return
+            self.queued_bytes -= sent
+            self._out = [data[sent:]] if sent < len(data) else []
+            if sent < len(data):
+                break
+        if self._peer_finished and not self._out:
+            self.close("goodbye")
+            return
+        self._wait_for_write(bool(self._out))
+
+    def on_ready(self, events: int) -> None:
+        """Handle readiness of the socket."""
+        if self.closed:
+            return
+        if self._connecting and not self._finish_connect(events):
+            return
+        if events & POLL_WRITE:
+            self.flush()
+        if not self.closed and events & ~POLL_WRITE:
+            self._read()
+
+    def finish(self) -> None:
+        """Say goodbye, and close once the other end has read everything."""
+        if self.closing:
+            return
+        if self.queue(pack_message(Goodbye())):
+            self.closing = True
+            self.flush()
+
+    def close(self, reason: str) -> None:
+        """Close at once; what waits is lost."""
+        if self.closed:
+            return
+        self.closed = True
+        self._loop.poller.remove_handler(self._sock.fileno())
+        self._sock.close()
+        self._out.clear()
+        self._held.clear()
+        self._owner.on_closed(self, reason)
+
+    def _finish_connect(self, events: int) -> bool:
+        if not events & ~POLL_READ:
+            return False
+        errno = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if errno:
+            self.close(f"connect_failed:{errno}")
+            return False
+        self._connecting = False
+        self.flush()
+        return not self.closed
+
+    def _wait_for_write(self, wanted: bool) -> None:
+        if wanted != self._want_write:
+            self._want_write = wanted
+            events = POLL_READ | (POLL_WRITE if wanted else 0)
+            self._loop.poller.change_events(self._sock.fileno(), events)
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            self.close(f"receive_failed:{exc.errno}")
+            return
+        if not data:
+            self.close("closed_by_peer")
+            return
+        try:
+            self._feed(data)
+        except (MessageError, ValueError, TypeError, msgpack.UnpackException) as exc:
+            self.close(f"bad_input:{type(exc).__name__}:{exc}")
+
+    def _feed(self, data: bytes) -> None:
+        if self.identity is None:
+            data = self._feed_greeting(data)
+            if self.identity is None:
+                return
+            self._unpacker = new_unpacker()
+        unpacker = self._unpacker
+        unpacker.feed(data)
+        self._fed_bytes += len(data)
+        start = unpacker.tell()
+        for values in unpacker:
+            end = unpacker.tell()
+            self.used_at = self._loop.timers.now()
+            self._take(build_message(values), end - start)
+            start = end
+            if self.closed:
+                return
+        whole = start == self._fed_bytes
+        self.part_since = float("inf") if whole else self._loop.timers.now()
+
+    def _feed_greeting(self, data: bytes) -> bytes:
+        self._greeting += data
+        unpacker = msgpack.Unpacker(max_buffer_size=MAX_HELLO_BYTES)
+        unpacker.feed(self._greeting[:MAX_HELLO_BYTES])
+        try:
+            values = unpacker.unpack()
+        except msgpack.OutOfData:
+            if len(self._greeting) >= MAX_HELLO_BYTES:
+                raise MessageError("the greeting is too long") from None
+            return b""
+        size = unpacker.tell()
+        self._owner.on_hello(self, build_message(values), size)
+        return bytes(self._greeting[size:])
+
+    def _take(self, msg: Message, size: int) -> None:
+        if isinstance(msg, Goodbye):
+            self.closing = True
+            self._peer_finished = True
+            self.flush()
+            return
+        self._owner.on_message(self, msg, size)
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S // 3)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+
+
+Listener = Callable[[socket.socket, Address], None]
+
+
+class PeerListener(SocketHandler):
+    """Accept connections of peers."""
+
+    __slots__ = ("_accepted", "_loop", "address", "sock")
+
+    def __init__(self, loop: Loop, address: Address, accepted: Listener) -> None:
+        self._loop = loop
+        self._accepted = accepted
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((address.host, address.port))
+        self.sock.listen(1024)
+        self.sock.setblocking(False)
+        self.address = Address(address.host, self.sock.getsockname()[1])
+        loop.poller.add_handler(self.sock.fileno(), self, POLL_READ)
+
+    def on_ready(self, events: int) -> None:
+        """Accept every waiting connection."""
+        while True:
+            try:
+                sock, remote = self.sock.accept()
+            except OSError:
+                return
+            self._accepted(sock, Address(remote[0], remote[1]))
+
+    def close(self) -> None:
+        """Stop accepting."""
+        self._loop.poller.remove_handler(self.sock.fileno())
+        self.sock.close()
--- /dev/null
+++ b/tarragonwind/core/member_views.py
@@ -0,0 +1,157 @@
+"""Keep one daemon's view of the fleet: records of members and how two records merge."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+from tarragonwind.messages import MessageError
+from tarragonwind.ports import Address
+
+_LEAVING_FLAG = 4
+_RECORD_FIELDS = 6
+
+
+class Health(enum.IntEnum):
+    """Tell what is known of a member's process; a higher value wins within one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+@dataclass(slots=True)
+class Member:
+    """Hold what a daemon knows of one member.
+
+    Attributes
+    ----------
+    name, data_centre : str
+        Name of the host and of its data centre.
+    address : Address
+        Where it listens for peers.
+    incarnation : int
+        Raised by the member alone, to refute what others say of it.
+    health : Health
+        What the fleet says of it.
+    leaving : bool
+        Whether it has announced its planned stop.
+    heard_at : float
+        When this daemon last received a message of it, in seconds; minus infinity for never.
+    changed_at : float
+        When `health` last changed in this view, in seconds.
+    """
+
+    name: str
+    address: Address
+    data_centre: str
+    incarnation: int
+    health: Health = Health.ALIVE
+    leaving: bool = False
+    heard_at: float = float("-inf")
+    changed_at: float = float("-inf")
+
+    def supersedes(self, other: Member) -> bool:
+        """Tell whether this record is newer than another of the same member."""
+        return (self.incarnation, self.health) > (other.incarnation, other.health)
+
+
+def pack_member(member: Member) -> list[Any]:
+    """Return the record of a member as it travels."""
+    flags = int(member.health) | (_LEAVING_FLAG if member.leaving else 0)
+    address = member.address
+    return [member.name, address.host, address.port, member.data_centre, member.incarnation, flags]
+
+
+def unpack_member(record: Any) -> Member:
+    """Return the member of a record that arrived.
+
+    Raises
+    ------
+    MessageError
+        When the record is malformed.
+    """
+    if not isinstance(record, list) or len(record) != _RECORD_FIELDS:
+        raise MessageError("a member record is an array of 6")
+    name, host, port, data_centre, incarnation, flags = record
+    texts = isinstance(name, str) and isinstance(host, str) and isinstance(data_centre, str)
+    numbers = isinstance(port, int) and isinstance(incarnation, int) and isinstance(flags, int)
+    if not texts or not numbers or not name or not 0 <= flags <= _LEAVING_FLAG + Health.DEAD:
+        raise MessageError("a member record has a field of the wrong type")
+    if flags % _LEAVING_FLAG > Health.DEAD:
+        raise MessageError("a member record has an unknown health")
+    return Member(
+        name,
+        Address(host, port),
+        data_centre,
+        incarnation,
+        Health(flags % _LEAVING_FLAG),
+        bool(flags & _LEAVING_FLAG),
+    )
+
+
+class MemberView:
+    """Hold the records of all members but the daemon's own."""
+
+    __slots__ = ("_digest", "members")
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+        self._digest: int | None = None
+
+    def get(self, name: str) -> Member | None:
+        """Return a member's record or None."""
+        return self.members.get(name)
+
+    def put(self, member: Member) -> None:
+        """Add a record or replace the one of the same name."""
+        self.members[member.name] = member
+        self._digest = None
+
+    def remove(self, name: str) -> None:
+        """Forget a member."""
+        self.members.pop(name, None)
+        self._digest = None
+
+    def forget_digest(self) -> None:
+        """Work out the digest anew at the next use."""
+        self._digest = None
+
+    def running(self) -> list[str]:
+        """Return the names of members that are not dead."""
+        return [m.name for m in self.members.values() if m.health is not Health.DEAD]
+
+    def taking_part(self) -> list[str]:
+        """Return the names of members that are neither dead nor leaving."""
+        return [
+            m.name for m in self.members.values() if m.health is not Health.DEAD and not m.leaving
+        ]
+
+    def digest(self, own: Member) -> int:
+        """Return a number that is equal in two daemons with equal views."""
+        if self._digest is None:
+            self._digest = _digest_members([own, *self.members.values()])
+        return self._digest
+
+
+def _digest_members(members: Iterable[Member]) -> int:
+    lines = sorted(
+        f"{m.name} {m.incarnation} {m.leaving:d}" for m in members if m.health is not Health.DEAD
+    )
+    return xxhash.xxh32_intdigest("\n".join(lines).encode())
+
+
+def has_majority(reached: Iterable[str], fleet: Iterable[str]) -> bool:
+    """Tell whether the reached hosts are the larger part of a fleet.
+
+    Of two equal halves the one that holds the first name in sorted order is the larger.
+    """
+    all_names = set(fleet)
+    part = all_names.intersection(reached)
+    if 2 * len(part) == len(all_names):
+        return min(all_names) in part
+    return 2 * len(part) > len(all_names)
--- /dev/null
+++ b/tarragonwind/core/membership_messages.py
@@ -0,0 +1,88 @@
+"""Define the messages of the membership protocol.
+
+A record of a member travels as a list of its fields, see `tarragonwind.core.member_views`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonwind.messages import Message, message
+
+
+@message(10)
+@dataclass(slots=True)
+class Ping(Message):
+    """Ask a member whether it runs.
+
+    Attributes
+    ----------
+    seq : int
+        Number that the answer repeats.
+    incarnation : int
+        Incarnation of the sender.
+    leaving : bool
+        Whether the sender is leaving.
+    digest : int
+        Digest of the sender's view.
+    updates : list of list
+        Records that changed lately.
+    facts : list of list
+        Slot name and value of each attached fact.
+    """
+
+    seq: int
+    incarnation: int
+    leaving: bool
+    digest: int
+    updates: list[list]
+    facts: list[list]
+
+
+@message(11)
+@dataclass(slots=True)
+class Ack(Message):
+    """Answer a `Ping`; the fields are those of the ping, seen from the answering member."""
+
+    seq: int
+    incarnation: int
+    leaving: bool
+    digest: int
+    updates: list[list]
+    facts: list[list]
+
+
+@message(12)
+@dataclass(slots=True)
+class PingRequest(Message):
+    """Ask a member to probe another one on the sender's behalf."""
+
+    seq: int
+    target: str
+
+
+@message(13)
+@dataclass(slots=True)
+class RelayedAck(Message):
+    """Tell the sender of a `PingRequest` that the target has answered."""
+
+    seq: int
+    target: str
+
+
+@message(14)
+@dataclass(slots=True)
+class Push(Message):
+    """Spread new records and facts without waiting for the next probe."""
+
+    updates: list[list]
+    facts: list[list]
+
+
+@message(15)
+@dataclass(slots=True)
+class Sync(Message):
+    """Hand over the whole view; `answer` asks for the receiver's in return."""
+
+    records: list[list]
+    answer: bool
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -285,3 +285,32 @@
     @abstractmethod
     def subscribe(self, cls: type[MessageT], callback: Callable[[str, MessageT], None]) -> None:
         """Call `callback` with the sender's name and each message of a class."""
+
+
+class Gossip(ABC):
+    """Let small facts ride on the probes between daemons, so that they reach all by themselves."""
+
+    @abstractmethod
+    def attach(
+        self,
+        name: str,
+        provider: Callable[[], bytes | None],
+        consumer: Callable[[str, bytes], None],
+    ) -> None:
+        """Add a slot.
+
+        Parameters
+        ----------
+        name : str
+            Short name of the slot, the same on all daemons.
+        provider : callable
+            Returns the present value for the next message, or None. The values of all slots on
+            one message are bounded by 200 bytes; a slot that finds no room goes first on the next.
+        consumer : callable
+            Called with the sender's name and the value. Values repeat and come in any order, so
+            it must merge them, and provide the merged value from then on.
+        """
+
+    @abstractmethod
+    def spread(self) -> None:
+        """Send the facts to a few daemons now; call it when a consumer or this daemon has news."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package; each module mirrors one of it."""
--- /dev/null
+++ b/tests/test_membership_adapters.py
@@ -0,0 +1,78 @@
+"""Run the membership over real connections on one loop."""
+
+import pytest
+
+from .peer_helpers import Bench
+
+
+@pytest.fixture
+def bench():
+    bench = Bench()
+    yield bench
+    bench.close()
+
+
+def start_fleet(bench, count):
+    fleet = []
+    seeds = []
+    for number in range(count):
+        peers = bench.peers(f"host-{number}", start_id=number)
+        fleet.append(bench.membership(peers, list(seeds), seed=number))
+        seeds = seeds or [peers.address]
+    for member in fleet:
+        member.start()
+    return fleet
+
+
+def all_see(fleet, names):
+    return all(member.live() == tuple(names) for member in fleet)
+
+
+def names_of(fleet):
+    return sorted(member.name for member in fleet)
+
+
+def test_a_fleet_forms_from_one_seed_and_agrees_on_owners(bench):
+    fleet = start_fleet(bench, 6)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    assert all(member.joined() for member in fleet)
+    for key in ("pool-1", "pool-2", "pool-3"):
+        assert len({member.owner_of(key) for member in fleet}) == 1
+        assert fleet[0].rank(key, 2)[0] == fleet[0].owner_of(key)
+
+
+def test_a_leaving_host_owns_nothing_but_can_be_reached(bench):
+    fleet = start_fleet(bench, 4)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    fleet[0].leave()
+    bench.wait(lambda: all_see(fleet, names_of(fleet[1:])), "view without the leaving host")
+    assert all("host-0" in {m.name for m in member.members()} for member in fleet)
+    assert not any(member.isolated for member in fleet)
+
+
+def test_a_stopped_host_is_removed(bench):
+    fleet = start_fleet(bench, 4)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    fleet[0].stop()
+    bench.transports[0].stop()
+    bench.wait(lambda: all_see(fleet[1:], names_of(fleet[1:])), "view without the stopped host")
+
+
+def test_facts_reach_hosts_that_are_not_neighbours(bench):
+    fleet = start_fleet(bench, 8)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    numbers = dict.fromkeys(names_of(fleet), 0)
+
+    def attach(member):
+        def consume(sender, value):
+            if value[0] > numbers[member.name]:
+                numbers[member.name] = value[0]
+                member.spread()
+
+        member.attach("number", lambda: bytes([numbers[member.name]]), consume)
+
+    for member in fleet:
+        attach(member)
+    numbers["host-3"] = 7
+    fleet[3].spread()
+    bench.wait(lambda: set(numbers.values()) == {7}, "the fact everywhere")
