--- /dev/null
+++ b/bench/move_fleets.py
@@ -0,0 +1,141 @@
+"""Drive the moves of a small fleet in simulated time, over fakes of members, peers and record."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tarragonwind.core.entries import MoveEntry
+from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
+from tarragonwind.core.move_tables import TICK_PERIOD_S, MoveTable, Outgoing
+from tarragonwind.core.move_trials import Outcome, Trial
+from tarragonwind.core.moves import MoveAnswer
+from tarragonwind.messages import pack_message
+from tarragonwind.ports import Members
+
+MESSAGE_DELAY_S = 0.005
+STORE_DELAY_S = 0.01
+
+
+class FakeMembers(Members):
+    """Serve a list of live hosts that the experiment changes."""
+
+    def __init__(self, name: str, hosts: list[str]) -> None:
+        self.name = name
+        self.hosts = hosts
+
+    def live(self) -> tuple[str, ...]:
+        """Return the names of the live hosts."""
+        return tuple(sorted(self.hosts))
+
+    def owner_of(self, key: str) -> str:
+        """Return the owner of a key by rendezvous hashing."""
+        return max(self.live(), key=lambda host: zlib.crc32(f"{host}|{key}".encode()))
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Ignore the subscription: the experiment changes the list itself."""
+
+
+@dataclass(slots=True)
+class FakeRecord:
+    """Keep answers as the store would; away while `up` is false."""
+
+    up: bool = True
+    answers: dict[str, tuple[MoveAnswer, str]] = field(default_factory=dict)
+
+
+class FleetRecorder:
+    """Reach the fake record for one host."""
+
+    def __init__(self, fleet: Fleet, host: str) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    def read(self, move_id: str) -> None:
+        """Ask for an answer."""
+        self._fleet.after(STORE_DELAY_S, lambda: self._answer(move_id))
+
+    def record(self, move_id: str, answer: MoveAnswer, why: str) -> None:
+        """Record an answer unless one is there."""
+        self._fleet.after(STORE_DELAY_S, lambda: self._write(move_id, answer, why))
+
+    def _write(self, move_id: str, answer: MoveAnswer, why: str) -> None:
+        if self._fleet.record.up:
+            self._fleet.record.answers.setdefault(move_id, (answer, why))
+            self._answer(move_id)
+
+    def _answer(self, move_id: str) -> None:
+        table = self._fleet.tables.get(self._host)
+        if not self._fleet.record.up or table is None:
+            return
+        answer, why = self._fleet.record.answers.get(move_id, (None, ""))
+        outgoing = table.learn_answer(self._fleet.now, move_id, answer, why)
+        self._fleet.send(self._host, outgoing)
+
+
+class Fleet:
+    """Run the move tables of several hosts in simulated time."""
+
+    def __init__(self, seed: int, hosts: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.record = FakeRecord()
+        self.live = [f"host-{number}" for number in range(hosts)]
+        self.tables: dict[str, MoveTable] = {}
+        self.stopped: set[str] = set()
+        self.bytes_sent = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        for host in self.live:
+            self._add_table(host)
+
+    def _add_table(self, host: str) -> None:
+        members = FakeMembers(host, self.live)
+        self.tables[host] = MoveTable(members, 1, FleetRecorder(self, host))
+        self.after(self.rng.random() * TICK_PERIOD_S, lambda: self._tick(host))
+
+    def after(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call back after a simulated time."""
+        heapq.heappush(self._queue, (self.now + delay_s, next(self._order), callback))
+
+    def run_until(self, end: float) -> None:
+        """Run all that is due up to a time."""
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self._queue)
+            callback()
+        self.now = end
+
+    def set_catalogue(self, moves: list[MoveEntry], pools: dict[str, str]) -> None:
+        """Put a catalogue in force on every host."""
+        for table in self.tables.values():
+            table.set_catalogue(self.now, moves, pools)
+
+    def send(self, sender: str, outgoing: list[Outgoing]) -> None:
+        """Deliver messages after the peers' delay."""
+        for out in outgoing:
+            self.bytes_sent += len(pack_message(out.msg))
+            self.after(MESSAGE_DELAY_S, lambda out=out: self._deliver(sender, out))  # type: ignore
+
+    def _deliver(self, sender: str, out: Outgoing) -> None:
+        table = self.tables.get(out.host)
+        if table is None or out.host in self.stopped:
+            return
+        if isinstance(out.msg, MoveReport):
+            self.send(out.host, table.on_report(self.now, sender, out.msg))
+        elif isinstance(out.msg, MoveShare):
+            table.on_share(self.now, sender, out.msg)
+        elif isinstance(out.msg, MoveFacts):
+            self.send(out.host, table.on_facts(self.rng, out.msg))
+
+    def _tick(self, host: str) -> None:
+        if host not in self.stopped:
+            self.send(host, self.tables[host].tick(self.now, self.rng))
+        self.after(TICK_PERIOD_S, lambda: self._tick(host))
+
+    def finish(self, host: str, trial: Trial, outcome: Outcome, tokens: int) -> None:
+        """Report the end of a request to its host."""
+        self.tables[host].finish(self.now, trial, outcome, tokens)
--- /dev/null
+++ b/tarragonwind/core/evidence.py
@@ -0,0 +1,277 @@
+"""Count the outcomes of a move, so that counts of many hosts merge and may arrive twice."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+HIGH_LOAD_FRACTION = 0.6
+"""Fraction of an upstream's slots in use from which its load counts as high."""
+
+SLOW_QUANTILE = 0.9
+"""Quantile of the old version's concurrent times above which a request counts as slow."""
+
+BUCKET_GROWTH = 1.1
+"""Ratio between the limits of neighbouring histogram buckets."""
+
+SMALLEST_TIME_S = 1e-5
+"""Upper limit of the first histogram bucket, in seconds."""
+
+BUCKET_COUNT = 200
+REFERENCE_AGE_S = 30.0
+"""Age at which a generation of the reference histogram is replaced, in seconds."""
+
+REFERENCE_MIN_TIMES = 30
+"""Times of the old version below which no request is judged slow."""
+
+_LOG_GROWTH = math.log(BUCKET_GROWTH)
+
+
+class Side(enum.IntEnum):
+    """Tell the old version of a move from the new one."""
+
+    OLD = 0
+    NEW = 1
+
+
+class LoadLevel(enum.IntEnum):
+    """Tell the load of the upstream at dispatch."""
+
+    LOW = 0
+    HIGH = 1
+
+
+class Signal(enum.IntEnum):
+    """Name what is compared between the versions."""
+
+    FAILED = 0
+    FIRST_BYTE = 1
+    PER_TOKEN = 2
+
+
+def load_level(in_flight_fraction: float) -> LoadLevel:
+    """Return the level of an upstream that uses this fraction of its slots."""
+    return LoadLevel.HIGH if in_flight_fraction >= HIGH_LOAD_FRACTION else LoadLevel.LOW
+
+
+@dataclass(frozen=True, slots=True)
+class Tally:
+    """Hold trials of one kind and how many of them went wrong."""
+
+    trials: int
+    hits: int
+
+    @property
+    def rate(self) -> float:
+        """Return hits for each trial, 0 without trials."""
+        return self.hits / self.trials if self.trials else 0.0
+
+    def __add__(self, other: Tally) -> Tally:
+        return Tally(self.trials + other.trials, self.hits + other.hits)
+
+
+@dataclass(slots=True)
+class Cell:
+    """Count the outcomes of one version on one route at one load level.
+
+    Attributes
+    ----------
+    finished, failed : int
+        Requests with a known end, and those of them that failed.
+    started, late : int
+        Requests judged on their first byte, and those of them that were slow.
+    paced, slow : int
+        Requests judged on time per token, and those of them that were slow.
+    """
+
+    finished: int = 0
+    failed: int = 0
+    started: int = 0
+    late: int = 0
+    paced: int = 0
+    slow: int = 0
+
+    def tally(self, signal: Signal) -> Tally:
+        """Return the counts of one signal."""
+        if signal is Signal.FAILED:
+            return Tally(self.finished, self.failed)
+        if signal is Signal.FIRST_BYTE:
+            return Tally(self.started, self.late)
+        return Tally(self.paced, self.slow)
+
+    def counts(self) -> list[int]:
+        """Return the six counts in the order of the attributes."""
+        return [self.finished, self.failed, self.started, self.late, self.paced, self.slow]
+
+    def plus(self, other: Cell, sign: int = 1) -> Cell:
+        """Return the sum with another cell, or the difference when `sign` is -1."""
+        pairs = zip(self.counts(), other.counts(), strict=True)
+        return Cell(*(mine + sign * theirs for mine, theirs in pairs))
+
+
+@dataclass(frozen=True, slots=True)
+class CellKey:
+    """Name a cell of a move: step of the share, side, route and load level."""
+
+    step: int
+    side: Side
+    route: str
+    level: LoadLevel
+
+
+Cells = dict[CellKey, Cell]
+
+
+def pack_cells(cells: Iterable[tuple[CellKey, Cell]]) -> list[list]:
+    """Return cells as rows of a message."""
+    rows: list[list] = []
+    for key, cell in cells:
+        rows.append([key.step, int(key.side), key.route, int(key.level), *cell.counts()])
+    return rows
+
+
+def unpack_cells(rows: list[list]) -> Iterator[tuple[CellKey, Cell]]:
+    """Yield the cells of a message's rows."""
+    for step, side, route, level, *counts in rows:
+        yield CellKey(step, Side(side), route, LoadLevel(level)), Cell(*counts)
+
+
+class HostEvidence:
+    """Keep one host's cumulative cells of a move, and the report from which each is new."""
+
+    __slots__ = ("_changed", "cells", "sequence")
+
+    def __init__(self) -> None:
+        self.cells: Cells = {}
+        self.sequence = 0
+        self._changed: dict[CellKey, int] = {}
+
+    def touch(self, key: CellKey) -> Cell:
+        """Return the cell of a key to be changed, marked for the next report."""
+        self._changed[key] = self.sequence + 1
+        return self.cells.setdefault(key, Cell())
+
+    def begin_report(self) -> int:
+        """Return the sequence of a report that holds all changes up to now."""
+        self.sequence += 1
+        return self.sequence
+
+    def rows_after(self, acknowledged: int) -> list[list]:
+        """Return the rows that a judge lacks which has every report up to a sequence."""
+        keys = [key for key, changed in self._changed.items() if changed > acknowledged]
+        return pack_cells((key, self.cells[key]) for key in keys)
+
+
+@dataclass(slots=True)
+class Source:
+    """Hold what one process of one host has reported.
+
+    Attributes
+    ----------
+    sequence : int
+        Highest report received.
+    cells : dict
+        Latest cumulative cells.
+    """
+
+    sequence: int = 0
+    cells: Cells = field(default_factory=dict)
+
+
+class MergedEvidence:
+    """Merge the reports of hosts; the latest cumulative cell of each process wins."""
+
+    __slots__ = ("_sources", "totals")
+
+    def __init__(self) -> None:
+        self._sources: dict[tuple[str, int], Source] = {}
+        self.totals: Cells = {}
+
+    def apply(self, host: str, incarnation: int, sequence: int, rows: list[list]) -> bool:
+        """Take in a report; return false when it was received before or is out of date."""
+        source = self._sources.setdefault((host, incarnation), Source())
+        if sequence <= source.sequence:
+            return False
+        source.sequence = sequence
+        for key, cell in unpack_cells(rows):
+            known = source.cells.get(key)
+            change = cell if known is None else cell.plus(known, -1)
+            source.cells[key] = cell
+            self.totals[key] = self.totals.get(key, Cell()).plus(change)
+        return True
+
+    def sequence_of(self, host: str, incarnation: int) -> int:
+        """Return the highest report received from a process, 0 for none."""
+        source = self._sources.get((host, incarnation))
+        return source.sequence if source else 0
+
+
+class TimeHistogram:
+    """Count times in buckets that grow by a fixed ratio."""
+
+    __slots__ = ("_buckets", "total")
+
+    def __init__(self) -> None:
+        self._buckets = [0] * BUCKET_COUNT
+        self.total = 0
+
+    def add(self, time_s: float) -> None:
+        """Count one time in seconds."""
+        bucket = 0
+        if time_s > SMALLEST_TIME_S:
+            bucket = math.ceil(math.log(time_s / SMALLEST_TIME_S) / _LOG_GROWTH)
+        self._buckets[min(bucket, BUCKET_COUNT - 1)] += 1
+        self.total += 1
+
+    def merge(self, other: TimeHistogram) -> TimeHistogram:
+        """Return the sum of two histograms."""
+        merged = TimeHistogram()
+        pairs = zip(self._buckets, other._buckets, strict=True)
+        merged._buckets = [mine + theirs for mine, theirs in pairs]
+        merged.total = self.total + other.total
+        return merged
+
+    def quantile(self, fraction: float) -> float:
+        """Return the upper limit of the bucket that holds a quantile, in seconds."""
+        wanted = fraction * self.total
+        seen = 0
+        for bucket, count in enumerate(self._buckets):
+            seen += count
+            if count and seen >= wanted:
+                return SMALLEST_TIME_S * BUCKET_GROWTH**bucket
+        return math.inf
+
+
+class TimeReference:
+    """Follow the slow quantile of the old version's recent times."""
+
+    __slots__ = ("_current", "_limit_s", "_previous", "_rotated_at", "_stale")
+
+    def __init__(self) -> None:
+        self._current = TimeHistogram()
+        self._previous = TimeHistogram()
+        self._rotated_at = -math.inf
+        self._limit_s: float | None = None
+        self._stale = 0
+
+    def add(self, now: float, time_s: float) -> None:
+        """Take in one time of the old version, in seconds."""
+        if now - self._rotated_at > REFERENCE_AGE_S and self._current.total >= REFERENCE_MIN_TIMES:
+            self._previous = self._current
+            self._current = TimeHistogram()
+            self._rotated_at = now
+        self._current.add(time_s)
+        self._stale += 1
+
+    def limit_s(self) -> float | None:
+        """Return the time above which a request is slow, None while too few times are known."""
+        total = self._current.total + self._previous.total
+        if total < REFERENCE_MIN_TIMES:
+            return None
+        if self._limit_s is None or self._stale * 16 >= total:
+            merged = self._current.merge(self._previous)
+            self._limit_s = merged.quantile(SLOW_QUANTILE)
+            self._stale = 0
+        return self._limit_s
--- /dev/null
+++ b/tarragonwind/core/host_moves.py
@@ -0,0 +1,230 @@
+"""Keep what one host knows of one move: its share, its outcomes and what is final."""
+
+from __future__ import annotations
+
+import random
+
+from tarragonwind.core.entries import MoveEntry, MoveState
+from tarragonwind.core.evidence import CellKey, LoadLevel, Side
+from tarragonwind.core.move_messages import MoveReport, MoveShare
+from tarragonwind.core.move_steps import SMALL_STEP, STEPS
+from tarragonwind.core.move_trials import Trial, TrialCounter
+from tarragonwind.core.moves import (
+    FRESH_PERIODS,
+    PAUSE_S,
+    MoveAnswer,
+    MoveJudge,
+    MoveStatus,
+    move_identity,
+)
+
+RESUME_WAIT_S = 3.0
+"""Longest time without the new version after a pause of this host, in seconds."""
+
+CANCELLED_WHY = "cancelled by an operator"
+
+
+class ShareCredit:
+    """Spread a share evenly over a route's requests.
+
+    The number of requests of the new version never exceeds the share of those seen by more
+    than one.
+    """
+
+    __slots__ = ("_credit",)
+
+    def __init__(self) -> None:
+        self._credit = 0.0
+
+    def draw(self, rng: random.Random, share: float) -> bool:
+        """Return whether the next request goes to the new version."""
+        if share <= 0.0:
+            self._credit = min(self._credit, 0.0)
+            return False
+        self._credit += share
+        chosen = self._credit >= 1.0 or (self._credit > 0.0 and rng.random() < share)
+        if chosen:
+            self._credit -= 1.0
+        return chosen
+
+
+class HostMove:
+    """Hold one move on one host.
+
+    Attributes
+    ----------
+    entry : MoveEntry
+        Entry in force.
+    judge : MoveJudge
+        Evidence of this host, and of the others where this host judges.
+    answer : MoveAnswer or None
+        Recorded answer.
+    answer_why : str
+        Reason recorded with it.
+    """
+
+    __slots__ = (
+        "_credits",
+        "_heard_at",
+        "_resumed_at",
+        "_seen_at",
+        "acknowledged",
+        "answer",
+        "answer_why",
+        "asked_at",
+        "counter",
+        "entry",
+        "judge",
+        "judge_why",
+        "judges_until",
+        "move_id",
+        "read_by",
+        "read_done",
+        "reported_at",
+    )
+
+    def __init__(self, entry: MoveEntry, now: float) -> None:
+        self.entry = entry
+        self.move_id = move_identity(entry)
+        self.judge = MoveJudge(entry, now)
+        self.counter = TrialCounter()
+        self.answer: MoveAnswer | None = None
+        self.answer_why = ""
+        self.acknowledged: dict[str, tuple[int, int]] = {}
+        self.reported_at = float("-inf")
+        self.asked_at = float("-inf")
+        self.read_by = float("inf")
+        self.read_done = False
+        self.judge_why = "not started"
+        self.judges_until = float("-inf")
+        self._credits: dict[str, ShareCredit] = {}
+        self._heard_at = float("-inf")
+        self._seen_at = now
+        self._resumed_at = float("-inf")
+
+    def set_entry(self, entry: MoveEntry) -> None:
+        """Put a changed entry of the same move in force; cancelling is final."""
+        self.entry = entry
+        self.judge.move = entry
+        if entry.state is MoveState.CANCELLED and self.answer is None:
+            self.judge.take_back(CANCELLED_WHY)
+
+    @property
+    def is_withheld(self) -> bool:
+        """Tell whether "done" was recorded although the move was taken back before."""
+        return self.answer is MoveAnswer.DONE and bool(self.judge.taken_back)
+
+    @property
+    def moved(self) -> bool:
+        """Tell whether the new version serves for good."""
+        return self.answer is MoveAnswer.DONE and not self.judge.taken_back
+
+    def note_time(self, now: float) -> None:
+        """Notice a pause of this host or a jump of its clock."""
+        if now - self._seen_at > PAUSE_S or now < self._seen_at:
+            self._resumed_at = now
+        self._seen_at = now
+
+    def is_silent(self, now: float, report_period_s: float) -> bool:
+        """Tell whether no judge has been heard lately."""
+        return now - self._heard_at > FRESH_PERIODS * report_period_s
+
+    def hear_judge(self, now: float, msg: MoveShare, is_owner: bool) -> None:
+        """Take in the share that a judge has sent; the owner's reason is kept."""
+        self.judge.adopt_step(msg.step, msg.step_since)
+        self._heard_at = now
+        if is_owner:
+            self.judge_why = msg.why
+
+    def share(self, now: float, report_period_s: float) -> float:
+        """Return the fraction of requests for the new version."""
+        if self.judge.taken_back or self.answer is MoveAnswer.TAKEN_BACK:
+            return 0.0
+        if self.answer is MoveAnswer.DONE:
+            return 1.0
+        if self._heard_at <= self._resumed_at and now - self._resumed_at < RESUME_WAIT_S:
+            return 0.0
+        if self.judge.step <= SMALL_STEP and self.is_silent(now, report_period_s):
+            return 0.0
+        return STEPS[self.judge.step].share
+
+    def draw(self, now: float, rng: random.Random, route: str, report_period_s: float) -> bool:
+        """Return whether the next request of a route goes to the new version."""
+        self.note_time(now)
+        credit = self._credits.setdefault(route, ShareCredit())
+        return credit.draw(rng, self.share(now, report_period_s))
+
+    def start(self, now: float, route: str, version: str, level: LoadLevel) -> Trial | None:
+        """Follow a request if its outcome is evidence."""
+        if self.judge.taken_back or self.answer is not None or not self.judge.step:
+            return None
+        if version == self.entry.to_version:
+            side = Side.NEW
+        elif version == self.entry.from_version:
+            side = Side.OLD
+        else:
+            return None
+        key = CellKey(self.judge.step, side, route, level)
+        return self.counter.start(now, self.move_id, key)
+
+    def report_for(self, now: float, judge_host: str, incarnation: int) -> MoveReport:
+        """Return the report that a judge lacks."""
+        _, acknowledged = self.acknowledged.get(judge_host, (0, 0))
+        evidence = self.counter.evidence
+        return MoveReport(
+            move_id=self.move_id,
+            incarnation=incarnation,
+            sequence=evidence.sequence,
+            sent_at=now,
+            step=self.judge.step,
+            step_since=self.judge.step_since,
+            taken_back=self.judge.taken_back,
+            rows=evidence.rows_after(acknowledged),
+        )
+
+    def acknowledge(self, judge_host: str, incarnation: int, sequence: int) -> None:
+        """Note what a judge has; one that started anew has nothing."""
+        known, highest = self.acknowledged.get(judge_host, (0, 0))
+        highest = max(highest, sequence) if known == incarnation else 0
+        self.acknowledged[judge_host] = (incarnation, highest)
+
+    def fact(self) -> list[str] | None:
+        """Return what is final about the move, None for nothing."""
+        if not self.judge.taken_back and self.answer is None:
+            return None
+        answer = self.answer.value if self.answer else ""
+        return [self.move_id, self.judge.taken_back, answer, self.answer_why]
+
+    def learn(self, taken_back: str, answer: MoveAnswer | None, why: str) -> bool:
+        """Merge what is final; return whether it was news."""
+        before = self.fact()
+        if answer is not None and self.answer is None:
+            self.answer = answer
+            self.answer_why = why
+        if taken_back:
+            self.judge.take_back(taken_back)
+        return self.fact() != before
+
+    def status(self, now: float, report_period_s: float, waits_for: str) -> MoveStatus:
+        """Describe the move; `waits_for` says what it waits for, empty for nothing."""
+        return MoveStatus(
+            move_id=self.move_id,
+            name=self.entry.name,
+            answer=self.answer,
+            share=0.0 if waits_for else self.share(now, report_period_s),
+            why=self._why(now, report_period_s, waits_for),
+            withheld=self.is_withheld,
+        )
+
+    def _why(self, now: float, report_period_s: float, waits_for: str) -> str:
+        if self.is_withheld:
+            return f"{self.answer_why}; withheld: {self.judge.taken_back}"
+        if self.answer is not None:
+            return self.answer_why
+        if self.judge.taken_back:
+            return f"taken back, waiting for the store's record: {self.judge.taken_back}"
+        if waits_for:
+            return waits_for
+        if self.is_silent(now, report_period_s):
+            return "no judge has been heard lately"
+        return self.judge_why
--- /dev/null
+++ b/tarragonwind/core/move_messages.py
@@ -0,0 +1,86 @@
+"""Define the messages between daemons about moves between versions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonwind.messages import Message, message
+
+
+@message(50)
+@dataclass(slots=True)
+class MoveReport(Message):
+    """Report a host's outcomes of one move to the daemons that judge it.
+
+    Attributes
+    ----------
+    move_id : str
+        Identity of the move.
+    incarnation : int
+        Number of the reporting process; counts of an earlier process stay counted.
+    sequence : int
+        Number of the report within the incarnation.
+    sent_at : float
+        Time of sending, in seconds since the epoch.
+    step : int
+        Step of the share in force at the host.
+    step_since : float
+        Time from which that step has been in force, in seconds since the epoch.
+    taken_back : str
+        Why the move was taken back, empty when the host knows of nothing.
+    rows : list of list
+        Cumulative cells: step, side, route, level and the six counts.
+    """
+
+    move_id: str
+    incarnation: int
+    sequence: int
+    sent_at: float
+    step: int
+    step_since: float
+    taken_back: str
+    rows: list[list]
+
+
+@message(51)
+@dataclass(slots=True)
+class MoveShare(Message):
+    """Tell a host the step of the share, and acknowledge its report.
+
+    Attributes
+    ----------
+    move_id : str
+        Identity of the move.
+    incarnation : int
+        Number of the judging process.
+    step : int
+        Step of the share.
+    step_since : float
+        Time from which the step has been in force, in seconds since the epoch.
+    acknowledged : int
+        Highest sequence received from the host's present incarnation, 0 for none.
+    why : str
+        Why the share is what it is.
+    """
+
+    move_id: str
+    incarnation: int
+    step: int
+    step_since: float
+    acknowledged: int
+    why: str
+
+
+@message(52)
+@dataclass(slots=True)
+class MoveFacts(Message):
+    """Spread what is final about moves.
+
+    Attributes
+    ----------
+    facts : list of list
+        Move id, reason of taking back (empty for none), recorded answer (empty for none) and the
+        reason recorded with it.
+    """
+
+    facts: list[list[str]]
--- /dev/null
+++ b/tarragonwind/core/move_tables.py
@@ -0,0 +1,351 @@
+"""Keep a host's active moves: choose versions, count outcomes, report, judge and spread facts."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from tarragonwind.core.entries import MoveEntry
+from tarragonwind.core.evidence import load_level
+from tarragonwind.core.host_moves import HostMove
+from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
+from tarragonwind.core.move_steps import COMPLETE_STEP
+from tarragonwind.core.move_trials import Outcome, Trial
+from tarragonwind.core.moves import (
+    FRESH_PERIODS,
+    MoveAnswer,
+    MoveStatus,
+    VerdictRecorder,
+    move_identity,
+)
+from tarragonwind.messages import Message
+from tarragonwind.ports import Members
+
+TICK_PERIOD_S = 0.25
+"""Time between two calls of `MoveTable.tick`, in seconds."""
+
+URGENT_PERIOD_S = 0.5
+"""Least time between two reports, in seconds."""
+
+REPORT_PERIOD_S = 1.0
+REPORT_PERIOD_PER_HOST_S = 0.05
+"""Report period for each live host, so that a judge's load is flat, in seconds."""
+
+RECORD_RETRY_S = 2.0
+"""Time between two tries to reach the record of answers, in seconds."""
+
+READ_WAIT_S = 3.0
+"""Longest time that a new judge waits for the recorded answer, in seconds."""
+
+DEPUTY_TRIES = 8
+MAX_REMOVED = 1_000
+"""Moves without an entry whose facts are kept, in case the entry comes back."""
+
+FORWARD_COUNT = 2
+"""Hosts to which a host passes on a fact that is news to it."""
+
+COMPLETE_WHY = "complete, waiting for the store's record"
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """Pair a message with the host that it is for."""
+
+    host: str
+    msg: Message
+
+
+class MoveTable:
+    """Hold the moves of one host.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts; `owner_of(pool)` names the host that judges the pool's moves.
+    incarnation : int
+        Number of this process, larger than that of any earlier one of the host.
+    recorder : VerdictRecorder
+        Record of answers; failures stay silent, the table asks again.
+
+    Notes
+    -----
+    Each `now` is in seconds since the epoch, on a clock that hosts share within half a second.
+    """
+
+    __slots__ = ("_incarnation", "_members", "_moves", "_pools", "_recorder", "_removed")
+
+    def __init__(self, members: Members, incarnation: int, recorder: VerdictRecorder) -> None:
+        self._members = members
+        self._incarnation = incarnation
+        self._recorder = recorder
+        self._moves: dict[str, HostMove] = {}
+        self._removed: dict[str, HostMove] = {}
+        self._pools: dict[str, str] = {}
+
+    @property
+    def report_period_s(self) -> float:
+        """Return the time between two reports of a host without news, in seconds."""
+        return max(REPORT_PERIOD_S, REPORT_PERIOD_PER_HOST_S * len(self._members.live()))
+
+    def set_catalogue(self, now: float, moves: list[MoveEntry], pools: dict[str, str]) -> None:
+        """Put a catalogue in force.
+
+        Parameters
+        ----------
+        now : float
+            Seconds since the epoch.
+        moves : list of MoveEntry
+            All moves.
+        pools : dict
+            Standing version of each pool.
+        """
+        self._pools = dict(pools)
+        known = self._removed | self._moves
+        self._moves = {}
+        for entry in sorted(moves, key=lambda move: (move.starts_at, move.name)):
+            move_id = move_identity(entry)
+            move = known.get(move_id) or HostMove(entry, now)
+            move.set_entry(entry)
+            self._moves[move_id] = move
+        gone = [move_id for move_id in known if move_id not in self._moves]
+        self._removed = {move_id: known[move_id] for move_id in gone[-MAX_REMOVED:]}
+
+    def choose_version(self, now: float, rng: random.Random, pool: str, route: str) -> str:
+        """Return the version that should serve a pool's next request."""
+        version, move = self._serving(pool)
+        if move is None or now < move.entry.starts_at:
+            return version
+        chosen = move.draw(now, rng, route, self.report_period_s)
+        return move.entry.to_version if chosen else version
+
+    def share(self, now: float, pool: str) -> float:
+        """Return the fraction of a pool's requests that goes to the new version of its move."""
+        _, move = self._serving(pool)
+        return move.share(now, self.report_period_s) if move else 0.0
+
+    def start(
+        self, now: float, pool: str, route: str, version: str, in_flight_fraction: float
+    ) -> Trial | None:
+        """Follow a dispatched request; None when its outcome is no evidence."""
+        _, move = self._serving(pool)
+        if move is None:
+            return None
+        return move.start(now, route, version, load_level(in_flight_fraction))
+
+    def first_byte(self, now: float, trial: Trial) -> None:
+        """Note the first byte of the answer to a followed request."""
+        move = self._moves.get(trial.move_id)
+        if move is not None:
+            move.counter.first_byte(now, trial)
+
+    def finish(self, now: float, trial: Trial, outcome: Outcome, tokens: int = 0) -> None:
+        """Note the end of a followed request, with the tokens of its answer."""
+        move = self._moves.get(trial.move_id)
+        if move is not None:
+            move.counter.finish(now, trial, outcome, tokens)
+
+    def status(self, now: float, name: str) -> list[MoveStatus]:
+        """Return the state of the moves with a name or identity, the latest last."""
+        found = []
+        for move in self._moves.values():
+            if name in (move.move_id, move.entry.name):
+                found.append(move.status(now, self.report_period_s, self._waits_for(now, move)))
+        return found
+
+    def statuses(self, now: float) -> list[MoveStatus]:
+        """Return the state of all moves."""
+        return [status for move_id in self._moves for status in self.status(now, move_id)]
+
+    def learn_answer(
+        self, now: float, move_id: str, answer: MoveAnswer | None, why: str
+    ) -> list[Outgoing]:
+        """Take in what the record holds (None: nothing) and return the messages that spread it."""
+        move = self._moves.get(move_id)
+        if move is None:
+            return []
+        move.read_done = True
+        if answer is None or not move.learn("", answer, why):
+            return []
+        return self._spread_to_all(move)
+
+    def tick(self, now: float, rng: random.Random) -> list[Outgoing]:
+        """Report, judge and spread what is due; call it every `TICK_PERIOD_S`."""
+        outgoing: list[Outgoing] = []
+        for move in list(self._moves.values()):
+            move.note_time(now)
+            if self._is_active(move):
+                outgoing += self._tick_move(now, move)
+            elif move.judge.taken_back and move.answer is None:
+                self._record(now, move)
+        outgoing += self._gossip(rng)
+        return outgoing
+
+    def on_report(self, now: float, sender: str, msg: MoveReport) -> list[Outgoing]:
+        """Take in a host's report and return the answer to it."""
+        move = self._moves.get(msg.move_id)
+        if move is None:
+            return []
+        was_taken_back = bool(move.judge.taken_back)
+        move.judge.receive(sender, msg)
+        move.judges_until = now + FRESH_PERIODS * self.report_period_s
+        outgoing: list[Outgoing] = []
+        if move.judge.taken_back and not was_taken_back:
+            outgoing += self._spread_to_all(move)
+        if move.answer is not None or (move.judge.taken_back and not msg.taken_back):
+            outgoing.append(Outgoing(sender, self._facts_of(move)))
+        outgoing.append(Outgoing(sender, self._share_message(move, sender, msg.incarnation)))
+        return outgoing
+
+    def on_share(self, now: float, sender: str, msg: MoveShare) -> None:
+        """Take in the share that a judge has sent."""
+        move = self._moves.get(msg.move_id)
+        if move is None:
+            return
+        move.acknowledge(sender, msg.incarnation, msg.acknowledged)
+        owner, deputy = self._judges(move.entry.pool)
+        if sender in (owner, deputy):
+            move.hear_judge(now, msg, sender == owner)
+
+    def on_facts(self, rng: random.Random, msg: MoveFacts) -> list[Outgoing]:
+        """Merge facts and return the messages that pass on those that were news."""
+        outgoing: list[Outgoing] = []
+        for move_id, taken_back, answer, why in msg.facts:
+            move = self._moves.get(move_id)
+            if move is None:
+                continue
+            if move.learn(taken_back, MoveAnswer(answer) if answer else None, why):
+                outgoing += self._spread_to_some(rng, move, FORWARD_COUNT)
+        return outgoing
+
+    def _serving(self, pool: str) -> tuple[str, HostMove | None]:
+        """Return the version that serves a pool, and the move that is under way, if any."""
+        version = self._pools.get(pool, "")
+        for move in self._moves.values():
+            if move.entry.pool != pool or move.entry.from_version != version:
+                continue
+            if move.moved:
+                version = move.entry.to_version
+            elif move.answer is None and not move.judge.taken_back:
+                return version, move
+        return version, None
+
+    def _is_active(self, move: HostMove) -> bool:
+        return self._serving(move.entry.pool)[1] is move
+
+    def _waits_for(self, now: float, move: HostMove) -> str:
+        if move.answer is not None or move.judge.taken_back:
+            return ""
+        version, active = self._serving(move.entry.pool)
+        if active is None:
+            return f"the pool's version is {version}, not {move.entry.from_version}"
+        if active is not move:
+            return f"waits for move {active.entry.name}"
+        return "not started" if now < move.entry.starts_at else ""
+
+    def _judges(self, pool: str) -> tuple[str, str]:
+        """Return the owner of a pool and its deputy, who may be the same."""
+        owner = self._members.owner_of(pool)
+        for number in range(DEPUTY_TRIES):
+            deputy = self._members.owner_of(f"{pool}/deputy-{number}")
+            if deputy != owner:
+                return owner, deputy
+        return owner, owner
+
+    def _tick_move(self, now: float, move: HostMove) -> list[Outgoing]:
+        owner, deputy = self._judges(move.entry.pool)
+        name = self._members.name
+        move.counter.find_overdue(now)
+        outgoing = self._report(now, move, {owner, deputy})
+        is_judge = name in (owner, deputy) or now < move.judges_until
+        if is_judge or move.is_silent(now, self.report_period_s):
+            move.judge.look(now)
+        if move.judge.taken_back:
+            outgoing += self._spread_to_all(move)
+            self._record(now, move)
+        elif name == owner:
+            outgoing += self._lead(now, move)
+        return outgoing
+
+    def _report(self, now: float, move: HostMove, judges: set[str]) -> list[Outgoing]:
+        period_s = URGENT_PERIOD_S if move.counter.urgent else self.report_period_s
+        if now - move.reported_at < period_s - TICK_PERIOD_S / 2 or now < move.entry.starts_at:
+            return []
+        move.reported_at = now
+        move.counter.urgent = False
+        move.counter.evidence.begin_report()
+        own = self._members.name
+        move.judge.receive(own, move.report_for(now, own, self._incarnation))
+        move.acknowledge(own, move.judge.incarnation, move.counter.evidence.sequence)
+        reports = []
+        for host in sorted(judges - {own}):
+            reports.append(Outgoing(host, move.report_for(now, host, self._incarnation)))
+        return reports
+
+    def _lead(self, now: float, move: HostMove) -> list[Outgoing]:
+        """Grow the share, and have the answer recorded once the move is complete."""
+        judge = move.judge
+        if not self._has_read(now, move):
+            return []
+        step = judge.step
+        live = self._members.live()
+        judge.grow(now, live, self.report_period_s)
+        own = self._share_message(move, self._members.name, self._incarnation)
+        move.hear_judge(now, own, is_owner=True)
+        if judge.step == COMPLETE_STEP:
+            judge.why = COMPLETE_WHY
+            if judge.may_finish(now, live, self.report_period_s):
+                self._record(now, move)
+        if judge.step == step:
+            return []
+        others = [host for host in live if host != self._members.name]
+        return [Outgoing(host, self._share_message(move, host, 0)) for host in others]
+
+    def _has_read(self, now: float, move: HostMove) -> bool:
+        """Tell whether the record was asked for an earlier answer, or for long enough."""
+        if not move.read_done and now - move.asked_at >= RECORD_RETRY_S:
+            if move.asked_at == float("-inf"):
+                move.read_by = now + READ_WAIT_S
+            move.asked_at = now
+            self._recorder.read(move.move_id)
+        return move.read_done or now >= move.read_by
+
+    def _record(self, now: float, move: HostMove) -> None:
+        if self._members.owner_of(move.entry.pool) != self._members.name:
+            return
+        if move.answer is not None or now - move.asked_at < RECORD_RETRY_S:
+            return
+        move.asked_at = now
+        if move.judge.taken_back:
+            self._recorder.record(move.move_id, MoveAnswer.TAKEN_BACK, move.judge.taken_back)
+        else:
+            self._recorder.record(move.move_id, MoveAnswer.DONE, "all traffic on the new version")
+
+    def _share_message(self, move: HostMove, host: str, incarnation: int) -> MoveShare:
+        judge = move.judge
+        acknowledged = judge.evidence.sequence_of(host, incarnation) if incarnation else 0
+        return MoveShare(
+            move.move_id, judge.incarnation, judge.step, judge.step_since, acknowledged, judge.why
+        )
+
+    def _facts_of(self, move: HostMove) -> MoveFacts:
+        fact = move.fact()
+        return MoveFacts([fact] if fact else [])
+
+    def _others(self) -> list[str]:
+        return [host for host in self._members.live() if host != self._members.name]
+
+    def _spread_to_all(self, move: HostMove) -> list[Outgoing]:
+        return [Outgoing(host, self._facts_of(move)) for host in self._others()]
+
+    def _spread_to_some(self, rng: random.Random, move: HostMove, count: int) -> list[Outgoing]:
+        others = self._others()
+        chosen = rng.sample(others, min(count, len(others)))
+        return [Outgoing(host, self._facts_of(move)) for host in chosen]
+
+    def _gossip(self, rng: random.Random) -> list[Outgoing]:
+        """Send all facts to one host now and then, so that a lost message is made good."""
+        facts = [fact for fact in (move.fact() for move in self._moves.values()) if fact]
+        others = self._others()
+        if not facts or not others or rng.random() > TICK_PERIOD_S / self.report_period_s:
+            return []
+        return [Outgoing(rng.choice(others), MoveFacts(facts))]
--- /dev/null
+++ b/tarragonwind/core/move_trials.py
@@ -0,0 +1,136 @@
+"""Follow the requests of a move on one host until their outcomes are counted."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from tarragonwind.core.evidence import (
+    Cell,
+    CellKey,
+    HostEvidence,
+    LoadLevel,
+    Side,
+    Signal,
+    TimeReference,
+)
+
+
+class Outcome(enum.Enum):
+    """Tell how a request ended, as far as its version can be blamed."""
+
+    OK = "ok"
+    FAILED = "failed"
+    IGNORED = "ignored"
+    """Ended for another reason, such as a caller that left."""
+
+
+@dataclass(slots=True, eq=False)
+class Trial:
+    """Hold one request of a move from its dispatch on.
+
+    Attributes
+    ----------
+    move_id : str
+        Move that it counts for.
+    key : CellKey
+        Cell that it counts in.
+    started_at : float
+        Time of dispatch, in seconds since the epoch.
+    first_byte_at : float or None
+        Time of the answer's first byte.
+    judged : bool
+        Whether its first byte was counted, in time or not.
+    """
+
+    move_id: str
+    key: CellKey
+    started_at: float
+    first_byte_at: float | None = None
+    judged: bool = False
+
+
+class TrialCounter:
+    """Turn the requests of one move on one host into counts.
+
+    Attributes
+    ----------
+    evidence : HostEvidence
+        Cumulative counts.
+    urgent : bool
+        Whether the new version did something that a judge should hear of soon.
+    """
+
+    __slots__ = ("_open", "_references", "evidence", "urgent")
+
+    def __init__(self) -> None:
+        self.evidence = HostEvidence()
+        self.urgent = False
+        self._open: dict[int, Trial] = {}
+        self._references: dict[tuple[str, LoadLevel, Signal], TimeReference] = {}
+
+    def start(self, now: float, move_id: str, key: CellKey) -> Trial:
+        """Follow a request from its dispatch on."""
+        trial = Trial(move_id, key, now)
+        self._open[id(trial)] = trial
+        return trial
+
+    def first_byte(self, now: float, trial: Trial) -> None:
+        """Count the time to the first byte, once."""
+        if trial.first_byte_at is not None:
+            return
+        trial.first_byte_at = now
+        time_s = now - trial.started_at
+        reference = self._reference(trial, Signal.FIRST_BYTE)
+        limit_s = reference.limit_s()
+        if not trial.judged and limit_s is not None:
+            self._judge_start(trial, time_s > limit_s)
+        if trial.key.side is Side.OLD:
+            reference.add(now, time_s)
+
+    def finish(self, now: float, trial: Trial, outcome: Outcome, tokens: int) -> None:
+        """Count the end of a request, once."""
+        if self._open.pop(id(trial), None) is None or outcome is Outcome.IGNORED:
+            return
+        cell = self._touch(trial)
+        cell.finished += 1
+        if outcome is Outcome.FAILED:
+            cell.failed += 1
+            self.urgent = self.urgent or trial.key.side is Side.NEW
+        elif tokens > 1 and trial.first_byte_at is not None:
+            self._count_pace(now, trial, cell, (now - trial.first_byte_at) / (tokens - 1))
+
+    def find_overdue(self, now: float) -> None:
+        """Count requests as slow whose first byte is already late."""
+        for trial in self._open.values():
+            if trial.judged or trial.first_byte_at is not None:
+                continue
+            limit_s = self._reference(trial, Signal.FIRST_BYTE).limit_s()
+            if limit_s is not None and now - trial.started_at > limit_s:
+                self._judge_start(trial, True)
+
+    def _judge_start(self, trial: Trial, late: bool) -> None:
+        trial.judged = True
+        cell = self._touch(trial)
+        cell.started += 1
+        cell.late += late
+        self.urgent = self.urgent or (late and trial.key.side is Side.NEW)
+
+    def _count_pace(self, now: float, trial: Trial, cell: Cell, token_s: float) -> None:
+        reference = self._reference(trial, Signal.PER_TOKEN)
+        limit_s = reference.limit_s()
+        if limit_s is not None:
+            cell.paced += 1
+            cell.slow += token_s > limit_s
+        if trial.key.side is Side.OLD:
+            reference.add(now, token_s)
+
+    def _touch(self, trial: Trial) -> Cell:
+        return self.evidence.touch(trial.key)
+
+    def _reference(self, trial: Trial, signal: Signal) -> TimeReference:
+        name = (trial.key.route, trial.key.level, signal)
+        reference = self._references.get(name)
+        if reference is None:
+            reference = self._references[name] = TimeReference()
+        return reference
--- /dev/null
+++ b/tarragonwind/core/moves.py
@@ -0,0 +1,295 @@
+"""Judge one move between versions: how far its share goes, and whether it is taken back."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import Protocol
+
+from tarragonwind.core.badness_tests import (
+    NOTHING,
+    SUSPICION_GAP,
+    Finding,
+    LateDetector,
+    find_in_step,
+)
+from tarragonwind.core.entries import MoveEntry
+from tarragonwind.core.evidence import Cell, LoadLevel, MergedEvidence, Side, Signal
+from tarragonwind.core.move_messages import MoveReport
+from tarragonwind.core.move_steps import (
+    COMPLETE_STEP,
+    FIRST_STEP,
+    MIN_DWELL_FRACTION,
+    STEPS,
+    duration_s,
+    earliest_at,
+    good_margin,
+    latest_at,
+)
+from tarragonwind.core.sequential_tests import good_log_evidence, log_threshold
+
+GOOD_ALPHA = 0.05
+"""Probability that a step is taken early though the excess rate is at its margin."""
+
+RESTART_FRACTION = 0.025
+MIN_RESTART_S = 2.0
+"""Least time between restarts of the comparison, in seconds."""
+
+PAUSE_S = 1.5
+"""Time between two looks from which a judge counts as paused, in seconds."""
+
+HEARD_FRACTION = 0.75
+"""Fraction of the live hosts whose fresh reports a growing share needs."""
+
+FRESH_PERIODS = 3.0
+"""Report periods for which a report is fresh."""
+
+MIN_LEVEL_TRIALS = 20
+"""Outcomes at the high load level after which a step is taken early."""
+
+
+class MoveAnswer(enum.Enum):
+    """Answer whether a move is done or has been taken back."""
+
+    DONE = "done"
+    TAKEN_BACK = "taken_back"
+
+
+class VerdictRecorder(Protocol):
+    """Reach the record of answers; what it learns is handed to `MoveTable.learn_answer`."""
+
+    def read(self, move_id: str) -> None:
+        """Ask for the recorded answer."""
+
+    def record(self, move_id: str, answer: MoveAnswer, why: str) -> None:
+        """Record an answer unless one is recorded; the first writer wins."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoveStatus:
+    """Describe a move to operators.
+
+    Attributes
+    ----------
+    move_id, name : str
+        Identity of the move, and the name of its catalogue entry.
+    answer : MoveAnswer or None
+        Recorded answer, the same on every host; None while the move is not settled.
+    share : float
+        Fraction of requests that this host gives to the new version.
+    why : str
+        Reason of the answer, or why the move is not settled.
+    withheld : bool
+        Whether badness showed before the answer "done" was known, so that the old version serves.
+    """
+
+    move_id: str
+    name: str
+    answer: MoveAnswer | None
+    share: float
+    why: str
+    withheld: bool
+
+
+def move_identity(move: MoveEntry) -> str:
+    """Return the identity of a move: an entry with other versions or start is another move."""
+    start = int(move.starts_at * 1000)
+    return f"{move.name}:{move.pool}:{move.from_version}:{move.to_version}:{start}"
+
+
+@dataclass(slots=True)
+class HostReport:
+    """Hold when a host last reported and the step in force there."""
+
+    sent_at: float
+    step: int
+
+
+class MoveJudge:
+    """Weigh the merged evidence of one move.
+
+    Parameters
+    ----------
+    move : MoveEntry
+        Move to judge.
+    now : float
+        Seconds since the epoch.
+
+    Attributes
+    ----------
+    step : int
+        Index into `STEPS`; it never falls.
+    taken_back : str
+        Why the move was taken back, empty while it wasn't; never cleared.
+    why : str
+        Why the step is what it is.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_detector",
+        "_heard",
+        "_looked_at",
+        "_valid_from",
+        "evidence",
+        "finding",
+        "incarnation",
+        "move",
+        "step",
+        "step_since",
+        "taken_back",
+        "why",
+    )
+
+    def __init__(self, move: MoveEntry, now: float) -> None:
+        self.move = move
+        self.incarnation = int(now * 1000)
+        self.evidence = MergedEvidence()
+        self.step = 0
+        self.step_since = now
+        self.taken_back = ""
+        self.why = "not started"
+        self.finding: Finding = NOTHING
+        self._detector = LateDetector(max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move)))
+        self._heard: dict[str, HostReport] = {}
+        self._looked_at = now
+        self._valid_from = 0.0
+        self._changed = False
+
+    def receive(self, host: str, report: MoveReport) -> None:
+        """Take in a host's report; a repeated or outdated one changes nothing."""
+        self.take_back(report.taken_back)
+        self.adopt_step(report.step, report.step_since)
+        if not self.evidence.apply(host, report.incarnation, report.sequence, report.rows):
+            return
+        self._changed = self._changed or bool(report.rows)
+        self._heard[host] = HostReport(report.sent_at, report.step)
+
+    def take_back(self, why: str) -> None:
+        """Note that the move is taken back, when a reason is given; the first reason stays."""
+        self.taken_back = self.taken_back or why
+
+    def adopt_step(self, step: int, since: float) -> None:
+        """Join a step that is in force elsewhere; the larger step and the earlier time win."""
+        if step > self.step:
+            self.step = step
+            self.step_since = since
+        elif step == self.step:
+            self.step_since = min(self.step_since, since)
+
+    def look(self, now: float) -> None:
+        """Note the time and look for badness in what has changed since."""
+        if now - self._looked_at > PAUSE_S or now < self._looked_at:
+            self._valid_from = now
+        self._looked_at = now
+        if self.taken_back or not self._changed:
+            return
+        self._changed = False
+        self.finding = self._find(now)
+        if self.finding.excess >= 0.0:
+            self.take_back(self.finding.why)
+
+    def _find(self, now: float) -> Finding:
+        findings = [self._detector.find(now, self.evidence.totals, self.step)]
+        for step in range(max(FIRST_STEP, self.step - 1), self.step + 1):
+            findings.append(find_in_step(self.evidence.totals, step))
+        return max(findings, key=lambda finding: finding.excess)
+
+    def grow(self, now: float, live: Collection[str], report_period_s: float) -> None:
+        """Go to the next step when evidence or time asks for it; only the pool's owner calls it.
+
+        Parameters
+        ----------
+        now : float
+            Seconds since the epoch.
+        live : collection of str
+            Names of the live hosts.
+        report_period_s : float
+            Time between two reports of a host, in seconds.
+        """
+        if self.taken_back or self.step == COMPLETE_STEP:
+            return
+        self.why = self._obstacle(now, live, report_period_s)
+        if not self.why:
+            self.step += 1
+            self.step_since = now
+            self.why = f"step {self.step} of {COMPLETE_STEP} in force"
+
+    def may_finish(self, now: float, live: Collection[str], report_period_s: float) -> bool:
+        """Tell whether "done" may be recorded: all traffic moved, nothing bad seen since."""
+        if self.taken_back or self.step != COMPLETE_STEP or self._is_suspect():
+            return False
+        return self._is_heard(now, live, report_period_s, COMPLETE_STEP)
+
+    def _obstacle(self, now: float, live: Collection[str], report_period_s: float) -> str:
+        """Return what keeps the move from its next step, empty for nothing."""
+        step = self.step + 1
+        if now < self.move.starts_at:
+            return "not started"
+        if not self._is_heard(now, live, report_period_s, 0):
+            return "too few hosts have reported"
+        if self._is_suspect():
+            return f"under suspicion: {self.finding.why}"
+        if step == FIRST_STEP:
+            return ""
+        if now - self.step_since < MIN_DWELL_FRACTION * duration_s(self.move):
+            return f"step {self.step} of {COMPLETE_STEP} in force"
+        trials = self._trials()
+        if trials < STEPS[step].min_trials:
+            needed = STEPS[step].min_trials
+            return f"too little traffic: {trials} of {needed} requests seen"
+        if now >= latest_at(self.move, step):
+            return ""
+        if now < earliest_at(self.move, step):
+            return f"step {self.step} of {COMPLETE_STEP} in force, as planned"
+        return self._missing_evidence(step)
+
+    def _is_heard(
+        self, now: float, live: Collection[str], report_period_s: float, step: int
+    ) -> bool:
+        since = max(self._valid_from, now - FRESH_PERIODS * report_period_s)
+        heard = 0
+        for host in live:
+            report = self._heard.get(host)
+            if report is not None and report.sent_at >= since and report.step >= step:
+                heard += 1
+        return heard >= HEARD_FRACTION * len(live)
+
+    def _is_suspect(self) -> bool:
+        return self.finding.excess > -SUSPICION_GAP
+
+    def _trials(self) -> int:
+        """Return the finished requests of the new version since the move's start."""
+        total = 0
+        for key, cell in self.evidence.totals.items():
+            if key.side is Side.NEW:
+                total += cell.finished
+        return total
+
+    def _sum(self, side: Side, level: LoadLevel | None = None) -> Cell:
+        total = Cell()
+        for key, cell in self.evidence.totals.items():
+            if key.step == self.step and key.side is side and level in (None, key.level):
+                total = total.plus(cell)
+        return total
+
+    def _missing_evidence(self, step: int) -> str:
+        """Return which evidence a step before its latest time lacks, empty for none."""
+        new = self._sum(Side.NEW)
+        old = self._sum(Side.OLD)
+        for signal in Signal:
+            if signal is not Signal.FAILED and not old.tally(signal).trials:
+                continue
+            margin = good_margin(signal, step)
+            evidence = good_log_evidence(new.tally(signal), old.tally(signal), margin)
+            if evidence < log_threshold(GOOD_ALPHA):
+                return f"gathering evidence: {signal.name.lower()}, {new.finished} requests seen"
+        return self._missing_load()
+
+    def _missing_load(self) -> str:
+        old = self._sum(Side.OLD, LoadLevel.HIGH)
+        new = self._sum(Side.NEW, LoadLevel.HIGH)
+        if old.finished >= MIN_LEVEL_TRIALS > new.finished:
+            return f"gathering evidence under high load, {new.finished} requests seen"
+        return ""
--- /dev/null
+++ b/tarragonwind/core/sequential_tests.py
@@ -0,0 +1,91 @@
+"""Compare two versions by tests that stay valid however often and whenever they are looked at.
+
+The statistic is a likelihood ratio: a mixture over both rates, divided by the largest likelihood
+that the null hypothesis allows. Under any rates of the null hypothesis it is below a non-negative
+martingale that starts at 1, so it ever reaches ``1 / alpha`` with a probability of at most
+``alpha``. It depends on the totals only: neither the order of reports, their number, nor the
+process that adds them up changes it.
+"""
+
+from __future__ import annotations
+
+import math
+
+from tarragonwind.core.evidence import Tally
+
+PRIOR_HITS = 0.5
+PRIOR_MISSES = 0.5
+SEARCH_STEPS = 40
+_PRIOR_LOG_BETA = math.lgamma(PRIOR_HITS) + math.lgamma(PRIOR_MISSES) - math.lgamma(1.0)
+
+
+def bad_log_evidence(new: Tally, old: Tally, margin: float) -> float:
+    """Return the log evidence against "the new rate exceeds the old by at most `margin`".
+
+    Parameters
+    ----------
+    new, old : Tally
+        Totals of the two versions over the same time.
+    margin : float
+        Excess of the new version's rate that is put up with.
+
+    Returns
+    -------
+    float
+        Natural logarithm of the evidence; at most 0 when the observed excess is within the margin.
+    """
+    if not new.trials or not old.trials or new.rate <= old.rate + margin:
+        return 0.0
+    null = _boundary_log_likelihood(new, old, margin)
+    return _log_mixture(new) + _log_mixture(old) - null
+
+
+def good_log_evidence(new: Tally, old: Tally, margin: float) -> float:
+    """Return the log evidence against "the new rate exceeds the old by `margin` or more"."""
+    if not new.trials or not old.trials or new.rate >= old.rate + margin:
+        return 0.0
+    null = _boundary_log_likelihood(new, old, margin)
+    return _log_mixture(new) + _log_mixture(old) - null
+
+
+def log_threshold(alpha: float) -> float:
+    """Return the log evidence that an error rate of `alpha` asks for."""
+    return -math.log(alpha)
+
+
+def restart_alpha(alpha: float, number: int) -> float:
+    """Return the part of `alpha` that the restart with a number (from 1) may spend."""
+    return alpha / (number * (number + 1))
+
+
+def _log_mixture(tally: Tally) -> float:
+    hits = PRIOR_HITS + tally.hits
+    misses = PRIOR_MISSES + tally.trials - tally.hits
+    return math.lgamma(hits) + math.lgamma(misses) - math.lgamma(hits + misses) - _PRIOR_LOG_BETA
+
+
+def _boundary_log_likelihood(new: Tally, old: Tally, margin: float) -> float:
+    """Return the largest log likelihood with the new rate `margin` above the old one."""
+    low = 0.0
+    high = 1.0 - margin
+    for _ in range(SEARCH_STEPS):
+        middle = (low + high) / 2.0
+        if _slope(new, middle + margin) + _slope(old, middle) > 0.0:
+            low = middle
+        else:
+            high = middle
+    rate = (low + high) / 2.0
+    return _log_likelihood(new, rate + margin) + _log_likelihood(old, rate)
+
+
+def _slope(tally: Tally, rate: float) -> float:
+    return tally.hits / rate - (tally.trials - tally.hits) / (1.0 - rate)
+
+
+def _log_likelihood(tally: Tally, rate: float) -> float:
+    total = 0.0
+    if tally.hits:
+        total += tally.hits * math.log(rate)
+    if tally.trials > tally.hits:
+        total += (tally.trials - tally.hits) * math.log1p(-rate)
+    return total
