Compare versions across steps of the share by one statistic

Cause: each step was tested by itself, so a version failing 20% of its requests kept 4 to 10 failures in each step below the threshold, and time alone took it to a share of 0.5. The pairs of all steps now share one mixture, while the null hypothesis keeps a rate of its own for each pair; a step is also held while a signal looks worse than its margin by a standard error, and steps from the third on wait for outcomes under high load.

--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -68,6 +68,9 @@
         """Return hits for each trial, 0 without trials."""
         return self.hits / self.trials if self.trials else 0.0
 
+    def __str__(self) -> str:
+        return f"{self.hits} of {self.trials}"
+
     def __add__(self, other: Tally) -> Tally:
         return Tally(self.trials + other.trials, self.hits + other.hits)
 
--- a/tarragonwind/core/move_steps.py
+++ b/tarragonwind/core/move_steps.py
@@ -16,6 +16,10 @@
 """Last step of a version that has proved nothing yet."""
 
 
+FIRST_LOADED_STEP = 3
+"""First step that waits for outcomes under high load, if the old version has them."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """Describe one step of a move.
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -9,7 +9,7 @@
 from tarragonwind.core.evidence import load_level
 from tarragonwind.core.host_moves import HostMove
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
-from tarragonwind.core.move_steps import COMPLETE_STEP
+from tarragonwind.core.move_steps import COMPLETE_STEP, FIRST_LOADED_STEP
 from tarragonwind.core.move_trials import Outcome, Trial
 from tarragonwind.core.moves import (
     FRESH_PERIODS,
@@ -123,6 +123,14 @@
         _, move = self._serving(pool)
         return move.share(now, self.report_period_s) if move else 0.0
 
+    def concentrates(self, pool: str) -> bool:
+        """Tell whether new-version requests should fill one upstream before they use the next.
+
+        So a small share shows how the version behaves under high load.
+        """
+        _, move = self._serving(pool)
+        return move is not None and move.judge.step <= FIRST_LOADED_STEP
+
     def start(
         self, now: float, pool: str, route: str, version: str, in_flight_fraction: float
     ) -> Trial | None:
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -8,17 +8,21 @@
 from typing import Protocol
 
 from tarragonwind.core.badness_tests import (
+    BAD_ALPHA,
+    BAD_MARGINS,
     NOTHING,
     SUSPICION_GAP,
     Finding,
     LateDetector,
-    find_in_step,
+    find_beside_past,
+    find_in_cells,
 )
 from tarragonwind.core.entries import MoveEntry
 from tarragonwind.core.evidence import Cell, LoadLevel, MergedEvidence, Side, Signal
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
     COMPLETE_STEP,
+    FIRST_LOADED_STEP,
     FIRST_STEP,
     MIN_DWELL_FRACTION,
     STEPS,
@@ -27,7 +31,12 @@
     good_margin,
     latest_at,
 )
-from tarragonwind.core.sequential_tests import good_log_evidence, log_threshold
+from tarragonwind.core.sequential_tests import (
+    Pair,
+    good_log_evidence,
+    least_excess,
+    log_threshold,
+)
 
 GOOD_ALPHA = 0.05
 """Probability that a step is taken early though the excess rate is at its margin."""
@@ -191,9 +200,13 @@
             self.take_back(self.finding.why)
 
     def _find(self, now: float) -> Finding:
-        findings = [self._detector.find(now, self.evidence.totals, self.step)]
-        for step in range(max(FIRST_STEP, self.step - 1), self.step + 1):
-            findings.append(find_in_step(self.evidence.totals, step))
+        totals = self.evidence.totals
+        findings = [
+            find_in_cells(totals, BAD_ALPHA / 2.0, BAD_MARGINS),
+            self._detector.find(now, totals, self.step),
+        ]
+        if self.step == COMPLETE_STEP:
+            findings.append(find_beside_past(totals, BAD_ALPHA / 4.0))
         return max(findings, key=lambda finding: finding.excess)
 
     def grow(self, now: float, live: Collection[str], report_period_s: float) -> None:
@@ -233,17 +246,21 @@
             return f"under suspicion: {self.finding.why}"
         if step == FIRST_STEP:
             return ""
+        doubt = self._doubt(step)
+        if doubt:
+            return doubt
         if now - self.step_since < MIN_DWELL_FRACTION * duration_s(self.move):
             return f"step {self.step} of {COMPLETE_STEP} in force"
         trials = self._trials()
         if trials < STEPS[step].min_trials:
             needed = STEPS[step].min_trials
             return f"too little traffic: {trials} of {needed} requests seen"
-        if now >= latest_at(self.move, step):
+        unloaded = self._missing_load()
+        if now >= latest_at(self.move, min(step + 1, COMPLETE_STEP) if unloaded else step):
             return ""
         if now < earliest_at(self.move, step):
             return f"step {self.step} of {COMPLETE_STEP} in force, as planned"
-        return self._missing_evidence(step)
+        return unloaded or self._missing_evidence(step)
 
     def _is_heard(
         self, now: float, live: Collection[str], report_period_s: float, step: int
@@ -274,6 +291,16 @@
                 total = total.plus(cell)
         return total
 
+    def _doubt(self, step: int) -> str:
+        """Return which signal looks worse than a step allows, empty for none."""
+        new = self._sum(Side.NEW)
+        old = self._sum(Side.OLD)
+        for signal in Signal:
+            excess = least_excess(Pair(new.tally(signal), old.tally(signal)))
+            if excess > good_margin(signal, step):
+                return f"in doubt: {signal.name.lower()} {new.tally(signal)}, {old.tally(signal)}"
+        return ""
+
     def _missing_evidence(self, step: int) -> str:
         """Return which evidence a step before its latest time lacks, empty for none."""
         new = self._sum(Side.NEW)
@@ -282,12 +309,16 @@
             if signal is not Signal.FAILED and not old.tally(signal).trials:
                 continue
             margin = good_margin(signal, step)
-            evidence = good_log_evidence(new.tally(signal), old.tally(signal), margin)
+            pair = Pair(new.tally(signal), old.tally(signal))
+            evidence = good_log_evidence([pair], margin)
             if evidence < log_threshold(GOOD_ALPHA):
                 return f"gathering evidence: {signal.name.lower()}, {new.finished} requests seen"
-        return self._missing_load()
+        return ""
 
     def _missing_load(self) -> str:
+        """Return that the new version lacks outcomes under high load, empty if it has them."""
+        if self.step < FIRST_LOADED_STEP:
+            return ""
         old = self._sum(Side.OLD, LoadLevel.HIGH)
         new = self._sum(Side.NEW, LoadLevel.HIGH)
         if old.finished >= MIN_LEVEL_TRIALS > new.finished:
--- a/tarragonwind/core/sequential_tests.py
+++ b/tarragonwind/core/sequential_tests.py
@@ -1,15 +1,17 @@
 """Compare two versions by tests that stay valid however often and whenever they are looked at.
 
 The statistic is a likelihood ratio: a mixture over both rates, divided by the largest likelihood
-that the null hypothesis allows. Under any rates of the null hypothesis it is below a non-negative
-martingale that starts at 1, so it ever reaches ``1 / alpha`` with a probability of at most
-``alpha``. It depends on the totals only: neither the order of reports, their number, nor the
-process that adds them up changes it.
+that the null hypothesis allows (universal inference; Wasserman, Ramdas and Balakrishnan, 2020).
+Under any rates of the null hypothesis it is below a non-negative martingale that starts at 1, so
+it ever reaches ``1 / alpha`` with a probability of at most ``alpha``. It depends on totals only:
+neither the order of reports, nor their number, nor the process that adds them up changes it.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from tarragonwind.core.evidence import Tally
 
@@ -19,35 +21,79 @@
 _PRIOR_LOG_BETA = math.lgamma(PRIOR_HITS) + math.lgamma(PRIOR_MISSES) - math.lgamma(1.0)
 
 
-def bad_log_evidence(new: Tally, old: Tally, margin: float) -> float:
-    """Return the log evidence against "the new rate exceeds the old by at most `margin`".
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """Hold what two versions did side by side, with an unchanged ratio of their shares."""
+
+    new: Tally
+    old: Tally
+
+
+def bad_log_evidence(pairs: Sequence[Pair], margin: float) -> float:
+    """Return the log evidence against "the new rate never exceeds the old by more than `margin`".
 
     Parameters
     ----------
-    new, old : Tally
-        Totals of the two versions over the same time.
+    pairs : sequence of Pair
+        Totals of periods or load levels. Under the null hypothesis the old rate may differ from
+        pair to pair, so that a common change of both versions is no evidence.
     margin : float
         Excess of the new version's rate that is put up with.
 
     Returns
     -------
     float
-        Natural logarithm of the evidence; at most 0 when the observed excess is within the margin.
+        Natural logarithm of the evidence; 0 when the observed excess is within the margin.
     """
+    new, old = _sum_pairs(pairs)
     if not new.trials or not old.trials or new.rate <= old.rate + margin:
         return 0.0
-    null = _boundary_log_likelihood(new, old, margin)
+    null = 0.0
+    for pair in pairs:
+        if pair.new.rate <= pair.old.rate + margin:
+            null += _largest_log_likelihood(pair.new) + _largest_log_likelihood(pair.old)
+        else:
+            null += _boundary_log_likelihood(pair, margin)
     return _log_mixture(new) + _log_mixture(old) - null
 
 
-def good_log_evidence(new: Tally, old: Tally, margin: float) -> float:
-    """Return the log evidence against "the new rate exceeds the old by `margin` or more"."""
+def good_log_evidence(pairs: Sequence[Pair], margin: float) -> float:
+    """Return the log evidence against "the new rate always exceeds the old by `margin` or more"."""
+    new, old = _sum_pairs(pairs)
     if not new.trials or not old.trials or new.rate >= old.rate + margin:
         return 0.0
-    null = _boundary_log_likelihood(new, old, margin)
+    null = 0.0
+    for pair in pairs:
+        if pair.new.rate >= pair.old.rate + margin:
+            null += _largest_log_likelihood(pair.new) + _largest_log_likelihood(pair.old)
+        else:
+            null += _boundary_log_likelihood(pair, margin)
     return _log_mixture(new) + _log_mixture(old) - null
 
 
+def _sum_pairs(pairs: Sequence[Pair]) -> tuple[Tally, Tally]:
+    new = Tally(0, 0)
+    old = Tally(0, 0)
+    for pair in pairs:
+        new = new + pair.new
+        old = old + pair.old
+    return new, old
+
+
+def _largest_log_likelihood(tally: Tally) -> float:
+    return _log_likelihood(tally, tally.rate)
+
+
+def least_excess(pair: Pair) -> float:
+    """Return the observed excess of the new rate, less one standard error."""
+    new = pair.new
+    if not new.trials or not pair.old.trials:
+        return 0.0
+    smoothed = (new.hits + 1) / (new.trials + 2)
+    error = math.sqrt(smoothed * (1.0 - smoothed) / new.trials)
+    return new.rate - pair.old.rate - error
+
+
 def log_threshold(alpha: float) -> float:
     """Return the log evidence that an error rate of `alpha` asks for."""
     return -math.log(alpha)
@@ -64,8 +110,10 @@
     return math.lgamma(hits) + math.lgamma(misses) - math.lgamma(hits + misses) - _PRIOR_LOG_BETA
 
 
-def _boundary_log_likelihood(new: Tally, old: Tally, margin: float) -> float:
+def _boundary_log_likelihood(pair: Pair, margin: float) -> float:
     """Return the largest log likelihood with the new rate `margin` above the old one."""
+    new = pair.new
+    old = pair.old
     low = 0.0
     high = 1.0 - margin
     for _ in range(SEARCH_STEPS):
