--- /dev/null
+++ b/tarragonwind/documents.py
@@ -0,0 +1,101 @@
+"""Read YAML documents with the line of each key, refusing what YAML lets pass silently."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import yaml
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+"""Largest YAML document that is read, in bytes."""
+
+DocPath = tuple[str | int, ...]
+
+
+class DocumentError(Exception):
+    """Report text that is not one well-formed YAML document without duplicate keys."""
+
+
+@dataclass(slots=True)
+class Document:
+    """Hold plain data and the line of each part of it.
+
+    Attributes
+    ----------
+    data : object
+        Lists, maps and scalars.
+    lines : dict
+        Line number, from 1, by path; a key's line is where the key stands.
+    """
+
+    data: Any
+    lines: dict[DocPath, int] = field(default_factory=dict)
+
+    def line_of(self, path: DocPath) -> int:
+        """Return the line of a path, or of its nearest parent that is in the document."""
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 1)
+
+
+def parse_document(text: str) -> Document:
+    """Parse one YAML document.
+
+    Raises
+    ------
+    DocumentError
+        When the text is too large, not YAML, uses aliases or repeats a key.
+    """
+    if len(text) > MAX_DOCUMENT_BYTES:
+        raise DocumentError(f"the document is larger than {MAX_DOCUMENT_BYTES} bytes")
+    loader = yaml.SafeLoader(text)
+    try:
+        _refuse_aliases(text)
+        node = loader.get_single_node()
+        if node is None:
+            return Document(None)
+        doc = Document(None)
+        _collect_lines(node, (), doc.lines)
+        doc.data = loader.construct_document(node)
+        return doc
+    except yaml.YAMLError as exc:
+        raise DocumentError(_describe_yaml_error(exc)) from exc
+    except (ValueError, RecursionError) as exc:
+        raise DocumentError(f"the document can't be read: {type(exc).__name__}") from exc
+    finally:
+        loader.dispose()
+
+
+def _refuse_aliases(text: str) -> None:
+    for token in yaml.scan(text, Loader=yaml.SafeLoader):
+        if isinstance(token, yaml.AliasToken):
+            line = token.start_mark.line + 1
+            raise DocumentError(f"line {line}: aliases are not allowed")
+
+
+def _collect_lines(node: yaml.Node, path: DocPath, lines: dict[DocPath, int]) -> None:
+    lines.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.SequenceNode):
+        for index, item in enumerate(node.value):
+            _collect_lines(item, (*path, index), lines)
+    if isinstance(node, yaml.MappingNode):
+        _collect_mapping(node, path, lines)
+
+
+def _collect_mapping(node: yaml.MappingNode, path: DocPath, lines: dict[DocPath, int]) -> None:
+    for key_node, value_node in node.value:
+        line = key_node.start_mark.line + 1
+        key_path = (*path, str(key_node.value))
+        if key_path in lines:
+            raise DocumentError(f"line {line}: the key {key_node.value!r} is repeated")
+        lines[key_path] = line
+        _collect_lines(value_node, key_path, lines)
+
+
+def _describe_yaml_error(exc: yaml.YAMLError) -> str:
+    mark = getattr(exc, "problem_mark", None)
+    problem = getattr(exc, "problem", None) or "not valid YAML"
+    if mark is None:
+        return str(problem)
+    return f"line {mark.line + 1}: {problem}"
--- /dev/null
+++ b/tarragonwind/settings_files.py
@@ -0,0 +1,157 @@
+"""Read a settings file, check it and say what is wrong with it."""
+
+from __future__ import annotations
+
+import difflib
+import ipaddress
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from tarragonwind.documents import DocPath, Document, DocumentError, parse_document
+from tarragonwind.settings import Settings, StoreBackend
+from tarragonwind.settings_tables import SettingRow, setting_rows
+
+MAX_SETTINGS_BYTES = 1024 * 1024
+"""Largest settings file that is read, in bytes."""
+
+
+class SettingsError(Exception):
+    """Report settings that are refused, with one line for each fault."""
+
+
+def read_settings(path: str | Path) -> Settings:
+    """Read, check and complete a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With one line for each fault: line, path of the key, fault and allowed range.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read(MAX_SETTINGS_BYTES + 1)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: can't be read: {exc}") from exc
+    if len(text) > MAX_SETTINGS_BYTES:
+        raise SettingsError(f"{path}: larger than {MAX_SETTINGS_BYTES} bytes")
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Check and complete settings given as YAML text; raise `SettingsError` on any fault."""
+    try:
+        doc = parse_document(text)
+    except DocumentError as exc:
+        raise SettingsError(str(exc)) from exc
+    if not isinstance(doc.data, dict):
+        raise SettingsError("line 1: settings are a map of sections")
+    try:
+        cfg = TypeAdapter(Settings).validate_python(doc.data)
+    except ValidationError as exc:
+        raise SettingsError(_describe_faults(doc, exc)) from exc
+    clashes = list(find_clashes(cfg))
+    if clashes:
+        raise SettingsError("\n".join(clashes))
+    return cfg
+
+
+def find_clashes(cfg: Settings) -> Iterator[str]:
+    """Yield a line for each pair of keys that can't both be meant."""
+    yield from _find_listen_clashes(cfg)
+    yield from _find_peer_clashes(cfg)
+    yield from _find_store_clashes(cfg)
+    yield from _find_half_addresses(cfg)
+
+
+def _find_listen_clashes(cfg: Settings) -> Iterator[str]:
+    sections = (("callers", cfg.callers), ("peers", cfg.peers), ("operators", cfg.operators))
+    seen: dict[int, tuple[str, str]] = {}
+    for name, section in sections:
+        host, port = section.listen_host, section.listen_port
+        if port in seen and _overlap(host, seen[port][1]):
+            yield f"{name}.listen_port: {port} is also {seen[port][0]}.listen_port"
+        seen.setdefault(port, (name, host))
+
+
+def _overlap(left: str, right: str) -> bool:
+    return left == right or _is_unspecified(left) or _is_unspecified(right)
+
+
+def _is_unspecified(host: str) -> bool:
+    return ipaddress.ip_address(host).is_unspecified
+
+
+def _find_peer_clashes(cfg: Settings) -> Iterator[str]:
+    peers = cfg.peers
+    if _is_unspecified(peers.advertised().host):
+        yield "peers.advertised_host: needed, since peers.listen_host names no single address"
+    others = [seed for seed in peers.seeds if seed.name != cfg.host.name]
+    if others and not peers.secret_file:
+        yield "peers.secret_file: needed, since peers.seeds names other hosts"
+    names = [seed.name for seed in peers.seeds]
+    for index, seed in enumerate(peers.seeds):
+        if seed.name in names[:index]:
+            yield f"peers.seeds[{index}].name: {seed.name} is listed twice"
+        if seed.name == cfg.host.name and seed.address() != peers.advertised():
+            yield (
+                f"peers.seeds[{index}]: names this host at {seed.address()}, "
+                f"but the peers section says {peers.advertised()}"
+            )
+
+
+def _find_store_clashes(cfg: Settings) -> Iterator[str]:
+    if cfg.store.backend is StoreBackend.ETCD and not cfg.store.endpoints:
+        yield "store.endpoints: at least one is needed, since store.backend is etcd"
+    if cfg.store.backend is StoreBackend.MEMORY:
+        if cfg.store.endpoints:
+            yield "store.endpoints: must be empty, since store.backend is memory"
+        if any(seed.name != cfg.host.name for seed in cfg.peers.seeds):
+            yield "store.backend: memory serves a single host, but peers.seeds names others"
+
+
+def _find_half_addresses(cfg: Settings) -> Iterator[str]:
+    for name, section in (("host_list", cfg.host_list), ("weights", cfg.weights)):
+        if bool(section.host) != bool(section.port):
+            yield f"{name}.host: give both {name}.host and {name}.port, or neither"
+
+
+def _describe_faults(doc: Document, exc: ValidationError) -> str:
+    rows = {row.path: row for row in setting_rows()}
+    lines = []
+    for error in exc.errors(include_url=False):
+        location: DocPath = error["loc"]
+        path = _join_path(location)
+        fault = _describe_fault(error, path, rows)
+        lines.append(f"line {doc.line_of(location)}: {path}: {fault}")
+    return "\n".join(lines)
+
+
+def _join_path(location: DocPath) -> str:
+    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in location]
+    return "".join(parts).removeprefix(".")
+
+
+def _describe_fault(error: Any, path: str, rows: dict[str, SettingRow]) -> str:
+    kind = error["type"]
+    if kind == "unexpected_keyword_argument":
+        return "unknown key" + _suggest_key(path, rows)
+    if kind == "missing":
+        return "required"
+    row = rows.get(_generic_path(error["loc"]))
+    if row is None:
+        return f"expected a map, got {error['input']!r:.60}"
+    return f"got {error['input']!r:.60}; allowed: {row.allowed}"
+
+
+def _generic_path(location: DocPath) -> str:
+    parts = ["[]" if isinstance(part, int) else f".{part}" for part in location]
+    return "".join(parts).removeprefix(".")
+
+
+def _suggest_key(path: str, rows: dict[str, SettingRow]) -> str:
+    known = {row.path for row in rows.values()} | {row.path.split(".")[0] for row in rows.values()}
+    close = difflib.get_close_matches(path, sorted(known), n=1, cutoff=0.8)
+    return f"; did you mean {close[0]}?" if close else ""
