--- /dev/null
+++ b/tarragonwind/adapters/operator_gates.py
@@ -0,0 +1,269 @@
+"""Let only whole, well-formed requests through to `circuits.web`, one a connection.
+
+`circuits.web` takes pipelined, contradictory and endless requests as they come. The gate reads
+each request with `httptools` within limits of size and time, and hands it on in one piece and in
+a canonical form. Answers pass back only while their connection is open.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from http import HTTPStatus
+from socket import socket
+from typing import Any
+
+import httptools
+from circuits import Component, handler
+from circuits.core.pollers import _disconnect
+from circuits.net.events import disconnect, read
+from circuits.net.sockets import TCP6Server, TCPServer
+from loguru import logger
+
+from tarragonwind.ports import Timer, Timers
+from tarragonwind.settings import OperatorSettings
+
+SOCKET_CHANNEL = "operators"
+WEB_CHANNEL = "web"
+MAX_HEAD_BYTES = 16 * 1024
+"""Largest request head, in bytes."""
+ANSWER_TIMEOUT_S = 60.0
+"""Time from a whole request to the end of its answer, in seconds."""
+
+_TARGET = re.compile(rb"/[A-Za-z0-9/_.~-]*(\?[A-Za-z0-9/_.~=&%:-]*)?")
+_METHODS = frozenset({b"GET", b"POST"})
+
+
+class GateError(Exception):
+    """Refuse a request before it reaches the web server.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    message : str
+        What is wrong.
+    """
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+class RequestReader:
+    """Read one request, given in pieces, within limits."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._body: list[bytes] = []
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._head_done = False
+        self.complete = False
+
+    def feed(self, data: bytes) -> None:
+        """Take a piece of the request.
+
+        Raises
+        ------
+        GateError
+            When the request is malformed, over a limit or followed by more.
+        """
+        if self.complete:
+            raise GateError(400, "one request a connection")
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as exc:
+            if isinstance(exc.__context__, GateError):
+                raise exc.__context__ from None
+            raise GateError(400, "malformed request") from exc
+        except httptools.HttpParserUpgrade:
+            raise GateError(400, "upgrades are not supported") from None
+        except httptools.HttpParserError:
+            raise GateError(400, "malformed request") from None
+        if not self._head_done and self._head_bytes > MAX_HEAD_BYTES:
+            raise GateError(431, f"the head is larger than {MAX_HEAD_BYTES} bytes")
+
+    def on_message_begin(self) -> None:
+        """Refuse a second request."""
+        if self.complete:
+            raise GateError(400, "one request a connection")
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field; those that frame or route may stand once."""
+        name = name.lower()
+        if name in self._headers and name in (b"host", b"authorization", b"content-length"):
+            raise GateError(400, f"{name.decode('latin-1')} is repeated")
+        self._headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._head_done = True
+        if self._parser.get_method() not in _METHODS:
+            raise GateError(405, "use GET or POST")
+        if not _TARGET.fullmatch(self._target):
+            raise GateError(400, "the target holds characters that are not allowed")
+        if b"transfer-encoding" in self._headers:
+            raise GateError(411, "send the body with Content-Length")
+        length = int(self._headers.get(b"content-length", b"0"))
+        if length > self._max_body_bytes:
+            raise GateError(413, f"the body is larger than {self._max_body_bytes} bytes")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the request."""
+        self.complete = True
+
+    def canonical(self) -> bytes:
+        """Return the whole request in the one form that the web server is given."""
+        body = b"".join(self._body)
+        lines = [self._parser.get_method() + b" " + self._target + b" HTTP/1.1"]
+        lines.append(b"Host: operators")
+        lines.append(b"Connection: close")
+        authorization = self._headers.get(b"authorization")
+        if authorization and authorization.isascii() and b"\\" not in authorization:
+            lines.append(b"Authorization: " + authorization)
+        lines.append(b"Content-Length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class GateConnection:
+    """Hold one connection's reader and time limit."""
+
+    __slots__ = ("answered", "reader", "timer")
+
+    def __init__(self, reader: RequestReader, timer: Timer) -> None:
+        self.reader = reader
+        self.timer = timer
+        self.answered = False
+
+
+class OperatorGate(Component):
+    """Own the operator port's sockets and guard the web server behind them."""
+
+    channel = SOCKET_CHANNEL
+
+    def __init__(
+        self,
+        cfg: OperatorSettings,
+        timers: Timers,
+        render_error: Callable[[int, str], bytes],
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._timers = timers
+        self._render_error = render_error
+        self._conns: dict[socket, GateConnection] = {}
+        server_class = TCP6Server if ":" in cfg.listen_host else TCPServer
+        self.server = server_class((cfg.listen_host, cfg.listen_port), channel=SOCKET_CHANNEL)
+        self.server.register(self)
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return int(self.server.port)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._conns)
+
+    @handler("connect")
+    def _on_connect(self, sock: socket, *_peer: Any) -> None:
+        if len(self._conns) >= self._cfg.max_connections:
+            logger.warning(
+                "event=operator_connection_refused open={} action={}",
+                len(self._conns),
+                "raise operators.max_connections if these are your own tools",
+            )
+            self.fire(_disconnect(sock), SOCKET_CHANNEL)
+            return
+        timer = self._timers.call_later(self._cfg.request_timeout_s, lambda: self._time_out(sock))
+        self._conns[sock] = GateConnection(RequestReader(self._cfg.max_body_bytes), timer)
+
+    def _time_out(self, sock: socket) -> None:
+        conn = self._conns.get(sock)
+        if conn is None:
+            return
+        if not conn.reader.complete and not conn.answered:
+            self._refuse(sock, conn, GateError(408, "the request did not arrive in time"))
+        else:
+            self._drop(sock)
+
+    @handler("read")
+    def _on_read(self, sock: socket, data: bytes) -> None:
+        conn = self._conns.get(sock)
+        if conn is None or conn.answered:
+            return
+        try:
+            conn.reader.feed(data)
+        except GateError as exc:
+            self._refuse(sock, conn, exc)
+            return
+        if conn.reader.complete:
+            self._arm(sock, conn, ANSWER_TIMEOUT_S)
+            self.fire(read(sock, conn.reader.canonical()), WEB_CHANNEL)
+
+    def _refuse(self, sock: socket, conn: GateConnection, exc: GateError) -> None:
+        conn.answered = True
+        body = self._render_error(exc.status, exc.message)
+        phrase = HTTPStatus(exc.status).phrase
+        head = (
+            f"HTTP/1.1 {exc.status} {phrase}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self._arm(sock, conn, self._cfg.request_timeout_s)
+        self._send(sock, head.encode() + body)
+        self._close_after_send(sock)
+
+    def _send(self, sock: socket, data: bytes) -> None:
+        # The server's own event would fail on a socket that is closed before the event's turn.
+        if sock.fileno() >= 0:
+            self.server.write(sock, data)
+
+    def _close_after_send(self, sock: socket) -> None:
+        if sock.fileno() >= 0:
+            self.server.close(sock)
+
+    def _arm(self, sock: socket, conn: GateConnection, timeout_s: float) -> None:
+        conn.timer.cancel()
+        conn.timer = self._timers.call_later(timeout_s, lambda: self._drop(sock))
+
+    def _drop(self, sock: socket) -> None:
+        if sock in self._conns:
+            self.fire(_disconnect(sock), SOCKET_CHANNEL)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock: socket) -> None:
+        conn = self._conns.pop(sock, None)
+        if conn is not None:
+            conn.timer.cancel()
+            self.fire(disconnect(sock), WEB_CHANNEL)
+
+    @handler("write", channel=WEB_CHANNEL)
+    def _on_web_write(self, sock: socket, data: bytes) -> None:
+        conn = self._conns.get(sock)
+        if conn is not None and not conn.answered:
+            self._send(sock, data)
+
+    @handler("close", channel=WEB_CHANNEL)
+    def _on_web_close(self, sock: socket | None = None) -> None:
+        if sock is None:
+            return
+        conn = self._conns.get(sock)
+        if conn is not None and not conn.answered:
+            conn.answered = True
+            self._close_after_send(sock)
--- /dev/null
+++ b/tarragonwind/adapters/operator_routes.py
@@ -0,0 +1,297 @@
+"""Map the operator surface's methods and paths to calls of the operator service."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Annotated, Any, TypeVar
+
+from loguru import logger
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as checked_dataclass
+
+from tarragonwind.core.entries import describe_validation
+from tarragonwind.futures import Future
+from tarragonwind.logs import quoted
+from tarragonwind.operator_services import (
+    AnyEntry,
+    Change,
+    ChangeResult,
+    OperatorError,
+    OperatorErrorKind,
+    OperatorService,
+)
+
+MAX_HISTORY_ITEMS = 1_000
+DEFAULT_HISTORY_ITEMS = 50
+MAX_CHANGED_ENTRIES = 2_000
+"""Most entries that one change may touch."""
+
+ENTRY_KEY = r"^[a-z]+/[a-z0-9][a-z0-9._-]{0,62}$"
+
+ResultT = TypeVar("ResultT")
+
+
+@dataclass(slots=True)
+class OperatorRequest:
+    """Hold one authorised request.
+
+    Attributes
+    ----------
+    who : str
+        Label of the token; empty on routes that need none.
+    parts : tuple of str
+        Variable parts of the path.
+    query : dict
+        Query values by name.
+    body : bytes
+        Whole body.
+    """
+
+    who: str
+    parts: tuple[str, ...] = ()
+    query: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+Handler = Callable[[OperatorService, OperatorRequest], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Hold one method and path pattern with its handler."""
+
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+    open: bool
+
+
+ROUTES: list[Route] = []
+"""Every route, filled by `route`."""
+
+
+def route(method: str, path: str, open_to_all: bool = False) -> Callable[[Handler], Handler]:
+    """Register a function for a method and a path; ``{}`` stands for one part of a name."""
+    pattern = re.compile(path.replace("{}", r"([A-Za-z0-9._-]{1,100})"))
+
+    def register(function: Handler) -> Handler:
+        ROUTES.append(Route(method, pattern, function, open_to_all))
+        return function
+
+    return register
+
+
+@dataclass(frozen=True, slots=True)
+class RouteMatch:
+    """Hold the route of a request and the variable parts of its path."""
+
+    route: Route
+    parts: tuple[str, ...]
+
+
+def find_route(method: str, path: str) -> RouteMatch:
+    """Return the route of a method and path.
+
+    Raises
+    ------
+    OperatorError
+        When the path is not known, or not for the method.
+    """
+    known = False
+    for candidate in ROUTES:
+        match = candidate.pattern.fullmatch(path)
+        if match is None:
+            continue
+        known = True
+        if candidate.method == method:
+            return RouteMatch(candidate, match.groups())
+    if known:
+        raise OperatorError(OperatorErrorKind.METHOD_REFUSED, f"{method} is not for this path")
+    raise OperatorError(OperatorErrorKind.NOT_FOUND, "no such path")
+
+
+BODY_CONFIG = ConfigDict(extra="forbid")
+
+
+@checked_dataclass(slots=True, config=BODY_CONFIG, kw_only=True)
+class ChangeBody:
+    """Hold the body of a change as it travels.
+
+    Attributes
+    ----------
+    write_id : str
+        Unique id that the client chose.
+    expected : int
+        Catalogue number that the operator looked at.
+    puts : list of Entry
+        Entries to write.
+    deletes : list of str
+        Keys of entries to remove.
+    """
+
+    write_id: Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{8,64}$")]
+    expected: Annotated[int, Field(strict=True, ge=0)]
+    puts: Annotated[list[AnyEntry], Field(max_length=MAX_CHANGED_ENTRIES)] = field(
+        default_factory=list
+    )
+    deletes: Annotated[
+        list[Annotated[str, Field(pattern=ENTRY_KEY)]], Field(max_length=MAX_CHANGED_ENTRIES)
+    ] = field(default_factory=list)
+
+
+_CHANGE_BODY = TypeAdapter(ChangeBody)
+
+
+@route("GET", "/healthz", open_to_all=True)
+def read_health(_service: OperatorService, _req: OperatorRequest) -> Any:
+    """Answer while the loop runs."""
+    return {"healthy": True}
+
+
+@route("GET", "/readyz", open_to_all=True)
+def read_readiness(service: OperatorService, _req: OperatorRequest) -> Any:
+    """Tell the balancer whether to send requests here."""
+    return service.readiness()
+
+
+@route("GET", "/v1/status")
+def read_status(service: OperatorService, _req: OperatorRequest) -> Any:
+    """Tell how this daemon stands."""
+    return service.status()
+
+
+@route("GET", "/v1/hosts")
+def read_hosts(service: OperatorService, _req: OperatorRequest) -> Any:
+    """Tell how each host stands."""
+    return service.hosts()
+
+
+@route("GET", "/v1/upstreams")
+def read_upstreams(service: OperatorService, _req: OperatorRequest) -> Any:
+    """Tell how each upstream stands."""
+    return service.upstreams()
+
+
+@route("GET", "/v1/moves")
+def read_moves(service: OperatorService, _req: OperatorRequest) -> Any:
+    """Tell how each move stands."""
+    return service.moves()
+
+
+@route("GET", "/v1/moves/{}")
+def read_move(service: OperatorService, req: OperatorRequest) -> Any:
+    """Tell how one move stands."""
+    for report in service.moves():
+        if report.name == req.parts[0]:
+            return report
+    raise OperatorError(OperatorErrorKind.NOT_FOUND, f"no move is named {req.parts[0]}")
+
+
+@route("GET", "/v1/catalogue")
+def read_catalogue(service: OperatorService, req: OperatorRequest) -> Any:
+    """List entries."""
+    return service.list_entries(req.query.get("kind", ""))
+
+
+@route("GET", "/v1/catalogue/{}/{}")
+def read_entry(service: OperatorService, req: OperatorRequest) -> Any:
+    """Show one entry."""
+    key = "/".join(req.parts)
+    item = service.find_entry(key)
+    if item is None:
+        raise OperatorError(OperatorErrorKind.NOT_FOUND, f"no entry has the key {key}")
+    return item
+
+
+@route("POST", "/v1/changes")
+def write_change(service: OperatorService, req: OperatorRequest) -> Any:
+    """Check and write a change."""
+    try:
+        body = _CHANGE_BODY.validate_json(req.body)
+    except ValidationError as exc:
+        raise OperatorError(OperatorErrorKind.ENTRY_REFUSED, describe_validation(exc)) from exc
+    change = Change(body.write_id, req.who, body.expected, body.puts, body.deletes)
+    _check_change(change)
+    fut = service.apply_change(change)
+    fut.add_callback(lambda done: audit_change(change, done))
+    return fut
+
+
+def _check_change(change: Change) -> None:
+    keys = change.touched_keys()
+    if not keys:
+        raise OperatorError(OperatorErrorKind.ENTRY_REFUSED, "the change touches no entry")
+    repeated = sorted({key for key in keys if keys.count(key) > 1})
+    if repeated:
+        raise OperatorError(
+            OperatorErrorKind.ENTRY_REFUSED, f"touched more than once: {', '.join(repeated)}"
+        )
+
+
+def audit_change(change: Change, done: Future[ChangeResult]) -> None:
+    """Log who changed what, and how it ended."""
+    result, number = "accepted", 0
+    try:
+        number = done.result().number
+    except OperatorError as exc:
+        result = exc.kind.value
+    except Exception:
+        result = OperatorErrorKind.INTERNAL.value
+    logger.info(
+        "event=audit_change who={} result={} number={} puts={} deletes={} write_id={}",
+        change.who,
+        result,
+        number,
+        quoted(",".join(entry.key for entry in change.puts)),
+        quoted(",".join(change.deletes)),
+        change.write_id,
+    )
+
+
+@route("GET", "/v1/changes/{}")
+def read_spread(service: OperatorService, req: OperatorRequest) -> Any:
+    """Tell which live hosts have a number in force."""
+    return service.change_spread(_read_number(req.parts[0], "number"))
+
+
+@route("GET", "/v1/writes/{}")
+def read_write(service: OperatorService, req: OperatorRequest) -> Any:
+    """Tell whether a write id was accepted."""
+    return service.find_write(req.parts[0])
+
+
+@route("GET", "/v1/history")
+def read_history(service: OperatorService, req: OperatorRequest) -> Any:
+    """Return the latest changes."""
+    limit = _read_number(req.query.get("limit", str(DEFAULT_HISTORY_ITEMS)), "limit")
+    if not 1 <= limit <= MAX_HISTORY_ITEMS:
+        raise OperatorError(
+            OperatorErrorKind.MALFORMED, f"limit: from 1 to {MAX_HISTORY_ITEMS}, got {limit}"
+        )
+    return service.history(req.query.get("key", ""), limit)
+
+
+@route("GET", "/v1/diff")
+def read_diff(service: OperatorService, req: OperatorRequest) -> Any:
+    """Return what differs between two catalogue numbers."""
+    since = _read_number(req.query.get("since", ""), "since")
+    until = _read_number(req.query.get("until", ""), "until")
+    if since > until:
+        raise OperatorError(OperatorErrorKind.MALFORMED, "since: at most the value of until")
+    return service.diff(since, until)
+
+
+@route("POST", "/v1/drain")
+def start_drain(service: OperatorService, req: OperatorRequest) -> Any:
+    """Begin the planned stop of this daemon."""
+    result = service.drain(req.who)
+    logger.info("event=audit_drain who={} drained={}", req.who, result.host)
+    return result
+
+
+def _read_number(text: str, name: str) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise OperatorError(OperatorErrorKind.MALFORMED, f"{name}: a whole number is needed")
+    return int(text)
--- /dev/null
+++ b/tarragonwind/adapters/operator_tokens.py
@@ -0,0 +1,93 @@
+"""Tell operators by bearer tokens that are kept in a file."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass
+
+from loguru import logger
+
+MIN_TOKEN_CHARS = 16
+"""Shortest token that is accepted."""
+MAX_FILE_BYTES = 64 * 1024
+"""Largest token file that is read, in bytes."""
+
+
+class TokenFileError(Exception):
+    """Report a token file that can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorToken:
+    """Hold the label of a token and the SHA-256 digest of its text."""
+
+    label: str
+    digest: bytes
+
+
+class TokenFile:
+    """Look up tokens in a file, which is read again after it has changed."""
+
+    __slots__ = ("_mtime_ns", "_path", "_tokens")
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._mtime_ns = -1
+        self._tokens: list[OperatorToken] = []
+        self._reload()
+
+    def find_label(self, token: str) -> str | None:
+        """Return the label of a token, or None; the time taken does not depend on the token."""
+        self._reload_if_changed()
+        digest = hashlib.sha256(token.encode("utf-8", "surrogateescape")).digest()
+        label = None
+        for known in self._tokens:
+            if hmac.compare_digest(known.digest, digest):
+                label = known.label
+        return label
+
+    def _reload_if_changed(self) -> None:
+        try:
+            if os.stat(self._path).st_mtime_ns != self._mtime_ns:
+                self._reload()
+        except (OSError, TokenFileError) as exc:
+            logger.warning(
+                "event=token_file_unreadable path={} error={} action={}",
+                self._path,
+                type(exc).__name__,
+                "restore the file; the tokens read before stay valid",
+            )
+
+    def _reload(self) -> None:
+        self._mtime_ns = os.stat(self._path).st_mtime_ns
+        with open(self._path, encoding="utf-8") as file:
+            text = file.read(MAX_FILE_BYTES + 1)
+        if len(text) > MAX_FILE_BYTES:
+            raise TokenFileError(f"{self._path}: larger than {MAX_FILE_BYTES} bytes")
+        self._tokens = parse_tokens(text)
+
+
+def parse_tokens(text: str) -> list[OperatorToken]:
+    """Read one ``label:token`` a line; empty lines and lines that begin with ``#`` are skipped.
+
+    Raises
+    ------
+    TokenFileError
+        When a line is malformed, a token is too short or none is there.
+    """
+    tokens = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        stripped = line.strip()
+        if not stripped or stripped.startswith("#"):
+            continue
+        label, separator, token = stripped.partition(":")
+        if not separator or not label.isidentifier():
+            raise TokenFileError(f"line {number}: expected label:token")
+        if len(token) < MIN_TOKEN_CHARS:
+            raise TokenFileError(f"line {number}: tokens have {MIN_TOKEN_CHARS} characters or more")
+        tokens.append(OperatorToken(label, hashlib.sha256(token.encode()).digest()))
+    if not tokens:
+        raise TokenFileError("the file holds no token")
+    return tokens
--- /dev/null
+++ b/tarragonwind/adapters/operators.py
@@ -0,0 +1,206 @@
+"""Serve operators and the balancer's health checks with `circuits.web` on a port of their own."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+from circuits import Component, handler
+from circuits.web.events import response
+from circuits.web.http import HTTP
+from circuits.web.wrappers import Request, Response
+from loguru import logger
+from pydantic import TypeAdapter
+
+from tarragonwind.adapters.loops import Loop
+from tarragonwind.adapters.operator_gates import WEB_CHANNEL, OperatorGate
+from tarragonwind.adapters.operator_routes import OperatorRequest, RouteMatch, find_route
+from tarragonwind.adapters.operator_tokens import TokenFile
+from tarragonwind.futures import Future, FutureCancelled
+from tarragonwind.operator_services import (
+    OPERATOR_STATUSES,
+    CatalogueItem,
+    OperatorError,
+    OperatorErrorKind,
+    OperatorService,
+    Readiness,
+)
+from tarragonwind.settings import OperatorSettings
+
+JSON_TYPE = "application/json"
+NOT_READY_STATUS = 503
+
+_KINDS_BY_STATUS = {status: kind for kind, status in OPERATOR_STATUSES.items()}
+
+
+def render_error(exc: OperatorError) -> bytes:
+    """Return an error's answer as a JSON object with kind, message and what is there now."""
+    doc: dict[str, Any] = {"kind": exc.kind.value, "message": exc.message}
+    if exc.current:
+        doc["current"] = TypeAdapter(list[CatalogueItem]).dump_python(exc.current, mode="json")
+    return json.dumps(doc).encode()
+
+
+def render_gate_error(status: int, message: str) -> bytes:
+    """Return the answer to a request that was refused before it was whole."""
+    kind = _KINDS_BY_STATUS.get(status, OperatorErrorKind.MALFORMED)
+    return render_error(OperatorError(kind, message))
+
+
+def render_result(result: Any) -> bytes:
+    """Return a typed result as JSON."""
+    if isinstance(result, list):
+        parts = [render_result(item) for item in result]
+        return b"[" + b",".join(parts) + b"]"
+    return TypeAdapter(type(result)).dump_json(result)
+
+
+class WebServer:
+    """Stand for the parts of `circuits.web.Server` that its protocol component reads."""
+
+    display_banner = False
+    secure = False
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+
+class OperatorSurface(Component):
+    """Answer each request that the gate lets through."""
+
+    channel = WEB_CHANNEL
+
+    def __init__(self, service: OperatorService, tokens: TokenFile | None) -> None:
+        super().__init__()
+        self._service = service
+        self._tokens = tokens
+
+    @handler("request", priority=1.0)
+    def _on_request(self, event: Any, req: Request, res: Response, *_args: Any) -> bool:
+        event.stop()
+        res.close = True
+        try:
+            result = self._call_route(req)
+        except Exception as exc:
+            self._answer_error(res, exc)
+        else:
+            self._answer_when_done(res, result)
+        return True
+
+    def _call_route(self, req: Request) -> Any:
+        match = find_route(req.method, req.path)
+        who = "" if match.route.open else self._authorise(req)
+        return match.route.handler(self._service, _build_request(req, match, who))
+
+    def _authorise(self, req: Request) -> str:
+        scheme, _, token = req.headers.get("Authorization", "").partition(" ")
+        label = None
+        if self._tokens is not None and scheme.lower() == "bearer":
+            label = self._tokens.find_label(token.strip())
+        if label is None:
+            logger.warning("event=operator_refused peer={}", req.remote.ip)
+            raise OperatorError(
+                OperatorErrorKind.UNAUTHORIZED, "a token of this host's token file is needed"
+            )
+        return label
+
+    def _answer_when_done(self, res: Response, result: Any) -> None:
+        if not isinstance(result, Future):
+            self._answer(res, result)
+            return
+        result.add_callback(lambda done: self._answer_future(res, done))
+
+    def _answer_future(self, res: Response, done: Future[Any]) -> None:
+        try:
+            result = done.result()
+        except Exception as exc:
+            self._answer_error(res, exc)
+        else:
+            self._answer(res, result)
+
+    def _answer(self, res: Response, result: Any) -> None:
+        status = 200
+        if isinstance(result, Readiness) and not result.ready:
+            status = NOT_READY_STATUS
+        self._send(res, status, render_result(result))
+
+    def _answer_error(self, res: Response, exc: Exception) -> None:
+        if not isinstance(exc, OperatorError):
+            if not isinstance(exc, FutureCancelled):
+                logger.opt(exception=exc).error("event=operator_request_failed")
+            exc = OperatorError(OperatorErrorKind.INTERNAL, "the request failed; see the log")
+        self._send(res, OPERATOR_STATUSES[exc.kind], render_error(exc))
+
+    def _send(self, res: Response, status: int, body: bytes) -> None:
+        res.status = status
+        res.headers["Content-Type"] = JSON_TYPE
+        res.body = body
+        self.fire(response(res), WEB_CHANNEL)
+
+
+def _build_request(req: Request, match: RouteMatch, who: str) -> OperatorRequest:
+    query = dict(parse_qsl(req.qs, max_num_fields=20))
+    return OperatorRequest(who, match.parts, query, req.body.read())
+
+
+class OperatorServer:
+    """Bundle the components of the operator port.
+
+    Attributes
+    ----------
+    gate : OperatorGate
+        Owner of the sockets.
+    """
+
+    __slots__ = ("_components", "gate")
+
+    def __init__(self, gate: OperatorGate, components: list[Component]) -> None:
+        self.gate = gate
+        self._components = components
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return self.gate.port
+
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        self.gate.server.close()
+        for component in self._components:
+            component.unregister()
+
+
+def create_operator_server(
+    loop: Loop,
+    cfg: OperatorSettings,
+    service: OperatorService,
+    read_tokens: Callable[[str], TokenFile] = TokenFile,
+) -> OperatorServer:
+    """Listen on the operator port.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that the components join.
+    cfg : OperatorSettings
+        Address, limits and token file; without a token file only the health checks answer.
+    service : OperatorService
+        Answers the requests.
+    read_tokens : callable, optional
+        Opens the token file.
+
+    Raises
+    ------
+    OSError
+        When the address can't be listened on or the token file can't be read.
+    TokenFileError
+        When the token file is malformed.
+    """
+    tokens = read_tokens(cfg.token_file) if cfg.token_file else None
+    gate = OperatorGate(cfg, loop.timers, render_gate_error).register(loop.root)
+    http = HTTP(WebServer(cfg.listen_host, gate.port), channel=WEB_CHANNEL).register(loop.root)
+    surface = OperatorSurface(service, tokens).register(loop.root)
+    return OperatorServer(gate, [gate, http, surface])
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,285 @@
+"""Check the operator port on a real loop: tokens, limits, conflicts and malformed requests."""
+
+import http.client
+import io
+import json
+import socket
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+from operator_fakes import TOKEN, FakeOperatorService, RunningServer, move_report
+
+from tarragonwind.adapters.operator_gates import GateError, RequestReader
+from tarragonwind.adapters.operator_tokens import TokenFileError, parse_tokens
+from tarragonwind.logs import configure_logs
+from tarragonwind.operator_services import ChangeResult, MoveOutcome, Readiness
+from tarragonwind.settings import LogFormat, LogSettings
+
+POOL = {"kind": "pool", "name": "chat", "owner": "ana", "back_end": "engine", "version": "v1"}
+
+
+@pytest.fixture
+def token_file(tmp_path):
+    path = tmp_path / "tokens"
+    path.write_text(f"# operators\nana:{TOKEN}\n")
+    return str(path)
+
+
+@pytest.fixture
+def log():
+    sink = io.StringIO()
+    configure_logs(LogSettings(format=LogFormat.BARE), "a1", sink)
+    yield sink
+    logger.remove()
+
+
+@pytest.fixture
+def running(token_file):
+    limits = {"request_timeout_s": 0.5, "max_connections": 8, "max_body_bytes": 4096}
+    with RunningServer(FakeOperatorService(), token_file, **limits) as server:
+        yield server
+
+
+def ask(running, method, path, body=None, token=TOKEN):
+    conn = http.client.HTTPConnection("127.0.0.1", running.port, timeout=10)
+    try:
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        payload = json.dumps(body).encode() if body is not None else None
+        conn.request(method, path, body=payload, headers=headers)
+        resp = conn.getresponse()
+        return resp.status, json.loads(resp.read())
+    finally:
+        conn.close()
+
+
+def send_raw(running, data):
+    with socket.create_connection(("127.0.0.1", running.port), timeout=10) as sock:
+        sock.sendall(data)
+        chunks = []
+        while chunk := sock.recv(65536):
+            chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def change(expected=0, write_id="write-0001", puts=(POOL,), deletes=()):
+    return {
+        "write_id": write_id,
+        "expected": expected,
+        "puts": list(puts),
+        "deletes": list(deletes),
+    }
+
+
+def test_health_needs_no_token(running):
+    assert ask(running, "GET", "/healthz", token=None) == (200, {"healthy": True})
+    assert ask(running, "GET", "/readyz", token=None)[0] == 200
+    running.service.ready = Readiness(False, "stopping")
+    assert ask(running, "GET", "/readyz", token=None) == (
+        503,
+        {"ready": False, "reason": "stopping"},
+    )
+
+
+@pytest.mark.parametrize("token", [None, "wrong", TOKEN[:-1], TOKEN + "x", "ana"])
+def test_a_wrong_token_is_refused_everywhere_else(running, token):
+    for method, path in [("GET", "/v1/status"), ("POST", "/v1/changes"), ("POST", "/v1/drain")]:
+        status, doc = ask(running, method, path, body={} if method == "POST" else None, token=token)
+        assert (status, doc["kind"]) == (401, "unauthorized")
+    assert running.service.drained_by == []
+
+
+def test_without_a_token_file_only_health_answers():
+    with RunningServer(FakeOperatorService(), "") as server:
+        assert ask(server, "GET", "/healthz")[0] == 200
+        assert ask(server, "GET", "/v1/status", token="")[0] == 401
+
+
+def test_the_token_file_is_read_again(running, token_file):
+    with open(token_file, "w", encoding="utf-8") as file:
+        file.write("bea:another-token-of-hers\n")
+    assert ask(running, "GET", "/v1/status")[0] == 401
+    assert ask(running, "GET", "/v1/status", token="another-token-of-hers")[0] == 200
+
+
+@pytest.mark.parametrize("text", ["", "ana\n", "ana:short\n", "a b:" + TOKEN])
+def test_malformed_token_files_are_refused(text):
+    with pytest.raises(TokenFileError):
+        parse_tokens(text)
+
+
+def test_reports_are_answered(running):
+    running.service.move_reports = [move_report(MoveOutcome.DONE)]
+    assert ask(running, "GET", "/v1/status")[1]["waiting"] == [0, 0, 1, 2]
+    assert ask(running, "GET", "/v1/hosts")[1][0]["name"] == "a1"
+    assert ask(running, "GET", "/v1/upstreams")[1][0]["slots"] == 16
+    assert ask(running, "GET", "/v1/moves/m1")[1]["outcome"] == "done"
+    assert ask(running, "GET", "/v1/moves/m2")[0] == 404
+    assert ask(running, "POST", "/v1/drain")[1] == {"host": "a1", "in_progress": 3}
+    assert running.service.drained_by == ["ana"]
+
+
+def test_a_change_is_written_listed_and_audited(running, log):
+    assert ask(running, "POST", "/v1/changes", change()) == (
+        200,
+        {"number": 1, "repeated": False},
+    )
+    assert ask(running, "POST", "/v1/changes", change())[1] == {"number": 1, "repeated": True}
+    listing = ask(running, "GET", "/v1/catalogue?kind=pool")[1]
+    assert listing == {"number": 1, "items": [{"entry": POOL, "number": 1}]}
+    assert ask(running, "GET", "/v1/catalogue/pool/chat")[1]["entry"] == POOL
+    assert ask(running, "GET", "/v1/changes/1")[1]["behind"] == []
+    assert ask(running, "GET", "/v1/writes/write-0001")[1] == {"accepted": True, "number": 1}
+    assert ask(running, "GET", "/v1/history?key=pool/chat&limit=5")[1][0]["who"] == "ana"
+    assert ask(running, "GET", "/v1/diff?since=0&until=1")[1]["kind"] == "gone"
+    assert 'event=audit_change who=ana result=accepted number=1 puts=pool/chat deletes=""' in (
+        log.getvalue()
+    )
+    assert TOKEN not in log.getvalue()
+
+
+def test_a_conflict_shows_what_is_there_now(running, log):
+    ask(running, "POST", "/v1/changes", change())
+    status, doc = ask(running, "POST", "/v1/changes", change(write_id="write-0002"))
+    assert (status, doc["kind"]) == (409, "conflict")
+    assert doc["current"] == [{"entry": POOL, "number": 1}]
+    assert "result=conflict" in log.getvalue()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        [],
+        {},
+        {**change(), "extra": 1},
+        change(expected=-1),
+        change(write_id="a"),
+        change(puts=[]),
+        change(puts=[POOL, POOL]),
+        change(puts=[{**POOL, "kind": "poll"}]),
+        change(puts=[{**POOL, "back_end": "cart"}]),
+        change(puts=[7]),
+        change(deletes=["pool"]),
+    ],
+)
+def test_a_wrong_change_is_refused_before_it_is_written(running, body):
+    status, doc = ask(running, "POST", "/v1/changes", body)
+    assert (status, doc["kind"]) == (422, "entry_refused")
+    assert running.service.changes == []
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/", 404),
+        ("GET", "/v1/nothing", 404),
+        ("POST", "/v1/status", 405),
+        ("PUT", "/v1/status", 405),
+        ("GET", "/v1/../status", 404),
+        ("GET", "/v1/changes/x", 400),
+        ("GET", "/v1/history?limit=0", 400),
+        ("GET", "/v1/diff?since=3&until=2", 400),
+        ("GET", "/v1/catalogue/pool/chat", 404),
+    ],
+)
+def test_unknown_paths_and_numbers_are_refused(running, method, path, status):
+    assert ask(running, method, path)[0] == status
+
+
+HEAD = b"POST /v1/changes HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + TOKEN.encode() + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", 411),
+        (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n{}", 400),
+        (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 4097\r\n\r\n", 413),
+        (HEAD + b"X: " + b"a" * 20_000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"a" * 20_000, 431),
+        (b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n" * 2, 400),
+        (b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"GET /%2e%2e HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"GET /healthz HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", 400),
+        (b"GET /healthz HTTP/1.1\r\n", 408),
+        (HEAD + b"Content-Length: 10\r\n\r\n{}", 408),
+        (b"", 408),
+    ],
+)
+def test_bad_requests_get_one_answer_and_a_closed_connection(running, data, status):
+    answer = send_raw(running, data)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert "kind" in json.loads(answer.split(b"\r\n\r\n", 1)[1])
+    assert running.service.changes == []
+    assert ask(running, "GET", "/healthz")[0] == 200
+
+
+def test_connections_over_the_limit_are_closed(running):
+    socks = [socket.create_connection(("127.0.0.1", running.port), 10) for _ in range(12)]
+    closed = 0
+    for sock in socks:
+        sock.settimeout(0.25)
+        try:
+            closed += sock.recv(10) == b""
+        except TimeoutError:
+            pass
+        except ConnectionResetError:
+            closed += 1
+    for sock in socks:
+        sock.close()
+    assert closed == 4
+    deadline = time.monotonic() + 10
+    while running.call(lambda: running.server.gate.open_connections):
+        assert time.monotonic() < deadline
+    assert ask(running, "GET", "/healthz")[0] == 200
+
+
+def test_an_answer_waits_for_its_future_and_a_gone_client_harms_nobody(running):
+    running.service.hold_answers = True
+    body = json.dumps(change()).encode()
+    request = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    gone = socket.create_connection(("127.0.0.1", running.port), 10)
+    gone.sendall(request)
+    with socket.create_connection(("127.0.0.1", running.port), 10) as waiting:
+        waiting.sendall(request)
+        while len(running.service.held) < 2:
+            time.sleep(0.005)
+        gone.close()
+        while running.call(lambda: running.server.gate.open_connections) > 1:
+            time.sleep(0.005)
+        running.call(lambda: [fut.set_result(ChangeResult(9)) for fut in running.service.held])
+        assert b'{"number":9,"repeated":false}' in waiting.recv(4096)
+    assert ask(running, "GET", "/healthz")[0] == 200
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=40),
+            st.sampled_from(
+                [b"GET /v1/status HTTP/1.1\r\n", b"Host: a\r\n", b"\r\n", b"Content-Length: 3\r\n"]
+                + [b"Transfer-Encoding: chunked\r\n", b"abc", b"0\r\n\r\n", b"Expect: x\r\n"]
+            ),
+        ),
+        max_size=12,
+    )
+)
+def test_the_reader_ends_in_a_whole_request_or_an_error(pieces):
+    reader = RequestReader(64)
+    try:
+        for piece in pieces:
+            reader.feed(piece)
+    except GateError as exc:
+        assert 400 <= exc.status < 500
+        return
+    if reader.complete:
+        head, _, body = reader.canonical().partition(b"\r\n\r\n")
+        assert len(body) <= 64
+        assert b"Content-Length: %d" % len(body) in head
