Connect the gateway with permits, limits and moves

Cause: the gateway had a source of permits of its own. It now asks the pool's owner through the permit client, learns estimates and counts outcomes as evidence on versions.

--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -15,8 +15,12 @@
 from tarragonwind.adapters.relays import Relay, RelayEnd, RelayRules
 from tarragonwind.core.classifications import CatalogueView, RequestClass, classify_request
 from tarragonwind.core.entries import UpstreamEntry
-from tarragonwind.core.permit_sources import Permit, PermitReport, PermitRequest, PermitSource
+from tarragonwind.core.organisation_limits import Admission, OrganisationLimits
+from tarragonwind.core.permit_clients import Permit
+from tarragonwind.core.permit_messages import Outcome as PermitOutcome
+from tarragonwind.core.prompt_prefixes import hash_prefixes
 from tarragonwind.core.request_lives import LifeState, Outcome, RequestLife
+from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled, spawn
 from tarragonwind.ports import Address, HttpRequest
@@ -49,8 +53,8 @@
 class GatewayCatalogue(CatalogueView, Protocol):
     """Answer what the gateway asks of the catalogue in force."""
 
-    def upstream(self, name: str) -> UpstreamEntry | None:
-        """Return an upstream by name."""
+    def entry(self, key: str) -> object:
+        """Return the entry of a key, ``kind/name``, or None."""
 
 
 class GatewayTimes:
@@ -83,7 +87,7 @@
         Client towards upstreams.
     catalogue : callable
         Returns the catalogue in force, or None before there is one.
-    permits : PermitSource
+    scheduler : Scheduler
         Source of permits.
     times : GatewayTimes, optional
         Bounds for dispatches.
@@ -98,14 +102,15 @@
         limits: HttpLimits,
         client: HttpClient,
         catalogue: Callable[[], GatewayCatalogue | None],
-        permits: PermitSource,
+        scheduler: Scheduler,
         times: GatewayTimes | None = None,
         id_prefix: str = "request",
     ) -> None:
         self.loop = loop
         self.client = client
         self.catalogue = catalogue
-        self.permits = permits
+        self.scheduler = scheduler
+        self.limits = OrganisationLimits()
         self.times = times or GatewayTimes()
         self.active: set[RequestRun] = set()
         self.stopping = False
@@ -148,6 +153,8 @@
         self._life = RequestLife()
         self._class: RequestClass | None = None
         self._wait: Future[Permit] | None = None
+        self._ask_id = 0
+        self._admission: Admission | None = None
         self._started_at = gateway.loop.timers.now()
         self._waited_s = 0.0
         self.request_id = request_id
@@ -169,6 +176,8 @@
             self._refuse(RequestError(ErrorKind.INTERNAL, "an internal error ended the request"))
         finally:
             self._gateway.active.discard(self)
+            if self._admission is not None:
+                self._gateway.limits.end(self._gateway.loop.timers.now(), self._admission)
             self._log()
 
     async def _run(self) -> None:
@@ -177,32 +186,37 @@
         catalogue = self._gateway.catalogue()
         if catalogue is None:
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
-        self._class = classify_request(self._exchange.request, catalogue)
-        avoid: list[str] = []
+        cls = classify_request(self._exchange.request, catalogue)
+        self._class = cls
+        now = self._gateway.loop.timers.now()
+        self._admission = self._gateway.limits.admit(now, cls.organisation, cls.route)
+        work = self._describe_work(cls)
         for _ in range(MAX_CONNECT_ATTEMPTS):
-            permit = await self._obtain_permit(self._class, avoid)
-            if await self._dispatch(self._class, permit):
+            permit = await self._obtain_permit(work)
+            if await self._dispatch(cls, permit):
                 return
-            avoid.append(permit.upstream)
+            work.avoid.append(permit.upstream)
         raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
 
-    async def _obtain_permit(self, cls: RequestClass, avoid: list[str]) -> Permit:
-        self._life.advance(LifeState.WAITING)
-        wait: Future[Permit] = Future()
-        self._wait = wait
-        ask = PermitRequest(
-            request_id=self.request_id,
+    def _describe_work(self, cls: RequestClass) -> Work:
+        work = Work(
             pool=cls.route.pool,
             route=cls.route.name,
             organisation=cls.organisation.name,
             tier=cls.tier,
-            weight=cls.organisation.weight,
-            prompt_tokens=cls.prompt_tokens,
-            max_tokens=cls.max_tokens,
             deadline=self._started_at + cls.timeout_s,
-            avoid=avoid,
         )
-        self._gateway.permits.ask(ask, wait.set_result, wait.set_exception)
+        if cls.route.model:
+            work.prompt_bytes = len(cls.prompt)
+            work.max_tokens = cls.max_tokens
+            work.prefixes = hash_prefixes(cls.prompt)
+        return work
+
+    async def _obtain_permit(self, work: Work) -> Permit:
+        self._life.advance(LifeState.WAITING)
+        wait: Future[Permit] = Future()
+        self._wait = wait
+        self._ask_id = self._gateway.scheduler.ask(work, wait.set_result, wait.set_exception)
         permit = await wait
         self._wait = None
         self._waited_s = self._gateway.loop.timers.now() - self._started_at
@@ -212,20 +226,23 @@
     async def _dispatch(self, cls: RequestClass, permit: Permit) -> bool:
         """Dispatch under a permit; return False when nothing was sent and another may be tried."""
         catalogue = self._gateway.catalogue()
-        upstream = catalogue.upstream(permit.upstream) if catalogue is not None else None
-        if upstream is None:
-            self._give_back(permit, RelayEnd.NOT_SENT, None)
+        upstream = catalogue.entry(f"upstream/{permit.upstream}") if catalogue else None
+        scheduler = self._gateway.scheduler
+        if not isinstance(upstream, UpstreamEntry):
+            scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             return False
         left_s = self._started_at + cls.timeout_s - self._gateway.loop.timers.now()
         if left_s <= 0:
-            self._give_back(permit, RelayEnd.NOT_SENT, None)
+            scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
         rules = RelayRules(upstream.refusal_not_run, left_s, self._gateway.times.idle_timeout_s)
         relay = Relay(self._exchange, self._life, rules, self._gateway.loop.timers)
+        relay.on_first_byte = lambda: scheduler.first_byte(permit)
+        scheduler.dispatched(permit)
         relay.start(self._gateway.client, Address(upstream.host, upstream.port), self._forward())
         end = await relay.end
         self._exchange.events = self
-        self._give_back(permit, end, relay)
+        scheduler.finished(permit, describe_dispatch(end, relay))
         if end is RelayEnd.NOT_SENT:
             return False
         self._raise_for(end, relay)
@@ -241,21 +258,6 @@
         if end is RelayEnd.DEADLINE_PASSED:
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
 
-    def _give_back(self, permit: Permit, end: RelayEnd, relay: Relay | None) -> None:
-        report = PermitReport(
-            request_id=self.request_id,
-            upstream=permit.upstream,
-            dispatched=end is not RelayEnd.NOT_SENT,
-            ok=end in (RelayEnd.WHOLE, RelayEnd.CALLER_LEFT),
-            reachable=relay is None or end is not RelayEnd.NOT_SENT,
-        )
-        if relay is not None:
-            report.ok = report.ok and relay.status < 500
-            report.first_byte_s = relay.first_byte_s
-            report.duration_s = relay.duration_s
-            report.output_tokens = relay.event_count
-        self._gateway.permits.finish(report)
-
     def _forward(self) -> HttpRequest:
         req = self._exchange.request
         named = {name.strip().lower() for name in req.header(b"connection").split(b",")}
@@ -269,7 +271,7 @@
     def on_caller_gone(self) -> None:
         """Withdraw the ask of a caller that left while it waited."""
         if self._wait is not None and not self._wait.done():
-            self._gateway.permits.cancel(self.request_id)
+            self._gateway.scheduler.cancel(self._ask_id)
             self._wait.cancel()
 
     def _refuse(self, exc: RequestError) -> None:
@@ -302,3 +304,23 @@
             self._waited_s * 1000,
             (self._gateway.loop.timers.now() - self._started_at) * 1000,
         )
+
+
+RELAY_OUTCOMES: dict[RelayEnd, PermitOutcome] = {
+    RelayEnd.WHOLE: PermitOutcome.OK,
+    RelayEnd.NOT_SENT: PermitOutcome.CONNECT_FAILED,
+    RelayEnd.REFUSED: PermitOutcome.REFUSED,
+    RelayEnd.FAILED_BEFORE_ANSWER: PermitOutcome.FAILED,
+    RelayEnd.CUT: PermitOutcome.FAILED,
+    RelayEnd.CALLER_LEFT: PermitOutcome.CANCELLED,
+    RelayEnd.DEADLINE_PASSED: PermitOutcome.TIMED_OUT,
+}
+FIRST_FAILURE_STATUS = 500
+
+
+def describe_dispatch(end: RelayEnd, relay: Relay) -> DispatchReport:
+    """Return what the scheduler learns of a dispatch."""
+    outcome = RELAY_OUTCOMES[end]
+    if outcome is PermitOutcome.OK and relay.status >= FIRST_FAILURE_STATUS:
+        outcome = PermitOutcome.FAILED
+    return DispatchReport(outcome, relay.first_byte_s, relay.duration_s, relay.event_count)
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient, ResponseSink
 from tarragonwind.adapters.http_servers import AnswerEvents, CallerExchange
@@ -14,6 +15,10 @@
 EVENT_END = b"\n\n"
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class RelayEnd(enum.Enum):
     """Name how a relay ended."""
 
@@ -62,6 +67,8 @@
         Times since the dispatch, in seconds.
     event_count : int
         Server-sent events seen in the answer.
+    on_first_byte : callable
+        Called once, when the first byte of the answer's body has come.
     """
 
     __slots__ = (
@@ -79,6 +86,7 @@
         "end",
         "event_count",
         "first_byte_s",
+        "on_first_byte",
         "reason",
         "status",
     )
@@ -101,6 +109,7 @@
         self._heard_at = 0.0
         self._paused = False
         self._timer: Timer | None = None
+        self.on_first_byte: Callable[[], None] = _ignore
 
     def start(self, client: HttpClient, address: Address, req: HttpRequest) -> None:
         """Dispatch the request."""
@@ -136,6 +145,7 @@
         now = self._timers.now()
         if not self.first_byte_s:
             self.first_byte_s = now - self._dispatched_at
+            self.on_first_byte()
         self._heard_at = now
         self.event_count += data.count(EVENT_END)
         try:
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -24,13 +24,13 @@
 class CatalogueView(Protocol):
     """Answer the questions that a request raises about the catalogue in force."""
 
-    def organisation_by_token(self, token_sha256: str) -> OrganisationEntry | None:
+    def organisation_for(self, token_sha256: str) -> OrganisationEntry | None:
         """Return the organisation that a token's digest names."""
 
-    def route_by_model(self, model: str) -> RouteEntry | None:
+    def route_for_model(self, model: str) -> RouteEntry | None:
         """Return the route of a model."""
 
-    def route_by_path(self, path: str) -> RouteEntry | None:
+    def route_for_path(self, path: str) -> RouteEntry | None:
         """Return the route with the longest prefix of a path."""
 
 
@@ -104,7 +104,7 @@
         if req.method != "POST":
             raise RequestError(ErrorKind.METHOD_REFUSED, "completions are asked for by POST")
         body = parse_completion(req.body)
-        route = catalogue.route_by_model(body.model)
+        route = catalogue.route_for_model(body.model)
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route serves this model")
         found = build_class(req, organisation, route)
@@ -113,7 +113,7 @@
         found.prompt_tokens = max(1, len(body.prompt) // CHARACTERS_PER_TOKEN)
         found.max_tokens = body.max_tokens
         return found
-    service = catalogue.route_by_path(path)
+    service = catalogue.route_for_path(path)
     if service is None:
         raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route serves this path")
     return build_class(req, organisation, service)
@@ -125,7 +125,7 @@
     organisation = None
     if scheme.lower() == b"bearer" and token:
         digest = hashlib.sha256(token.strip()).hexdigest()
-        organisation = catalogue.organisation_by_token(digest)
+        organisation = catalogue.organisation_for(digest)
     if organisation is None:
         raise RequestError(ErrorKind.UNAUTHORIZED, "the bearer token names no organisation")
     return organisation
--- /dev/null
+++ b/tarragonwind/core/schedulers.py
@@ -0,0 +1,99 @@
+"""Name what the entry side needs to have a request scheduled."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tarragonwind.core.permit_clients import Permit
+from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.errors import RequestError
+
+
+@dataclass(slots=True)
+class Work:
+    """Describe a request that waits for an upstream.
+
+    Attributes
+    ----------
+    pool, route, organisation : str
+        Names of catalogue entries.
+    tier : int
+        Importance, 0 the highest.
+    deadline : float
+        Time for the first byte, on the monotonic clock.
+    prompt_bytes : int
+        Length of the prompt's text, 0 for services.
+    max_tokens : int or None
+        Most tokens of the answer, None for services.
+    prefixes : list of int
+        Hashes of growing prefixes of the prompt, the shortest first.
+    avoid : list of str
+        Upstreams that could not be reached for this request.
+    """
+
+    pool: str
+    route: str
+    organisation: str
+    tier: int
+    deadline: float
+    prompt_bytes: int = 0
+    max_tokens: int | None = None
+    prefixes: list[int] = field(default_factory=list)
+    avoid: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class DispatchReport:
+    """Tell how a permitted dispatch ended.
+
+    Attributes
+    ----------
+    outcome : Outcome
+        How it ended.
+    first_byte_s, duration_s : float
+        Times since the dispatch, 0 when not seen.
+    output_tokens : int
+        Tokens seen in the answer.
+    """
+
+    outcome: Outcome
+    first_byte_s: float = 0.0
+    duration_s: float = 0.0
+    output_tokens: int = 0
+
+
+class Scheduler(ABC):
+    """Grant permits to this host's requests and hear how their dispatches end."""
+
+    @abstractmethod
+    def ask(
+        self,
+        work: Work,
+        on_granted: Callable[[Permit], object],
+        on_refused: Callable[[RequestError], object],
+    ) -> int:
+        """Ask for a permit; one callback is called once, unless the ask is cancelled.
+
+        Returns
+        -------
+        int
+            Names the ask, and the permit once granted.
+        """
+
+    @abstractmethod
+    def cancel(self, ask_id: int) -> None:
+        """Withdraw an ask whose caller has left."""
+
+    @abstractmethod
+    def dispatched(self, permit: Permit) -> None:
+        """Note that a permit is being used."""
+
+    @abstractmethod
+    def first_byte(self, permit: Permit) -> None:
+        """Note the first byte of the answer."""
+
+    @abstractmethod
+    def finished(self, permit: Permit, report: DispatchReport) -> None:
+        """Give a permit back and tell how its dispatch ended."""
--- /dev/null
+++ b/tarragonwind/move_runners.py
@@ -0,0 +1,186 @@
+"""Run the moves of a host: timers, messages between hosts and the record of answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from tarragonwind.catalogue_errors import CatalogueError
+from tarragonwind.catalogue_writers import CatalogueWriter
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.entries import MoveEntry, PoolEntry
+from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
+from tarragonwind.core.move_tables import TICK_PERIOD_S, MoveTable, Outgoing
+from tarragonwind.core.moves import MoveAnswer, VerdictRecorder, move_identity
+from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict
+from tarragonwind.errors import EntryError, StoreError
+from tarragonwind.futures import spawn
+from tarragonwind.ports import Members, Peers, Timers
+
+OUTCOMES: dict[MoveAnswer, MoveOutcome] = {
+    MoveAnswer.DONE: MoveOutcome.DONE,
+    MoveAnswer.TAKEN_BACK: MoveOutcome.TAKEN_BACK,
+}
+ANSWERS = {outcome: answer for answer, outcome in OUTCOMES.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """Tell a pool's standing version, and whether a new one gets a share beside it."""
+
+    version: str
+    shared: bool
+
+
+class MoveRunner(VerdictRecorder):
+    """Carry a move table's messages and record its answers in the store.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts.
+    peers : Peers
+        Messages between hosts.
+    timers : Timers
+        Clock and timer subscriptions.
+    rng : random.Random
+        Source of randomness.
+    writer : CatalogueWriter
+        Writer that records answers.
+    incarnation : int
+        Number of this process, larger than that of any earlier one of the host.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        peers: Peers,
+        timers: Timers,
+        rng: random.Random,
+        writer: CatalogueWriter,
+        incarnation: int,
+    ) -> None:
+        self.table = MoveTable(members, incarnation, self)
+        self._name = members.name
+        self._peers = peers
+        self._timers = timers
+        self._rng = rng
+        self._writer = writer
+        self._catalogue = Catalogue()
+        self._recording: set[str] = set()
+        self._version_listeners: list[Callable[[str], None]] = []
+        self._serving: dict[str, Serving] = {}
+        peers.subscribe(MoveReport, self._on_report)
+        peers.subscribe(MoveShare, self._on_share)
+        peers.subscribe(MoveFacts, self._on_facts)
+        timers.call_every(TICK_PERIOD_S, self._tick)
+
+    def subscribe_version_change(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with a pool whose waiting requests need another version."""
+        self._version_listeners.append(listener)
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Put a catalogue in force, with the answers that it records."""
+        self._catalogue = catalogue
+        now = self._timers.wall()
+        moves = [
+            entry for entry in catalogue.contents("move").values() if isinstance(entry, MoveEntry)
+        ]
+        pools = {
+            entry.name: entry.version
+            for entry in catalogue.contents("pool").values()
+            if isinstance(entry, PoolEntry)
+        }
+        self.table.set_catalogue(now, moves, pools)
+        for entry in moves:
+            verdict = catalogue.verdict_of(entry.name)
+            if verdict is not None:
+                self._learn(entry, verdict)
+        self._watch_serving()
+
+    def choose_version(self, now: float, rng: random.Random, pool: str, route: str) -> str:
+        """Choose a request's version; moves count on the wall clock that hosts share."""
+        return self.table.choose_version(self._timers.wall(), rng, pool, route)
+
+    def read(self, move_id: str) -> None:
+        """Look an answer up in the catalogue in force."""
+        entry = self._find(move_id)
+        if entry is None:
+            return
+        verdict = self._catalogue.verdict_of(entry.name)
+        if verdict is not None:
+            self._learn(entry, verdict)
+        else:
+            self._send(self.table.learn_answer(self._timers.wall(), move_id, None, ""))
+
+    def record(self, move_id: str, answer: MoveAnswer, why: str) -> None:
+        """Record an answer; the first one recorded stands."""
+        entry = self._find(move_id)
+        if entry is None or move_id in self._recording:
+            return
+        self._recording.add(move_id)
+        spawn(self._record(entry, answer, why))
+
+    async def _record(self, entry: MoveEntry, answer: MoveAnswer, why: str) -> None:
+        verdict = MoveVerdict(entry.name, OUTCOMES[answer], self._name, self._timers.wall(), why)
+        try:
+            standing = await self._writer.record_verdict(verdict)
+        except (StoreError, CatalogueError, EntryError) as exc:
+            logger.warning("event=verdict_not_recorded move={} why={!r}", entry.name, str(exc))
+            return
+        finally:
+            self._recording.discard(move_identity(entry))
+        logger.info(
+            "event=verdict_recorded move={} outcome={} why={!r}",
+            entry.name,
+            standing.outcome.value,
+            standing.why,
+        )
+        self._learn(entry, standing)
+
+    def _learn(self, entry: MoveEntry, verdict: MoveVerdict) -> None:
+        answer = ANSWERS[verdict.outcome]
+        now = self._timers.wall()
+        self._send(self.table.learn_answer(now, move_identity(entry), answer, verdict.why))
+        self._watch_serving()
+
+    def _find(self, move_id: str) -> MoveEntry | None:
+        for entry in self._catalogue.contents("move").values():
+            if isinstance(entry, MoveEntry) and move_identity(entry) == move_id:
+                return entry
+        return None
+
+    def _on_report(self, host: str, msg: MoveReport) -> None:
+        self._send(self.table.on_report(self._timers.wall(), host, msg))
+        self._watch_serving()
+
+    def _on_share(self, host: str, msg: MoveShare) -> None:
+        self.table.on_share(self._timers.wall(), host, msg)
+
+    def _on_facts(self, host: str, msg: MoveFacts) -> None:
+        self._send(self.table.on_facts(self._rng, msg))
+        self._watch_serving()
+
+    def _tick(self) -> None:
+        self._send(self.table.tick(self._timers.wall(), self._rng))
+        self._watch_serving()
+
+    def _send(self, outgoing: list[Outgoing]) -> None:
+        for one in outgoing:
+            self._peers.send(one.host, one.msg)
+
+    def _watch_serving(self) -> None:
+        """Tell listeners of pools where another set of versions serves than before."""
+        now = self._timers.wall()
+        for entry in self._catalogue.contents("pool").values():
+            if not isinstance(entry, PoolEntry):
+                continue
+            serving = Serving(entry.version, self.table.share(now, entry.name) > 0)
+            if self._serving.get(entry.name) == serving:
+                continue
+            self._serving[entry.name] = serving
+            for listener in self._version_listeners:
+                listener(entry.name)
--- /dev/null
+++ b/tarragonwind/schedulers.py
@@ -0,0 +1,237 @@
+"""Schedule this host's requests: permits from pools' owners, outcomes to moves and estimates."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.entries import OrganisationEntry, UpstreamEntry
+from tarragonwind.core.estimates import SERVICE_COST, CostEstimator
+from tarragonwind.core.move_trials import Outcome as TrialOutcome
+from tarragonwind.core.move_trials import Trial
+from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
+from tarragonwind.core.permit_messages import (
+    Outcome,
+    PermitAsk,
+    PermitBeat,
+    PermitCancel,
+    PermitDone,
+    PermitGrant,
+    PermitRefusal,
+    PermitSync,
+)
+from tarragonwind.core.pool_owners import OwnerParts, PoolOwners
+from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+from tarragonwind.errors import ErrorKind, RequestError
+from tarragonwind.messages import Message
+from tarragonwind.move_runners import MoveRunner
+from tarragonwind.ports import Members, Peers, Timers
+
+TICK_PERIOD_S = 0.05
+"""Time between two looks at deadlines and silent owners, in seconds."""
+
+REFUSAL_MESSAGES: dict[ErrorKind, str] = {
+    ErrorKind.SHED: "capacity is short and more important requests come first",
+    ErrorKind.DEADLINE_UNMEETABLE: "the deadline can't be met with the work that waits",
+    ErrorKind.DEADLINE_PASSED: "the deadline passed while the request waited",
+    ErrorKind.NO_UPSTREAM: "no upstream of the pool takes work now",
+}
+
+BLAMED_OUTCOMES = frozenset(
+    [Outcome.CONNECT_FAILED, Outcome.FAILED, Outcome.REFUSED, Outcome.TIMED_OUT]
+)
+"""Outcomes that count as failures of the version that served."""
+
+
+@dataclass(slots=True)
+class Dispatched:
+    """Hold what is remembered of a permit until its dispatch ends."""
+
+    work: Work
+    trial: Trial | None = None
+
+
+class PermitScheduler(Scheduler):
+    """Connect the gateway with permit clients, pool owners and moves on this host.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts.
+    peers : Peers
+        Messages between hosts.
+    timers : Timers
+        Clock and timer subscriptions.
+    rng : random.Random
+        Source of randomness.
+    moves : MoveRunner
+        Moves between versions.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        peers: Peers,
+        timers: Timers,
+        rng: random.Random,
+        moves: MoveRunner,
+    ) -> None:
+        self._members = members
+        self._timers = timers
+        self._moves = moves
+        self._estimator = CostEstimator()
+        self._works: dict[int, Work] = {}
+        self._dispatched: dict[int, Dispatched] = {}
+        self._catalogue = Catalogue()
+        self._slots: dict[str, int] = {}
+        self._held: dict[str, int] = {}
+        parts = OwnerParts(peers.send, rng, moves.choose_version, self._weight_of)
+        self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
+        self.client = PermitClient(
+            members.name, peers.send, rng, members.owner_of, self.owners.create_local_owner
+        )
+        for to_owner in (PermitAsk, PermitCancel, PermitDone, PermitSync):
+            peers.subscribe(to_owner, self._on_owner_message)
+        for to_client in (PermitGrant, PermitRefusal, PermitBeat):
+            peers.subscribe(to_client, self._on_client_message)
+        members.subscribe(self._on_members_changed)
+        moves.subscribe_version_change(self._on_versions_changed)
+        timers.call_every(TICK_PERIOD_S, self._tick)
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Put a catalogue in force."""
+        self._catalogue = catalogue
+        upstreams = [
+            entry
+            for entry in catalogue.contents("upstream").values()
+            if isinstance(entry, UpstreamEntry)
+        ]
+        self._slots = {entry.name: entry.slots for entry in upstreams}
+        self.owners.configure(self._timers.now(), catalogue.contents("pool"), upstreams)
+
+    def ask(
+        self,
+        work: Work,
+        on_granted: Callable[[Permit], object],
+        on_refused: Callable[[RequestError], object],
+    ) -> int:
+        """Ask the pool's owner for a permit."""
+        cost = SERVICE_COST
+        if work.max_tokens is not None:
+            cost = self._estimator.estimate(
+                work.route, work.organisation, work.prompt_bytes, work.max_tokens
+            )
+        request = PermitRequest(
+            pool=work.pool,
+            route=work.route,
+            organisation=work.organisation,
+            tier=work.tier,
+            cost_tokens=cost.cost_tokens,
+            prompt_tokens=cost.prompt_tokens,
+            deadline=work.deadline,
+            prefixes=work.prefixes,
+            avoid=work.avoid,
+        )
+
+        def granted(permit: Permit) -> None:
+            self._dispatched[permit.ask_id] = Dispatched(work)
+            on_granted(permit)
+
+        def refused(kind: ErrorKind, retry_after_s: float) -> None:
+            on_refused(RequestError(kind, REFUSAL_MESSAGES[kind], retry_after_s))
+
+        return self.client.ask(self._timers.now(), request, granted, refused)
+
+    def cancel(self, ask_id: int) -> None:
+        """Withdraw an ask."""
+        self.client.cancel(self._timers.now(), ask_id)
+
+    def dispatched(self, permit: Permit) -> None:
+        """Begin to follow a dispatch as evidence on its version."""
+        known = self._dispatched.get(permit.ask_id)
+        if known is None:
+            return
+        self._held[permit.upstream] = self._held.get(permit.upstream, 0) + 1
+        known.trial = self._moves.table.start(
+            self._timers.wall(),
+            permit.pool,
+            known.work.route,
+            permit.version,
+            self._load_fraction(permit.upstream),
+        )
+
+    def first_byte(self, permit: Permit) -> None:
+        """Note the first byte of the answer as evidence."""
+        known = self._dispatched.get(permit.ask_id)
+        if known is not None and known.trial is not None:
+            self._moves.table.first_byte(self._timers.wall(), known.trial)
+
+    def finished(self, permit: Permit, report: DispatchReport) -> None:
+        """Give the permit back and learn from the dispatch."""
+        self.client.done(
+            self._timers.now(),
+            permit.ask_id,
+            report.outcome,
+            round(report.first_byte_s * 1000),
+            round(report.duration_s * 1000),
+            report.output_tokens,
+        )
+        known = self._dispatched.pop(permit.ask_id, None)
+        if known is None:
+            return
+        if report.outcome is not Outcome.UNUSED:
+            self._held[permit.upstream] = max(0, self._held.get(permit.upstream, 0) - 1)
+        if report.outcome is Outcome.OK and known.work.max_tokens is not None:
+            self._estimator.observe(
+                known.work.route,
+                known.work.organisation,
+                known.work.prompt_bytes,
+                report.output_tokens,
+            )
+        if known.trial is not None:
+            outcome = trial_outcome(report.outcome)
+            now = self._timers.wall()
+            self._moves.table.finish(now, known.trial, outcome, report.output_tokens)
+
+    def resume(self) -> None:
+        """Start anew with owners and clients after a pause of this process."""
+        now = self._timers.now()
+        self.owners.on_resumed(now)
+        self.client.on_resumed(now)
+
+    def _load_fraction(self, upstream: str) -> float:
+        """Estimate how full an upstream is from this host's part of its work."""
+        slots = self._slots.get(upstream, 1)
+        return self._held.get(upstream, 0) * len(self._members.live()) / slots
+
+    def _weight_of(self, organisation: str) -> float:
+        entry = self._catalogue.entry(f"organisation/{organisation}")
+        return entry.weight if isinstance(entry, OrganisationEntry) else 1.0
+
+    def _on_owner_message(self, host: str, msg: Message) -> None:
+        self.owners.on_message(self._timers.now(), host, msg)
+
+    def _on_client_message(self, host: str, msg: Message) -> None:
+        self.client.on_message(self._timers.now(), host, msg)
+
+    def _on_members_changed(self) -> None:
+        now = self._timers.now()
+        self.owners.on_members_changed(now)
+        self.client.on_members_changed(now)
+
+    def _on_versions_changed(self, pool: str) -> None:
+        self.owners.on_versions_changed(self._timers.now(), pool)
+
+    def _tick(self) -> None:
+        now = self._timers.now()
+        self.owners.tick(now)
+        self.client.tick(now)
+
+
+def trial_outcome(outcome: Outcome) -> TrialOutcome:
+    """Return what a dispatch's outcome says of the version that served it."""
+    if outcome is Outcome.OK:
+        return TrialOutcome.OK
+    return TrialOutcome.FAILED if outcome in BLAMED_OUTCOMES else TrialOutcome.IGNORED
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,7 +9,8 @@
 
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.core.entries import OrganisationEntry, RouteEntry, UpstreamEntry
-from tarragonwind.core.permit_sources import Permit, PermitReport, PermitRequest, PermitSource
+from tarragonwind.core.permit_clients import Permit
+from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
 
 WAIT_LIMIT_S = 20.0
 TOKEN = "token-a"
@@ -80,32 +81,43 @@
         digest = hashlib.sha256(TOKEN.encode()).hexdigest()
         self.organisation = OrganisationEntry(name="org-a", owner="o", token_sha256=[digest])
 
-    def organisation_by_token(self, token_sha256: str) -> OrganisationEntry | None:
+    def organisation_for(self, token_sha256: str) -> OrganisationEntry | None:
         return self.organisation if token_sha256 in self.organisation.token_sha256 else None
 
-    def route_by_model(self, model: str) -> RouteEntry | None:
+    def route_for_model(self, model: str) -> RouteEntry | None:
         return next((route for route in self.routes if route.model == model), None)
 
-    def route_by_path(self, path: str) -> RouteEntry | None:
+    def route_for_path(self, path: str) -> RouteEntry | None:
         found = [r for r in self.routes if r.path_prefix and path.startswith(r.path_prefix)]
         return found[0] if found else None
 
-    def upstream(self, name: str) -> UpstreamEntry | None:
-        return next((one for one in self.upstreams if one.name == name), None)
+    def entry(self, key: str) -> UpstreamEntry | None:
+        return next((one for one in self.upstreams if one.key == key), None)
 
 
-class TurnPermits(PermitSource):
+class TurnScheduler(Scheduler):
     """Grant at once, each upstream in turn."""
 
     def __init__(self, upstreams: list[str]) -> None:
         self.names = itertools.cycle(upstreams)
-        self.reports: list[PermitReport] = []
+        self.works: list[Work] = []
+        self.reports: list[DispatchReport] = []
+        self.cancelled: list[int] = []
 
-    def ask(self, req: PermitRequest, on_grant, on_refusal) -> None:
-        on_grant(Permit(req.request_id, next(self.names), "v1"))
+    def ask(self, work: Work, on_granted, on_refused) -> int:
+        self.works.append(work)
+        ask_id = len(self.works)
+        on_granted(Permit(ask_id, work.pool, next(self.names), "v1", ""))
+        return ask_id
 
-    def cancel(self, request_id: int) -> None:
+    def cancel(self, ask_id: int) -> None:
+        self.cancelled.append(ask_id)
+
+    def dispatched(self, permit: Permit) -> None:
+        pass
+
+    def first_byte(self, permit: Permit) -> None:
         pass
 
-    def finish(self, report: PermitReport) -> None:
+    def finished(self, permit: Permit, report: DispatchReport) -> None:
         self.reports.append(report)
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -6,7 +6,6 @@
 import threading
 
 import pytest
-from support import TOKEN, FakeCatalogue, LoopRunner, TurnPermits
 
 from standins.engine import Engine
 from tarragonwind.adapters.gateways import Gateway
@@ -14,6 +13,7 @@
 from tarragonwind.adapters.http_servers import HttpLimits
 from tarragonwind.core.entries import RouteEntry, UpstreamEntry
 from tarragonwind.ports import Address
+from tests.support import TOKEN, FakeCatalogue, LoopRunner, TurnScheduler
 
 AUTH = {"Authorization": f"Bearer {TOKEN}"}
 
@@ -68,7 +68,7 @@
             RouteEntry(name="stamp", owner="o", pool="chat", tier=0, path_prefix="/stamp"),
         ]
         self.catalogue = FakeCatalogue([upstream], routes)
-        self.permits = TurnPermits(["up-1"])
+        self.scheduler = TurnScheduler(["up-1"])
         loop = self.runner.loop
         self.gateway = Gateway(
             loop,
@@ -76,7 +76,7 @@
             HttpLimits(),
             HttpClient(loop, connect_timeout_s=1.0),
             lambda: self.catalogue,
-            self.permits,
+            self.scheduler,
         )
         self.runner.start()
 
@@ -125,12 +125,9 @@
 
 
 def test_a_caller_can_lower_its_tier_but_not_raise_it(bench):
-    seen = []
-    original = bench.permits.ask
-    bench.permits.ask = lambda req, *rest: (seen.append(req.tier), original(req, *rest))
     bench.post(chat(), {**AUTH, "Tarragonwind-Tier": "3"})[0].read()
     bench.post(chat(), {**AUTH, "Tarragonwind-Tier": "0"})[0].read()
-    assert seen == [3, 1]
+    assert [work.tier for work in bench.scheduler.works] == [3, 1]
 
 
 def test_pipelined_requests_get_their_own_answers_in_order(bench):
@@ -261,7 +258,7 @@
     conn.close()
     done = threading.Event()
     for _ in range(2_000):
-        if not bench.engine._running and bench.permits.reports:
+        if not bench.engine._running and bench.scheduler.reports:
             done.set()
             break
         done.wait(0.005)
