--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -14,7 +14,7 @@
 from tarragonwind.adapters.refusals import answer_refusal
 from tarragonwind.adapters.relays import Relay, RelayEnd, RelayRules
 from tarragonwind.core.classifications import CatalogueView, RequestClass, classify_request
-from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
 from tarragonwind.core.organisation_limits import Admission, OrganisationLimits
 from tarragonwind.core.permit_clients import Permit
 from tarragonwind.core.permit_messages import Outcome as PermitOutcome
@@ -28,6 +28,7 @@
 MAX_CONNECT_ATTEMPTS = 3
 REQUEST_ID_HEADER = b"x-request-id"
 MAX_REQUEST_ID_LENGTH = 128
+SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
 DROPPED_REQUEST_HEADERS = frozenset(
     [
         b"authorization",
@@ -114,6 +115,7 @@
         self.times = times or GatewayTimes()
         self.active: set[RequestRun] = set()
         self.stopping = False
+        self.sheds = [0] * TIER_COUNT
         self.id_prefix = id_prefix
         self._ids = itertools.count(1)
         self._server = HttpServer(loop, address, limits, self._on_request, self._on_fault)
@@ -276,6 +278,8 @@
 
     def _refuse(self, exc: RequestError) -> None:
         not_run = self._life.not_run(exc.kind)
+        if exc.kind in SHED_KINDS and self._class is not None:
+            self._gateway.sheds[self._class.tier] += 1
         self._life.end(Outcome.REFUSED)
         if self._exchange.gone:
             return
--- /dev/null
+++ b/tarragonwind/daemon_operators.py
@@ -0,0 +1,364 @@
+"""Answer operators from the parts of a running daemon."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Coroutine
+from typing import Any, Protocol, TypeVar
+
+from tarragonwind.adapters.memberships import Membership
+from tarragonwind.catalogue_errors import (
+    CatalogueConflict,
+    CatalogueError,
+    StoreBehind,
+    WriteContended,
+    WriteUnsettled,
+)
+from tarragonwind.catalogue_services import CatalogueService
+from tarragonwind.catalogue_writers import Edit
+from tarragonwind.core.catalogues import Record
+from tarragonwind.core.changes import Change as AcceptedChange
+from tarragonwind.core.changes import pack_entry
+from tarragonwind.core.entries import (
+    Entry,
+    MoveEntry,
+    MoveState,
+    UpstreamEntry,
+    parse_entry,
+)
+from tarragonwind.core.member_views import Health, Member
+from tarragonwind.core.moves import MoveAnswer, MoveStatus, move_identity
+from tarragonwind.errors import EntryError, StoreError
+from tarragonwind.futures import Future, spawn
+from tarragonwind.move_runners import MoveRunner
+from tarragonwind.operator_services import (
+    CatalogueItem,
+    CatalogueListing,
+    Change,
+    ChangeResult,
+    ChangeSpread,
+    DaemonReport,
+    DrainResult,
+    EntryDiff,
+    HistoryItem,
+    HostReport,
+    MoveOutcome,
+    MoveReport,
+    OperatorError,
+    OperatorErrorKind,
+    OperatorService,
+    Readiness,
+    UpstreamReport,
+    WriteOutcome,
+)
+from tarragonwind.ports import Timers
+from tarragonwind.schedulers import PermitScheduler
+
+T = TypeVar("T")
+
+HOST_STATES: dict[Health, str] = {
+    Health.ALIVE: "live",
+    Health.SUSPECT: "suspect",
+    Health.DEAD: "lost",
+}
+
+
+class DaemonState(Protocol):
+    """Name what operators may see and start of the daemon itself."""
+
+    data_centre: str
+    stopping: bool
+
+    @property
+    def in_progress(self) -> int:
+        """Return the requests not yet answered."""
+
+    def begin_stop(self) -> None:
+        """Begin the planned stop."""
+
+    def sheds_by_tier(self) -> list[int]:
+        """Return the requests shed since the start."""
+
+    def store_away_s(self) -> float:
+        """Return the seconds since the store last answered, 0 while it answers."""
+
+
+class DaemonOperatorService(OperatorService):
+    """Answer operators of one daemon.
+
+    Parameters
+    ----------
+    daemon : DaemonState
+        The daemon.
+    catalogue : CatalogueService
+        Catalogue in force, writer and follower.
+    membership : Membership
+        Known hosts.
+    moves : MoveRunner
+        Moves between versions.
+    scheduler : PermitScheduler
+        Waiting and dispatched work.
+    timers : Timers
+        Clock.
+    """
+
+    def __init__(
+        self,
+        daemon: DaemonState,
+        catalogue: CatalogueService,
+        membership: Membership,
+        moves: MoveRunner,
+        scheduler: PermitScheduler,
+        timers: Timers,
+    ) -> None:
+        self._daemon = daemon
+        self._catalogue = catalogue
+        self._membership = membership
+        self._moves = moves
+        self._scheduler = scheduler
+        self._timers = timers
+
+    def readiness(self) -> Readiness:
+        """Tell whether the balancer should send requests here."""
+        if self._daemon.stopping:
+            return Readiness(False, "stopping")
+        if not self._catalogue.state.number:
+            return Readiness(False, "no catalogue is in force yet")
+        if not self._membership.joined():
+            return Readiness(False, "no other host has answered yet")
+        return Readiness(True)
+
+    def status(self) -> DaemonReport:
+        """Tell how this daemon stands."""
+        return DaemonReport(
+            host=self._membership.name,
+            data_centre=self._daemon.data_centre,
+            ready=self.readiness().ready,
+            stopping=self._daemon.stopping,
+            number=self._catalogue.state.number,
+            store_away_s=round(self._daemon.store_away_s(), 1),
+            live_hosts=len(self._membership.live()),
+            in_progress=self._daemon.in_progress,
+            waiting=self._scheduler.waiting_by_tier(),
+            sheds=self._daemon.sheds_by_tier(),
+        )
+
+    def hosts(self) -> list[HostReport]:
+        """Tell how each known host stands."""
+        numbers = {one.host: one.number for one in self._catalogue.follower.numbers()}
+        numbers[self._membership.name] = self._catalogue.state.number
+        return [
+            self._describe_host(member, numbers.get(member.name, 0))
+            for member in sorted(self._membership.members(), key=lambda one: one.name)
+        ]
+
+    def _describe_host(self, member: Member, number: int) -> HostReport:
+        own = member.name == self._membership.name
+        heard_s = 0.0 if own else self._timers.now() - member.heard_at
+        state = "leaving" if member.leaving else HOST_STATES.get(member.health, "lost")
+        return HostReport(
+            name=member.name,
+            data_centre=member.data_centre,
+            address=str(member.address),
+            state=state,
+            number=number,
+            heard_s=round(heard_s, 1) if heard_s != float("inf") else -1.0,
+        )
+
+    def upstreams(self) -> list[UpstreamReport]:
+        """Tell how each upstream stands."""
+        entries = self._catalogue.state.in_force.contents("upstream").values()
+        found = [entry for entry in entries if isinstance(entry, UpstreamEntry)]
+        return [
+            self._scheduler.describe_upstream(entry) for entry in sorted(found, key=lambda e: e.key)
+        ]
+
+    def list_entries(self, kind: str) -> CatalogueListing:
+        """Return the entries in force."""
+        in_force = self._catalogue.state.in_force
+        items = []
+        for key in sorted(in_force.records):
+            item = make_item(in_force.records[key])
+            if item is not None and kind in ("", item.entry.kind):
+                items.append(item)
+        return CatalogueListing(in_force.number, items)
+
+    def find_entry(self, key: str) -> CatalogueItem | None:
+        """Return one entry in force."""
+        record = self._catalogue.state.in_force.records.get(key)
+        return make_item(record) if record is not None else None
+
+    def apply_change(self, change: Change) -> Future[ChangeResult]:
+        """Write a change once."""
+        return spawn(self._guard(self._apply_change(change)))
+
+    async def _apply_change(self, change: Change) -> ChangeResult:
+        earlier = await self._find_write(change.write_id)
+        if earlier.accepted:
+            return ChangeResult(earlier.number, repeated=True)
+        records = self._catalogue.state.in_force.records
+        edits = []
+        for key, doc in change_docs(change):
+            record = records.get(key)
+            number = record.number if record is not None else 0
+            if number > change.expected:
+                raise conflict(key, record)
+            edits.append(Edit(key, doc, number))
+        accepted = await self._catalogue.writer.write(edits, change.who, change.write_id)
+        return ChangeResult(accepted[-1].number)
+
+    async def _guard(self, work: Coroutine[Any, Any, T]) -> T:
+        """Turn the catalogue's errors into the closed list of operators' refusals."""
+        try:
+            return await work
+        except EntryError as exc:
+            raise OperatorError(OperatorErrorKind.ENTRY_REFUSED, str(exc)) from exc
+        except CatalogueConflict as exc:
+            record = self._catalogue.state.in_force.records.get(exc.key)
+            raise conflict(exc.key, record) from exc
+        except WriteUnsettled as exc:
+            raise OperatorError(OperatorErrorKind.OUTCOME_UNKNOWN, str(exc)) from exc
+        except WriteContended as exc:
+            raise OperatorError(OperatorErrorKind.CONFLICT, str(exc)) from exc
+        except (StoreBehind, StoreError) as exc:
+            raise OperatorError(OperatorErrorKind.STORE_UNAVAILABLE, str(exc)) from exc
+        except CatalogueError as exc:
+            raise OperatorError(OperatorErrorKind.INTERNAL, str(exc)) from exc
+
+    def change_spread(self, number: int) -> ChangeSpread:
+        """Tell which live hosts have a number in force."""
+        follower = self._catalogue.follower
+        follower.ask_numbers()
+        heard = {one.host: one.number for one in follower.numbers()}
+        heard[self._membership.name] = self._catalogue.state.number
+        live = self._membership.live()
+        in_force = [host for host in live if heard.get(host, 0) >= number]
+        return ChangeSpread(number, in_force, [host for host in live if host not in in_force])
+
+    def find_write(self, write_id: str) -> Future[WriteOutcome]:
+        """Read from the store whether a write id was accepted."""
+        return spawn(self._guard(self._find_write(write_id)))
+
+    async def _find_write(self, write_id: str) -> WriteOutcome:
+        for change in reversed(await self._catalogue.writer.recent_changes()):
+            if change.write_id == write_id:
+                return WriteOutcome(True, change.number)
+        return WriteOutcome(False)
+
+    def history(self, key: str, limit: int) -> Future[list[HistoryItem]]:
+        """Return the latest changes first."""
+        return spawn(self._guard(self._history(key, limit)))
+
+    async def _history(self, key: str, limit: int) -> list[HistoryItem]:
+        changes = await self._catalogue.writer.recent_changes()
+        found = [change for change in changes if key in ("", change.key)]
+        return [describe_change(change) for change in reversed(found[-limit:])]
+
+    def diff(self, since: int, until: int) -> Future[list[EntryDiff]]:
+        """Return what differs between two numbers."""
+        return spawn(self._guard(self._diff(since, until)))
+
+    async def _diff(self, since: int, until: int) -> list[EntryDiff]:
+        changes = await self._catalogue.writer.recent_changes()
+        if changes and changes[0].number > since + 1:
+            message = f"changes before number {changes[0].number} are no longer kept"
+            raise OperatorError(OperatorErrorKind.GONE, message)
+        touched = {change.key for change in changes if since < change.number <= until}
+        before = replay_docs(changes, since)
+        after = replay_docs(changes, until)
+        return [
+            EntryDiff(key, read_doc(key, before.get(key)), read_doc(key, after.get(key)))
+            for key in sorted(touched)
+            if not key.startswith("verdict/")
+        ]
+
+    def moves(self) -> list[MoveReport]:
+        """Tell how each move stands."""
+        now = self._timers.wall()
+        reports = []
+        for entry in self._catalogue.state.in_force.contents("move").values():
+            if not isinstance(entry, MoveEntry):
+                continue
+            for status in self._moves.table.status(now, move_identity(entry)):
+                reports.append(describe_move(entry, status))
+        return sorted(reports, key=lambda report: report.name)
+
+    def drain(self, who: str) -> DrainResult:
+        """Begin the planned stop of this daemon."""
+        self._daemon.begin_stop()
+        return DrainResult(self._membership.name, self._daemon.in_progress)
+
+
+def change_docs(change: Change) -> list[tuple[str, bytes | None]]:
+    """Return the key and the packed fields of each entry that a change touches."""
+    docs: list[tuple[str, bytes | None]] = []
+    for entry in change.puts:
+        docs.append((entry.key, pack_entry(entry)))
+    for key in change.deletes:
+        docs.append((key, None))
+    return docs
+
+
+def make_item(record: Record) -> CatalogueItem | None:
+    """Return a record as operators see it; None for verdicts and unreadable entries."""
+    if not isinstance(record.content, Entry):
+        return None
+    return CatalogueItem(record.content, record.number)
+
+
+def conflict(key: str, record: Record | None) -> OperatorError:
+    """Return the refusal of a change whose entry was written since."""
+    item = make_item(record) if record is not None else None
+    number = record.number if record is not None else 0
+    message = f"{key} was changed by number {number} since; look at it and put it again"
+    return OperatorError(OperatorErrorKind.CONFLICT, message, [item] if item else [])
+
+
+def describe_change(change: AcceptedChange) -> HistoryItem:
+    """Return an accepted change as operators see it."""
+    removed = change.doc is None
+    return HistoryItem(
+        number=change.number,
+        at=change.at,
+        who=change.author,
+        write_id=change.write_id,
+        puts=[] if removed else [change.key],
+        deletes=[change.key] if removed else [],
+    )
+
+
+def replay_docs(changes: list[AcceptedChange], until: int) -> dict[str, bytes | None]:
+    """Return the last known fields of each key at a number."""
+    docs: dict[str, bytes | None] = {}
+    for change in changes:
+        if change.number <= until:
+            docs[change.key] = change.doc
+    return docs
+
+
+def read_doc(key: str, doc: bytes | None) -> Entry | None:
+    """Return the entry of packed fields, or None when there is none."""
+    if doc is None:
+        return None
+    return parse_entry(key.partition("/")[0], json.loads(doc))
+
+
+def describe_move(entry: MoveEntry, status: MoveStatus) -> MoveReport:
+    """Return a move's state as operators see it."""
+    outcome = MoveOutcome.NOT_SETTLED
+    if status.answer is MoveAnswer.DONE:
+        outcome = MoveOutcome.DONE
+    elif status.answer is MoveAnswer.TAKEN_BACK:
+        cancelled = entry.state is MoveState.CANCELLED
+        outcome = MoveOutcome.CANCELLED if cancelled else MoveOutcome.TAKEN_BACK
+    return MoveReport(
+        name=entry.name,
+        pool=entry.pool,
+        from_version=entry.from_version,
+        to_version=entry.to_version,
+        outcome=outcome,
+        share=status.share,
+        why=status.why,
+        done_by=entry.done_by,
+        recorded=status.answer is not None,
+    )
--- /dev/null
+++ b/tarragonwind/daemons.py
@@ -0,0 +1,225 @@
+"""Build a daemon from its settings, run it and stop it."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+from pathlib import Path
+from types import FrameType
+
+from loguru import logger
+
+from tarragonwind.adapters.gateways import Gateway, GatewayTimes
+from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.http_servers import HttpLimits
+from tarragonwind.adapters.loops import Loop, create_loop
+from tarragonwind.adapters.memberships import MembershipSettings, create_membership
+from tarragonwind.adapters.operators import OperatorServer, create_operator_server
+from tarragonwind.adapters.peers import PeerSettings, create_peers
+from tarragonwind.adapters.stores import StoreSettings, create_store
+from tarragonwind.catalogue_services import create_catalogue_service
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.daemon_operators import DaemonOperatorService
+from tarragonwind.logs import configure_logs
+from tarragonwind.move_runners import MoveRunner
+from tarragonwind.ports import Address
+from tarragonwind.schedulers import PermitScheduler
+from tarragonwind.settings import CallerSettings, Settings
+
+SIGNAL_POLL_S = 0.1
+"""Time between two looks for a signal, in seconds."""
+STOP_POLL_S = 0.05
+"""Time between two looks at whether all requests have ended, in seconds."""
+FAREWELL_S = 0.3
+"""Time that last messages to other hosts have to go out, in seconds."""
+
+
+class Daemon:
+    """Run one host's part of the system.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Checked and completed settings.
+    loop : Loop
+        Loop that everything runs on.
+    """
+
+    def __init__(self, cfg: Settings, loop: Loop) -> None:
+        self.data_centre = cfg.host.data_centre
+        self.stopping = False
+        self._cfg = cfg
+        self._loop = loop
+        self._signals = 0
+        self._signals_seen = 0
+        rng = random.Random(secrets.randbits(64))
+        incarnation = int(loop.timers.wall() * 1000)
+        self.client = HttpClient(
+            loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
+        )
+        self.store = create_store(store_settings(cfg), loop.timers, self.client)
+        self.peers = create_peers(loop, peer_settings(cfg, rng))
+        seeds = [seed.address() for seed in cfg.peers.seeds if seed.name != cfg.host.name]
+        self.membership = create_membership(self.peers, loop.timers, MembershipSettings(seeds), rng)
+        self.catalogue = create_catalogue_service(
+            self.store,
+            self.membership,
+            self.peers,
+            loop.timers,
+            rng,
+            cfg.store.prefix.rstrip("/"),
+        )
+        self.moves = MoveRunner(
+            self.membership, self.peers, loop.timers, rng, self.catalogue.writer, incarnation
+        )
+        self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
+        self.gateway = Gateway(
+            loop,
+            Address(cfg.callers.listen_host, cfg.callers.listen_port),
+            http_limits(cfg.callers),
+            self.client,
+            self._catalogue_in_force,
+            self.scheduler,
+            GatewayTimes(cfg.upstreams.idle_timeout_s),
+            f"{cfg.host.name}-{incarnation:x}",
+        )
+        self.operators = self._create_operators()
+        self.catalogue.state.subscribe(self._on_catalogue)
+        self.membership.subscribe_resumed(self.scheduler.resume)
+
+    def _create_operators(self) -> OperatorServer:
+        service = DaemonOperatorService(
+            self,
+            self.catalogue,
+            self.membership,
+            self.moves,
+            self.scheduler,
+            self._loop.timers,
+        )
+        return create_operator_server(self._loop, self._cfg.operators, service)
+
+    @property
+    def in_progress(self) -> int:
+        """Return the requests not yet answered."""
+        return self.gateway.in_progress
+
+    def sheds_by_tier(self) -> list[int]:
+        """Return the requests shed since the start, by tier."""
+        return list(self.gateway.sheds)
+
+    def store_away_s(self) -> float:
+        """Return the seconds since the store last answered, 0 while it answers."""
+        return self.catalogue.watcher.store_away_s()
+
+    def run(self) -> None:
+        """Run until a planned stop has ended."""
+        self._loop.timers.call_later(0.0, self._start)
+        self._loop.run()
+
+    def _start(self) -> None:
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
+        self.membership.start()
+        self.catalogue.watcher.start()
+        logger.info(
+            "event=started callers={} operators={} peers={}",
+            self.gateway.address,
+            self.operators.port,
+            self.peers.address,
+        )
+
+    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+        self._signals += 1
+
+    def _look_for_signal(self) -> None:
+        if self._signals == self._signals_seen:
+            return
+        self._signals_seen = self._signals
+        if self.stopping:
+            logger.warning("event=stopped_early in_progress={}", self.in_progress)
+            self._end()
+            return
+        self.begin_stop()
+
+    def begin_stop(self) -> None:
+        """Begin the planned stop: not ready, hand over, let every request end."""
+        if self.stopping:
+            return
+        self.stopping = True
+        logger.info("event=stopping in_progress={}", self.in_progress)
+        self.membership.leave()
+        self._loop.timers.call_later(self._cfg.stop.notice_s, self._close_door)
+
+    def _close_door(self) -> None:
+        self.gateway.stop()
+        deadline = self._loop.timers.now() + self._cfg.stop.grace_s
+        self._wait_for_requests(deadline)
+
+    def _wait_for_requests(self, deadline: float) -> None:
+        if self.in_progress and self._loop.timers.now() < deadline:
+            self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
+            return
+        if self.in_progress:
+            logger.warning(
+                "event=stop_grace_over in_progress={} hint=raise_stop.grace_s", self.in_progress
+            )
+        self._loop.timers.call_later(FAREWELL_S, self._end)
+
+    def _end(self) -> None:
+        self.catalogue.watcher.stop()
+        self.membership.stop()
+        self.peers.stop()
+        self.operators.close()
+        self.client.close()
+        logger.info("event=stopped")
+        self._loop.stop()
+
+    def _catalogue_in_force(self) -> Catalogue | None:
+        in_force = self.catalogue.state.in_force
+        return in_force if in_force.number else None
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self.moves.set_catalogue(catalogue)
+        self.scheduler.set_catalogue(catalogue)
+
+
+def store_settings(cfg: Settings) -> StoreSettings:
+    """Return what the store's adapter needs."""
+    endpoints = [endpoint.address() for endpoint in cfg.store.endpoints]
+    return StoreSettings(cfg.store.backend.value, endpoints, cfg.store.timeout_s)
+
+
+def peer_settings(cfg: Settings, rng: random.Random) -> PeerSettings:
+    """Return what the transport between hosts needs; read the shared secret."""
+    token = b""
+    if cfg.peers.secret_file:
+        token = Path(cfg.peers.secret_file).read_bytes().strip()
+    return PeerSettings(
+        name=cfg.host.name,
+        data_centre=cfg.host.data_centre,
+        listen=Address(cfg.peers.listen_host, cfg.peers.listen_port),
+        token=token or secrets.token_bytes(32),
+        start_id=rng.getrandbits(63),
+        advertise=cfg.peers.advertised(),
+    )
+
+
+def http_limits(cfg: CallerSettings) -> HttpLimits:
+    """Return the bounds for callers."""
+    return HttpLimits(
+        max_head_bytes=cfg.max_header_bytes,
+        max_body_bytes=cfg.max_body_bytes,
+        head_timeout_s=cfg.header_timeout_s,
+        body_timeout_s=cfg.body_timeout_s,
+        idle_timeout_s=cfg.idle_timeout_s,
+        max_connections=cfg.max_connections,
+    )
+
+
+def run_daemon(cfg: Settings) -> None:
+    """Build a daemon from checked settings and run it to its planned stop."""
+    configure_logs(cfg.log, cfg.host.name)
+    daemon = Daemon(cfg, create_loop())
+    daemon.run()
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass
 
 from tarragonwind.core.catalogues import Catalogue
-from tarragonwind.core.entries import OrganisationEntry, UpstreamEntry
+from tarragonwind.core.entries import (
+    TIER_COUNT,
+    OrganisationEntry,
+    UpstreamEntry,
+    UpstreamState,
+)
 from tarragonwind.core.estimates import SERVICE_COST, CostEstimator
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
@@ -27,6 +32,7 @@
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
 from tarragonwind.move_runners import MoveRunner
+from tarragonwind.operator_services import UpstreamReport
 from tarragonwind.ports import Members, Peers, Timers
 
 TICK_PERIOD_S = 0.05
@@ -82,11 +88,11 @@
         self._timers = timers
         self._moves = moves
         self._estimator = CostEstimator()
-        self._works: dict[int, Work] = {}
         self._dispatched: dict[int, Dispatched] = {}
         self._catalogue = Catalogue()
         self._slots: dict[str, int] = {}
         self._held: dict[str, int] = {}
+        self._failures: dict[str, int] = {}
         parts = OwnerParts(peers.send, rng, moves.choose_version, self._weight_of)
         self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
         self.client = PermitClient(
@@ -181,6 +187,8 @@
         known = self._dispatched.pop(permit.ask_id, None)
         if known is None:
             return
+        if report.outcome in BLAMED_OUTCOMES:
+            self._failures[permit.upstream] = self._failures.get(permit.upstream, 0) + 1
         if report.outcome is not Outcome.UNUSED:
             self._held[permit.upstream] = max(0, self._held.get(permit.upstream, 0) - 1)
         if report.outcome is Outcome.OK and known.work.max_tokens is not None:
@@ -201,6 +209,38 @@
         self.owners.on_resumed(now)
         self.client.on_resumed(now)
 
+    def waiting_by_tier(self) -> list[int]:
+        """Return the requests that wait at the owners on this host, by tier."""
+        counts = [0] * TIER_COUNT
+        for pool in self.owners.active_pools():
+            owner = self.owners.owner(pool)
+            if owner is None:
+                continue
+            for tier, count in enumerate(owner.waiting_by_tier()):
+                counts[tier] += count
+        return counts
+
+    def describe_upstream(self, entry: UpstreamEntry) -> UpstreamReport:
+        """Tell how an upstream stands; its pool's owner knows all of its work, others their own."""
+        owner = self.owners.owner(entry.pool)
+        load = None
+        if owner is not None and owner.active:
+            load = next((one for one in owner.loads() if one.entry.name == entry.name), None)
+        state = entry.state.value
+        if load is not None and load.ejected and entry.state is UpstreamState.LIVE:
+            state = "unreachable"
+        return UpstreamReport(
+            name=entry.name,
+            pool=entry.pool,
+            version=entry.version,
+            state=state,
+            in_progress=load.in_flight if load is not None else self._held.get(entry.name, 0),
+            slots=entry.slots,
+            tokens_per_s=entry.tokens_per_s,
+            failures=self._failures.get(entry.name, 0),
+            report_age_s=-1.0,
+        )
+
     def _load_fraction(self, upstream: str) -> float:
         """Estimate how full an upstream is from this host's part of its work."""
         slots = self._slots.get(upstream, 1)
