Add the moves experiment with its fake fleet, workload and baseline

Cause: the share a bad version gets, the time to its end and false alarms must be measured beside a fixed schedule.

--- a/bench/move_fleets.py
+++ b/bench/move_fleets.py
@@ -98,6 +98,10 @@
         self.tables[host] = MoveTable(members, 1, FleetRecorder(self, host))
         self.after(self.rng.random() * TICK_PERIOD_S, lambda: self._tick(host))
 
+    def owner_of(self, pool: str) -> str:
+        """Return the host that owns a pool."""
+        return FakeMembers("", self.live).owner_of(pool)
+
     def after(self, delay_s: float, callback: Callable[[], None]) -> None:
         """Call back after a simulated time."""
         heapq.heappush(self._queue, (self.now + delay_s, next(self._order), callback))
--- /dev/null
+++ b/bench/move_workloads.py
@@ -0,0 +1,336 @@
+"""Produce the requests of the moves experiment over fake upstreams, good and bad."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from bench.move_fleets import Fleet
+from tarragonwind.core.move_trials import Outcome
+
+POOL = "drafting"
+ROUTES = ("questions", "dossiers", "chat")
+ROUTE_WEIGHTS = (0.6, 0.3, 0.1)
+BAD_ROUTE = "chat"
+OLD_VERSION = "v1"
+NEW_VERSION = "v2"
+UPSTREAMS_PER_VERSION = 4
+SLOTS = 8
+BASE_FAILED = 0.004
+FIRST_BYTE_S = 0.12
+TOKEN_S = 0.012
+BURST_PERIOD_S = 20.0
+BURST_S = 6.0
+BURST_FACTOR = 2.5
+
+
+class Fault(enum.Enum):
+    """Name how a new version is bad."""
+
+    NONE = "none"
+    FAILS = "fails"
+    SLOW = "slow"
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe a version and what happens around its move.
+
+    Attributes
+    ----------
+    name : str
+        Name in the results.
+    fault : Fault
+        How the version is bad.
+    failed : float
+        Failure rate where it is bad.
+    slowness : float
+        Factor on its times where it is bad.
+    bad_from : float
+        Fraction of the move's time from which it is bad.
+    only_high_load, only_one_route : bool
+        Where it is bad.
+    store_down : tuple of float
+        Fractions of the move's time between which the record is away.
+    stops_owner : bool
+        Whether the pool's owner is paused as soon as the version turns bad.
+    """
+
+    name: str
+    fault: Fault = Fault.NONE
+    failed: float = BASE_FAILED
+    slowness: float = 1.0
+    bad_from: float = 0.0
+    only_high_load: bool = False
+    only_one_route: bool = False
+    store_down: tuple[float, float] = (2.0, 2.0)
+    stops_owner: bool = False
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether the version should be completed."""
+        return self.fault is Fault.NONE
+
+
+class Controller(Protocol):
+    """Choose versions and see outcomes: the product's moves, or the baseline."""
+
+    def choose(self, now: float, host: str, route: str) -> str:
+        """Return the version for a request."""
+
+    def dispatched(self, now: float, host: str, req: Request) -> None:
+        """Note that a request is at its upstream."""
+
+    def first_byte(self, now: float, req: Request) -> None:
+        """Note a request's first byte."""
+
+    def finished(self, now: float, req: Request) -> None:
+        """Note a request's end."""
+
+    def concentrates(self, host: str) -> bool:
+        """Tell whether few upstreams should take the new version's requests."""
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """Hold the requests in progress at one back end."""
+
+    version: str
+    in_flight: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """Hold one request of the workload."""
+
+    host: str
+    route: str
+    version: str
+    upstream: Upstream
+    in_flight_fraction: float
+    first_byte_s: float
+    tokens: int
+    duration_s: float
+    failed: bool
+    trial: object = None
+
+
+@dataclass(slots=True)
+class Counts:
+    """Collect what the new version was given.
+
+    Attributes
+    ----------
+    sent : list of (float, bool)
+        Time of each request, and whether it went to the new version.
+    bad_sent : list of float
+        Times of requests that the new version served badly.
+    """
+
+    sent: list[tuple[float, bool]] = field(default_factory=list)
+    bad_sent: list[float] = field(default_factory=list)
+
+
+class Workload:
+    """Send requests to a controller; the trace depends on the seed only."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        scenario: Scenario,
+        controller: Controller,
+        seed: int,
+        rate: float,
+        starts_at: float,
+        duration_s: float,
+    ) -> None:
+        self.counts = Counts()
+        self._fleet = fleet
+        self._scenario = scenario
+        self._controller = controller
+        self._rng = random.Random(seed)
+        self._rate = rate
+        self._bad_from = starts_at + scenario.bad_from * duration_s
+        self._upstreams = {
+            version: [Upstream(version) for _ in range(UPSTREAMS_PER_VERSION)]
+            for version in (OLD_VERSION, NEW_VERSION)
+        }
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._arrive()
+
+    def _arrive(self) -> None:
+        now = self._fleet.now
+        rng = self._rng
+        host = rng.choice(self._fleet.live)
+        route = rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+        first_byte_s = FIRST_BYTE_S * rng.lognormvariate(0.0, 0.4)
+        tokens = rng.randint(10, 60)
+        token_s = TOKEN_S * rng.lognormvariate(0.0, 0.2)
+        chance = rng.random()
+        in_burst = now % BURST_PERIOD_S < BURST_S
+        rate = self._rate * (BURST_FACTOR if in_burst else 1.0)
+        self._fleet.after(rng.expovariate(rate), self._arrive)
+        if host not in self._fleet.stopped:
+            version = self._controller.choose(now, host, route)
+            upstream = self._pick(host, version)
+            self._dispatch(host, route, upstream, first_byte_s, tokens, token_s, chance)
+
+    def _pick(self, host: str, version: str) -> Upstream:
+        upstreams = self._upstreams[version]
+        if version == NEW_VERSION and self._controller.concentrates(host):
+            free = [upstream for upstream in upstreams if upstream.in_flight < SLOTS]
+            return (free or upstreams)[0]
+        return min(upstreams, key=lambda upstream: upstream.in_flight)
+
+    def _dispatch(
+        self,
+        host: str,
+        route: str,
+        upstream: Upstream,
+        first_byte_s: float,
+        tokens: int,
+        token_s: float,
+        chance: float,
+    ) -> None:
+        now = self._fleet.now
+        fraction = upstream.in_flight / SLOTS
+        is_new = upstream.version == NEW_VERSION
+        is_bad = is_new and self._is_bad(now, route, fraction)
+        slowness = (1.0 + 0.5 * fraction) * (self._scenario.slowness if is_bad else 1.0)
+        failed = chance < (self._scenario.failed if is_bad else BASE_FAILED)
+        duration_s = (first_byte_s + tokens * token_s) * slowness
+        req = Request(
+            host=host,
+            route=route,
+            version=upstream.version,
+            upstream=upstream,
+            in_flight_fraction=fraction,
+            first_byte_s=first_byte_s * slowness,
+            tokens=tokens,
+            duration_s=first_byte_s if failed else duration_s,
+            failed=failed,
+        )
+        self.counts.sent.append((now, is_new))
+        if is_bad and (failed or self._scenario.fault is Fault.SLOW):
+            self.counts.bad_sent.append(now)
+        upstream.in_flight += 1
+        self._controller.dispatched(now, host, req)
+        if not failed:
+            self._fleet.after(
+                req.first_byte_s, lambda: self._controller.first_byte(self._fleet.now, req)
+            )
+        self._fleet.after(req.duration_s, lambda: self._finish(req))
+
+    def _finish(self, req: Request) -> None:
+        req.upstream.in_flight -= 1
+        self._controller.finished(self._fleet.now, req)
+
+    def _is_bad(self, now: float, route: str, fraction: float) -> bool:
+        scenario = self._scenario
+        if scenario.is_good or now < self._bad_from:
+            return False
+        if scenario.only_one_route and route != BAD_ROUTE:
+            return False
+        return fraction >= 0.6 or not scenario.only_high_load
+
+
+class TableController:
+    """Let the product's move tables choose and count."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.on_finished: Callable[[float], None] = lambda now: None
+
+    def choose(self, now: float, host: str, route: str) -> str:
+        """Return the version for a request."""
+        return self._fleet.tables[host].choose_version(now, self._fleet.rng, POOL, route)
+
+    def dispatched(self, now: float, host: str, req: Request) -> None:
+        """Follow the request."""
+        table = self._fleet.tables[host]
+        req.trial = table.start(now, POOL, req.route, req.version, req.in_flight_fraction)
+
+    def first_byte(self, now: float, req: Request) -> None:
+        """Count the first byte."""
+        if req.trial is not None:
+            self._fleet.tables[req.host].first_byte(now, req.trial)  # type: ignore[arg-type]
+
+    def finished(self, now: float, req: Request) -> None:
+        """Count the end."""
+        if req.trial is not None:
+            outcome = Outcome.FAILED if req.failed else Outcome.OK
+            self._fleet.finish(req.host, req.trial, outcome, req.tokens)  # type: ignore[arg-type]
+        self.on_finished(now)
+
+    def concentrates(self, host: str) -> bool:
+        """Ask the host's table."""
+        return self._fleet.tables[host].concentrates(POOL)
+
+
+class FixedSchedule:
+    """Grow the share at set times; take back above a threshold of failures or of slowness.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws the versions.
+    starts_at, duration_s : float
+        Time of the move, in seconds.
+    """
+
+    SHARES = (0.05, 0.10, 0.25, 0.50, 0.95, 1.0)
+    WINDOW_S = 15.0
+    MIN_REQUESTS = 20
+    FAILED_LIMIT = 0.05
+    SLOWNESS_LIMIT = 1.5
+
+    def __init__(self, rng: random.Random, starts_at: float, duration_s: float) -> None:
+        self._rng = rng
+        self._starts_at = starts_at
+        self._duration_s = duration_s
+        self._window: list[tuple[float, bool, bool, float]] = []
+        self.taken_back_at: float | None = None
+
+    def choose(self, now: float, host: str, route: str) -> str:
+        """Return the version by the share of the schedule."""
+        if self.taken_back_at is not None or now < self._starts_at:
+            return OLD_VERSION
+        progress = (now - self._starts_at) / self._duration_s
+        step = min(len(self.SHARES) - 1, int(progress * len(self.SHARES)))
+        return NEW_VERSION if self._rng.random() < self.SHARES[step] else OLD_VERSION
+
+    def dispatched(self, now: float, host: str, req: Request) -> None:
+        """Need nothing."""
+
+    def first_byte(self, now: float, req: Request) -> None:
+        """Need nothing."""
+
+    def concentrates(self, host: str) -> bool:
+        """Spread over all upstreams."""
+        return False
+
+    def finished(self, now: float, req: Request) -> None:
+        """Look at the requests of the last seconds."""
+        is_new = req.version == NEW_VERSION
+        self._window.append((now, is_new, req.failed, req.first_byte_s))
+        while self._window[0][0] < now - self.WINDOW_S:
+            del self._window[0]
+        if is_new and self.taken_back_at is None and self._is_bad():
+            self.taken_back_at = now
+
+    def _is_bad(self) -> bool:
+        new = [entry for entry in self._window if entry[1]]
+        if len(new) < self.MIN_REQUESTS:
+            return False
+        if sum(entry[2] for entry in new) / len(new) > self.FAILED_LIMIT:
+            return True
+        old = [entry for entry in self._window if not entry[1]]
+        if len(old) < self.MIN_REQUESTS:
+            return False
+        old_s = sorted(entry[3] for entry in old)[len(old) // 2]
+        return sorted(entry[3] for entry in new)[len(new) // 2] > self.SLOWNESS_LIMIT * old_s
--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,375 @@
+"""Measure moves to good and bad versions beside a fixed schedule with a threshold.
+
+Run ``python -m bench.moves --out docs/data``: it writes JSON, a table and a plot.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from bench.move_fleets import Fleet
+from bench.move_workloads import (
+    NEW_VERSION,
+    OLD_VERSION,
+    POOL,
+    Fault,
+    FixedSchedule,
+    Scenario,
+    TableController,
+    Workload,
+)
+from tarragonwind.core.entries import MoveEntry
+from tarragonwind.core.evidence import pack_cells
+from tarragonwind.core.moves import MoveAnswer, MoveJudge
+
+HOSTS = 6
+RATE = 18.0
+STARTS_AT = 10.0
+DURATION_S = 120.0
+GOOD_DURATION_S = 60.0
+TAIL_S = 15.0
+WINDOW_S = 5.0
+PROBE_PERIOD_S = 0.1
+BAD_SEEDS = range(1, 6)
+GOOD_SEEDS = range(1_001, 1_201)
+WORKERS = 4
+
+SCENARIOS = (
+    Scenario("good"),
+    Scenario("good, store down for 5-95%", store_down=(0.05, 0.95)),
+    Scenario("fails at once, 100%", Fault.FAILS, failed=1.0),
+    Scenario("fails at once, 20%", Fault.FAILS, failed=0.2),
+    Scenario("fails at once, 5%", Fault.FAILS, failed=0.05),
+    Scenario("slow at once, 2x", Fault.SLOW, slowness=2.0),
+    Scenario("slow at once, 1.3x", Fault.SLOW, slowness=1.3),
+    Scenario("fails late at 50%, 30%", Fault.FAILS, failed=0.3, bad_from=0.5),
+    Scenario("fails late at 80%, 30%", Fault.FAILS, failed=0.3, bad_from=0.8),
+    Scenario("slow late at 80%, 2x", Fault.SLOW, slowness=2.0, bad_from=0.8),
+    Scenario("fails under load, 50%", Fault.FAILS, failed=0.5, only_high_load=True),
+    Scenario("slow under load, 2.5x", Fault.SLOW, slowness=2.5, only_high_load=True),
+    Scenario("fails on one route, 50%", Fault.FAILS, failed=0.5, only_one_route=True),
+    Scenario("slow on one route, 3x", Fault.SLOW, slowness=3.0, only_one_route=True),
+    Scenario("fails late, store down", Fault.FAILS, 0.3, bad_from=0.8, store_down=(0.05, 2.0)),
+    Scenario("fails late, owner paused", Fault.FAILS, 0.3, bad_from=0.8, stops_owner=True),
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """Hold what one run gave.
+
+    Attributes
+    ----------
+    verdict : str
+        ``done``, ``taken_back`` or ``open``.
+    verdict_s : float or None
+        Time from the move's start to complete or taken back on every host, in seconds.
+    new_requests : int
+        Requests given to the new version from its first badness on.
+    harmed : int
+        Requests that it served badly.
+    largest_share : float
+        Largest share in a window of `WINDOW_S` seconds from the first badness on.
+    reaction_s : float or None
+        Time from the moment at which all outcomes together show badness to the last request
+        that the version got, in seconds.
+    control_bytes_per_s : float
+        Bytes of messages about the move, for each host.
+    """
+
+    scenario: str
+    controller: str
+    seed: int
+    verdict: str
+    verdict_s: float | None
+    new_requests: int
+    harmed: int
+    largest_share: float
+    reaction_s: float | None
+    control_bytes_per_s: float
+
+
+class Witness:
+    """Judge with every outcome at once, to know when badness shows."""
+
+    def __init__(self, fleet: Fleet, entry: MoveEntry) -> None:
+        self.shown_at: float | None = None
+        self._fleet = fleet
+        self._judge = MoveJudge(entry, 0.0)
+        self._sequence = 0
+        self._look()
+
+    def _look(self) -> None:
+        self._sequence += 1
+        for host, table in self._fleet.tables.items():
+            for move in table.active_moves():
+                rows = pack_cells(move.counter.evidence.cells.items())
+                self._judge.adopt_step(move.judge.step, move.judge.step_since)
+                self._judge.note_rows(host, self._sequence, rows)
+        self._judge.look(self._fleet.now)
+        if self._judge.taken_back:
+            self.shown_at = self._fleet.now
+        else:
+            self._fleet.after(PROBE_PERIOD_S, self._look)
+
+
+def run_table(scenario: Scenario, seed: int, duration_s: float, witness: bool) -> Result:
+    """Run one move under the product's tables."""
+    fleet = Fleet(seed, HOSTS)
+    entry = create_entry(duration_s)
+    fleet.set_catalogue([entry], {POOL: OLD_VERSION})
+    controller = TableController(fleet)
+    workload = Workload(fleet, scenario, controller, seed, RATE, STARTS_AT, duration_s)
+    _schedule_faults(fleet, scenario, duration_s)
+    watching = Witness(fleet, entry) if witness else None
+    ended: list[tuple[str, float]] = []
+    _watch_end(fleet, ended)
+    workload.start()
+    fleet.run_until(STARTS_AT + duration_s + TAIL_S)
+    verdict, ended_at = ended[0] if ended else ("open", None)
+    result = _collect(scenario, "evidence", seed, workload, duration_s)
+    result.verdict = verdict
+    result.verdict_s = ended_at and ended_at - STARTS_AT
+    if verdict == "taken_back" and watching and watching.shown_at:
+        last = max((at for at, is_new in workload.counts.sent if is_new), default=0.0)
+        result.reaction_s = max(0.0, last - watching.shown_at)
+    result.control_bytes_per_s = fleet.bytes_sent / HOSTS / fleet.now
+    return result
+
+
+def run_baseline(scenario: Scenario, seed: int, duration_s: float) -> Result:
+    """Run one move under the fixed schedule."""
+    fleet = Fleet(seed, HOSTS)
+    controller = FixedSchedule(fleet.rng, STARTS_AT, duration_s)
+    workload = Workload(fleet, scenario, controller, seed, RATE, STARTS_AT, duration_s)
+    workload.start()
+    fleet.run_until(STARTS_AT + duration_s + TAIL_S)
+    result = _collect(scenario, "fixed schedule", seed, workload, duration_s)
+    taken_back_at = controller.taken_back_at
+    result.verdict = "done" if taken_back_at is None else "taken_back"
+    result.verdict_s = duration_s if taken_back_at is None else taken_back_at - STARTS_AT
+    return result
+
+
+def create_entry(duration_s: float) -> MoveEntry:
+    """Return the move of the experiment."""
+    return MoveEntry(
+        name="upgrade",
+        owner="bench",
+        pool=POOL,
+        from_version=OLD_VERSION,
+        to_version=NEW_VERSION,
+        starts_at=STARTS_AT,
+        done_by=STARTS_AT + duration_s,
+    )
+
+
+def _schedule_faults(fleet: Fleet, scenario: Scenario, duration_s: float) -> None:
+    down, up = (STARTS_AT + fraction * duration_s for fraction in scenario.store_down)
+
+    def set_store(is_up: bool) -> None:
+        fleet.record.up = is_up
+
+    fleet.after(down, lambda: set_store(False))
+    fleet.after(up, lambda: set_store(True))
+    if scenario.stops_owner:
+        owner = fleet.owner_of(POOL)
+        fleet.after(STARTS_AT + scenario.bad_from * duration_s, lambda: fleet.stopped.add(owner))
+
+
+def _watch_end(fleet: Fleet, ended: list[tuple[str, float]]) -> None:
+    """Note when all hosts that run have the move complete or taken back."""
+    states = set()
+    for host, table in fleet.tables.items():
+        if host in fleet.stopped:
+            continue
+        for status in table.statuses(fleet.now):
+            taken_back = status.answer is MoveAnswer.TAKEN_BACK or status.why.startswith("taken")
+            complete = status.share == 1.0
+            states.add("taken_back" if taken_back else "done" if complete else "open")
+    if len(states) == 1 and "open" not in states:
+        state = states.pop()
+        if not ended or ended[0][0] != state:
+            ended[:] = [(state, fleet.now)]
+    fleet.after(PROBE_PERIOD_S, lambda: _watch_end(fleet, ended))
+
+
+def _collect(
+    scenario: Scenario, controller: str, seed: int, workload: Workload, duration_s: float
+) -> Result:
+    bad_from = STARTS_AT + scenario.bad_from * duration_s
+    bad_sent = workload.counts.bad_sent
+    first_bad = bad_sent[0] if bad_sent else bad_from
+    sent = [entry for entry in workload.counts.sent if entry[0] >= first_bad]
+    return Result(
+        scenario=scenario.name,
+        controller=controller,
+        seed=seed,
+        verdict="open",
+        verdict_s=None,
+        new_requests=sum(is_new for _, is_new in sent),
+        harmed=len(bad_sent),
+        largest_share=_largest_share(sent),
+        reaction_s=None,
+        control_bytes_per_s=0.0,
+    )
+
+
+def _largest_share(sent: list[tuple[float, bool]]) -> float:
+    windows: dict[int, list[bool]] = {}
+    for at, is_new in sent:
+        windows.setdefault(int(at / WINDOW_S), []).append(is_new)
+    return max((sum(window) / len(window) for window in windows.values()), default=0.0)
+
+
+def run_scenario(job: tuple[Scenario, int]) -> list[Result]:
+    """Run a scenario under both controllers on the same trace."""
+    scenario, seed = job
+    with_witness = not scenario.is_good
+    return [
+        run_table(scenario, seed, DURATION_S, with_witness),
+        run_baseline(scenario, seed, DURATION_S),
+    ]
+
+
+def run_good(seed: int) -> list[Result]:
+    """Run a short move to a good version under both controllers on the same trace."""
+    scenario = Scenario("200 good")
+    return [
+        run_table(scenario, seed, GOOD_DURATION_S, witness=False),
+        run_baseline(scenario, seed, GOOD_DURATION_S),
+    ]
+
+
+@dataclass(slots=True)
+class Row:
+    """Hold the summary of a scenario's runs under one controller."""
+
+    scenario: str
+    controller: str
+    runs: int
+    done: int
+    taken_back: int
+    open: int
+    median_verdict_s: float | None
+    latest_verdict_s: float | None
+    median_new_requests: float
+    largest_new_requests: int
+    median_harmed: float
+    largest_share: float
+    longest_reaction_s: float | None
+    control_bytes_per_s: float
+
+
+def summarise(results: list[Result]) -> list[Row]:
+    """Return a row for each scenario and controller, in the order of the runs."""
+    groups: dict[tuple[str, str], list[Result]] = {}
+    for result in results:
+        groups.setdefault((result.scenario, result.controller), []).append(result)
+    return [_summarise_group(*name, group) for name, group in groups.items()]
+
+
+def _summarise_group(scenario: str, controller: str, group: list[Result]) -> Row:
+    times = [result.verdict_s for result in group if result.verdict_s is not None]
+    reactions = [result.reaction_s for result in group if result.reaction_s is not None]
+    return Row(
+        scenario=scenario,
+        controller=controller,
+        runs=len(group),
+        done=sum(result.verdict == "done" for result in group),
+        taken_back=sum(result.verdict == "taken_back" for result in group),
+        open=sum(result.verdict == "open" for result in group),
+        median_verdict_s=statistics.median(times) if times else None,
+        latest_verdict_s=max(times) if times else None,
+        median_new_requests=statistics.median(result.new_requests for result in group),
+        largest_new_requests=max(result.new_requests for result in group),
+        median_harmed=statistics.median(result.harmed for result in group),
+        largest_share=max(result.largest_share for result in group),
+        longest_reaction_s=max(reactions) if reactions else None,
+        control_bytes_per_s=statistics.mean(result.control_bytes_per_s for result in group),
+    )
+
+
+def _format(value: float | None, digits: int) -> str:
+    return "-" if value is None else f"{value:.{digits}f}"
+
+
+COLUMNS: tuple[tuple[str, Callable[[Row], str]], ...] = (
+    ("scenario", lambda row: row.scenario),
+    ("controller", lambda row: row.controller),
+    ("runs", lambda row: str(row.runs)),
+    ("done", lambda row: str(row.done)),
+    ("taken back", lambda row: str(row.taken_back)),
+    ("open", lambda row: str(row.open)),
+    ("median end, s", lambda row: _format(row.median_verdict_s, 1)),
+    ("latest end, s", lambda row: _format(row.latest_verdict_s, 1)),
+    ("requests given, median", lambda row: _format(row.median_new_requests, 0)),
+    ("most", lambda row: str(row.largest_new_requests)),
+    ("harmed, median", lambda row: _format(row.median_harmed, 0)),
+    ("largest share in 5 s", lambda row: _format(row.largest_share, 2)),
+    ("longest reaction, s", lambda row: _format(row.longest_reaction_s, 2)),
+    ("bytes/s a host", lambda row: _format(row.control_bytes_per_s, 0)),
+)
+
+
+def render_table(rows: list[Row]) -> str:
+    """Return the rows as a Markdown table."""
+    lines = ["| " + " | ".join(name for name, _ in COLUMNS) + " |", "|---" * len(COLUMNS) + "|"]
+    for row in rows:
+        lines.append("| " + " | ".join(show(row) for _, show in COLUMNS) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def plot(rows: list[Row], path: Path) -> None:
+    """Draw the harmed requests and the largest share of each bad scenario."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    bad = [row for row in rows if "good" not in row.scenario]
+    names = list(dict.fromkeys(row.scenario for row in bad))
+    figure, axes = pyplot.subplots(1, 2, figsize=(13, 6), sharey=True)
+    for offset, controller in ((-0.2, "evidence"), (0.2, "fixed schedule")):
+        mine = {row.scenario: row for row in bad if row.controller == controller}
+        places = [place + offset for place in range(len(names))]
+        harmed = [mine[name].median_harmed for name in names]
+        shares = [mine[name].largest_share for name in names]
+        axes[0].barh(places, harmed, height=0.38, label=controller)
+        axes[1].barh(places, shares, height=0.38, label=controller)
+    axes[0].set_yticks(range(len(names)), names)
+    axes[0].set_xlabel("requests served badly, median of the runs")
+    axes[1].set_xlabel(f"largest share in {WINDOW_S:.0f} s from the first badness on")
+    axes[0].invert_yaxis()
+    axes[0].legend()
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+def main() -> None:
+    """Run the experiment and write its results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=Path, default=Path("docs/data"))
+    args = parser.parse_args()
+    jobs = [(scenario, seed) for scenario in SCENARIOS for seed in BAD_SEEDS]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        runs = [*pool.map(run_scenario, jobs), *pool.map(run_good, GOOD_SEEDS, chunksize=10)]
+    results = [result for run in runs for result in run]
+    rows = summarise(results)
+    args.out.mkdir(parents=True, exist_ok=True)
+    doc = [asdict(row) for row in rows]
+    (args.out / "moves.json").write_text(json.dumps(doc, indent=1) + "\n")
+    table = render_table(rows)
+    (args.out / "moves.md").write_text(table)
+    plot(rows, args.out / "moves.svg")
+    print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -176,6 +176,10 @@
             return []
         return self._spread_to_all(move)
 
+    def active_moves(self) -> list[HostMove]:
+        """Return the moves that are under way."""
+        return [move for move in self._moves.values() if self._is_active(move)]
+
     def tick(self, now: float, rng: random.Random) -> list[Outgoing]:
         """Report, judge and spread what is due; call it every `TICK_PERIOD_S`."""
         outgoing: list[Outgoing] = []
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -175,6 +175,10 @@
         self._changed = self._changed or bool(report.rows)
         self._heard[host] = HostReport(report.sent_at, report.step)
 
+    def note_rows(self, host: str, sequence: int, rows: list[list]) -> None:
+        """Take in cumulative cells of a host without a report around them."""
+        self._changed = self.evidence.apply(host, 0, sequence, rows) or self._changed
+
     def take_back(self, why: str) -> None:
         """Note that the move is taken back, when a reason is given; the first reason stays."""
         self.taken_back = self.taken_back or why
