--- a/tarragonwind/adapters/operator_gates.py
+++ b/tarragonwind/adapters/operator_gates.py
@@ -30,7 +30,7 @@
 ANSWER_TIMEOUT_S = 60.0
 """Time from a whole request to the end of its answer, in seconds."""
 
-_TARGET = re.compile(rb"/[A-Za-z0-9/_.~-]*(\?[A-Za-z0-9/_.~=&%:-]*)?")
+_TARGET = re.compile(rb"(?!.*/\.\.?(/|\?|$))/[A-Za-z0-9/_.~-]*(\?[A-Za-z0-9/_.~=&%:-]*)?")
 _METHODS = frozenset({b"GET", b"POST"})
 
 
@@ -58,7 +58,7 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
-        self._body_bytes = 0
+        self._field_bytes = 0
         self._body: list[bytes] = []
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -87,7 +87,11 @@
             raise GateError(400, "upgrades are not supported") from None
         except httptools.HttpParserError:
             raise GateError(400, "malformed request") from None
-        if not self._head_done and self._head_bytes > MAX_HEAD_BYTES:
+        if not self._head_done:
+            self._check_head_size(self._head_bytes)
+
+    def _check_head_size(self, size_bytes: int) -> None:
+        if size_bytes > MAX_HEAD_BYTES:
             raise GateError(431, f"the head is larger than {MAX_HEAD_BYTES} bytes")
 
     def on_message_begin(self) -> None:
@@ -98,10 +102,12 @@
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
         self._target += url
+        self._field_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field; those that frame or route may stand once."""
         name = name.lower()
+        self._field_bytes += len(name) + len(value)
         if name in self._headers and name in (b"host", b"authorization", b"content-length"):
             raise GateError(400, f"{name.decode('latin-1')} is repeated")
         self._headers[name] = value
@@ -109,6 +115,7 @@
     def on_headers_complete(self) -> None:
         """Check the head."""
         self._head_done = True
+        self._check_head_size(self._field_bytes)
         if self._parser.get_method() not in _METHODS:
             raise GateError(405, "use GET or POST")
         if not _TARGET.fullmatch(self._target):
--- a/tarragonwind/documents.py
+++ b/tarragonwind/documents.py
@@ -10,6 +10,17 @@
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 """Largest YAML document that is read, in bytes."""
 
+MAX_DEPTH = 32
+"""Deepest nesting that is read."""
+
+_OPENING_TOKENS = (
+    yaml.BlockMappingStartToken,
+    yaml.BlockSequenceStartToken,
+    yaml.FlowMappingStartToken,
+    yaml.FlowSequenceStartToken,
+)
+_CLOSING_TOKENS = (yaml.BlockEndToken, yaml.FlowMappingEndToken, yaml.FlowSequenceEndToken)
+
 DocPath = tuple[str | int, ...]
 
 
@@ -51,7 +62,7 @@
         raise DocumentError(f"the document is larger than {MAX_DOCUMENT_BYTES} bytes")
     loader = yaml.SafeLoader(text)
     try:
-        _refuse_aliases(text)
+        _check_tokens(text)
         node = loader.get_single_node()
         if node is None:
             return Document(None)
@@ -61,17 +72,24 @@
         return doc
     except yaml.YAMLError as exc:
         raise DocumentError(_describe_yaml_error(exc)) from exc
-    except (ValueError, RecursionError) as exc:
+    except ValueError as exc:
         raise DocumentError(f"the document can't be read: {type(exc).__name__}") from exc
     finally:
         loader.dispose()
 
 
-def _refuse_aliases(text: str) -> None:
+def _check_tokens(text: str) -> None:
+    depth = 0
     for token in yaml.scan(text, Loader=yaml.SafeLoader):
+        line = token.start_mark.line + 1
         if isinstance(token, yaml.AliasToken):
-            line = token.start_mark.line + 1
             raise DocumentError(f"line {line}: aliases are not allowed")
+        if isinstance(token, _OPENING_TOKENS):
+            depth += 1
+        elif isinstance(token, _CLOSING_TOKENS):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise DocumentError(f"line {line}: nested deeper than {MAX_DEPTH} levels")
 
 
 def _collect_lines(node: yaml.Node, path: DocPath, lines: dict[DocPath, int]) -> None:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -125,7 +125,9 @@
     def history(self, key, limit):
         fut = Future()
         items = [
-            HistoryItem(number, 0.0, change.who, change.write_id, change.touched_keys(), change.deletes)
+            HistoryItem(
+                number, 0.0, change.who, change.write_id, change.touched_keys(), change.deletes
+            )
             for number, change in enumerate(self.changes, start=1)
             if key in ("", *change.touched_keys())
         ]
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -20,7 +20,8 @@
         ("a: [1\n", "line 2"),
         ("a: 1\n---\nb: 2\n", "line 2"),
         ("a: !!python/object:os.system {}\n", "line 1"),
-        ("[" * 5000, "can't be read"),
+        ("[" * 5000, "line 1: nested deeper than 32 levels"),
+        ("a: 2026-13-45\n", "can't be read"),
     ],
 )
 def test_bad_text_is_refused(text, fault):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,13 +10,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
-from operator_fakes import TOKEN, FakeOperatorService, RunningServer, move_report
 
 from tarragonwind.adapters.operator_gates import GateError, RequestReader
 from tarragonwind.adapters.operator_tokens import TokenFileError, parse_tokens
 from tarragonwind.logs import configure_logs
 from tarragonwind.operator_services import ChangeResult, MoveOutcome, Readiness
 from tarragonwind.settings import LogFormat, LogSettings
+from tests.operator_fakes import TOKEN, FakeOperatorService, RunningServer, move_report
 
 POOL = {"kind": "pool", "name": "chat", "owner": "ana", "back_end": "engine", "version": "v1"}
 
@@ -177,7 +177,7 @@
         ("GET", "/v1/nothing", 404),
         ("POST", "/v1/status", 405),
         ("PUT", "/v1/status", 405),
-        ("GET", "/v1/../status", 404),
+        ("GET", "/v1/../status", 400),
         ("GET", "/v1/changes/x", 400),
         ("GET", "/v1/history?limit=0", 400),
         ("GET", "/v1/diff?since=3&until=2", 400),
