--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,295 @@
+"""Show the product at work on loopback: set up, serve every tier, move to a good and a bad version.
+
+``python -m standins.demo`` stops by itself and exits non-zero when an answer was wrong; with
+``--stay`` it sets up, prints the addresses and stays until it is interrupted.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import http.client
+import json
+import signal
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import fire
+import yaml
+
+from standins.fleets import LOOPBACK, Fleet, call, control
+
+HOSTS = ("entry-1", "entry-2")
+TOKENS = {"officina": "token-officina", "cantiere": "token-cantiere"}
+MOVE_WITHIN_S = 12
+LOAD_THREADS = 12
+
+
+@dataclass(slots=True)
+class Check:
+    """Hold one line of the demo's table."""
+
+    what: str
+    expected: str
+    seen: str
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether it went as expected."""
+        return self.expected == self.seen
+
+
+@dataclass(slots=True)
+class Tally:
+    """Count the answers of the background load."""
+
+    ok: int = 0
+    failed: int = 0
+    wrong: int = 0
+    by_version: dict[str, int] = field(default_factory=dict)
+
+
+def entry(kind: str, name: str, **fields: Any) -> dict[str, Any]:
+    """Return an entry as the command line reads it."""
+    return {"kind": kind, "name": name, "owner": "demo", **fields}
+
+
+def upstream(name: str, pool: str, version: str, port: int, **fields: Any) -> dict[str, Any]:
+    """Return an upstream's entry."""
+    return entry(
+        "upstream",
+        name,
+        pool=pool,
+        version=version,
+        host=LOOPBACK,
+        port=port,
+        data_centre="etna",
+        **fields,
+    )
+
+
+class Demo:
+    """Run the demonstration on a fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.checks: list[Check] = []
+
+    def set_up(self) -> None:
+        """Start the stand-ins and two entry hosts, and put a catalogue."""
+        fleet = self.fleet
+        fleet.start_platform()
+        fleet.plan_hosts(list(HOSTS))
+        fast = fleet.start_engine("engine-fast", "--slots", "16", "--token_ms", "1")
+        slow = fleet.start_engine("engine-slow", "--slots", "8", "--token_ms", "3")
+        good = fleet.start_service("registry-v1")
+        bad = fleet.start_service("registry-v2", "--version", "v2")
+        worse = fleet.start_service("registry-v3", "--version", "v3")
+        for name in HOSTS:
+            fleet.start_host(name)
+        entries = [
+            *(
+                entry(
+                    "organisation", name, token_sha256=[hashlib.sha256(token.encode()).hexdigest()]
+                )
+                for name, token in TOKENS.items()
+            ),
+            entry("pool", "drafting", back_end="engine", version="v1"),
+            entry("pool", "registry", back_end="service", version="v1"),
+            entry("route", "gate-lookup", pool="registry", tier=0, path_prefix="/passports"),
+            entry(
+                "route",
+                "stamp",
+                pool="registry",
+                tier=1,
+                path_prefix="/certifications",
+                idempotent=False,
+            ),
+            entry("route", "trade-question", pool="drafting", tier=2, model="trade-small"),
+            entry("route", "dossier", pool="drafting", tier=3, model="dossier-large"),
+            upstream("engine-fast", "drafting", "v1", fast.port, slots=16, tokens_per_s=8000),
+            upstream("engine-slow", "drafting", "v1", slow.port, slots=8, tokens_per_s=2000),
+            upstream("registry-v1", "registry", "v1", good.port, slots=32),
+            upstream("registry-v2", "registry", "v2", bad.port, slots=32),
+            upstream("registry-v3", "registry", "v3", worse.port, slots=32),
+        ]
+        path = fleet.directory / "catalogue.yaml"
+        path.write_text(yaml.safe_dump(entries))
+        self.operate("catalogue", "put", str(path))
+        fleet.wait_ready()
+
+    def operate(self, *arguments: str, expected: int = 0) -> str:
+        """Run a command of the command line and check its exit code."""
+        ended = self.fleet.operate(*arguments)
+        self.check("tarragonwind " + " ".join(arguments[:3]), str(expected), str(ended.returncode))
+        if ended.returncode != expected:
+            print(ended.stdout, ended.stderr, file=sys.stderr)
+        return ended.stdout
+
+    def check(self, what: str, expected: object, seen: object) -> None:
+        """Note one line of the table."""
+        self.checks.append(
+            Check(what.replace(str(self.fleet.directory), "."), str(expected), str(seen))
+        )
+
+    def serve_every_tier(self) -> None:
+        """Send a request of every tier, streamed and plain, and one that may not be repeated."""
+        for turn, name in enumerate(HOSTS):
+            port = self.fleet.hosts[name].callers
+            organisation = list(TOKENS)[turn]
+            headers = {"Authorization": f"Bearer {TOKENS[organisation]}"}
+            lookup = call(port, "GET", f"/passports/{turn}", headers=headers)
+            self.check(f"{name}: gate lookup, tier 0", f"200 /passports/{turn}", show_path(lookup))
+            self.check_stamp(name, port, headers, f"stamp-{turn}")
+            question = {"model": "trade-small", "max_tokens": 8, "prompt": "Which gloves?"}
+            plain = call(port, "POST", "/v1/completions", json.dumps(question).encode(), headers)
+            text = plain.json()["choices"][0]["text"].split() if plain.status == 200 else []
+            self.check(
+                f"{name}: trade question, tier 2",
+                "200 8 words",
+                f"{plain.status} {len(text)} words",
+            )
+            dossier = {
+                "model": "dossier-large",
+                "max_tokens": 40,
+                "stream": True,
+                "messages": [{"role": "user", "content": "Training dossier. " * 200}],
+            }
+            body = json.dumps(dossier).encode()
+            stream = call(port, "POST", "/v1/chat/completions", body, headers)
+            events = stream.body.count(b"data: ")
+            self.check(
+                f"{name}: dossier streamed, tier 3",
+                "200 41 events",
+                f"{stream.status} {events} events",
+            )
+
+    def check_stamp(self, name: str, port: int, headers: dict[str, str], key: str) -> None:
+        """Send a call that may not be repeated twice under one key; it runs once."""
+        keyed = {**headers, "Idempotency-Key": key}
+        first = call(port, "POST", "/certifications/77", b"stamp", keyed)
+        again = call(port, "POST", "/certifications/77", b"stamp", keyed)
+        self.check(f"{name}: stamp, tier 1", "200 then 409", f"{first.status} then {again.status}")
+        ran = 0
+        for line in self.fleet.journal_path("registry-v1").read_text().splitlines():
+            ran += json.loads(line).get("key") == key
+        self.check(f"{name}: times that the stamp ran", 1, ran)
+
+    def run_moves(self) -> None:
+        """Move the registry to a good version, then to one that fails."""
+        tally = Tally()
+        stop = threading.Event()
+        threads = [
+            threading.Thread(target=self.load, args=(number, tally, stop))
+            for number in range(LOAD_THREADS)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            self.run_move("to-v2", "v2", expected=0)
+            control(self.fleet.processes["registry-v3"].port, fail_fraction=0.5)
+            before = dict(tally.by_version)
+            self.run_move("to-v3", "v3", expected=6)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join(30)
+        total = tally.ok + tally.failed - sum(before.values())
+        bad = tally.failed + tally.by_version.get("v3", 0)
+        print(
+            f"background load: {tally.ok} ok, {tally.failed} failed, by version {tally.by_version}"
+        )
+        print(f"requests that the bad version got: {bad} of {total} during its move")
+        self.check("wrong answers in the background load", 0, tally.wrong)
+
+    def run_move(self, name: str, version: str, expected: int) -> None:
+        """Start a move and wait for its answer on both hosts."""
+        begun = time.monotonic()
+        within = ["--within-s", str(MOVE_WITHIN_S)]
+        self.operate("move", "start", name, "registry", version, "demo", *within)
+        wait = ["--wait-s", str(MOVE_WITHIN_S + 5)]
+        said = self.operate("move", "status", name, *wait, expected=expected)
+        print(f"move {name}: answered after {time.monotonic() - begun:.1f} s\n{said.rstrip()}")
+
+    def load(self, number: int, tally: Tally, stop: threading.Event) -> None:
+        """Send gate lookups until told to stop and check each answer."""
+        port = self.fleet.hosts[HOSTS[number % len(HOSTS)]].callers
+        headers = {"Authorization": f"Bearer {TOKENS['officina']}"}
+        conn = http.client.HTTPConnection(LOOPBACK, port, timeout=10)
+        turn = 0
+        while not stop.is_set():
+            turn += 1
+            path = f"/passports/{number}-{turn}"
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                conn.request("GET", path, headers=headers)
+                answer = conn.getresponse()
+                body = answer.read()
+                count_answer(tally, path, answer.status, body)
+                continue
+            tally.failed += 1
+            conn.close()
+
+    def report(self) -> int:
+        """Print the table and return the number of lines that went wrong."""
+        width = max(len(check.what) for check in self.checks)
+        for check in self.checks:
+            mark = "ok" if check.ok else f"WRONG, expected {check.expected}"
+            print(f"{check.what:<{width}}  {check.seen:<16} {mark}")
+        return sum(not check.ok for check in self.checks)
+
+
+def count_answer(tally: Tally, path: str, status: int, body: bytes) -> None:
+    """Count one answer of the background load."""
+    if status != 200:
+        tally.failed += 1
+        return
+    doc = json.loads(body)
+    tally.ok += 1
+    tally.wrong += doc["path"] != path
+    tally.by_version[doc["version"]] = tally.by_version.get(doc["version"], 0) + 1
+
+
+def show_path(answer: Any) -> str:
+    """Return the status and the path that a service answered for."""
+    return f"{answer.status} {answer.json().get('path')}"
+
+
+def print_addresses(fleet: Fleet) -> None:
+    """Print how to reach the fleet with curl and with the command line."""
+    for name, ports in fleet.hosts.items():
+        print(f"{name}: callers http://{LOOPBACK}:{ports.callers}, operators at {ports.operators}")
+    first = fleet.hosts[HOSTS[0]]
+    print(
+        f"curl -H 'Authorization: Bearer {TOKENS['officina']}' http://{LOOPBACK}:{first.callers}/passports/1"
+    )
+    print(f"export TARRAGONWIND_AT={LOOPBACK}:{first.operators}")
+    print(f"export TARRAGONWIND_TOKEN_FILE={fleet.directory}/token.txt")
+
+
+def main(stay: bool = False) -> None:
+    """Run the demonstration, or set up and stay."""
+    with (
+        tempfile.TemporaryDirectory(prefix="tarragonwind-") as directory,
+        Fleet(Path(directory)) as fleet,
+    ):
+        demo = Demo(fleet)
+        demo.set_up()
+        if stay:
+            print_addresses(fleet)
+            with contextlib.suppress(KeyboardInterrupt):
+                signal.pause()
+            return
+        demo.serve_every_tier()
+        demo.run_moves()
+        print(demo.operate("hosts"))
+        wrong = demo.report()
+    sys.exit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/fleets.py
@@ -0,0 +1,311 @@
+"""Start and end a small fleet on loopback: stand-ins and entry hosts as processes."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+LOOPBACK = "127.0.0.1"
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 10.0
+POLL_S = 0.02
+
+
+class FleetError(Exception):
+    """Report a process that did not start or a state that was not reached."""
+
+
+@dataclass(slots=True)
+class FleetProcess:
+    """Hold one process of the fleet.
+
+    Attributes
+    ----------
+    name : str
+        Name for people and log files.
+    process : subprocess.Popen
+        The process.
+    port : int
+        Main port: callers' for hosts.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    port: int
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    def kill(self) -> None:
+        """End the process at once."""
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.pid, signal.SIGKILL)
+        self.process.wait(STOP_LIMIT_S)
+
+    def pause(self) -> None:
+        """Stop the process where it is."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process for its planned stop."""
+        os.kill(self.pid, signal.SIGTERM)
+
+
+@dataclass(slots=True)
+class HostPorts:
+    """Hold the ports of one entry host."""
+
+    callers: int
+    peers: int
+    operators: int
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold a whole answer of an HTTP call."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body read as JSON."""
+        return json.loads(self.body)
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that nobody listens on."""
+    with socket.create_server((LOOPBACK, 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def call(
+    port: int,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Answer:
+    """Send one HTTP request to loopback and read the whole answer.
+
+    Raises
+    ------
+    OSError, http.client.HTTPException
+        When there is no whole answer.
+    """
+    conn = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    try:
+        conn.request(method, path, body or None, headers or {})
+        answer = conn.getresponse()
+        return Answer(answer.status, dict(answer.getheaders()), answer.read())
+    finally:
+        conn.close()
+
+
+def control(port: int, **faults: Any) -> Any:
+    """Set faults of a stand-in and return what it answers."""
+    return call(port, "POST", "/control", json.dumps(faults).encode()).json()
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Run stand-ins and entry hosts in one directory.
+
+    Parameters
+    ----------
+    directory : Path
+        Settings, logs and journals are written here.
+    """
+
+    directory: Path
+    operator_token: str = "operator-token"
+    processes: dict[str, FleetProcess] = field(default_factory=dict)
+    hosts: dict[str, HostPorts] = field(default_factory=dict)
+    kv_port: int = 0
+    host_list_port: int = 0
+    weight_store_port: int = 0
+    extra_settings: dict[str, Any] = field(default_factory=dict)
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *_args: object) -> None:
+        self.stop()
+
+    def journal_path(self, name: str) -> Path:
+        """Return the file that a stand-in writes its executions to."""
+        return self.directory / f"{name}.journal"
+
+    def log_path(self, name: str) -> Path:
+        """Return the file that a process logs to."""
+        return self.directory / f"{name}.log"
+
+    def spawn(self, name: str, arguments: list[str], port: int) -> FleetProcess:
+        """Start a Python process whose output goes to its log."""
+        with open(self.log_path(name), "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+        started = FleetProcess(name, process, port)
+        self.processes[name] = started
+        return started
+
+    def start_standin(self, name: str, module: str, *arguments: str) -> FleetProcess:
+        """Start a stand-in and wait until it listens."""
+        port = free_port()
+        started = self.spawn(name, ["-m", module, "--port", str(port), *arguments], port)
+        self.wait_for_port(started, port)
+        return started
+
+    def start_platform(self) -> None:
+        """Start the key-value service, the host list and the weight store."""
+        self.kv_port = self.start_standin("kv", "standins.kv").port
+        self.host_list_port = self.start_standin("hosts", "standins.host_list").port
+        self.weight_store_port = self.start_standin("weights", "standins.weight_store").port
+
+    def start_engine(self, name: str, *arguments: str) -> FleetProcess:
+        """Start an engine that keeps a journal."""
+        journal = ["--name", name, "--journal", str(self.journal_path(name))]
+        return self.start_standin(name, "standins.engine", *journal, *arguments)
+
+    def start_service(self, name: str, *arguments: str) -> FleetProcess:
+        """Start a plain service that keeps a journal."""
+        journal = ["--name", name, "--journal", str(self.journal_path(name))]
+        return self.start_standin(name, "standins.service", *journal, *arguments)
+
+    def plan_hosts(self, names: list[str]) -> None:
+        """Choose the ports of entry hosts, so that each can be told of the others."""
+        for name in names:
+            self.hosts[name] = HostPorts(free_port(), free_port(), free_port())
+        (self.directory / "operators.txt").write_text(f"demo:{self.operator_token}\n")
+        (self.directory / "token.txt").write_text(f"{self.operator_token}\n")
+        (self.directory / "secret.txt").write_text("fleet-secret\n")
+
+    def start_host(self, name: str, data_centre: str = "etna") -> FleetProcess:
+        """Start a planned entry host and wait until it listens."""
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self.host_settings(name, data_centre)))
+        arguments = ["-m", "tarragonwind", "serve", "--settings", str(path)]
+        started = self.spawn(name, arguments, self.hosts[name].callers)
+        self.wait_for_port(started, self.hosts[name].operators)
+        return started
+
+    def host_settings(self, name: str, data_centre: str) -> dict[str, Any]:
+        """Return the settings of one entry host."""
+        ports = self.hosts[name]
+        seeds = [
+            {"name": other, "host": LOOPBACK, "port": self.hosts[other].peers}
+            for other in self.hosts
+            if other != name
+        ]
+        settings: dict[str, Any] = {
+            "host": {"name": name, "data_centre": data_centre},
+            "callers": {"listen_port": ports.callers},
+            "peers": {
+                "listen_port": ports.peers,
+                "secret_file": str(self.directory / "secret.txt"),
+                "seeds": seeds,
+            },
+            "operators": {
+                "listen_port": ports.operators,
+                "token_file": str(self.directory / "operators.txt"),
+            },
+            "store": {
+                "backend": "etcd",
+                "endpoints": [{"host": LOOPBACK, "port": self.kv_port}],
+            },
+            "stop": {"notice_s": 0.5},
+        }
+        if self.host_list_port:
+            settings["host_list"] = {"host": LOOPBACK, "port": self.host_list_port}
+        if self.weight_store_port:
+            settings["weights"] = {"host": LOOPBACK, "port": self.weight_store_port}
+        for section, values in self.extra_settings.items():
+            settings[section] = {**settings.get(section, {}), **values}
+        return settings
+
+    def wait_for_port(self, started: FleetProcess, port: int) -> None:
+        """Wait until a process listens on a port."""
+
+        def listens() -> bool:
+            if started.process.poll() is not None:
+                log = self.log_path(started.name).read_text()[-2000:]
+                raise FleetError(f"{started.name} ended at its start:\n{log}")
+            with socket.socket() as sock:
+                return sock.connect_ex((LOOPBACK, port)) == 0
+
+        wait_until(listens, f"{started.name} listens on {port}")
+
+    def wait_ready(self) -> None:
+        """Wait until every entry host tells the balancer that it is ready."""
+        for name, ports in self.hosts.items():
+            if name in self.processes:
+                wait_until(lambda port=ports.operators: is_ready(port), f"{name} is ready")
+
+    def operate(self, *arguments: str, at: str = "") -> subprocess.CompletedProcess[str]:
+        """Run the command line against the fleet and return how it ended."""
+        names = [at] if at else [name for name in self.hosts if name in self.processes]
+        addresses = ",".join(f"{LOOPBACK}:{self.hosts[name].operators}" for name in names)
+        environment = {
+            **os.environ,
+            "TARRAGONWIND_AT": addresses,
+            "TARRAGONWIND_TOKEN_FILE": str(self.directory / "token.txt"),
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "tarragonwind", *arguments],
+            capture_output=True,
+            text=True,
+            env=environment,
+            timeout=60,
+            check=False,
+        )
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for started in self.processes.values():
+            if started.process.poll() is None:
+                started.resume()
+                started.process.terminate()
+        deadline = time.monotonic() + STOP_LIMIT_S
+        for started in self.processes.values():
+            try:
+                started.process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                started.kill()
+        self.processes.clear()
+
+
+def is_ready(operator_port: int) -> bool:
+    """Tell whether a host's readiness check succeeds."""
+    try:
+        return call(operator_port, "GET", "/readyz", timeout_s=2.0).status == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
+def wait_until(reached: Any, what: str, limit_s: float = START_LIMIT_S) -> None:
+    """Wait until a state is reached; raise FleetError when it isn't in time."""
+    deadline = time.monotonic() + limit_s
+    while not reached():
+        if time.monotonic() > deadline:
+            raise FleetError(f"not reached within {limit_s:g} s: {what}")
+        time.sleep(POLL_S)
