--- /dev/null
+++ b/tarragonwind/catalogue_followers.py
@@ -0,0 +1,285 @@
+"""Bring the catalogue in force on this daemon by way of its peers, and theirs by way of it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from loguru import logger
+
+from tarragonwind.catalogue_handovers import HandoverReceiver, HandoverServer
+from tarragonwind.catalogue_messages import (
+    WHOLE,
+    CatalogueAsk,
+    CatalogueChanges,
+    CatalogueNumber,
+    CataloguePart,
+    CataloguePartAsk,
+)
+from tarragonwind.core.catalogue_states import CatalogueState, Divergence
+from tarragonwind.core.changes import Change, from_wire, to_wire
+from tarragonwind.delays import delay
+from tarragonwind.futures import Future, spawn
+from tarragonwind.ports import Members, Peers, Timer, Timers
+
+GOSSIP_PERIOD_S = 1.0
+"""Time between comparisons of numbers with peers, in seconds."""
+GOSSIP_PEERS = 2
+ASK_PAUSE_S = 0.3
+"""Least time between asks for what is missing, in seconds."""
+SPREAD_WIDTH = 8
+"""Peers that each daemon passes a change on to."""
+MAX_SPREAD_HOPS = 6
+MAX_CHANGES_PER_ANSWER = 200
+MAX_ANSWER_BYTES = 512 * 1024
+CONFIRM_PERIOD_S = 0.2
+"""Time between asks for the numbers of hosts that are behind, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostNumber:
+    """Tell which number a host has in force.
+
+    Attributes
+    ----------
+    host : str
+        Name of the daemon.
+    number : int
+        Number that it last named, 0 when it has named none.
+    age_s : float
+        Time since it named it, in seconds; infinity when it has named none.
+    """
+
+    host: str
+    number: int
+    age_s: float
+
+
+def spread_children(live: tuple[str, ...], origin: str, host: str) -> tuple[str, ...]:
+    """Return the daemons that a host passes a change on to.
+
+    The live daemons, in order from the origin on, form a tree of `SPREAD_WIDTH` children a node.
+    """
+    if origin not in live or host not in live:
+        return ()
+    first = live.index(origin)
+    ordered = live[first:] + live[:first]
+    position = ordered.index(host)
+    start = position * SPREAD_WIDTH + 1
+    return ordered[start : start + SPREAD_WIDTH]
+
+
+class CatalogueFollower:
+    """Exchange changes, numbers and whole catalogues with the other daemons.
+
+    Parameters
+    ----------
+    state : CatalogueState
+        Catalogue in force on this daemon.
+    members : Members
+        Live daemons.
+    peers : Peers
+        Messages to them.
+    timers : Timers
+        Clock and timer subscriptions.
+    rng : random.Random
+        Source of the choice of peers and of jitter.
+    """
+
+    def __init__(
+        self,
+        state: CatalogueState,
+        members: Members,
+        peers: Peers,
+        timers: Timers,
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._members = members
+        self._peers = peers
+        self._timers = timers
+        self._rng = rng
+        self._server = HandoverServer()
+        self._receiver = HandoverReceiver()
+        self._heard: dict[str, tuple[int, float]] = {}
+        self._asked_at = float("-inf")
+        self._fork_reported = 0
+        self._timer: Timer | None = None
+        self._stopped = False
+        peers.subscribe(CatalogueNumber, self._on_number)
+        peers.subscribe(CatalogueChanges, self._on_changes)
+        peers.subscribe(CatalogueAsk, self._on_ask)
+        peers.subscribe(CataloguePartAsk, self._on_part_ask)
+        peers.subscribe(CataloguePart, self._on_part)
+
+    def start(self) -> None:
+        """Begin to compare numbers with peers."""
+        self._gossip()
+
+    def stop(self) -> None:
+        """End the comparisons; messages are still answered."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def others(self) -> list[str]:
+        """Return the live daemons without this one."""
+        return [host for host in self._members.live() if host != self._members.name]
+
+    def spread(self, changes: list[Change]) -> None:
+        """Pass on changes that came into force here first."""
+        self._forward(self._members.name, 0, [to_wire(change) for change in changes])
+
+    def _forward(self, origin: str, hops: int, values: list[list[object]]) -> None:
+        if hops >= MAX_SPREAD_HOPS:
+            return
+        msg = CatalogueChanges(origin, hops + 1, values)
+        for host in spread_children(self._members.live(), origin, self._members.name):
+            self._peers.send(host, msg)
+
+    def _gossip(self) -> None:
+        if self._stopped:
+            return
+        others = self.others()
+        self._heard = {host: self._heard[host] for host in others if host in self._heard}
+        for host in self._rng.sample(others, min(GOSSIP_PEERS, len(others))):
+            self._peers.send(host, self._number_message(wants_answer=True))
+        if self._state.behind or self._state.divergence is not Divergence.NONE:
+            self._ask_anyone()
+        pause_s = GOSSIP_PERIOD_S * self._rng.uniform(0.75, 1.25)
+        self._timer = self._timers.call_later(pause_s, self._gossip)
+
+    def _number_message(self, wants_answer: bool) -> CatalogueNumber:
+        in_force = self._state.in_force
+        return CatalogueNumber(in_force.number, in_force.digest, wants_answer)
+
+    def _on_number(self, host: str, msg: CatalogueNumber) -> None:
+        self._heard[host] = (msg.number, self._timers.now())
+        self._state.hear_number(msg.number)
+        in_force = self._state.in_force
+        if msg.number > in_force.number:
+            self._ask(host)
+        elif msg.number == in_force.number and msg.digest != in_force.digest:
+            self._report_fork(host)
+        if msg.wants_answer:
+            self._peers.send(host, self._number_message(wants_answer=False))
+
+    def _report_fork(self, host: str) -> None:
+        if self._fork_reported == self._state.number:
+            return
+        self._fork_reported = self._state.number
+        logger.error(
+            "event=catalogue_forked number={} peer={} hint=put_the_latest_entries_again",
+            self._state.number,
+            host,
+        )
+
+    def _ask(self, host: str) -> None:
+        """Ask a peer for what is missing, unless an answer is under way."""
+        now = self._timers.now()
+        if now - self._asked_at < ASK_PAUSE_S or self._receiver.busy(now):
+            return
+        since = self._state.number
+        if self._state.divergence is not Divergence.NONE:
+            since = WHOLE
+        if self._peers.send(host, CatalogueAsk(since)):
+            self._asked_at = now
+
+    def _ask_anyone(self) -> None:
+        """Ask the peer that named the highest number, or any."""
+        others = self.others()
+        if not others:
+            return
+        ahead = [host for host in others if self._number_of(host) > self._state.number]
+        self._ask(self._rng.choice(ahead or others))
+
+    def _number_of(self, host: str) -> int:
+        return self._heard.get(host, (0, 0.0))[0]
+
+    def _on_ask(self, host: str, msg: CatalogueAsk) -> None:
+        changes = None
+        if msg.since != WHOLE:
+            changes = self._state.changes_since(msg.since)
+        if changes is None or not _fits_answer(changes):
+            self._peers.send(host, self._server.first_part(self._state.in_force))
+        elif changes:
+            values = [to_wire(change) for change in changes]
+            self._peers.send(host, CatalogueChanges("", 0, values))
+        else:
+            self._peers.send(host, self._number_message(wants_answer=False))
+
+    def _on_changes(self, host: str, msg: CatalogueChanges) -> None:
+        try:
+            changes = [from_wire(values) for values in msg.changes]
+        except ValueError as exc:
+            logger.warning("event=catalogue_message_wrong peer={} why={!r}", host, str(exc))
+            return
+        if msg.origin:
+            self._forward(msg.origin, msg.hops, msg.changes)
+        applied = self._state.take_changes(changes)
+        if applied:
+            self._note_in_force("changes", host)
+        if self._state.behind:
+            self._ask(host)
+
+    def _note_in_force(self, how: str, host: str) -> None:
+        number = self._state.number
+        logger.info("event=catalogue_in_force number={} how={} peer={}", number, how, host)
+
+    def _on_part_ask(self, host: str, msg: CataloguePartAsk) -> None:
+        self._peers.send(host, self._server.answer(msg, self._state.in_force))
+
+    def _on_part(self, host: str, msg: CataloguePart) -> None:
+        if msg.number <= self._state.number:
+            return
+        try:
+            ask = self._receiver.take(host, msg, self._timers.now())
+        except (TypeError, ValueError) as exc:
+            logger.warning("event=catalogue_message_wrong peer={} why={!r}", host, str(exc))
+            self._receiver.forget()
+            return
+        if ask is not None:
+            self._peers.send(host, ask)
+            return
+        catalogue = self._receiver.finish()
+        if catalogue is not None and self._state.take_whole(catalogue):
+            self._note_in_force("handover", host)
+
+    def numbers(self) -> list[HostNumber]:
+        """Return the number that each live daemon has in force, as far as it is known."""
+        now = self._timers.now()
+        found = [HostNumber(self._members.name, self._state.number, 0.0)]
+        for host in self.others():
+            number, at = self._heard.get(host, (0, float("-inf")))
+            found.append(HostNumber(host, number, now - at))
+        return sorted(found, key=lambda item: item.host)
+
+    def ask_numbers(self, hosts: list[str] | None = None) -> None:
+        """Ask daemons, all live ones by default, for their numbers."""
+        for host in self.others() if hosts is None else hosts:
+            self._peers.send(host, self._number_message(wants_answer=True))
+
+    def wait_in_force(self, number: int, timeout_s: float) -> Future[list[HostNumber]]:
+        """Wait until each live daemon has a number in force.
+
+        Returns
+        -------
+        Future of list of HostNumber
+            Daemons that don't have it when the time is over; empty when all have it.
+        """
+        return spawn(self._wait_in_force(number, timeout_s))
+
+    async def _wait_in_force(self, number: int, timeout_s: float) -> list[HostNumber]:
+        give_up_at = self._timers.now() + timeout_s
+        while True:
+            late = [item for item in self.numbers() if item.number < number]
+            if not late or self._timers.now() >= give_up_at:
+                return late
+            self.ask_numbers([item.host for item in late if item.host != self._members.name])
+            await delay(self._timers, CONFIRM_PERIOD_S)
+
+
+def _fits_answer(changes: list[Change]) -> bool:
+    """Tell whether changes are few enough to be sent instead of the whole."""
+    size = sum(len(change.doc or b"") for change in changes)
+    return len(changes) <= MAX_CHANGES_PER_ANSWER and size <= MAX_ANSWER_BYTES
--- a/tarragonwind/catalogue_healers.py
+++ b/tarragonwind/catalogue_healers.py
@@ -90,7 +90,7 @@
         found = await self._store.read_range(layout.prefix)
         kept = await self._store.read_range(layout.changes)
         in_store = {item.key: item for item in found.items}
-        head = unpack_head(in_store.pop(layout.head, None))
+        head = unpack_head(in_store.pop(layout.head, None), found.revision)
         in_force = state.in_force
         if not needs_heal(head, in_force):
             return None
--- a/tarragonwind/catalogue_layouts.py
+++ b/tarragonwind/catalogue_layouts.py
@@ -67,11 +67,14 @@
         Digest of the catalogue.
     mod_revision : int
         Store revision of the head's last write, 0 when there is none.
+    revision : int
+        Store revision at the read.
     """
 
     number: int
     digest: int
     mod_revision: int
+    revision: int = 0
 
 
 def pack_head(number: int, digest: int, write_id: str) -> bytes:
@@ -79,13 +82,13 @@
     return canonical_json({"digest": f"{digest:016x}", "number": number, "write_id": write_id})
 
 
-def unpack_head(item: KeyValue | None) -> Head:
+def unpack_head(item: KeyValue | None, revision: int) -> Head:
     """Return the head of its key; raise StoreError for a value of another form."""
     if item is None:
-        return Head(0, 0, 0)
+        return Head(0, 0, 0, revision)
     try:
         doc = json.loads(item.value)
-        return Head(int(doc["number"]), int(doc["digest"], 16), item.mod_revision)
+        return Head(int(doc["number"]), int(doc["digest"], 16), item.mod_revision, revision)
     except MALFORMED as exc:
         raise StoreError(f"the value at {item.key} is no head of a catalogue") from exc
 
--- a/tarragonwind/catalogue_readers.py
+++ b/tarragonwind/catalogue_readers.py
@@ -38,7 +38,8 @@
 
     async def read_head(self) -> Head:
         """Read the head; one read."""
-        return unpack_head(await self._store.get(self.layout.head))
+        found = await self._store.read_range(self.layout.head)
+        return unpack_head(found.items[0] if found.items else None, found.revision)
 
     async def read_change(self, number: int) -> Change | None:
         """Read one change; one read."""
@@ -58,7 +59,7 @@
         records: dict[str, Record] = {}
         for item in found.items:
             if item.key == self.layout.head:
-                head = unpack_head(item)
+                head = unpack_head(item, found.revision)
             else:
                 key = item.key.removeprefix(self.layout.entries)
                 records[key] = unpack_record(key, item)
--- a/tarragonwind/core/catalogue_states.py
+++ b/tarragonwind/core/catalogue_states.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.changes import Change
@@ -38,7 +38,7 @@
         First contradiction seen since the last whole catalogue was taken.
     """
 
-    __slots__ = ("_pending", "_recent", "divergence", "highest_heard", "in_force")
+    __slots__ = ("_listeners", "_pending", "_recent", "divergence", "highest_heard", "in_force")
 
     def __init__(self) -> None:
         self.in_force = Catalogue()
@@ -46,6 +46,16 @@
         self.divergence = Divergence.NONE
         self._recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
         self._pending: dict[int, Change] = {}
+        self._listeners: list[Callable[[Catalogue], None]] = []
+
+    def subscribe(self, callback: Callable[[Catalogue], None]) -> None:
+        """Call `callback` with each catalogue that comes into force."""
+        self._listeners.append(callback)
+
+    def _bring_in_force(self, catalogue: Catalogue) -> None:
+        self.in_force = catalogue
+        for listener in self._listeners:
+            listener(catalogue)
 
     @property
     def number(self) -> int:
@@ -95,8 +105,8 @@
         if after.digest != ready[-1].digest:
             self._note(Divergence.DIGEST)
             return []
-        self.in_force = after
         self._recent.extend(ready)
+        self._bring_in_force(after)
         return ready
 
     def _note(self, divergence: Divergence) -> None:
@@ -108,12 +118,12 @@
         self.hear_number(catalogue.number)
         if catalogue.number <= self.number:
             return False
-        self.in_force = catalogue
         self.divergence = Divergence.NONE
         self._recent.clear()
         self._pending = {
-            number: change for number, change in self._pending.items() if number > self.number
+            number: change for number, change in self._pending.items() if number > catalogue.number
         }
+        self._bring_in_force(catalogue)
         self._apply_pending()
         return True
 
--- a/tarragonwind/core/catalogues.py
+++ b/tarragonwind/core/catalogues.py
@@ -6,8 +6,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from loguru import logger
-
 from tarragonwind.core.changes import Change, record_digest
 from tarragonwind.core.entries import (
     Entry,
@@ -51,10 +49,8 @@
         content = (
             unpack_verdict(doc) if kind == VERDICT_KIND else parse_entry(kind, json.loads(doc))
         )
-    except (EntryError, KeyError, TypeError, ValueError) as exc:
-        logger.warning(
-            "event=entry_unreadable key={} why={!r} hint=update_this_daemon", key, str(exc)
-        )
+    except (EntryError, KeyError, TypeError, ValueError):
+        content = None
     return Record(number, doc, content)
 
 
@@ -142,6 +138,10 @@
         record = self.records.get(key)
         return record.content if record else None
 
+    def unread_keys(self) -> list[str]:
+        """Return the keys whose content this version can't read."""
+        return [key for key, record in self.records.items() if record.content is None]
+
     def with_changes(self, changes: Iterable[Change]) -> Catalogue:
         """Return the state after changes that follow this one without a gap."""
         after = self._copy()
