Add the command line for operators

Cause: operators edit the catalogue and ask whether a move is done or taken back; a program needs exit codes and JSON for that. A file is checked whole, with line and allowed range, before anything is sent. `put` waits until every live host has the change in force. Excluded: `requests` (http.client tells a connection that was refused, where nothing was sent, from an answer that was lost).

--- a/tarragonwind/adapters/operator_routes.py
+++ b/tarragonwind/adapters/operator_routes.py
@@ -15,18 +15,18 @@
 from tarragonwind.futures import Future
 from tarragonwind.logs import quoted
 from tarragonwind.operator_services import (
+    MAX_CHANGED_ENTRIES,
     AnyEntry,
     Change,
     ChangeResult,
     OperatorError,
     OperatorErrorKind,
     OperatorService,
+    to_operator_error,
 )
 
 MAX_HISTORY_ITEMS = 1_000
 DEFAULT_HISTORY_ITEMS = 50
-MAX_CHANGED_ENTRIES = 2_000
-"""Most entries that one change may touch."""
 
 ENTRY_KEY = r"^[a-z]+/[a-z0-9][a-z0-9._-]{0,62}$"
 
@@ -235,10 +235,8 @@
     result, number = "accepted", 0
     try:
         number = done.result().number
-    except OperatorError as exc:
-        result = exc.kind.value
-    except Exception:
-        result = OperatorErrorKind.INTERNAL.value
+    except Exception as exc:
+        result = to_operator_error(exc).kind.value
     logger.info(
         "event=audit_change who={} result={} number={} puts={} deletes={} write_id={}",
         change.who,
--- a/tarragonwind/adapters/operators.py
+++ b/tarragonwind/adapters/operators.py
@@ -18,7 +18,7 @@
 from tarragonwind.adapters.operator_gates import WEB_CHANNEL, OperatorGate
 from tarragonwind.adapters.operator_routes import OperatorRequest, RouteMatch, find_route
 from tarragonwind.adapters.operator_tokens import TokenFile
-from tarragonwind.futures import Future, FutureCancelled
+from tarragonwind.futures import Future
 from tarragonwind.operator_services import (
     OPERATOR_STATUSES,
     CatalogueItem,
@@ -26,6 +26,7 @@
     OperatorErrorKind,
     OperatorService,
     Readiness,
+    to_operator_error,
 )
 from tarragonwind.settings import OperatorSettings
 
@@ -128,11 +129,10 @@
         self._send(res, status, render_result(result))
 
     def _answer_error(self, res: Response, exc: Exception) -> None:
-        if not isinstance(exc, OperatorError):
-            if not isinstance(exc, FutureCancelled):
-                logger.opt(exception=exc).error("event=operator_request_failed")
-            exc = OperatorError(OperatorErrorKind.INTERNAL, "the request failed; see the log")
-        self._send(res, OPERATOR_STATUSES[exc.kind], render_error(exc))
+        error = to_operator_error(exc)
+        if error.kind is OperatorErrorKind.INTERNAL:
+            logger.opt(exception=exc).error("event=operator_request_failed")
+        self._send(res, OPERATOR_STATUSES[error.kind], render_error(error))
 
     def _send(self, res: Response, status: int, body: bytes) -> None:
         res.status = status
--- a/tarragonwind/operator_services.py
+++ b/tarragonwind/operator_services.py
@@ -10,9 +10,12 @@
 from pydantic import PlainSerializer, PlainValidator
 
 from tarragonwind.core.entries import TIER_COUNT, Entry, dump_entry, parse_entry
-from tarragonwind.errors import EntryError
+from tarragonwind.errors import EntryError, StoreError
 from tarragonwind.futures import Future
 
+MAX_CHANGED_ENTRIES = 40
+"""Most entries that one change may touch."""
+
 
 class OperatorErrorKind(enum.Enum):
     """Name each kind of refusal towards operators; the list is closed."""
@@ -357,8 +360,24 @@
         self.current = current or []
 
 
+def to_operator_error(exc: BaseException) -> OperatorError:
+    """Return the refusal that an error becomes towards operators."""
+    if isinstance(exc, OperatorError):
+        return exc
+    if isinstance(exc, EntryError):
+        return OperatorError(OperatorErrorKind.ENTRY_REFUSED, str(exc))
+    if isinstance(exc, StoreError) and exc.maybe_applied:
+        return OperatorError(OperatorErrorKind.OUTCOME_UNKNOWN, "the store's answer was lost")
+    if isinstance(exc, StoreError):
+        return OperatorError(OperatorErrorKind.STORE_UNAVAILABLE, "the store does not answer")
+    return OperatorError(OperatorErrorKind.INTERNAL, "the request failed; see the host's log")
+
+
 class OperatorService(ABC):
-    """Answer operators; every future may fail with `OperatorError`."""
+    """Answer operators.
+
+    Every future may fail with `OperatorError`, `EntryError` or `StoreError`.
+    """
 
     @abstractmethod
     def readiness(self) -> Readiness:
--- a/tarragonwind/settings_tables.py
+++ b/tarragonwind/settings_tables.py
@@ -9,8 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pydantic.fields import FieldInfo
-
+from tarragonwind.field_ranges import describe_allowed
 from tarragonwind.settings import Settings
 
 
@@ -63,37 +62,3 @@
     if isinstance(default, bool):
         return str(default).lower()
     return '""' if default == "" else str(default)
-
-
-def describe_allowed(hint: Any) -> str:
-    """Return the allowed values of a type with its constraints, as text for operators."""
-    if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return " or ".join(str(member.value) for member in hint)
-    base, *extras = typing.get_args(hint) or (hint,)
-    if base is bool:
-        return "true or false"
-    bounds: dict[str, Any] = {}
-    for extra in extras:
-        if not isinstance(extra, FieldInfo):
-            continue
-        if extra.description:
-            return extra.description
-        for constraint in extra.metadata:
-            _read_constraint(constraint, bounds)
-    return _describe_bounds(base, bounds)
-
-
-def _read_constraint(constraint: Any, bounds: dict[str, Any]) -> None:
-    for name in ("ge", "le", "max_length", "pattern"):
-        value = getattr(constraint, name, None)
-        if value is not None:
-            bounds[name] = value
-
-
-def _describe_bounds(base: type, bounds: dict[str, Any]) -> str:
-    if "ge" in bounds:
-        noun = "a whole number" if base is int else "a number"
-        return f"{noun} from {bounds['ge']} to {bounds['le']}"
-    if "pattern" in bounds:
-        return f"text that matches {bounds['pattern']}"
-    return f"text of at most {bounds['max_length']} characters"
--- /dev/null
+++ b/tarragonwind/tools/entry_files.py
@@ -0,0 +1,110 @@
+"""Read catalogue entries from a YAML file and say on which line what is wrong."""
+
+from __future__ import annotations
+
+import typing
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+
+from tarragonwind.core.entries import ENTRY_KINDS, Entry, parse_entry
+from tarragonwind.documents import Document, DocumentError, parse_document
+from tarragonwind.errors import EntryError
+from tarragonwind.field_ranges import describe_allowed
+from tarragonwind.tools.exit_codes import CommandError, ExitCode
+
+MAX_FILE_BYTES = 4 * 1024 * 1024
+"""Largest file that is read, in bytes."""
+
+
+@dataclass(slots=True)
+class EntryFile:
+    """Hold the entries of a file and the line that each begins on."""
+
+    path: str
+    entries: list[Entry]
+    lines: dict[str, int]
+
+
+def read_entries(path: str) -> EntryFile:
+    """Read a file with one entry or a list of entries, each with `kind` and its fields.
+
+    Raises
+    ------
+    CommandError
+        With a line for each wrong field: file, line, field, fault and allowed range.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read(MAX_FILE_BYTES + 1)
+        doc = parse_document(text)
+    except (OSError, UnicodeDecodeError, DocumentError) as exc:
+        raise CommandError(ExitCode.REFUSED, f"{path}: {exc}") from exc
+    if isinstance(doc.data, dict):
+        doc = Document([doc.data], {(0, *key): line for key, line in doc.lines.items()})
+    if not isinstance(doc.data, list) or not doc.data:
+        raise CommandError(ExitCode.REFUSED, f"{path}:1: expected an entry or a list of entries")
+    return _collect_entries(path, doc)
+
+
+def _collect_entries(path: str, doc: Document) -> EntryFile:
+    result = EntryFile(path, [], {})
+    faults: list[str] = []
+    for index, fields in enumerate(doc.data):
+        entry = _parse_one(path, doc, index, fields, faults)
+        if entry is None:
+            continue
+        line = doc.line_of((index,))
+        if entry.key in result.lines:
+            faults.append(f"{path}:{line}: {entry.key} stands on line {result.lines[entry.key]}")
+        result.lines[entry.key] = line
+        result.entries.append(entry)
+    if faults:
+        raise CommandError(ExitCode.REFUSED, "\n".join(faults))
+    return result
+
+
+def _parse_one(path: str, doc: Document, index: int, fields: Any, faults: list[str]) -> Any:
+    line = doc.line_of((index,))
+    if not isinstance(fields, dict):
+        faults.append(f"{path}:{line}: an entry is a map with kind and its fields")
+        return None
+    values = dict(fields)
+    kind = str(values.pop("kind", ""))
+    try:
+        return parse_entry(kind, values)
+    except EntryError as exc:
+        cause = exc.__cause__
+        if isinstance(cause, ValidationError):
+            label = f"{kind}/{values.get('name', '?')}"
+            faults += _describe_faults(path, doc, index, kind, label, cause)
+        else:
+            kind_line = doc.line_of((index, "kind"))
+            faults.append(f"{path}:{kind_line}: {exc}")
+        return None
+
+
+def _describe_faults(
+    path: str, doc: Document, index: int, kind: str, label: str, exc: ValidationError
+) -> list[str]:
+    hints = typing.get_type_hints(ENTRY_KINDS[kind], include_extras=True)
+    lines = []
+    for error in exc.errors(include_url=False):
+        location = error["loc"]
+        line = doc.line_of((index, *location))
+        field = ".".join(str(part) for part in location)
+        fault = _describe_fault(error, hints)
+        lines.append(f"{path}:{line}: {label}: {field}: {fault}")
+    return lines
+
+
+def _describe_fault(error: Any, hints: dict[str, Any]) -> str:
+    name = error["loc"][0] if error["loc"] else ""
+    if error["type"] == "unexpected_keyword_argument" or name not in hints:
+        known = ", ".join(sorted(key for key in hints if key != "kind"))
+        return f"unknown field; known: {known}"
+    allowed = describe_allowed(hints[name])
+    if error["type"] == "missing":
+        return f"required; allowed: {allowed}"
+    return f"got {error['input']!r:.60}; allowed: {allowed}"
--- /dev/null
+++ b/tarragonwind/tools/move_commands.py
@@ -0,0 +1,137 @@
+"""Offer the commands for moves between versions."""
+
+from __future__ import annotations
+
+import time
+from datetime import datetime
+
+from fire.decorators import SetParseFn
+
+from tarragonwind.core.entries import MoveEntry, MoveState, PoolEntry, dump_entry, parse_entry
+from tarragonwind.errors import EntryError
+from tarragonwind.operator_services import CatalogueItem, MoveOutcome, MoveReport
+from tarragonwind.tools.catalogue_commands import IN_FORCE_WAIT_S
+from tarragonwind.tools.change_writers import split_changes
+from tarragonwind.tools.exit_codes import CommandError, ExitCode
+from tarragonwind.tools.outputs import Column, format_time
+from tarragonwind.tools.sessions import Session, require_number
+
+STATUS_PAUSE_S = 0.2
+
+_OUTCOME_CODES = {
+    MoveOutcome.DONE: ExitCode.OK,
+    MoveOutcome.NOT_SETTLED: ExitCode.NOT_SETTLED,
+    MoveOutcome.TAKEN_BACK: ExitCode.TAKEN_BACK,
+    MoveOutcome.CANCELLED: ExitCode.TAKEN_BACK,
+}
+
+_COLUMNS = [
+    Column("MOVE", lambda item: item.name),
+    Column("POOL", lambda item: item.pool),
+    Column("FROM", lambda item: item.from_version),
+    Column("TO", lambda item: item.to_version),
+    Column("OUTCOME", lambda item: item.outcome.value),
+    Column("SHARE", lambda item: f"{item.share:.1%}"),
+    Column("DONE BY", lambda item: format_time(item.done_by)),
+    Column("WHY", lambda item: item.why),
+]
+
+
+class MoveCommands:
+    """Start, watch and cancel moves between versions."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    def start(
+        self,
+        name: str,
+        pool: str,
+        to_version: str,
+        owner: str,
+        done_by: str = "",
+        within_s: float = 0,
+        wait_s: float = IN_FORCE_WAIT_S,
+    ) -> None:
+        """Start moving a pool to a version, to be done by a time.
+
+        Give either --done-by with a time such as 2026-05-01T18:00:00+00:00, or --within-s with
+        seconds from now.
+        """
+        wait_s = require_number(wait_s, "wait-s")
+        now = time.time()
+        doc = {
+            "name": str(name),
+            "owner": str(owner),
+            "pool": str(pool),
+            "from_version": self._read_pool(str(pool)).version,
+            "to_version": str(to_version),
+            "starts_at": round(now, 3),
+            "done_by": _read_deadline(done_by, within_s, now),
+        }
+        try:
+            entry = parse_entry(MoveEntry.kind, doc)
+        except EntryError as exc:
+            raise CommandError(ExitCode.USAGE, str(exc)) from exc
+        self._session.write(split_changes([entry], []), 0, wait_s)
+
+    @SetParseFn(float, "wait_s")
+    def status(self, name: str, wait_s: float = 0.0) -> None:
+        """Tell whether a move is done, taken back or not settled, and why.
+
+        With --wait-s, wait until it is settled, for at most so many seconds.
+        """
+        give_up_at = time.monotonic() + require_number(wait_s, "wait-s")
+        path = f"/v1/moves/{name}"
+        report = self._session.client.read(path, MoveReport)
+        while report.outcome is MoveOutcome.NOT_SETTLED and time.monotonic() < give_up_at:
+            time.sleep(STATUS_PAUSE_S)
+            report = self._session.client.read(path, MoveReport)
+        self._session.output.show(report, lambda: describe_move(report))
+        code = _OUTCOME_CODES[report.outcome]
+        if code is not ExitCode.OK:
+            raise CommandError(code, "")
+
+    def cancel(self, name: str, wait_s: float = IN_FORCE_WAIT_S) -> None:
+        """Cancel a move; its traffic goes back to the old version."""
+        wait_s = require_number(wait_s, "wait-s")
+        item = self._session.client.read(f"/v1/catalogue/move/{name}", CatalogueItem)
+        doc = {**dump_entry(item.entry), "state": MoveState.CANCELLED.value}
+        entry = parse_entry(MoveEntry.kind, doc)
+        self._session.write(split_changes([entry], []), item.number, wait_s)
+
+    def list(self) -> None:
+        """List all moves."""
+        reports = self._session.client.read("/v1/moves", list[MoveReport])
+        self._session.output.show_table(reports, _COLUMNS, "no moves")
+
+    def _read_pool(self, pool: str) -> PoolEntry:
+        item = self._session.client.read(f"/v1/catalogue/pool/{pool}", CatalogueItem)
+        if not isinstance(item.entry, PoolEntry):
+            raise CommandError(ExitCode.REFUSED, f"{pool}: not a pool")
+        return item.entry
+
+
+def describe_move(report: MoveReport) -> str:
+    """Return how a move stands, for people."""
+    recorded = "" if report.recorded else " (not yet recorded in the store)"
+    return (
+        f"{report.name}: {report.outcome.value}{recorded}\n"
+        f"{report.pool} {report.from_version} -> {report.to_version}, "
+        f"share {report.share:.1%}, to be done by {format_time(report.done_by)}\n"
+        f"why: {report.why or '-'}"
+    )
+
+
+def _read_deadline(done_by: str, within_s: float, now: float) -> float:
+    if bool(done_by) == bool(within_s):
+        raise CommandError(ExitCode.USAGE, "give either --done-by or --within-s")
+    if within_s:
+        return round(now + require_number(within_s, "within-s"), 3)
+    try:
+        at = datetime.fromisoformat(str(done_by))
+    except ValueError as exc:
+        raise CommandError(ExitCode.USAGE, f"--done-by: {exc}") from exc
+    if at.tzinfo is None:
+        raise CommandError(ExitCode.USAGE, "--done-by: add the offset, such as +00:00")
+    return at.timestamp()
--- /dev/null
+++ b/tarragonwind/tools/outputs.py
@@ -0,0 +1,99 @@
+"""Print results for people or, as JSON, for programs."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Any, TypeVar
+
+import yaml
+from pydantic import TypeAdapter
+
+from tarragonwind.core.entries import Entry
+from tarragonwind.operator_services import plain_entry
+
+ItemT = TypeVar("ItemT")
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """Hold a heading and how an item's cell is made."""
+
+    heading: str
+    render: Callable[[Any], object]
+
+
+def to_plain(value: Any) -> Any:
+    """Return a typed result as plain data for JSON."""
+    if isinstance(value, list):
+        return [to_plain(item) for item in value]
+    return TypeAdapter(type(value)).dump_python(value, mode="json")
+
+
+class Output:
+    """Print either form.
+
+    Parameters
+    ----------
+    as_json : bool
+        Whether programs read the output.
+    write : callable, optional
+        Takes one line.
+    """
+
+    __slots__ = ("as_json", "write")
+
+    def __init__(self, as_json: bool, write: Callable[[str], None] = print) -> None:
+        self.as_json = as_json
+        self.write = write
+
+    def show(self, value: Any, describe: Callable[[], str]) -> None:
+        """Print a value as JSON, or its description for people."""
+        self.write(json.dumps(to_plain(value)) if self.as_json else describe())
+
+    def show_table(self, items: Sequence[Any], columns: list[Column], empty: str) -> None:
+        """Print items as a table, or `empty` when there are none."""
+        self.show(list(items), lambda: format_table(items, columns) if items else empty)
+
+
+def format_table(items: Sequence[Any], columns: list[Column]) -> str:
+    """Return items as aligned columns with headings."""
+    rows = [[column.heading for column in columns]]
+    for item in items:
+        rows.append([_format_cell(column.render(item)) for column in columns])
+    widths = [max(len(row[index]) for row in rows) for index in range(len(columns))]
+    lines = []
+    for row in rows:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        lines.append("  ".join(cells).rstrip())
+    return "\n".join(lines)
+
+
+def _format_cell(value: object) -> str:
+    if isinstance(value, list):
+        return "/".join(str(item) for item in value)
+    return str(value)
+
+
+def format_entry(entry: Entry) -> str:
+    """Return an entry as YAML that `catalogue put` reads."""
+    return str(yaml.safe_dump([plain_entry(entry)], sort_keys=False, allow_unicode=True)).rstrip()
+
+
+def format_time(at: float) -> str:
+    """Return a time in seconds since the epoch as text in UTC."""
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def format_diff(key: str, before: Entry | None, after: Entry | None) -> str:
+    """Return what changes in one entry, a line a field."""
+    old = plain_entry(before) if before else {}
+    new = plain_entry(after) if after else {}
+    sign = "+" if not before else "-" if not after else "~"
+    lines = [f"{sign} {key}"]
+    for name in dict.fromkeys([*old, *new]):
+        if old.get(name) != new.get(name):
+            lines.append(f"    {name}: {old.get(name, '(none)')} -> {new.get(name, '(none)')}")
+    return "\n".join(lines)
