Compare a nearly complete move with the old version's past, and share time references

Cause: at a share of 0.95 the old version had 0.9 requests/s left, too few to compare with; and each host waited for 30 times of its own on a route before it judged slowness there. The last controlled step keeps a tenth of the traffic; from it on recent outcomes are also compared with the old version's past, unless the old version became worse too; a route without times of its own uses those of the pool; three load levels in place of two.

--- a/tarragonwind/core/badness_tests.py
+++ b/tarragonwind/core/badness_tests.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from tarragonwind.core.evidence import Cell, CellKey, Cells, LoadLevel, Side, Signal, Tally
-from tarragonwind.core.move_steps import COMPLETE_STEP, CONTROLLED_STEP
+from tarragonwind.core.move_steps import CONTROLLED_STEP
 from tarragonwind.core.sequential_tests import (
     Pair,
     bad_log_evidence,
@@ -33,6 +33,9 @@
 MIN_ROUTES = 4
 """Least number of routes that the error rate is divided by."""
 
+MIN_CONCURRENT = 3
+"""Outcomes of the old version from which it shows whether it has become worse itself."""
+
 ALL_ROUTES = "*"
 
 
@@ -59,19 +62,12 @@
     return finding.excess
 
 
-@dataclass(frozen=True, slots=True)
-class Stratum:
-    """Name outcomes of both versions that are comparable."""
-
-    step: int
-    route: str
-    level: LoadLevel
-
-
 @dataclass(slots=True)
 class Sides:
-    """Hold the outcomes of both versions in one stratum."""
+    """Hold the comparable outcomes of both versions in one step, on one route, at one level."""
 
+    route: str
+    level: LoadLevel
     new: Cell
     old: Cell
 
@@ -82,36 +78,79 @@
 
 def find_in_cells(cells: Cells, alpha: float, margins: dict[Signal, float]) -> Finding:
     """Return the strongest sign in cells, where all comparisons together may spend `alpha`."""
-    strata = _group(cells)
-    routes = sorted({stratum.route for stratum in strata})
+    groups = _group(cells)
+    routes = {route for route, _ in groups}
     threshold = log_threshold(alpha / _comparison_count(len(routes)))
     best = NOTHING
+    for (route, level), sides in groups.items():
+        for signal in Signal:
+            what = f"{signal.name.lower()} on {route} under {level.name.lower()} load"
+            best = max(best, _weigh(sides, signal, margins[signal], threshold, what), key=_excess)
+    everything = [
+        one for (route, _), sides in groups.items() if route == ALL_ROUTES for one in sides
+    ]
     for signal in Signal:
-        for what, pairs in _comparisons(strata, routes, signal):
-            best = max(best, _weigh(pairs, margins[signal], threshold, what), key=_excess)
+        what = f"{signal.name.lower()} on all routes"
+        finding = _weigh(everything, signal, margins[signal], threshold, what)
+        best = max(best, finding, key=_excess)
     for route in routes:
-        pairs = _pairs_across_levels(strata, route)
+        sides = _beside_any_level(groups, route)
         what = f"failed on {route} under high load"
-        best = max(best, _weigh(pairs, OTHER_LEVEL_MARGIN, threshold, what), key=_excess)
+        finding = _weigh(sides, Signal.FAILED, OTHER_LEVEL_MARGIN, threshold, what)
+        best = max(best, finding, key=_excess)
     return best
 
 
-def find_beside_past(cells: Cells, alpha: float) -> Finding:
-    """Return the strongest sign of a complete move, beside the old version's past."""
-    return find_in_cells(_with_past(cells, cells), alpha, PAST_MARGINS)
+def find_beside_past(recent: Cells, cells: Cells, step: int, alpha: float) -> Finding:
+    """Return the strongest sign in recent outcomes of a step, beside the old version's past.
+
+    A signal for which the old version itself has become worse is left out.
+    """
+    mixed: Cells = {}
+    new_keys = [key for key in recent if key.step == step and key.side is Side.NEW]
+    for key in new_keys:
+        mixed[key] = recent[key]
+    for key, cell in cells.items():
+        if key.side is Side.OLD:
+            past_key = dataclasses.replace(key, step=step)
+            mixed[past_key] = mixed.get(past_key, Cell()).plus(cell)
+    margins = {}
+    for signal in Signal:
+        worse = _is_old_worse(recent, mixed, step, signal)
+        margins[signal] = 1.0 if worse else PAST_MARGINS[signal]
+    return find_in_cells(mixed, alpha, margins)
 
 
-def _group(cells: Cells) -> dict[Stratum, Sides]:
-    """Return the cells by stratum, with one more route for the sum of all."""
-    strata: dict[Stratum, Sides] = {}
+def _is_old_worse(recent: Cells, past: Cells, step: int, signal: Signal) -> bool:
+    recent_old = Tally(0, 0)
+    for key, cell in recent.items():
+        if key.step == step and key.side is Side.OLD:
+            recent_old = recent_old + cell.tally(signal)
+    past_old = Tally(0, 0)
+    for key, cell in past.items():
+        if key.side is Side.OLD:
+            past_old = past_old + cell.tally(signal)
+    is_worse = recent_old.rate > past_old.rate + PAST_MARGINS[signal]
+    return recent_old.trials >= MIN_CONCURRENT and is_worse
+
+
+def _group(cells: Cells) -> dict[tuple[str, LoadLevel], list[Sides]]:
+    """Return the outcomes of all steps by route and level, with one more route for the sum."""
+    found: dict[tuple[int, str, LoadLevel], Sides] = {}
     for key, cell in cells.items():
         for route in (key.route, ALL_ROUTES):
-            sides = strata.setdefault(Stratum(key.step, route, key.level), Sides(Cell(), Cell()))
+            name = (key.step, route, key.level)
+            sides = found.get(name)
+            if sides is None:
+                sides = found[name] = Sides(route, key.level, Cell(), Cell())
             if key.side is Side.NEW:
                 sides.new = sides.new.plus(cell)
             else:
                 sides.old = sides.old.plus(cell)
-    return strata
+    groups: dict[tuple[str, LoadLevel], list[Sides]] = {}
+    for sides in found.values():
+        groups.setdefault((sides.route, sides.level), []).append(sides)
+    return groups
 
 
 def _comparison_count(route_count: int) -> int:
@@ -120,47 +159,26 @@
     return len(Signal) * (routes * len(LoadLevel) + 1) + routes
 
 
-def _comparisons(
-    strata: dict[Stratum, Sides], routes: list[str], signal: Signal
-) -> Iterable[tuple[str, list[Pair]]]:
-    """Yield what is compared for a signal, and the pairs for it."""
-    for route in routes:
-        for level in LoadLevel:
-            pairs = _select(strata, signal, route, level)
-            yield f"{signal.name.lower()} on {route} under {level.name.lower()} load", pairs
-    yield f"{signal.name.lower()} on all routes", _select(strata, signal, ALL_ROUTES, None)
-
-
-def _select(
-    strata: dict[Stratum, Sides], signal: Signal, route: str, level: LoadLevel | None
-) -> list[Pair]:
-    pairs = []
-    for stratum, sides in strata.items():
-        if stratum.route == route and level in (None, stratum.level):
-            pairs.append(sides.pair(signal))
-    return _usable(pairs)
+def _beside_any_level(groups: dict[tuple[str, LoadLevel], list[Sides]], route: str) -> list[Sides]:
+    """Return the new version under high load beside the old version at any load."""
+    new = Cell()
+    old = Cell()
+    for level in LoadLevel:
+        for sides in groups.get((route, level), ()):
+            old = old.plus(sides.old)
+            if level is LoadLevel.HIGH:
+                new = new.plus(sides.new)
+    return [Sides(route, LoadLevel.HIGH, new, old)]
 
 
-def _pairs_across_levels(strata: dict[Stratum, Sides], route: str) -> list[Pair]:
-    """Return failures under high load beside those of the old version at any load."""
+def _weigh(
+    sides: Iterable[Sides], signal: Signal, margin: float, threshold: float, what: str
+) -> Finding:
     pairs = []
-    for stratum, sides in strata.items():
-        if stratum.route != route or stratum.level is not LoadLevel.HIGH:
-            continue
-        old = Tally(0, 0)
-        for level in LoadLevel:
-            other = strata.get(Stratum(stratum.step, route, level))
-            if other is not None:
-                old = old + other.old.tally(Signal.FAILED)
-        pairs.append(Pair(sides.new.tally(Signal.FAILED), old))
-    return _usable(pairs)
-
-
-def _usable(pairs: list[Pair]) -> list[Pair]:
-    return [pair for pair in pairs if pair.new.trials and pair.old.trials]
-
-
-def _weigh(pairs: list[Pair], margin: float, threshold: float, what: str) -> Finding:
+    for one in sides:
+        pair = one.pair(signal)
+        if pair.new.trials and pair.old.trials:
+            pairs.append(pair)
     evidence = bad_log_evidence(pairs, margin)
     if evidence <= 0.0:
         return NOTHING
@@ -169,18 +187,6 @@
     return Finding(evidence - threshold, f"{what}: new version {new}, old version {old}")
 
 
-def _with_past(recent: Cells, cells: Cells) -> Cells:
-    """Return the recent cells of a complete move beside the last controlled step's old cells."""
-    mixed: Cells = {}
-    for key, cell in recent.items():
-        if key.step == COMPLETE_STEP and key.side is Side.NEW:
-            mixed[key] = cell
-    for key, cell in cells.items():
-        if key.step == CONTROLLED_STEP and key.side is Side.OLD:
-            mixed[dataclasses.replace(key, step=COMPLETE_STEP)] = cell
-    return mixed
-
-
 @dataclass(slots=True)
 class Restart:
     """Hold the state of a step's outcomes when the comparison was started anew."""
@@ -223,11 +229,14 @@
         return best
 
     def _find_since(self, restart: Restart, recent: Cells, cells: Cells) -> Finding:
-        alpha = restart_alpha(BAD_ALPHA / 4.0, restart.number)
         window = _subtract(recent, restart.cells)
-        if self._step == COMPLETE_STEP:
-            return find_in_cells(_with_past(window, cells), alpha, PAST_MARGINS)
-        return find_in_cells(window, alpha, BAD_MARGINS)
+        alpha = restart_alpha(BAD_ALPHA / 4.0, restart.number)
+        best = find_in_cells(window, alpha, BAD_MARGINS)
+        if self._step >= CONTROLLED_STEP:
+            alpha = restart_alpha(BAD_ALPHA / 8.0, restart.number)
+            finding = find_beside_past(window, cells, self._step, alpha)
+            best = max(best, finding, key=_excess)
+        return best
 
     def _restart(self, now: float, recent: Cells) -> None:
         if self._restarts and now - self._restarts[-1].started_at < self._period_s:
--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -7,6 +7,9 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+MIDDLE_LOAD_FRACTION = 0.3
+"""Fraction of an upstream's slots in use from which its load counts as middle."""
+
 HIGH_LOAD_FRACTION = 0.6
 """Fraction of an upstream's slots in use from which its load counts as high."""
 
@@ -23,7 +26,7 @@
 REFERENCE_AGE_S = 30.0
 """Age at which a generation of the reference histogram is replaced, in seconds."""
 
-REFERENCE_MIN_TIMES = 30
+REFERENCE_MIN_TIMES = 20
 """Times of the old version below which no request is judged slow."""
 
 _LOG_GROWTH = math.log(BUCKET_GROWTH)
@@ -40,7 +43,8 @@
     """Tell the load of the upstream at dispatch."""
 
     LOW = 0
-    HIGH = 1
+    MIDDLE = 1
+    HIGH = 2
 
 
 class Signal(enum.IntEnum):
@@ -53,7 +57,9 @@
 
 def load_level(in_flight_fraction: float) -> LoadLevel:
     """Return the level of an upstream that uses this fraction of its slots."""
-    return LoadLevel.HIGH if in_flight_fraction >= HIGH_LOAD_FRACTION else LoadLevel.LOW
+    if in_flight_fraction >= HIGH_LOAD_FRACTION:
+        return LoadLevel.HIGH
+    return LoadLevel.MIDDLE if in_flight_fraction >= MIDDLE_LOAD_FRACTION else LoadLevel.LOW
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,8 +116,14 @@
 
     def plus(self, other: Cell, sign: int = 1) -> Cell:
         """Return the sum with another cell, or the difference when `sign` is -1."""
-        pairs = zip(self.counts(), other.counts(), strict=True)
-        return Cell(*(mine + sign * theirs for mine, theirs in pairs))
+        return Cell(
+            self.finished + sign * other.finished,
+            self.failed + sign * other.failed,
+            self.started + sign * other.started,
+            self.late + sign * other.late,
+            self.paced + sign * other.paced,
+            self.slow + sign * other.slow,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -129,7 +129,7 @@
         So a small share shows how the version behaves under high load.
         """
         _, move = self._serving(pool)
-        return move is not None and move.judge.step <= FIRST_LOADED_STEP
+        return move is not None and move.judge.step == FIRST_LOADED_STEP
 
     def start(
         self, now: float, pool: str, route: str, version: str, in_flight_fraction: float
--- a/tarragonwind/core/move_trials.py
+++ b/tarragonwind/core/move_trials.py
@@ -15,6 +15,8 @@
     TimeReference,
 )
 
+ReferenceName = tuple[str | None, LoadLevel | None, Signal]
+
 
 class Outcome(enum.Enum):
     """Tell how a request ended, as far as its version can be blamed."""
@@ -67,7 +69,7 @@
         self.evidence = HostEvidence()
         self.urgent = False
         self._open: dict[int, Trial] = {}
-        self._references: dict[tuple[str, LoadLevel, Signal], TimeReference] = {}
+        self._references: dict[ReferenceName, TimeReference] = {}
 
     def start(self, now: float, move_id: str, key: CellKey) -> Trial:
         """Follow a request from its dispatch on."""
@@ -81,12 +83,10 @@
             return
         trial.first_byte_at = now
         time_s = now - trial.started_at
-        reference = self._reference(trial, Signal.FIRST_BYTE)
-        limit_s = reference.limit_s()
+        limit_s = self._limit_s(trial, Signal.FIRST_BYTE)
         if not trial.judged and limit_s is not None:
             self._judge_start(trial, time_s > limit_s)
-        if trial.key.side is Side.OLD:
-            reference.add(now, time_s)
+        self._refer(now, trial, Signal.FIRST_BYTE, time_s)
 
     def finish(self, now: float, trial: Trial, outcome: Outcome, tokens: int) -> None:
         """Count the end of a request, once."""
@@ -105,7 +105,7 @@
         for trial in self._open.values():
             if trial.judged or trial.first_byte_at is not None:
                 continue
-            limit_s = self._reference(trial, Signal.FIRST_BYTE).limit_s()
+            limit_s = self._limit_s(trial, Signal.FIRST_BYTE)
             if limit_s is not None and now - trial.started_at > limit_s:
                 self._judge_start(trial, True)
 
@@ -117,20 +117,36 @@
         self.urgent = self.urgent or (late and trial.key.side is Side.NEW)
 
     def _count_pace(self, now: float, trial: Trial, cell: Cell, token_s: float) -> None:
-        reference = self._reference(trial, Signal.PER_TOKEN)
-        limit_s = reference.limit_s()
+        limit_s = self._limit_s(trial, Signal.PER_TOKEN)
         if limit_s is not None:
             cell.paced += 1
             cell.slow += token_s > limit_s
-        if trial.key.side is Side.OLD:
-            reference.add(now, token_s)
+        self._refer(now, trial, Signal.PER_TOKEN, token_s)
 
     def _touch(self, trial: Trial) -> Cell:
         return self.evidence.touch(trial.key)
 
-    def _reference(self, trial: Trial, signal: Signal) -> TimeReference:
-        name = (trial.key.route, trial.key.level, signal)
-        reference = self._references.get(name)
-        if reference is None:
-            reference = self._references[name] = TimeReference()
-        return reference
+    def _references_of(self, trial: Trial, signal: Signal) -> list[TimeReference]:
+        """Return the references for a request, the most specific first."""
+        found = []
+        key = trial.key
+        for name in ((key.route, key.level), (key.route, None), (None, None)):
+            full_name = (*name, signal)
+            reference = self._references.get(full_name)
+            if reference is None:
+                reference = self._references[full_name] = TimeReference()
+            found.append(reference)
+        return found
+
+    def _limit_s(self, trial: Trial, signal: Signal) -> float | None:
+        """Return the time above which a request is slow, None while too little is known."""
+        for reference in self._references_of(trial, signal):
+            limit_s = reference.limit_s()
+            if limit_s is not None:
+                return limit_s
+        return None
+
+    def _refer(self, now: float, trial: Trial, signal: Signal, time_s: float) -> None:
+        if trial.key.side is Side.OLD:
+            for reference in self._references_of(trial, signal):
+                reference.add(now, time_s)
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -22,6 +22,7 @@
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
     COMPLETE_STEP,
+    CONTROLLED_STEP,
     FIRST_LOADED_STEP,
     FIRST_STEP,
     MIN_DWELL_FRACTION,
@@ -209,8 +210,8 @@
             find_in_cells(totals, BAD_ALPHA / 2.0, BAD_MARGINS),
             self._detector.find(now, totals, self.step),
         ]
-        if self.step == COMPLETE_STEP:
-            findings.append(find_beside_past(totals, BAD_ALPHA / 4.0))
+        if self.step >= CONTROLLED_STEP:
+            findings.append(find_beside_past(totals, totals, self.step, BAD_ALPHA / 8.0))
         return max(findings, key=lambda finding: finding.excess)
 
     def grow(self, now: float, live: Collection[str], report_period_s: float) -> None:
--- a/tarragonwind/core/sequential_tests.py
+++ b/tarragonwind/core/sequential_tests.py
@@ -87,11 +87,12 @@
 def least_excess(pair: Pair) -> float:
     """Return the observed excess of the new rate, less one standard error."""
     new = pair.new
-    if not new.trials or not pair.old.trials:
+    old = pair.old
+    if not new.trials or not old.trials:
         return 0.0
-    smoothed = (new.hits + 1) / (new.trials + 2)
-    error = math.sqrt(smoothed * (1.0 - smoothed) / new.trials)
-    return new.rate - pair.old.rate - error
+    smoothed = (new.hits + old.hits + 1) / (new.trials + old.trials + 2)
+    error = math.sqrt(smoothed * (1.0 - smoothed) * (1.0 / new.trials + 1.0 / old.trials))
+    return new.rate - old.rate - error
 
 
 def log_threshold(alpha: float) -> float:
