--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -137,7 +137,7 @@
     """
 
     directory: Path
-    operator_token: str = "operator-token"
+    operator_token: str = "operator-token-of-the-demo"
     processes: dict[str, FleetProcess] = field(default_factory=dict)
     hosts: dict[str, HostPorts] = field(default_factory=dict)
     kv_port: int = 0
--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -91,6 +91,7 @@
         self._poll_timer: Timer | None = None
         self._polling: Task[None] | None = None
         self._store_away = False
+        self._away_since = 0.0
         self._stopped = False
         self.loaded: Future[None] = Future()
         """Done once a catalogue is in force, be it the empty one of a new store."""
@@ -127,6 +128,10 @@
         others = [item for item in self._follower.numbers() if item.host != self._members.name]
         return not others or any(item.age_s != float("inf") for item in others)
 
+    def store_away_s(self) -> float:
+        """Return the seconds since the store was found away, 0 while it answers."""
+        return self._timers.now() - self._away_since if self._store_away else 0.0
+
     @property
     def watches(self) -> bool:
         """Tell whether this daemon is to watch the store."""
@@ -200,6 +205,7 @@
 
     def _note_store(self, away: bool, why: str) -> None:
         if away and not self._store_away:
+            self._away_since = self._timers.now()
             logger.warning("event=store_away why={!r} hint=requests_go_on_without_it", why)
         if self._store_away and not away:
             logger.info("event=store_back")
