--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,317 @@
+"""Call entry hosts from threads and write down each request and its answer."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import random
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+LOOPBACK = "127.0.0.1"
+CONNECT_PAUSE_S = 0.05
+MAX_REQUESTS = 200_000
+
+
+@dataclass(slots=True)
+class CallPlan:
+    """Describe the requests that a caller sends.
+
+    Attributes
+    ----------
+    name : str
+        Begins the ids of its requests.
+    tier : int
+        Tier of the route.
+    pool : str
+        Pool of the route.
+    token : str
+        Bearer token.
+    path : str
+        Path prefix of a service, or of the completion form.
+    model : str
+        Model, empty for services.
+    tokens : int
+        Tokens of the answer.
+    prompt_characters : int
+        Length of the prompt.
+    stream : bool
+        Whether the answer is streamed.
+    keyed : bool
+        Whether each request carries an Idempotency-Key and may not be repeated.
+    repeat_keys : bool
+        Whether each keyed request is sent twice, the second time to the next host.
+    timeout_ms : int
+        Deadline for the first byte, 0 for the route's.
+    threads : int
+        Requests at one time.
+    pause_s : float
+        Mean pause between two requests of a thread, 0 for none.
+    """
+
+    name: str
+    tier: int
+    pool: str
+    token: str
+    path: str
+    model: str = ""
+    tokens: int = 8
+    prompt_characters: int = 40
+    stream: bool = False
+    keyed: bool = False
+    repeat_keys: bool = False
+    timeout_ms: int = 0
+    threads: int = 4
+    pause_s: float = 0.0
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """Hold one request and what came of it.
+
+    Attributes
+    ----------
+    request, key : str
+        Ids sent along.
+    plan : str
+        Name of the plan.
+    tier, pool : int, str
+        What was asked for.
+    sent_at, ended_at : float
+        Times in seconds since the epoch.
+    status : int
+        HTTP status, 0 when there was no whole answer.
+    kind : str
+        Kind of a refusal, empty otherwise.
+    not_run : str
+        ``true``, ``false`` or ``unknown`` of a refusal, empty otherwise.
+    whole : bool
+        Whether an answer came to its proper end.
+    right : bool
+        Whether a whole answer belongs to the request and lacks nothing.
+    retry_after_s : float
+        Seconds to come back, -1 when none were given.
+    first_byte_s : float
+        Time to the answer's first byte.
+    """
+
+    request: str
+    key: str
+    plan: str
+    tier: int
+    pool: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    kind: str = ""
+    not_run: str = ""
+    whole: bool = False
+    right: bool = True
+    retry_after_s: float = -1.0
+    first_byte_s: float = 0.0
+    version: str = ""
+
+
+@dataclass(slots=True)
+class CallLog:
+    """Collect records of all callers."""
+
+    records: list[CallRecord] = field(default_factory=list)
+
+    def write(self, path: Path) -> None:
+        """Write the records as JSON lines."""
+        with open(path, "w") as out:
+            for record in self.records:
+                out.write(json.dumps(asdict(record)) + "\n")
+
+
+class Callers:
+    """Run call plans against entry hosts until stopped.
+
+    Parameters
+    ----------
+    ports : list of int
+        Callers' ports of entry hosts; each thread keeps to one and turns to the next when it
+        can't be reached.
+    plans : list of CallPlan
+        What to send.
+    seed : int
+        Seed of pauses.
+    """
+
+    def __init__(self, ports: list[int], plans: list[CallPlan], seed: int = 1) -> None:
+        self.log = CallLog()
+        self._ports = ports
+        self._stop = threading.Event()
+        self._threads: list[threading.Thread] = []
+        for plan in plans:
+            for number in range(plan.threads):
+                rng = random.Random(f"{seed}/{plan.name}/{number}")
+                caller = Caller(self, plan, number, rng)
+                self._threads.append(threading.Thread(target=caller.run, daemon=True))
+
+    def __enter__(self) -> Callers:
+        self.start()
+        return self
+
+    def __exit__(self, *_args: object) -> None:
+        self.stop()
+
+    @property
+    def ports(self) -> list[int]:
+        """Return the ports that are called."""
+        return self._ports
+
+    @property
+    def stopped(self) -> bool:
+        """Tell whether callers should end."""
+        return self._stop.is_set() or len(self.log.records) > MAX_REQUESTS
+
+    def start(self) -> None:
+        """Start every thread."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Let each thread end its request and wait for all."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(60)
+
+    def pause(self, seconds: float) -> None:
+        """Wait, but no longer than until the stop."""
+        self._stop.wait(seconds)
+
+
+class Caller:
+    """Send one thread's requests, one after another."""
+
+    def __init__(self, callers: Callers, plan: CallPlan, number: int, rng: random.Random) -> None:
+        self._callers = callers
+        self._plan = plan
+        self._name = f"{plan.name}-{number}"
+        self._rng = rng
+        self._ids = itertools.count(1)
+        self._turn = itertools.count(number)
+        self._conn: http.client.HTTPConnection | None = None
+
+    def run(self) -> None:
+        """Send requests until stopped."""
+        for record in self._requests():
+            self._exchange(record)
+            self._callers.log.records.append(record)
+            if self._plan.pause_s:
+                self._callers.pause(self._rng.expovariate(1 / self._plan.pause_s))
+
+    def _requests(self) -> Iterator[CallRecord]:
+        plan = self._plan
+        while not self._callers.stopped:
+            number = next(self._ids)
+            key = f"key-{self._name}-{number}" if plan.keyed else ""
+            yield self._record(f"{self._name}-{number}", key)
+            if plan.repeat_keys:
+                self._move_on()
+                yield self._record(f"{self._name}-{number}-again", key)
+
+    def _record(self, request: str, key: str) -> CallRecord:
+        plan = self._plan
+        return CallRecord(request, key, plan.name, plan.tier, plan.pool, time.time())
+
+    def _connect(self) -> http.client.HTTPConnection:
+        if self._conn is not None and self._conn.sock is not None:
+            return self._conn
+        while True:
+            ports = self._callers.ports
+            port = ports[next(self._turn) % len(ports)]
+            conn = http.client.HTTPConnection(LOOPBACK, port, timeout=60)
+            try:
+                conn.connect()
+            except OSError:
+                time.sleep(CONNECT_PAUSE_S)
+                if self._callers.stopped:
+                    return conn
+                continue
+            assert conn.sock is not None
+            conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._conn = conn
+            return conn
+
+    def _move_on(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+        self._conn = None
+
+    def _exchange(self, record: CallRecord) -> None:
+        try:
+            conn = self._connect()
+            record.sent_at = time.time()
+            path, body = self._content(record)
+            conn.request("POST" if body else "GET", path, body or None, self._headers(record))
+            answer = conn.getresponse()
+            record.first_byte_s = time.time() - record.sent_at
+            data = answer.read()
+            record.status = answer.status
+            record.whole = True
+            self._judge(record, answer, data)
+            if answer.will_close:
+                self._move_on()
+        except (OSError, http.client.HTTPException):
+            self._move_on()
+        record.ended_at = time.time()
+
+    def _content(self, record: CallRecord) -> tuple[str, bytes]:
+        plan = self._plan
+        if not plan.model:
+            return f"{plan.path}/{record.request}", b"work" if plan.keyed else b""
+        prompt = f"{record.request} ".ljust(plan.prompt_characters, "x")
+        doc = {
+            "model": plan.model,
+            "prompt": prompt,
+            "max_tokens": plan.tokens,
+            "stream": plan.stream,
+        }
+        return "/v1/completions", json.dumps(doc).encode()
+
+    def _headers(self, record: CallRecord) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {self._plan.token}",
+            "X-Request-Id": record.request,
+        }
+        if record.key:
+            headers["Idempotency-Key"] = record.key
+        if self._plan.timeout_ms:
+            headers["Tarragonwind-Timeout-Ms"] = str(self._plan.timeout_ms)
+        return headers
+
+    def _judge(self, record: CallRecord, answer: http.client.HTTPResponse, data: bytes) -> None:
+        if record.status != 200:
+            self._read_refusal(record, answer, data)
+            return
+        if not self._plan.model:
+            doc = json.loads(data)
+            record.right = doc.get("echo") == record.request
+            record.version = str(doc.get("version"))
+        elif self._plan.stream:
+            wanted = self._plan.tokens + 1
+            record.right = data.count(b"data: ") == wanted and data.endswith(b"[DONE]\n\n")
+        else:
+            doc = json.loads(data)
+            words = doc["choices"][0]["text"].split()
+            record.right = doc.get("echo") == record.request and len(words) == self._plan.tokens
+
+    def _read_refusal(
+        self, record: CallRecord, answer: http.client.HTTPResponse, data: bytes
+    ) -> None:
+        try:
+            doc = json.loads(data)
+        except ValueError:
+            return
+        record.kind = str(doc.get("kind", ""))
+        if "not_run" in doc:
+            record.not_run = str(doc["not_run"]).lower()
+        record.retry_after_s = float(answer.getheader("Retry-After", "-1"))
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,175 @@
+"""Relay TCP between two addresses and bring about faults on the way.
+
+``POST /control`` on the control port sets faults: ``latency_ms``, ``refuse`` (reset new
+connections), ``black_hole`` (take bytes and pass nothing on), ``half_open`` (pass nothing on
+connections that stand, new ones work), ``drip_bytes_per_s``, ``cut_after_bytes`` (reset a
+connection once so many bytes of the answer have passed) and ``cut`` (counts up: reset all).
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import Any
+
+import fire
+
+from standins.servers import StandIn
+from tarragonwind.adapters.connections import (
+    Connection,
+    ConnectionEvents,
+    Listener,
+    open_connection,
+)
+from tarragonwind.ports import Address
+
+DRIP_PERIOD_S = 0.05
+
+
+class ProxyFaults:
+    """Hold what goes wrong on the link."""
+
+    def __init__(self) -> None:
+        self.latency_ms = 0.0
+        self.refuse = False
+        self.black_hole = False
+        self.half_open = False
+        self.drip_bytes_per_s = 0
+        self.cut_after_bytes = 0
+        self.cut = 0
+
+
+class Side(ConnectionEvents):
+    """Pass what arrives on one side of a link to the other side."""
+
+    def __init__(self, link: Link, answers: bool) -> None:
+        self.link = link
+        self.answers = answers
+        self.conn: Connection | None = None
+        self.held = bytearray()
+        self.passed = 0
+        self.ended = False
+
+    def on_data(self, data: bytes) -> None:
+        """Pass data on as the faults allow."""
+        self.held += data
+        self.link.schedule(self)
+
+    def on_closed(self, reason: str) -> None:
+        """Pass the end on after what is held."""
+        self.ended = True
+        self.link.schedule(self)
+
+
+class Link:
+    """Join two connections."""
+
+    def __init__(self, proxy: FaultProxy, sock: socket.socket) -> None:
+        self.proxy = proxy
+        self.loop = proxy.loop
+        self.frozen = False
+        self.near = Side(self, answers=False)
+        self.far = Side(self, answers=True)
+        self.near.conn = Connection(self.loop, sock, self.near)
+        try:
+            self.far.conn = open_connection(self.loop, proxy.target, self.far)
+        except OSError:
+            self.reset()
+
+    def schedule(self, side: Side) -> None:
+        """Pass on what a side holds, now or after the delay."""
+        faults = self.proxy.faults
+        if self.frozen or faults.black_hole:
+            return
+        if faults.drip_bytes_per_s:
+            self.loop.timers.call_later(DRIP_PERIOD_S, lambda: self.drip(side))
+            return
+        self.loop.timers.call_later(faults.latency_ms / 1000, lambda: self.flush(side))
+
+    def drip(self, side: Side) -> None:
+        """Pass on a little and come again."""
+        count = max(1, int(self.proxy.faults.drip_bytes_per_s * DRIP_PERIOD_S))
+        self.forward(side, count)
+        if side.held:
+            self.schedule(side)
+
+    def flush(self, side: Side) -> None:
+        """Pass on all that is held."""
+        self.forward(side, len(side.held))
+
+    def forward(self, side: Side, count: int) -> None:
+        """Pass on a number of bytes, and the end behind the last."""
+        other = self.near if side.answers else self.far
+        if self.frozen or other.conn is None or self.proxy.faults.black_hole:
+            return
+        limit = self.proxy.faults.cut_after_bytes
+        if limit and side.answers and side.passed + min(count, len(side.held)) >= limit:
+            other.conn.write(bytes(side.held[: max(0, limit - side.passed)]))
+            self.reset()
+            return
+        other.conn.write(bytes(side.held[:count]))
+        side.passed += min(count, len(side.held))
+        del side.held[:count]
+        if side.ended and not side.held:
+            other.conn.close_when_sent()
+            self.proxy.links.discard(self)
+
+    def reset(self) -> None:
+        """Reset both connections."""
+        for side in (self.near, self.far):
+            if side.conn is not None:
+                side.conn.reset()
+        self.proxy.links.discard(self)
+
+
+class FaultProxy(StandIn):
+    """Relay a listening address to a target.
+
+    Parameters
+    ----------
+    port : int
+        Control port on 127.0.0.1.
+    listen, target : Address
+        Where to listen, and where to connect to.
+    """
+
+    def __init__(self, port: int, listen: Address, target: Address) -> None:
+        super().__init__(port, ProxyFaults())
+        self.target = target
+        self.links: set[Link] = set()
+        self._cuts = 0
+        self._was_half_open = False
+        self._listener = Listener(self.loop, listen, self._accept)
+        self.loop.timers.call_every(0.01, self._look)
+
+    def _accept(self, sock: socket.socket, peer: Address) -> None:
+        if self.faults.refuse:
+            with contextlib.suppress(OSError):
+                sock.close()
+            return
+        self.links.add(Link(self, sock))
+
+    def _look(self) -> None:
+        if self.faults.cut != self._cuts:
+            self._cuts = self.faults.cut
+            for link in list(self.links):
+                link.reset()
+        if self.faults.half_open and not self._was_half_open:
+            for link in self.links:
+                link.frozen = True
+        self._was_half_open = bool(self.faults.half_open)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address of ``IP:port``."""
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+def main(port: int, listen: str, target: str, **_options: Any) -> None:
+    """Run a proxy until the process is ended."""
+    FaultProxy(port, parse_address(listen), parse_address(target)).run()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
