Prove that changes come into force on every daemon of a fleet over fakes

Cause: followers had no test, and the daemon asks for write ids of its own, recent changes and the time that the store has been away; they are added. The fleet runs on a virtual clock (bench/virtual_clocks.py, bench/catalogue_fleets.py).

Excluded: a watch for every daemon, whose waiting calls grow with the fleet.

Cause: an accepted change has to come into force on every daemon, and a daemon must not go back.

--- a/tarragonwind/catalogue_followers.py
+++ b/tarragonwind/catalogue_followers.py
@@ -146,7 +146,8 @@
             self._peers.send(host, self._number_message(wants_answer=True))
         if self._state.behind or self._state.divergence is not Divergence.NONE:
             self._ask_anyone()
-        pause_s = GOSSIP_PERIOD_S * self._rng.uniform(0.75, 1.25)
+        period_s = ASK_PAUSE_S if self._state.behind else GOSSIP_PERIOD_S
+        pause_s = period_s * self._rng.uniform(0.75, 1.25)
         self._timer = self._timers.call_later(pause_s, self._gossip)
 
     def _number_message(self, wants_answer: bool) -> CatalogueNumber:
--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -90,7 +90,7 @@
         self._watch: Watch | None = None
         self._poll_timer: Timer | None = None
         self._polling: Task[None] | None = None
-        self._store_away = False
+        self._store_away_since: float | None = None
         self._stopped = False
         self.loaded: Future[None] = Future()
         """Done once a catalogue is in force, be it the empty one of a new store."""
@@ -147,7 +147,7 @@
         period_s = max(WATCHER_POLL_PERIOD_S, FLEET_POLL_PERIOD_S * len(self._members.live()))
         if self.watches:
             period_s = WATCHER_POLL_PERIOD_S
-        if self._store_away and self.watches:
+        if self._store_away_since is not None and self.watches:
             period_s = STORE_RETRY_S
         try:
             task.result()
@@ -199,11 +199,18 @@
         self._follower.spread(applied)
 
     def _note_store(self, away: bool, why: str) -> None:
-        if away and not self._store_away:
+        if away and self._store_away_since is None:
+            self._store_away_since = self._timers.now()
             logger.warning("event=store_away why={!r} hint=requests_go_on_without_it", why)
-        if self._store_away and not away:
+        if not away and self._store_away_since is not None:
+            self._store_away_since = None
             logger.info("event=store_back")
-        self._store_away = away
+
+    def store_away_s(self) -> float:
+        """Return the seconds since a read first failed, 0 when the last one was answered."""
+        if self._store_away_since is None:
+            return 0.0
+        return self._timers.now() - self._store_away_since
 
     def _review_watch(self) -> None:
         if not self.watches:
--- a/tarragonwind/catalogue_writers.py
+++ b/tarragonwind/catalogue_writers.py
@@ -137,18 +137,30 @@
             accepted += await self.write(edits, author)
         return accepted
 
-    def write(self, edits: list[Edit], author: str) -> Future[list[Change]]:
-        """Make edits in one transaction; see `put_all` for the errors."""
-        return spawn(self._write(edits, author))
+    def write(self, edits: list[Edit], author: str, write_id: str = "") -> Future[list[Change]]:
+        """Make edits in one transaction; see `put_all` for the errors.
+
+        Parameters
+        ----------
+        edits : list of Edit
+            Entries to write or remove.
+        author : str
+            Who asks for it.
+        write_id : str, optional
+            Unique id that the changes carry; one is made when there is none.
+        """
+        if not write_id:
+            write_id = f"{self._host}-{self._rng.getrandbits(64):016x}"
+        return spawn(self._write(edits, author, write_id))
 
-    async def _write(self, edits: list[Edit], author: str) -> list[Change]:
+    async def _write(self, edits: list[Edit], author: str, write_id: str) -> list[Change]:
         check_sizes(edits)
         head = await self._synchronise()
         expected = {edit.key: self._expected(edit) for edit in edits}
         for _ in range(MAX_ATTEMPTS):
             for key, number in expected.items():
                 self._require_number(key, number)
-            changes = self._build_changes(edits, author)
+            changes = self._build_changes(edits, author, write_id)
             if await self._submit(self._prepare(head, changes)):
                 self._bring_in_force(changes)
                 return changes
@@ -197,10 +209,9 @@
             self.on_store_behind()
             raise StoreBehind(head.number, self._state.number)
 
-    def _build_changes(self, edits: list[Edit], author: str) -> list[Change]:
+    def _build_changes(self, edits: list[Edit], author: str, write_id: str) -> list[Change]:
         """Give the edits their numbers and check them against the catalogue in force."""
         before = self._state.in_force
-        write_id = f"{self._host}-{self._rng.getrandbits(64):016x}"
         at = self._timers.wall()
         after = before
         changes = []
@@ -310,6 +321,10 @@
             return verdict
         raise WriteContended("other writes came first; the verdict was not recorded")
 
+    def recent_changes(self) -> Future[list[Change]]:
+        """Return all kept changes, oldest first; may fail with StoreError."""
+        return spawn(self._reader.read_changes())
+
     def history(self, key: str) -> Future[list[Change]]:
         """Return the kept changes of an entry, oldest first; may fail with StoreError."""
         return spawn(self._history(key))
--- /dev/null
+++ b/tests/test_catalogue_followers.py
@@ -0,0 +1,256 @@
+"""Test that accepted changes come into force on every daemon, and none goes back."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from bench.catalogue_fleets import Fleet
+from bench.virtual_clocks import VirtualTimers
+from tarragonwind.catalogue_followers import spread_children
+from tarragonwind.catalogue_watchers import FLEET_WATCHERS
+from tests.catalogue_samples import organisation, pool
+from tests.store_fakes import FaultyStore, settle
+
+NORMAL_LIMIT_S = 1.0
+FAULTY_LIMIT_S = 4.0
+
+
+@pytest.fixture
+def store():
+    return FaultyStore(VirtualTimers())
+
+
+@pytest.fixture
+def fleet(store):
+    fleet = Fleet(store, store.timers, 1)
+    fleet.add_hosts(12)
+    settle(store.timers, fleet.hosts["host-000"].service.writer.put(pool(), "ana"))
+    assert fleet.spread_time(1, 10.0) < 10.0
+    store.timers.advance(3.0)
+    return fleet
+
+
+def watchers(fleet):
+    return [host for host in fleet.hosts.values() if host.service.watcher.watches]
+
+
+def put(fleet, host, name):
+    """Put an organisation through a daemon; return its number and the time until all have it."""
+    fut = fleet.hosts[host].service.writer.put(organisation(name), "ana")
+    began = fleet.timers.now()
+    changes = settle(fleet.timers, fut)
+    fleet.spread_time(changes[-1].number, 30.0)
+    return changes[-1].number, fleet.timers.now() - began
+
+
+def test_a_change_is_in_force_everywhere_within_a_second(fleet, store):
+    store.calls.clear()
+    _, took_s = put(fleet, "host-003", "a")
+    assert took_s < NORMAL_LIMIT_S
+    assert len(watchers(fleet)) == FLEET_WATCHERS
+
+
+def test_the_tree_reaches_each_daemon_once():
+    live = tuple(f"h{index:03}" for index in range(320))
+    for origin in (live[0], live[123], live[-1]):
+        reached = [child for host in live for child in spread_children(live, origin, host)]
+        assert sorted([*reached, origin]) == list(live)
+        assert max(len(spread_children(live, origin, host)) for host in live) == 8
+
+
+def test_a_write_whose_host_dies_spreads_by_the_watchers(fleet, store):
+    outsider = Fleet(store, store.timers, 2)
+    outsider.add_hosts(1)
+    settle(store.timers, outsider.hosts["host-000"].service.writer.put(organisation("a"), "b"))
+    outsider.remove_host("host-000")
+    assert fleet.spread_time(2, 30.0) < NORMAL_LIMIT_S
+
+
+@pytest.mark.parametrize("fault", ["cut_watches", "freeze_watches"])
+def test_a_cut_or_silent_watch_leaves_the_bound(fleet, store, fault):
+    outsider = Fleet(store, store.timers, 2)
+    outsider.add_hosts(1)
+    store.timers.advance(1.0)
+    getattr(store, fault)()
+    settle(store.timers, outsider.hosts["host-000"].service.writer.put(organisation("a"), "b"))
+    outsider.remove_host("host-000")
+    assert fleet.spread_time(2, 30.0) < FAULTY_LIMIT_S
+
+
+def test_the_store_away_for_the_watchers_leaves_the_bound(fleet, store):
+    for host in watchers(fleet):
+        host.store.away = True
+    outsider = Fleet(store, store.timers, 2)
+    outsider.add_hosts(1)
+    settle(store.timers, outsider.hosts["host-000"].service.writer.put(organisation("a"), "b"))
+    outsider.remove_host("host-000")
+    assert fleet.spread_time(2, 30.0) < FAULTY_LIMIT_S
+
+
+def test_lost_messages_leave_the_bound(fleet):
+    fleet.loss = 0.4
+    worst_s = max(put(fleet, f"host-{index:03}", f"o{index}")[1] for index in range(12))
+    assert worst_s < FAULTY_LIMIT_S
+
+
+def test_a_daemon_cut_off_from_its_peers_follows_the_store(fleet):
+    fleet.cut_hosts.add("host-007")
+    number, _ = put(fleet, "host-003", "a")
+    assert fleet.hosts["host-007"].number == number
+
+
+def test_a_daemon_started_while_the_store_is_away_gets_all_from_peers(fleet, store):
+    entries = [organisation(f"org-{index}") for index in range(600)]
+    settle(store.timers, fleet.hosts["host-000"].service.writer.put_all(entries, "ana"))
+    store.away = True
+    (added,) = fleet.add_hosts(1)
+    settle(store.timers, added.service.watcher.loaded)
+    assert added.number == 601
+    assert (
+        added.service.state.in_force.digest == fleet.hosts["host-000"].service.state.in_force.digest
+    )
+    assert fleet.sent_messages["CataloguePart"] > 1
+
+
+def test_a_daemon_started_with_an_old_store_never_has_the_old_state(fleet, store):
+    old = store.snapshot()
+    number, _ = put(fleet, "host-003", "a")
+    for host in fleet.hosts.values():
+        host.store.away = True
+    store.restore(old)
+    (added,) = fleet.add_hosts(1)
+    seen = []
+    added.service.state.subscribe(lambda catalogue: seen.append(catalogue.number))
+    settle(store.timers, added.service.watcher.loaded)
+    assert seen == [number]
+
+
+def test_an_old_store_is_mended_and_what_it_accepted_is_kept(fleet, store):
+    old = store.snapshot()
+    number, _ = put(fleet, "host-003", "a")
+    outsider = Fleet(store, store.timers, 2)
+    store.restore(old)
+    outsider.add_hosts(1)
+    settle(store.timers, outsider.hosts["host-000"].service.writer.put(organisation("b"), "b"))
+    assert fleet.spread_time(number + 1, 30.0) < 10.0
+    assert outsider.spread_time(number + 1, 30.0) < 10.0
+    digests = set()
+    for host in [*fleet.hosts.values(), *outsider.hosts.values()]:
+        in_force = host.service.state.in_force
+        assert {"organisation/a", "organisation/b"} <= set(in_force.records)
+        digests.add(in_force.digest)
+    assert len(digests) == 1
+
+
+def test_operators_see_which_number_each_host_has(fleet):
+    fleet.cut_hosts.add("host-007")
+    fleet.hosts["host-007"].store.away = True
+    number = settle(fleet.timers, fleet.hosts["host-003"].service.writer.put(pool("b"), "a"))[0]
+    follower = fleet.hosts["host-003"].service.follower
+    late = settle(fleet.timers, follower.wait_in_force(number.number, 4.0))
+    assert [(item.host, item.number) for item in late] == [("host-007", 1)]
+    fleet.cut_hosts.clear()
+    assert settle(fleet.timers, follower.wait_in_force(number.number, 4.0)) == []
+
+
+def test_an_idle_fleet_stays_within_its_budget(fleet, store):
+    fleet.sent_bytes.clear()
+    store.calls.clear()
+    fleet.timers.advance(60.0)
+    assert max(fleet.sent_bytes.values()) / 60.0 < 300
+    assert sum(store.calls.values()) / 60.0 < 6.0
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Break a small fleet in any order; numbers never fall, and all agree in the end."""
+
+    @initialize(seed=st.integers(0, 50))
+    def start(self, seed):
+        self.store = FaultyStore(VirtualTimers())
+        self.fleet = Fleet(self.store, self.store.timers, seed)
+        self.fleet.latency_spread = 200.0
+        self.fleet.add_hosts(4)
+        self.accepted = {}
+        self.written = 0
+        self.floors = {}
+        self.old = self.store.snapshot()
+        self.store.timers.advance(1.0)
+
+    def _host(self, index):
+        return self.fleet.hosts[self.fleet.live[index % len(self.fleet.live)]]
+
+    @rule(index=st.integers(0, 9))
+    def put(self, index):
+        self.written += 1
+        name = f"o{self.written}"
+        fut = self._host(index).service.writer.put(organisation(name), "ana")
+        fut.add_callback(lambda done: self._note(name, done))
+
+    def _note(self, name, done):
+        if done._exc is None:
+            self.accepted[name] = done.result()[0].write_id
+
+    @rule(seconds=st.sampled_from([0.003, 0.02, 0.5, 3.0]))
+    def wait(self, seconds):
+        self.fleet.timers.advance(seconds)
+
+    @rule(loss=st.sampled_from([0.0, 0.3, 0.9]))
+    def lose(self, loss):
+        self.fleet.loss = loss
+
+    @rule(away=st.booleans())
+    def store_away(self, away):
+        self.store.away = away
+
+    @rule(fault=st.sampled_from(["drop_answers", "late_writes"]))
+    def lose_answer(self, fault):
+        setattr(self.store, fault, 1)
+
+    @rule(fault=st.sampled_from(["cut_watches", "freeze_watches"]))
+    def break_watches(self, fault):
+        getattr(self.store, fault)()
+
+    @precondition(lambda self: hasattr(self, "fleet") and len(self.fleet.hosts) < 7)
+    @rule()
+    def add_host(self):
+        self.fleet.add_hosts(1)
+
+    @rule()
+    def keep_copy(self):
+        if self._settled():
+            self.old = self.store.snapshot()
+
+    @rule()
+    def come_back_old(self):
+        if self._settled():
+            self.store.restore(self.old)
+
+    def _settled(self):
+        """Tell whether every daemon has all that was accepted, so that it outlives the store."""
+        heads = self.fleet.numbers()
+        return len(heads) == 1 and min(heads) >= len(self.accepted)
+
+    @invariant()
+    def no_number_falls(self):
+        for name, host in self.fleet.hosts.items() if hasattr(self, "fleet") else ():
+            assert host.number >= self.floors.get(name, 0)
+            self.floors[name] = host.number
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        self.store.away = False
+        self.fleet.loss = 0.0
+        self.fleet.timers.advance(40.0)
+        digests = {host.service.state.in_force.digest for host in self.fleet.hosts.values()}
+        assert len(digests) == 1
+        in_force = next(iter(self.fleet.hosts.values())).service.state.in_force
+        missing = [name for name in self.accepted if f"organisation/{name}" not in in_force.records]
+        assert missing == []
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = settings(
+    derandomize=True, max_examples=30, stateful_step_count=25, deadline=None
+)
--- a/tests/test_catalogue_writers.py
+++ b/tests/test_catalogue_writers.py
@@ -2,16 +2,17 @@
 
 import pytest
 
+from bench.virtual_clocks import VirtualTimers
 from tarragonwind.catalogue_errors import CatalogueConflict, StoreBehind, WriteUnsettled
 from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict
 from tarragonwind.errors import EntryError, StoreError
 from tests.catalogue_samples import WriterHost, move, organisation, pool, route, sha, upstream
-from tests.store_fakes import FakeTimers, FaultyStore, settle
+from tests.store_fakes import FaultyStore, settle
 
 
 @pytest.fixture
 def timers():
-    return FakeTimers()
+    return VirtualTimers()
 
 
 @pytest.fixture
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -8,12 +8,13 @@
 
 import pytest
 
+from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.etcd_stores import EtcdStore
 from tarragonwind.adapters.stores import StoreSettings, create_store
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, Compare, Delete, HttpCaller, HttpError, HttpResponse, Put
-from tests.store_fakes import BlockingHttp, FakeTimers
+from tests.store_fakes import BlockingHttp
 
 
 @contextmanager
@@ -45,11 +46,11 @@
 @pytest.fixture(params=["memory", pytest.param("etcd", marks=pytest.mark.process)])
 def store(request):
     if request.param == "memory":
-        return create_store(StoreSettings("memory"), FakeTimers())
+        return create_store(StoreSettings("memory"), VirtualTimers())
     address = request.getfixturevalue("kv")
     control(address, restore="empty", outage="", drop_write_answers=0, nonsense=False)
     cfg = StoreSettings("etcd", [address], 5.0)
-    return create_store(cfg, FakeTimers(), BlockingHttp())
+    return create_store(cfg, VirtualTimers(), BlockingHttp())
 
 
 def test_a_write_holds_only_when_its_comparisons_do(store):
@@ -87,7 +88,7 @@
 
 
 def test_memory_leases_lapse_and_watches_report_changes_in_order():
-    timers = FakeTimers()
+    timers = VirtualTimers()
     calls = []
     store = create_store(StoreSettings("memory"), timers, on_call=calls.append)
     seen = []
