--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -90,8 +90,7 @@
         self._watch: Watch | None = None
         self._poll_timer: Timer | None = None
         self._polling: Task[None] | None = None
-        self._store_away = False
-        self._away_since = 0.0
+        self._store_away_since: float | None = None
         self._stopped = False
         self.loaded: Future[None] = Future()
         """Done once a catalogue is in force, be it the empty one of a new store."""
@@ -128,10 +127,6 @@
         others = [item for item in self._follower.numbers() if item.host != self._members.name]
         return not others or any(item.age_s != float("inf") for item in others)
 
-    def store_away_s(self) -> float:
-        """Return the seconds since the store was found away, 0 while it answers."""
-        return self._timers.now() - self._away_since if self._store_away else 0.0
-
     @property
     def watches(self) -> bool:
         """Tell whether this daemon is to watch the store."""
@@ -152,7 +147,7 @@
         period_s = max(WATCHER_POLL_PERIOD_S, FLEET_POLL_PERIOD_S * len(self._members.live()))
         if self.watches:
             period_s = WATCHER_POLL_PERIOD_S
-        if self._store_away and self.watches:
+        if self._store_away_since is not None and self.watches:
             period_s = STORE_RETRY_S
         try:
             task.result()
@@ -204,12 +199,18 @@
         self._follower.spread(applied)
 
     def _note_store(self, away: bool, why: str) -> None:
-        if away and not self._store_away:
-            self._away_since = self._timers.now()
+        if away and self._store_away_since is None:
+            self._store_away_since = self._timers.now()
             logger.warning("event=store_away why={!r} hint=requests_go_on_without_it", why)
-        if self._store_away and not away:
+        if not away and self._store_away_since is not None:
+            self._store_away_since = None
             logger.info("event=store_back")
-        self._store_away = away
+
+    def store_away_s(self) -> float:
+        """Return the seconds since a read first failed, 0 when the last one was answered."""
+        if self._store_away_since is None:
+            return 0.0
+        return self._timers.now() - self._store_away_since
 
     def _review_watch(self) -> None:
         if not self.watches:
--- a/tarragonwind/catalogue_writers.py
+++ b/tarragonwind/catalogue_writers.py
@@ -143,16 +143,15 @@
         Parameters
         ----------
         edits : list of Edit
-            Entries to write and remove.
+            Entries to write or remove.
         author : str
             Who asks for it.
-        write_id : str
-            Unique id of the write; empty for one that is made here.
+        write_id : str, optional
+            Unique id that the changes carry; one is made when there is none.
         """
-        return spawn(self._write(edits, author, write_id or self._new_write_id()))
-
-    def _new_write_id(self) -> str:
-        return f"{self._host}-{self._rng.getrandbits(64):016x}"
+        if not write_id:
+            write_id = f"{self._host}-{self._rng.getrandbits(64):016x}"
+        return spawn(self._write(edits, author, write_id))
 
     async def _write(self, edits: list[Edit], author: str, write_id: str) -> list[Change]:
         check_sizes(edits)
@@ -323,7 +322,7 @@
         raise WriteContended("other writes came first; the verdict was not recorded")
 
     def recent_changes(self) -> Future[list[Change]]:
-        """Return the changes that the store keeps, in order; may fail with StoreError."""
+        """Return all kept changes, oldest first; may fail with StoreError."""
         return spawn(self._reader.read_changes())
 
     def history(self, key: str) -> Future[list[Change]]:
