Compare views by buckets and adopt the larger part's view after a cut

Cause: over the fake network (bench/member_networks.py, trial script) 320 daemons that start at once had no common view after 60 s, because whole views were exchanged at most every 96 s; one host that had been cut off took 32 s to be seen again at 320 and 10 s at 64, one refutation at a time.

Views are compared by 32 digests of buckets and only differing buckets are exchanged; a daemon that was isolated or paused takes the view of a peer which reaches the larger part; attempts to reach a dead host are shared by the fleet. What follows from the view is worked out once an event.

--- /dev/null
+++ b/bench/member_networks.py
@@ -0,0 +1,224 @@
+"""Run many membership cores over a fake network with a clock and faults of its own."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from tarragonwind.core.member_views import Member
+from tarragonwind.core.memberships import FactSource, MembershipCore
+from tarragonwind.messages import Message, pack_message
+from tarragonwind.ports import Address
+
+MIN_LATENCY_S = 0.0005
+MAX_LATENCY_S = 0.002
+
+
+@dataclass(slots=True)
+class FakeHost:
+    """Hold one daemon of the fake network.
+
+    Attributes
+    ----------
+    core : MembershipCore
+        Its membership.
+    paused : bool
+        Whether its process is stopped by a signal.
+    dead : bool
+        Whether its process was killed.
+    inbox : list
+        Messages that arrived during a pause, each with its sender.
+    sent_messages, sent_bytes : int
+        Protocol messages sent so far and their packed bytes.
+    removals : dict
+        When each name left this host's live hosts, for those still missing, in seconds.
+    """
+
+    core: MembershipCore
+    paused: bool = False
+    dead: bool = False
+    inbox: list[tuple[str, Message]] = field(default_factory=list)
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    resumed: int = 0
+
+
+class MemberNetwork:
+    """Deliver messages between cores, and bring about faults.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of every random choice.
+    loss : float
+        Part of the messages that are lost.
+    measure : bool
+        Whether to count packed bytes.
+    """
+
+    def __init__(self, seed: int, loss: float = 0.0, measure: bool = False) -> None:
+        self.now = 1000.0
+        self.hosts: dict[str, FakeHost] = {}
+        self.loss = loss
+        self._rng = random.Random(seed)
+        self._measure = measure
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._groups: dict[str, int] = {}
+        self._starts = itertools.count(1)
+        self._timers: dict[str, float] = {}
+
+    def add(
+        self, name: str, contacts: Iterable[str] = (), facts: FactSource | None = None
+    ) -> FakeHost:
+        """Start a host, or start it again after a kill."""
+        own = Member(name, Address("127.0.0.1", 1), "etna", next(self._starts))
+        core = MembershipCore(own, random.Random(self._rng.random()), self.now, facts)
+        host = FakeHost(core)
+        core.on_resumed = lambda: self._count_resumed(host)
+        for contact in contacts:
+            core.add_contact(contact)
+        self.hosts[name] = host
+        self._settle(name, host)
+        return host
+
+    def start_fleet(self, count: int, name: str = "host") -> list[str]:
+        """Start hosts that all know the first ones as contacts; return their names."""
+        names = [f"{name}-{number:03d}" for number in range(count)]
+        for each in names:
+            self.add(each, names[:3])
+        return names
+
+    def list_hosts(self, live: Iterable[str], leaving: Iterable[str] = ()) -> None:
+        """Give every running host the same list of the platform."""
+        live = list(live)
+        leaving = list(leaving)
+        for name, host in self.hosts.items():
+            if not host.dead and not host.paused:
+                host.core.set_listed(self.now, live, leaving)
+                self._settle(name, host)
+
+    def call_at(self, time: float, callback: Callable[[], None]) -> None:
+        """Call `callback` at a time of the fake clock."""
+        heapq.heappush(self._events, (time, next(self._sequence), callback))
+
+    def run_until(self, time: float) -> None:
+        """Let everything happen up to a time."""
+        while self._events and self._events[0][0] <= time:
+            self.now, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now = time
+
+    def run_for(self, seconds: float) -> None:
+        """Let everything happen for a while."""
+        self.run_until(self.now + seconds)
+
+    def wait(self, reached: Callable[[], bool], limit_s: float, step_s: float = 0.05) -> float:
+        """Run until a state is reached and return the seconds taken; infinity when it isn't."""
+        start = self.now
+        while self.now - start <= limit_s:
+            if reached():
+                return self.now - start
+            self.run_for(step_s)
+        return float("inf")
+
+    def kill(self, name: str) -> None:
+        """End a process; its connections are reset."""
+        host = self.hosts[name]
+        host.dead = True
+        host.inbox.clear()
+        for other in list(self.hosts):
+            if other != name and self._connected(name, other):
+                self._tell_unreachable(other, name)
+
+    def pause(self, name: str) -> None:
+        """Stop a process; its connections stay open."""
+        self.hosts[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Continue a stopped process; it finds its late timer and what arrived meanwhile."""
+        host = self.hosts[name]
+        host.paused = False
+        inbox = host.inbox
+        host.inbox = []
+        for sender, msg in inbox:
+            self._deliver(sender, name, msg)
+        self._settle(name, host)
+
+    def cut(self, *groups: Iterable[str]) -> None:
+        """Let hosts reach only those of their own group; the rest are one more group."""
+        self._groups = {name: number for number, group in enumerate(groups, 1) for name in group}
+
+    def heal(self) -> None:
+        """End every cut."""
+        self._groups = {}
+
+    def running(self) -> list[str]:
+        """Return the sorted names of hosts whose process runs."""
+        return sorted(n for n, host in self.hosts.items() if not host.dead and not host.paused)
+
+    def agree(self, expected: Iterable[str], among: Iterable[str] | None = None) -> bool:
+        """Tell whether hosts see exactly the expected hosts as live."""
+        view = tuple(sorted(expected))
+        names = self.running() if among is None else among
+        return all(self.hosts[name].core.live() == view for name in names)
+
+    def _connected(self, one: str, other: str) -> bool:
+        return self._groups.get(one, 0) == self._groups.get(other, 0)
+
+    def _count_resumed(self, host: FakeHost) -> None:
+        host.resumed += 1
+
+    def _tell_unreachable(self, name: str, lost: str) -> None:
+        def tell() -> None:
+            host = self.hosts[name]
+            if not host.dead and not host.paused:
+                host.core.on_unreachable(self.now, lost)
+                self._settle(name, host)
+
+        self.call_at(self.now + self._latency(), tell)
+
+    def _latency(self) -> float:
+        return self._rng.uniform(MIN_LATENCY_S, MAX_LATENCY_S)
+
+    def _send(self, sender: str, name: str, msg: Message) -> None:
+        host = self.hosts.get(name)
+        if not self._connected(sender, name) or self._rng.random() < self.loss:
+            return
+        if host is None or host.dead:
+            self._tell_unreachable(sender, name)
+            return
+        self.call_at(self.now + self._latency(), lambda: self._deliver(sender, name, msg))
+
+    def _deliver(self, sender: str, name: str, msg: Message) -> None:
+        host = self.hosts[name]
+        if host.dead or not self._connected(sender, name):
+            return
+        if host.paused:
+            host.inbox.append((sender, msg))
+            return
+        host.core.on_message(self.now, sender, msg)
+        self._settle(name, host)
+
+    def _settle(self, name: str, host: FakeHost) -> None:
+        for outgoing in host.core.take_outbox():
+            host.sent_messages += 1
+            if self._measure:
+                host.sent_bytes += len(pack_message(outgoing.msg))
+            self._send(name, outgoing.host, outgoing.msg)
+        due = host.core.due()
+        if self._timers.get(name, 0.0) <= self.now or due < self._timers[name]:
+            self._timers[name] = due
+            self.call_at(due, lambda: self._fire_timer(name, host))
+
+    def _fire_timer(self, name: str, host: FakeHost) -> None:
+        if host.dead or host.paused or self.hosts[name] is not host:
+            return
+        if self.now >= host.core.due():
+            host.core.tick(self.now)
+            self._settle(name, host)
+        elif self._timers[name] <= self.now:
+            self._settle(name, host)
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+import functools
+import operator
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,6 +14,8 @@
 from tarragonwind.messages import MessageError
 from tarragonwind.ports import Address
 
+BUCKET_COUNT = 32
+"""Parts of a view that two daemons compare before they exchange records."""
 _LEAVING_FLAG = 4
 _RECORD_FIELDS = 6
 
@@ -95,13 +99,28 @@
 
 
 class MemberView:
-    """Hold the records of all members but the daemon's own."""
+    """Hold the records of all members, and digests of them that are equal in equal views.
 
-    __slots__ = ("_digest", "members")
+    Parameters
+    ----------
+    own : Member
+        Record of the daemon itself.
+
+    Attributes
+    ----------
+    own : Member
+        Record of the daemon itself; replace it by `put_own`.
+    members : dict of str to Member
+        Records of the others by name.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_buckets", "members", "own")
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
         self.members: dict[str, Member] = {}
-        self._digest: int | None = None
+        self._buckets = [0] * BUCKET_COUNT
+        self._toggle(own)
 
     def get(self, name: str) -> Member | None:
         """Return a member's record or None."""
@@ -109,17 +128,26 @@
 
     def put(self, member: Member) -> None:
         """Add a record or replace the one of the same name."""
+        self.remove(member.name)
         self.members[member.name] = member
-        self._digest = None
+        self._toggle(member)
+
+    def put_own(self, member: Member) -> None:
+        """Replace the record of the daemon itself."""
+        self._toggle(self.own)
+        self.own = member
+        self._toggle(member)
 
     def remove(self, name: str) -> None:
         """Forget a member."""
-        self.members.pop(name, None)
-        self._digest = None
+        member = self.members.pop(name, None)
+        if member is not None:
+            self._toggle(member)
 
-    def forget_digest(self) -> None:
-        """Work out the digest anew at the next use."""
-        self._digest = None
+    def in_buckets(self, buckets: Collection[int]) -> list[Member]:
+        """Return the records in some of the buckets, this daemon's among them."""
+        every = [self.own, *self.members.values()]
+        return [member for member in every if _bucket_of(member.name) in buckets]
 
     def running(self) -> list[str]:
         """Return the names of members that are not dead."""
@@ -131,18 +159,22 @@
             m.name for m in self.members.values() if m.health is not Health.DEAD and not m.leaving
         ]
 
-    def digest(self, own: Member) -> int:
+    def digest(self) -> int:
         """Return a number that is equal in two daemons with equal views."""
-        if self._digest is None:
-            self._digest = _digest_members([own, *self.members.values()])
-        return self._digest
+        return functools.reduce(operator.xor, self._buckets)
 
+    def bucket_digests(self) -> list[int]:
+        """Return the digest of each bucket of names."""
+        return list(self._buckets)
 
-def _digest_members(members: Iterable[Member]) -> int:
-    lines = sorted(
-        f"{m.name} {m.incarnation} {m.leaving:d}" for m in members if m.health is not Health.DEAD
-    )
-    return xxhash.xxh32_intdigest("\n".join(lines).encode())
+    def _toggle(self, member: Member) -> None:
+        if member.health is not Health.DEAD:
+            text = f"{member.name} {member.incarnation} {member.leaving:d}"
+            self._buckets[_bucket_of(member.name)] ^= xxhash.xxh32_intdigest(text.encode())
+
+
+def _bucket_of(name: str) -> int:
+    return xxhash.xxh32_intdigest(name.encode()) % BUCKET_COUNT
 
 
 def has_majority(reached: Iterable[str], fleet: Iterable[str]) -> bool:
--- a/tarragonwind/core/membership_messages.py
+++ b/tarragonwind/core/membership_messages.py
@@ -82,7 +82,29 @@
 @message(15)
 @dataclass(slots=True)
 class Sync(Message):
-    """Hand over the whole view; `answer` asks for the receiver's in return."""
+    """Hand over records of a view.
+
+    Attributes
+    ----------
+    records : list of list
+        All records of the buckets.
+    buckets : list of int
+        Buckets that are handed over, empty for all.
+    answer : bool
+        Whether the receiver should hand over the same buckets in return.
+    trusted : bool
+        Whether the sender reaches the larger part of the fleet and was not paused.
+    """
 
     records: list[list]
+    buckets: list[int]
     answer: bool
+    trusted: bool
+
+
+@message(16)
+@dataclass(slots=True)
+class Compare(Message):
+    """Ask a member to exchange the buckets whose digests differ from its own."""
+
+    digests: list[int]
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
+from tarragonwind.core.member_news import MemberNews
 from tarragonwind.core.member_views import (
+    BUCKET_COUNT,
     Health,
     Member,
     MemberView,
@@ -22,12 +24,15 @@
 )
 from tarragonwind.core.membership_messages import (
     Ack,
+    Compare,
     Ping,
     PingRequest,
     Push,
     RelayedAck,
     Sync,
 )
+from tarragonwind.core.probe_times import ProbeTimes, choose_times
+from tarragonwind.core.probes import ProbeTable, Relay
 from tarragonwind.core.rendezvous import choose_neighbours
 from tarragonwind.messages import Message, MessageError
 
@@ -35,60 +40,21 @@
 """Successors that a daemon probes in turn."""
 RELAY_COUNT = 3
 """Members that are asked to repeat a failed probe."""
-SMALL_FLEET_MEMBERS = 16
 MAX_PROBE_UPDATES = 6
 MAX_PUSH_UPDATES = 40
-UPDATE_SENDS = 2 * RING_COUNT
-"""Sends of one update: a push to each neighbour, and as many repeats on probes."""
-PUSH_DELAY_S = 0.02
-"""Time that news waits for more news before it is pushed."""
 TOMBSTONE_S = 120.0
 """Time for which a dead member that is not listed is remembered."""
 MISMATCHES_BEFORE_SYNC = 3
-SYNC_BYTES_PER_S = 150.0
-"""Long-term rate that exchanges of whole views stay under."""
-RECORD_BYTES = 45
-STRANGER_SYNC_PERIOD_S = 0.5
+COMPARE_PERIOD_S = 2.0
+"""Shortest time between two comparisons of views that a daemon starts."""
+CONTACT_SYNC_PERIOD_S = 0.5
+"""Shortest time between two exchanges of whole views that a daemon starts."""
+REJOIN_ATTEMPTS_PER_S = 2.0
+"""Attempts a second that the whole fleet makes to reach one dead host, about."""
 JOIN_PERIOD_S = 0.25
 JOIN_CONTACTS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeTimes:
-    """Hold the periods of probing.
-
-    Attributes
-    ----------
-    period_s : float
-        Time between two probes of one daemon.
-    direct_s, relayed_s : float
-        Time for the direct answer, and then for one through other members.
-    suspicion_s : float
-        Time in which a suspect must refute.
-    fresh_s : float
-        Time after a message of a member in which its death isn't taken on hearsay.
-    alone_s : float
-        Time without a message of anybody after which a daemon is isolated.
-    pause_s : float
-        Lateness of the own timer that is taken for a pause of the process.
-    rejoin_s : float
-        Time between two attempts to reach a dead or unknown listed host.
-    """
-
-    period_s: float
-    direct_s: float
-    relayed_s: float
-    suspicion_s: float
-    fresh_s: float
-    alone_s: float
-    pause_s: float
-    rejoin_s: float
-
-
-SMALL_FLEET_TIMES = ProbeTimes(0.25, 0.25, 0.25, 0.4, 0.4, 1.0, 0.6, 0.5)
-LARGE_FLEET_TIMES = ProbeTimes(0.5, 0.5, 0.5, 2.0, 1.0, 2.5, 1.5, 2.0)
-
-
 @dataclass(frozen=True, slots=True)
 class Outgoing:
     """Hold a message that is to be sent."""
@@ -97,34 +63,6 @@
     msg: Message
 
 
-@dataclass(slots=True)
-class Probe:
-    """Hold one probe in progress.
-
-    Attributes
-    ----------
-    target : str
-        Member that is probed.
-    deadline : float
-        When the present attempt has failed, in seconds.
-    relayed : bool
-        Whether other members are trying by now.
-    """
-
-    target: str
-    deadline: float
-    relayed: bool = False
-
-
-@dataclass(slots=True)
-class Relay:
-    """Hold a probe that is made for another member."""
-
-    requester: str
-    seq: int
-    deadline: float
-
-
 class FactSource:
     """Provide the facts that ride on probes; the adapter fills it."""
 
@@ -163,8 +101,7 @@
     def __init__(
         self, own: Member, rng: random.Random, now: float, facts: FactSource | None = None
     ) -> None:
-        self.own = own
-        self.view = MemberView()
+        self.view = MemberView(own)
         self.stale = False
         self.joined = False
         self.on_changed: Callable[[], None] = lambda: None
@@ -176,26 +113,31 @@
         self._listed: frozenset[str] | None = None
         self._listed_leaving: frozenset[str] = frozenset()
         self._contacts: set[str] = set()
-        self._seq = rng.randrange(1 << 16)
-        self._probes: dict[int, Probe] = {}
-        self._relays: dict[int, Relay] = {}
-        self._sends_left: dict[str, int] = {}
+        self._probes = ProbeTable(rng.randrange(1 << 16))
+        self._news = MemberNews(RING_COUNT, RING_COUNT)
         self._neighbours: list[str] | None = None
         self._probe_index = 0
         self._next_probe = now
         self._next_rejoin = now
         self._next_join = now
-        self._push_at: float | None = None
         self._mismatches = 0
         self._synced_at = float("-inf")
+        self._compared_at = float("-inf")
         self._heard_at = now
         self._due = now
         self._live: tuple[str, ...] = (own.name,)
         self._isolated = False
+        self._dirty = False
+        self._reached_majority = True
         self._suspects: set[str] = set()
 
     # What others ask.
 
+    @property
+    def own(self) -> Member:
+        """Return the record of this daemon."""
+        return self.view.own
+
     def live(self) -> tuple[str, ...]:
         """Return the sorted names of the members that take part, this one included."""
         return self._live
@@ -207,9 +149,7 @@
 
     def times(self) -> ProbeTimes:
         """Return the periods for the present size of the fleet."""
-        if len(self.view.members) < SMALL_FLEET_MEMBERS:
-            return SMALL_FLEET_TIMES
-        return LARGE_FLEET_TIMES
+        return choose_times(len(self.view.members) + 1)
 
     def take_outbox(self) -> list[Outgoing]:
         """Return and forget the messages to send."""
@@ -239,27 +179,29 @@
         for name in self._listed:
             self.add_contact(name)
         self._contacts &= self._listed | self._listed_leaving | set(self.view.members)
-        self._note_change(now)
+        self._note_change()
+        self._finish(now)
 
     def leave(self, now: float) -> None:
         """Announce the planned stop: the daemon still runs but takes part no longer."""
         if self.own.leaving:
             return
-        self.own = replace(self.own, leaving=True, incarnation=self.own.incarnation + 1)
-        self._spread_own()
-        self._note_change(now)
+        self._renew_own(self.own.incarnation + 1, leaving=True)
+        self._note_change()
         self._push(now)
+        self._finish(now)
 
     def depart(self, now: float) -> None:
         """Announce that the process ends now."""
-        self.own = replace(self.own, leaving=True, health=Health.DEAD)
+        self.view.put_own(replace(self.own, leaving=True, health=Health.DEAD))
         record = [pack_member(self.own)]
         for name in self._ring_neighbours():
             self._send(name, Push(record, []))
 
     def push_facts(self, now: float) -> None:
         """Send the attached facts to the neighbours soon, without waiting for a probe."""
-        self._schedule_push(now)
+        self._news.schedule_push(now)
+        self._plan(now)
 
     def on_unreachable(self, now: float, host: str) -> None:
         """Take note that a connection to a host broke or was refused; probe it at once."""
@@ -267,13 +209,11 @@
         if member is None or member.health is Health.DEAD:
             return
         member.heard_at = float("-inf")
-        for probe in self._probes.values():
-            if probe.target == host:
-                if not probe.relayed:
-                    probe.deadline = now
-                    self._plan(now)
-                return
-        self._start_probe(now, host)
+        probe = self._probes.find(host)
+        if probe is None:
+            self._start_probe(now, host)
+        elif not probe.relayed:
+            probe.deadline = now
         self._plan(now)
 
     def on_message(self, now: float, sender: str, msg: Message) -> None:
@@ -291,7 +231,7 @@
             member.heard_at = now
         handle = _HANDLERS[type(msg)]
         handle(self, now, sender, msg)
-        self._plan(now)
+        self._finish(now)
 
     def tick(self, now: float) -> None:
         """Do what is due."""
@@ -305,12 +245,10 @@
         if now >= self._next_rejoin:
             self._rejoin(now)
         if self._mismatches >= MISMATCHES_BEFORE_SYNC:
-            self._sync_if_allowed(now)
-        if self._push_at is not None and now >= self._push_at:
+            self._compare_views(now)
+        if self._news.push_at is not None and now >= self._news.push_at:
             self._push(now)
-        if self._update_isolated(now):
-            self.on_changed()
-        self._plan(now)
+        self._finish(now)
 
     # Timing.
 
@@ -318,10 +256,9 @@
         due = min(self._next_probe, self._next_rejoin)
         if not self.joined:
             due = min(due, self._next_join)
-        if self._push_at is not None:
-            due = min(due, self._push_at)
-        for probe in self._probes.values():
-            due = min(due, probe.deadline)
+        if self._news.push_at is not None:
+            due = min(due, self._news.push_at)
+        due = min(due, self._probes.first_deadline())
         for name in self._suspects:
             due = min(due, self._verdict_at(name, now))
         self._due = max(due, now)
@@ -335,14 +272,13 @@
         self.stale = True
         self._heard_at = now
         self._probes.clear()
-        self._relays.clear()
         self._synced_at = float("-inf")
         for name in self._suspects:
             self.view.members[name].changed_at = now
         self._forget_verdicts()
-        self.own = replace(self.own, incarnation=self.own.incarnation + 1)
-        self._spread_own()
-        self._note_change(now)
+        self._renew_own(self.own.incarnation + 1, self.own.leaving)
+        self._note_change()
+        self._finish(now)
         self.on_resumed()
         for name in self._ring_neighbours():
             self._send(name, self._build_sync(answer=True))
@@ -363,24 +299,17 @@
         self._start_probe(now, neighbours[self._probe_index % len(neighbours)])
 
     def _start_probe(self, now: float, target: str) -> None:
-        seq = self._next_seq()
-        self._probes[seq] = Probe(target, now + self.times().direct_s)
+        seq = self._probes.start(target, now + self.times().direct_s)
         self._send(target, self._build_ping(seq, target))
 
     def _check_probes(self, now: float) -> None:
-        for seq, probe in list(self._probes.items()):
-            if now < probe.deadline:
-                continue
+        for seq, probe in self._probes.take_late(now):
             if probe.relayed:
-                del self._probes[seq]
                 self._suspect(now, probe.target)
             else:
                 probe.relayed = True
                 probe.deadline = now + self.times().relayed_s
                 self._ask_relays(seq, probe.target)
-        for seq, relay in list(self._relays.items()):
-            if now >= relay.deadline:
-                del self._relays[seq]
 
     def _ask_relays(self, seq: int, target: str) -> None:
         relays = [name for name in self.view.running() if name != target]
@@ -410,14 +339,15 @@
             if old and member.name not in listed:
                 self.view.remove(member.name)
                 self._contacts.discard(member.name)
-                self._sends_left.pop(member.name, None)
 
     def _forget_verdicts(self) -> None:
         """Spread no longer what this daemon says of others; it may be the one that is cut off."""
-        for name in list(self._sends_left):
+
+        def is_verdict(name: str) -> bool:
             member = self.view.get(name)
-            if member is not None and member.health is not Health.ALIVE:
-                del self._sends_left[name]
+            return member is not None and member.health is not Health.ALIVE
+
+        self._news.forget(is_verdict)
 
     # Joining and coming back.
 
@@ -433,26 +363,25 @@
         lost = [m.name for m in self.view.members.values() if m.health is Health.DEAD]
         unknown = [name for name in self._contacts if self.view.get(name) is None]
         candidates = sorted(lost + unknown)
-        if candidates:
+        if candidates and self._rng.random() < self._rejoin_chance(len(candidates)):
             name = self._rng.choice(candidates)
-            self._send(name, self._build_ping(self._next_seq(), name))
+            self._send(name, self._build_ping(self._probes.next_seq(), name))
 
-    def _sync_if_allowed(self, now: float) -> None:
-        size = RECORD_BYTES * (len(self.view.members) + 1)
-        if now - self._synced_at < max(1.0, size / SYNC_BYTES_PER_S):
-            return
+    def _rejoin_chance(self, candidate_count: int) -> float:
+        if self._isolated or self.stale:
+            return 1.0
+        wanted_per_s = REJOIN_ATTEMPTS_PER_S * candidate_count / (len(self.view.running()) + 1)
+        return wanted_per_s * self.times().rejoin_s
+
+    def _compare_views(self, now: float) -> None:
         neighbours = self._ring_neighbours()
-        if neighbours:
-            self._synced_at = now
+        if neighbours and now - self._compared_at >= COMPARE_PERIOD_S:
+            self._compared_at = now
             self._mismatches = 0
-            self._send(self._rng.choice(neighbours), self._build_sync(answer=True))
+            self._send(self._rng.choice(neighbours), Compare(self.view.bucket_digests()))
 
     # Messages out.
 
-    def _next_seq(self) -> int:
-        self._seq += 1
-        return self._seq
-
     def _send(self, host: str, msg: Message) -> None:
         self._outbox.append(Outgoing(host, msg))
 
@@ -461,7 +390,7 @@
             seq,
             self.own.incarnation,
             self.own.leaving,
-            self.view.digest(self.own),
+            self.view.digest(),
             self._take_updates(MAX_PROBE_UPDATES, target),
             self._facts.collect(),
         )
@@ -469,48 +398,38 @@
     def _build_push(self) -> Push:
         return Push(self._take_updates(MAX_PUSH_UPDATES, ""), self._facts.collect())
 
-    def _build_sync(self, answer: bool) -> Sync:
+    def _build_sync(self, answer: bool, buckets: Collection[int] = ()) -> Sync:
         trusted = not self.stale and not self._isolated
-        records = [pack_member(self.own)]
-        for member in self.view.members.values():
+        records = []
+        for member in self.view.in_buckets(buckets or range(BUCKET_COUNT)):
             if member.health is not Health.DEAD or trusted:
                 records.append(pack_member(member))
-        return Sync(records, answer)
+        return Sync(records, list(buckets), answer, trusted)
 
     def _take_updates(self, count: int, target: str) -> list[list]:
-        names = sorted(self._sends_left, key=lambda name: -self._sends_left[name])[:count]
         member = self.view.get(target)
-        if member is not None and member.health is not Health.ALIVE and target not in names:
-            names = [target, *names[: count - 1]]
-        updates = []
-        for name in names:
+        refutable = member is not None and member.health is not Health.ALIVE
+        records = []
+        for name in self._news.take(count, target if refutable else ""):
             record = self.own if name == self.own.name else self.view.get(name)
             if record is not None:
-                updates.append(pack_member(record))
-            if name in self._sends_left:
-                self._sends_left[name] -= 1
-                if self._sends_left[name] <= 0:
-                    del self._sends_left[name]
-        return updates
+                records.append(pack_member(record))
+        return records
 
     def _spread(self, now: float, name: str) -> None:
-        self._sends_left[name] = UPDATE_SENDS
-        self._schedule_push(now)
+        self._news.add(name)
+        self._news.schedule_push(now)
 
-    def _spread_own(self) -> None:
-        self.view.forget_digest()
-        self._sends_left[self.own.name] = UPDATE_SENDS
-
-    def _schedule_push(self, now: float) -> None:
-        if self._push_at is None:
-            self._push_at = now + PUSH_DELAY_S
+    def _renew_own(self, incarnation: int, leaving: bool) -> None:
+        self.view.put_own(replace(self.own, incarnation=incarnation, leaving=leaving))
+        self._news.add(self.own.name)
 
     def _push(self, now: float) -> None:
-        self._push_at = None
         for name in self._ring_neighbours():
             msg = self._build_push()
             if msg.updates or msg.facts:
                 self._send(name, msg)
+        self._news.end_push(now)
 
     # Messages in.
 
@@ -520,7 +439,7 @@
             msg.seq,
             self.own.incarnation,
             self.own.leaving,
-            self.view.digest(self.own),
+            self.view.digest(),
             self._take_updates(MAX_PROBE_UPDATES, sender),
             self._facts.collect(),
         )
@@ -528,10 +447,7 @@
 
     def _on_ack(self, now: float, sender: str, msg: Ack) -> None:
         self._take_common(now, sender, msg)
-        probe = self._probes.get(msg.seq)
-        if probe is not None and probe.target == sender:
-            del self._probes[msg.seq]
-        relay = self._relays.pop(msg.seq, None)
+        relay = self._probes.end(msg.seq, sender)
         if relay is not None:
             self._send(relay.requester, RelayedAck(relay.seq, sender))
 
@@ -539,9 +455,9 @@
         if not isinstance(msg.incarnation, int) or not isinstance(msg.seq, int):
             raise MessageError("a probe's numbers have the wrong type")
         member = self.view.get(sender)
-        if member is None:
-            self._sync_with_stranger(now, sender)
-        else:
+        if member is None or member.health is Health.DEAD:
+            self._sync_with(now, sender)
+        if member is not None:
             known = replace(
                 member,
                 incarnation=msg.incarnation,
@@ -551,48 +467,65 @@
             if known.incarnation > member.incarnation:
                 self._apply(now, known)
         self._take_updates_of(now, msg.updates)
-        if msg.digest == self.view.digest(self.own):
+        if msg.digest == self.view.digest():
             self._mismatches = max(0, self._mismatches - 1)
             self.stale = False
         else:
             self._mismatches += 1
         self._facts.consume(sender, msg.facts)
 
-    def _sync_with_stranger(self, now: float, sender: str) -> None:
-        if now - self._synced_at >= STRANGER_SYNC_PERIOD_S:
+    def _sync_with(self, now: float, host: str) -> None:
+        """Exchange whole views with a host that this view misses or calls dead."""
+        if now - self._synced_at >= CONTACT_SYNC_PERIOD_S:
             self._synced_at = now
-            self._send(sender, self._build_sync(answer=True))
+            self._send(host, self._build_sync(answer=True))
 
     def _on_ping_request(self, now: float, sender: str, msg: PingRequest) -> None:
         member = self.view.get(msg.target) if isinstance(msg.target, str) else None
         if member is None:
             return
-        seq = self._next_seq()
-        self._relays[seq] = Relay(sender, msg.seq, now + self.times().relayed_s)
+        relay = Relay(sender, msg.seq, now + self.times().relayed_s)
+        seq = self._probes.start_relay(relay)
         self._send(msg.target, self._build_ping(seq, msg.target))
 
     def _on_relayed_ack(self, now: float, sender: str, msg: RelayedAck) -> None:
-        probe = self._probes.get(msg.seq)
-        if probe is not None and probe.target == msg.target:
-            del self._probes[msg.seq]
+        self._probes.end(msg.seq, msg.target)
 
     def _on_push(self, now: float, sender: str, msg: Push) -> None:
         self._take_updates_of(now, msg.updates)
         self._facts.consume(sender, msg.facts)
 
     def _on_sync(self, now: float, sender: str, msg: Sync) -> None:
+        if msg.trusted and (self._isolated or self.stale):
+            self._adopt(now, msg.records)
         self._take_updates_of(now, msg.records)
         self.joined = True
         self._mismatches = 0
         if msg.answer:
-            self._send(sender, self._build_sync(answer=False))
+            self._send(sender, self._build_sync(False, _check_buckets(msg.buckets)))
         else:
             self.stale = False
 
+    def _adopt(self, now: float, records: Any) -> None:
+        """Forget own verdicts that a member in touch with the larger part doesn't share."""
+        for record in _check_list(records):
+            said = unpack_member(record)
+            known = self.view.get(said.name)
+            if known is None or said.incarnation != known.incarnation:
+                continue
+            if known.health > said.health:
+                self._replace(now, known, said)
+
+    def _on_compare(self, now: float, sender: str, msg: Compare) -> None:
+        own = self.view.bucket_digests()
+        if len(_check_list(msg.digests)) != len(own):
+            raise MessageError(f"a comparison has {len(own)} digests")
+        buckets = [index for index, digest in enumerate(own) if digest != msg.digests[index]]
+        if buckets:
+            self._send(sender, self._build_sync(True, buckets))
+
     def _take_updates_of(self, now: float, records: Any) -> None:
-        if not isinstance(records, list):
-            raise MessageError("records are an array")
-        for record in records:
+        for record in _check_list(records):
             self._apply(now, unpack_member(record))
 
     # Merging.
@@ -621,7 +554,7 @@
         self._contacts.add(member.name)
         if member.health is not Health.DEAD:
             self._spread(now, member.name)
-            self._note_change(now)
+            self._note_change()
 
     def _replace(self, now: float, known: Member, member: Member) -> None:
         member.heard_at = known.heard_at
@@ -633,7 +566,7 @@
             self._suspects.discard(member.name)
         if member.health is not Health.DEAD or not self._isolated:
             self._spread(now, member.name)
-        self._note_change(now)
+        self._note_change()
         if member.health is Health.DEAD and known.health is not Health.DEAD:
             self.on_dead(member.name)
 
@@ -644,23 +577,35 @@
         same = said.health is Health.ALIVE and said.leaving == own.leaving
         if said.incarnation == own.incarnation and same:
             return
-        self.own = replace(own, incarnation=said.incarnation + 1)
-        self._spread_own()
-        self._schedule_push(now)
+        self._renew_own(said.incarnation + 1, own.leaving)
+        self._news.schedule_push(now)
 
-    def _note_change(self, now: float) -> None:
+    def _note_change(self) -> None:
         self._neighbours = None
+        self._dirty = True
+
+    def _finish(self, now: float) -> None:
+        """Bring what follows from the view up to date, once for each event."""
+        changed = False
+        if self._dirty:
+            self._dirty = False
+            self._reached_majority = self._reaches_majority()
+            changed = self._refresh_live()
+        if self._update_isolated(now) or changed:
+            self.on_changed()
+        self._plan(now)
+
+    def _refresh_live(self) -> bool:
         names = [n for n in self.view.taking_part() if n not in self._listed_leaving]
         if not self.own.leaving:
             names.append(self.own.name)
         live = tuple(sorted(names))
         changed = live != self._live
         self._live = live
-        if self._update_isolated(now) or changed:
-            self.on_changed()
+        return changed
 
     def _update_isolated(self, now: float) -> bool:
-        isolated = self._is_alone(now) or not self._reaches_majority()
+        isolated = self._is_alone(now) or not self._reached_majority
         changed = isolated != self._isolated
         self._isolated = isolated
         if isolated and changed:
@@ -680,6 +625,19 @@
         return has_majority([self.own.name, *self.view.running()], fleet)
 
 
+def _check_list(value: Any) -> list:
+    if not isinstance(value, list):
+        raise MessageError("an array is missing")
+    return value
+
+
+def _check_buckets(value: Any) -> list[int]:
+    buckets = _check_list(value)
+    if not all(isinstance(bucket, int) for bucket in buckets):
+        raise MessageError("a bucket is a number")
+    return buckets
+
+
 _HANDLERS: dict[type[Message], Callable[[MembershipCore, float, str, Any], None]] = {
     Ping: MembershipCore._on_ping,
     Ack: MembershipCore._on_ack,
@@ -687,6 +645,7 @@
     RelayedAck: MembershipCore._on_relayed_ack,
     Push: MembershipCore._on_push,
     Sync: MembershipCore._on_sync,
+    Compare: MembershipCore._on_compare,
 }
 
 PROTOCOL_MESSAGES = tuple(_HANDLERS)
