Measure with OpenTelemetry: instruments, spans of each hop, exporters

Cause: operators need goodput, waits, sheds and store calls as metrics and each request's hops as spans. The loop adds to plain sums, which the SDK's reader collects in its own thread; spans are made only for requests that are recorded (a share, and at most 20 a second of those whose caller records its own). W3C trace context is read and written by the SDK's propagator. Excluded: a counter call of the SDK a request; samplers of the SDK, which make a span first. The console exporter's metrics had no line end; test_the_console_gets_one_line_an_object showed it. Red run, in a scratch copy without the bounds on recorded requests, on the queue and on header fields, and with the caller's span given to upstreams (pytest tests/test_telemetry.py): 5 failures.

--- /dev/null
+++ b/tarragonwind/telemetry_exporters.py
@@ -0,0 +1,81 @@
+"""Choose where metrics and spans go, by name."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.metrics.export import ConsoleMetricExporter, MetricExporter, MetricsData
+from opentelemetry.sdk.trace import ReadableSpan
+from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SpanExporter
+
+from tarragonwind.settings import TelemetrySettings
+
+TRACE_PATH = "/v1/traces"
+METRIC_PATH = "/v1/metrics"
+
+
+@dataclass(frozen=True, slots=True)
+class ExporterPair:
+    """Hold the two exporters of one destination."""
+
+    spans: SpanExporter
+    metrics: MetricExporter
+
+
+ExporterFactory = Callable[[TelemetrySettings], ExporterPair | None]
+
+EXPORTERS: dict[str, ExporterFactory] = {}
+"""Factories by name, filled by `exporter`; each returns None when the settings don't ask for it."""
+
+
+def exporter(name: str) -> Callable[[ExporterFactory], ExporterFactory]:
+    """Register a factory under a name."""
+
+    def register(factory: ExporterFactory) -> ExporterFactory:
+        EXPORTERS[name] = factory
+        return factory
+
+    return register
+
+
+@exporter("otlp")
+def create_otlp(cfg: TelemetrySettings) -> ExporterPair | None:
+    """Send to a collector by OTLP over HTTP."""
+    if not cfg.otlp_endpoint:
+        return None
+    base = cfg.otlp_endpoint.rstrip("/")
+    return ExporterPair(
+        OTLPSpanExporter(base + TRACE_PATH, timeout=cfg.export_timeout_s),
+        OTLPMetricExporter(base + METRIC_PATH, timeout=cfg.export_timeout_s),
+    )
+
+
+@exporter("console")
+def create_console(cfg: TelemetrySettings) -> ExporterPair | None:
+    """Write to standard output, a line an object."""
+    if not cfg.console:
+        return None
+    return ExporterPair(
+        ConsoleSpanExporter(out=sys.stdout, formatter=format_span),
+        ConsoleMetricExporter(out=sys.stdout, formatter=format_metrics),
+    )
+
+
+def format_span(span: ReadableSpan) -> str:
+    """Return a span as one line of JSON."""
+    return span.to_json(indent=None) + "\n"
+
+
+def format_metrics(data: MetricsData) -> str:
+    """Return one collection of the metrics as one line of JSON."""
+    return data.to_json(indent=None) + "\n"
+
+
+def create_exporters(cfg: TelemetrySettings) -> list[ExporterPair]:
+    """Return the exporters that the settings ask for."""
+    pairs = [factory(cfg) for factory in EXPORTERS.values()]
+    return [pair for pair in pairs if pair is not None]
--- /dev/null
+++ b/tarragonwind/telemetry_traces.py
@@ -0,0 +1,192 @@
+"""Trace requests over their hops, with W3C trace context in and out."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable, Iterable
+
+from opentelemetry.context import Context
+from opentelemetry.trace import (
+    NonRecordingSpan,
+    Span,
+    SpanContext,
+    SpanKind,
+    Tracer,
+    get_current_span,
+    set_span_in_context,
+)
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+MAX_CALLER_TRACES_PER_S = 20
+"""Traces a second that are recorded because a caller's own trace is; more go unrecorded."""
+MAX_TRACESTATE_BYTES = 512
+"""Longest tracestate that is passed on, in bytes."""
+TRACE_HEADERS = frozenset({b"traceparent", b"tracestate"})
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+HeaderPairs = Iterable[tuple[bytes, bytes]]
+
+
+class Hop(enum.Enum):
+    """Name each span of a request."""
+
+    CALLER = "caller"
+    WAIT = "wait"
+    OWNER = "owner"
+    DISPATCH = "dispatch"
+    FIRST_TOKEN = "first_token"
+    STREAM = "stream"
+
+
+_HOP_KINDS = {
+    Hop.CALLER: SpanKind.SERVER,
+    Hop.OWNER: SpanKind.SERVER,
+    Hop.DISPATCH: SpanKind.CLIENT,
+}
+
+
+def read_parent(headers: HeaderPairs) -> SpanContext | None:
+    """Return the trace context of a caller, or None when there is no valid one."""
+    carrier: dict[str, str] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key not in TRACE_HEADERS or len(value) > MAX_TRACESTATE_BYTES:
+            continue
+        text = key.decode()
+        if text in carrier:
+            return None
+        carrier[text] = value.decode("latin-1")
+    if "traceparent" not in carrier:
+        return None
+    context = get_current_span(_PROPAGATOR.extract(carrier, Context())).get_span_context()
+    return context if context.is_valid else None
+
+
+def write_context(context: SpanContext) -> list[tuple[bytes, bytes]]:
+    """Return the header fields that carry a trace context."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier, set_span_in_context(NonRecordingSpan(context), Context()))
+    return [(name.encode(), value.encode("latin-1")) for name, value in carrier.items()]
+
+
+class RequestTrace:
+    """Follow one request; does next to nothing when it is not recorded.
+
+    Parameters
+    ----------
+    tracer : Tracer or None
+        None when the request is not recorded.
+    parent : SpanContext or None
+        Trace context of the caller.
+    hop : Hop
+        First hop, which every other hop is part of.
+    """
+
+    __slots__ = ("_open", "_parent", "_root", "_root_context", "_tracer")
+
+    def __init__(self, tracer: Tracer | None, parent: SpanContext | None, hop: Hop) -> None:
+        self._tracer = tracer
+        self._parent = parent
+        self._open: dict[Hop, Span] = {}
+        self._root: Span | None = None
+        if tracer is not None:
+            outer = set_span_in_context(NonRecordingSpan(parent)) if parent else Context()
+            self._root = tracer.start_span(hop.value, outer, kind=_HOP_KINDS[hop])
+            self._root_context = set_span_in_context(self._root, Context())
+
+    @property
+    def recorded(self) -> bool:
+        """Tell whether spans are recorded."""
+        return self._root is not None
+
+    @property
+    def trace_id(self) -> str:
+        """Return the trace id as 32 hex digits, or ``-`` when there is none."""
+        context = self._context()
+        return f"{context.trace_id:032x}" if context else "-"
+
+    def _context(self) -> SpanContext | None:
+        return self._root.get_span_context() if self._root else self._parent
+
+    def begin(self, hop: Hop) -> None:
+        """Begin a hop, unless it is open."""
+        if self._tracer is None or hop in self._open:
+            return
+        kind = _HOP_KINDS.get(hop, SpanKind.INTERNAL)
+        self._open[hop] = self._tracer.start_span(hop.value, self._root_context, kind=kind)
+
+    def end(self, hop: Hop) -> None:
+        """End a hop; harmless when it is not open."""
+        span = self._open.pop(hop, None)
+        if span is not None:
+            span.end()
+
+    def note(self, name: str, value: str | int | float) -> None:
+        """Attach a value to the first hop; never content of the request."""
+        if self._root is not None:
+            self._root.set_attribute(name, value)
+
+    def finish(self, outcome: str) -> None:
+        """End every open hop and the trace; harmless when it has ended."""
+        if self._root is None or not self._root.is_recording():
+            return
+        for hop in list(self._open):
+            self.end(hop)
+        self._root.set_attribute("outcome", outcome)
+        self._root.end()
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header fields for an upstream; its part hangs under the dispatch."""
+        span = self._open.get(Hop.DISPATCH) or self._root
+        context = span.get_span_context() if span else self._parent
+        return write_context(context) if context else []
+
+    def traceparent(self) -> str:
+        """Return what the pool's owner needs to join the trace, empty when it is not recorded."""
+        if self._root is None:
+            return ""
+        span = self._open.get(Hop.WAIT, self._root)
+        return write_context(span.get_span_context())[0][1].decode()
+
+
+class TraceChooser:
+    """Choose which requests are recorded.
+
+    Parameters
+    ----------
+    fraction : float
+        Share of requests without a trace of the caller's own.
+    rng : random.Random
+        Source of chance.
+    now : callable
+        Returns seconds on the monotonic clock.
+    """
+
+    __slots__ = ("_allowance", "_fraction", "_now", "_refilled_at", "_rng")
+
+    def __init__(self, fraction: float, rng: random.Random, now: Callable[[], float]) -> None:
+        self._fraction = fraction
+        self._rng = rng
+        self._now = now
+        self._allowance = float(MAX_CALLER_TRACES_PER_S)
+        self._refilled_at = now()
+
+    def choose(self, parent: SpanContext | None) -> bool:
+        """Tell whether a request with this caller's context is recorded."""
+        if parent is None:
+            return self._rng.random() < self._fraction
+        if not parent.trace_flags.sampled:
+            return False
+        self._refill()
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _refill(self) -> None:
+        now = self._now()
+        added = (now - self._refilled_at) * MAX_CALLER_TRACES_PER_S
+        self._allowance = min(float(MAX_CALLER_TRACES_PER_S), self._allowance + added)
+        self._refilled_at = now
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,229 @@
+"""Check metrics, the spans of each hop, trace context in and out, and a collector that is dead."""
+
+import http.server
+import json
+import random
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from opentelemetry.sdk.metrics.export import (
+    ConsoleMetricExporter,
+    InMemoryMetricReader,
+    MetricExportResult,
+)
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
+
+from tarragonwind.settings import HostSettings, TelemetrySettings
+from tarragonwind.telemetry import assemble_telemetry, create_telemetry
+from tarragonwind.telemetry_exporters import ExporterPair, create_exporters
+from tarragonwind.telemetry_traces import (
+    MAX_CALLER_TRACES_PER_S,
+    Hop,
+    TraceChooser,
+    read_parent,
+    write_context,
+)
+
+HOST = HostSettings(name="a1", data_centre="etna")
+TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
+SAMPLED = [(b"Traceparent", f"00-{TRACE_ID}-00f067aa0ba902b7-01".encode())]
+UNSAMPLED = [(b"traceparent", f"00-{TRACE_ID}-00f067aa0ba902b7-00".encode())]
+
+
+class NullMetrics(ConsoleMetricExporter):
+    def export(self, *args, **kwargs):
+        return MetricExportResult.SUCCESS
+
+
+@pytest.fixture
+def traced():
+    spans, reader = InMemorySpanExporter(), InMemoryMetricReader()
+    cfg = TelemetrySettings(trace_fraction=1.0)
+    pair = ExporterPair(spans, NullMetrics())
+    telemetry = assemble_telemetry(cfg, HOST, [pair], [reader], random.Random(1), time.monotonic)
+    yield telemetry, spans, reader
+    telemetry.close()
+
+
+def finished(telemetry, spans):
+    telemetry._tracers.force_flush()
+    return {span.name: span for span in spans.get_finished_spans()}
+
+
+def read_points(reader):
+    points = {}
+    for resource in reader.get_metrics_data().resource_metrics:
+        for scope in resource.scope_metrics:
+            for metric in scope.metrics:
+                points[metric.name] = list(metric.data.data_points)
+    return points
+
+
+def test_instruments_are_collected(traced):
+    telemetry, _, reader = traced
+    telemetry.requests.add(1, 0, "answered", "")
+    telemetry.requests.add(2, 3, "refused", "shed")
+    telemetry.wait.record(0.25, 0)
+    telemetry.catalogue_number.set(7)
+    telemetry.store_calls.add(1, "watch")
+    points = read_points(reader)
+    found = {
+        tuple(point.attributes.values()): point.value for point in points["tarragonwind.requests"]
+    }
+    assert found == {(0, "answered", ""): 1, (3, "refused", "shed"): 2}
+    assert points["tarragonwind.wait"][0].sum == 0.25
+    assert points["tarragonwind.catalogue.number"][0].value == 7
+    assert dict(points["tarragonwind.store.calls"][0].attributes) == {"call": "watch"}
+    assert telemetry.requests.total() == 3
+
+
+def test_each_hop_has_a_span_under_the_callers(traced):
+    telemetry, spans, _ = traced
+    trace = telemetry.start_request(SAMPLED)
+    trace.begin(Hop.WAIT)
+    owner = telemetry.join_as_owner(trace.traceparent())
+    owner.finish("granted")
+    trace.end(Hop.WAIT)
+    trace.begin(Hop.DISPATCH)
+    upstream = read_parent(trace.headers())
+    trace.begin(Hop.FIRST_TOKEN)
+    trace.end(Hop.FIRST_TOKEN)
+    trace.begin(Hop.STREAM)
+    trace.finish("answered")
+    trace.finish("twice")
+    found = finished(telemetry, spans)
+    assert set(found) == {hop.value for hop in Hop}
+    caller = found["caller"]
+    assert f"{caller.parent.span_id:016x}" == "00f067aa0ba902b7"
+    assert all(f"{span.context.trace_id:032x}" == TRACE_ID for span in found.values())
+    for hop in ("wait", "dispatch", "first_token", "stream"):
+        assert found[hop].parent.span_id == caller.context.span_id
+    assert found["owner"].parent.span_id == found["wait"].context.span_id
+    assert upstream.span_id == found["dispatch"].context.span_id
+    assert caller.attributes["outcome"] == "answered"
+    assert trace.trace_id == TRACE_ID
+
+
+def test_an_unsampled_trace_is_passed_on_and_not_recorded(traced):
+    telemetry, spans, _ = traced
+    trace = telemetry.start_request([*UNSAMPLED, (b"tracestate", b"a=1")])
+    trace.begin(Hop.DISPATCH)
+    assert dict(trace.headers()) == {**dict(UNSAMPLED), b"tracestate": b"a=1"}
+    assert trace.traceparent() == ""
+    trace.finish("answered")
+    assert finished(telemetry, spans) == {}
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        [(b"traceparent", b"")],
+        [(b"traceparent", b"00-" + b"0" * 32 + b"-00f067aa0ba902b7-01")],
+        [(b"traceparent", b"ff" + SAMPLED[0][1][2:])],
+        [(b"traceparent", SAMPLED[0][1] + b"\xff")],
+        [(b"traceparent", b"x" * 100_000)],
+        SAMPLED + UNSAMPLED,
+    ],
+)
+def test_a_malformed_trace_context_is_ignored(headers):
+    assert read_parent(headers) is None
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from([b"traceparent", b"tracestate", b"x"]), st.binary())))
+def test_any_header_is_read_without_an_error(headers):
+    context = read_parent(headers)
+    if context is not None:
+        assert write_context(context)
+
+
+def test_the_share_of_recorded_requests_is_bounded():
+    clock = [0.0]
+    chooser = TraceChooser(0.1, random.Random(5), lambda: clock[0])
+    assert 60 < sum(chooser.choose(None) for _ in range(1_000)) < 140
+    sampled = read_parent(SAMPLED)
+    assert sum(chooser.choose(sampled) for _ in range(1_000)) == MAX_CALLER_TRACES_PER_S
+    clock[0] = 0.5
+    assert sum(chooser.choose(sampled) for _ in range(1_000)) == MAX_CALLER_TRACES_PER_S / 2
+    assert not chooser.choose(read_parent(UNSAMPLED))
+
+
+def test_without_a_destination_nothing_is_traced():
+    telemetry = create_telemetry(TelemetrySettings(), HOST, random.Random(1), time.monotonic)
+    trace = telemetry.start_request(SAMPLED)
+    assert not trace.recorded
+    assert dict(trace.headers()) == {b"traceparent": SAMPLED[0][1]}
+    telemetry.close()
+
+
+def test_both_destinations_are_chosen_by_settings():
+    cfg = TelemetrySettings(otlp_endpoint="http://127.0.0.1:4318/", console=True)
+    pairs = create_exporters(cfg)
+    assert len(pairs) == 2
+    assert pairs[0].spans._endpoint == "http://127.0.0.1:4318/v1/traces"
+    assert create_exporters(TelemetrySettings()) == []
+
+
+def test_the_console_gets_one_line_an_object(capsys):
+    cfg = TelemetrySettings(console=True, trace_fraction=1.0)
+    telemetry = create_telemetry(cfg, HOST, random.Random(1), time.monotonic)
+    telemetry.live_hosts.set(2)
+    telemetry.start_request([]).finish("answered")
+    telemetry.close()
+    docs = [json.loads(line) for line in capsys.readouterr().out.splitlines() if line]
+    assert {doc.get("name", "metrics") for doc in docs} == {"caller", "metrics"}
+
+
+class Collector(http.server.BaseHTTPRequestHandler):
+    """Count what is posted to a path."""
+
+    paths = []
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.paths.append(self.path)
+        self.send_response(200)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    def log_message(self, *_args):
+        pass
+
+
+def test_spans_and_metrics_reach_a_collector():
+    Collector.paths = []
+    with http.server.ThreadingHTTPServer(("127.0.0.1", 0), Collector) as server:
+        thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+        thread.start()
+        endpoint = f"http://127.0.0.1:{server.server_port}"
+        cfg = TelemetrySettings(otlp_endpoint=endpoint, trace_fraction=1.0)
+        telemetry = create_telemetry(cfg, HOST, random.Random(1), time.monotonic)
+        telemetry.live_hosts.set(1)
+        telemetry.start_request([]).finish("answered")
+        telemetry.close()
+        server.shutdown()
+        thread.join(10)
+    assert set(Collector.paths) == {"/v1/traces", "/v1/metrics"}
+
+
+def test_the_queue_stays_bounded_while_the_collector_never_answers():
+    with socket.create_server(("127.0.0.1", 0), backlog=1) as dead:
+        endpoint = f"http://127.0.0.1:{dead.getsockname()[1]}"
+        cfg = TelemetrySettings(
+            otlp_endpoint=endpoint,
+            trace_fraction=1.0,
+            export_period_s=0.1,
+            export_timeout_s=0.1,
+            max_queued_spans=64,
+        )
+        telemetry = create_telemetry(cfg, HOST, random.Random(1), time.monotonic)
+        for _ in range(5_000):
+            telemetry.start_request([]).finish("answered")
+        processor = telemetry._tracers._active_span_processor._span_processors[0]
+        assert len(processor._batch_processor._queue) <= 64
+        telemetry.close()
