Align the restarts of all judges, and look closely at a version under suspicion

Cause: each judge restarted its windows on a grid of its own, so that badness that showed in one judge's window had to wait for another's; and the counts of the old version lagged by a report period, which moved the evidence back under its threshold.

--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -110,6 +110,12 @@
             return Tally(self.started, self.late)
         return Tally(self.paced, self.slow)
 
+    def hits(self, signal: Signal) -> int:
+        """Return how many trials of one signal went wrong."""
+        if signal is Signal.FAILED:
+            return self.failed
+        return self.late if signal is Signal.FIRST_BYTE else self.slow
+
     def counts(self) -> list[int]:
         """Return the six counts in the order of the attributes."""
         return [self.finished, self.failed, self.started, self.late, self.paced, self.slow]
--- a/tarragonwind/core/host_moves.py
+++ b/tarragonwind/core/host_moves.py
@@ -72,6 +72,7 @@
         "answer",
         "answer_why",
         "asked_at",
+        "closely",
         "counter",
         "entry",
         "judge",
@@ -95,6 +96,7 @@
         self.asked_at = float("-inf")
         self.read_by = float("inf")
         self.read_done = False
+        self.closely = False
         self.judge_why = "not started"
         self.judges_until = float("-inf")
         self._credits: dict[str, ShareCredit] = {}
@@ -133,6 +135,7 @@
         """Take in the share that a judge has sent; the owner's reason is kept."""
         self.judge.adopt_step(msg.step, msg.step_since)
         self._heard_at = now
+        self.closely = msg.closely
         if is_owner:
             self.judge_why = msg.why
 
--- a/tarragonwind/core/move_messages.py
+++ b/tarragonwind/core/move_messages.py
@@ -61,6 +61,8 @@
         Highest sequence received from the host's present incarnation, 0 for none.
     why : str
         Why the share is what it is.
+    closely : bool
+        Whether reports are wanted at the shortest period.
     """
 
     move_id: str
@@ -69,6 +71,7 @@
     step_since: float
     acknowledged: int
     why: str
+    closely: bool
 
 
 @message(52)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -280,6 +280,8 @@
 
     def _report(self, now: float, move: HostMove, judges: set[str]) -> list[Outgoing]:
         period_s = URGENT_PERIOD_S if move.counter.urgent else self.report_period_s
+        if move.closely:
+            period_s = TICK_PERIOD_S
         if now - move.reported_at < period_s - TICK_PERIOD_S / 2 or now < move.entry.starts_at:
             return []
         move.reported_at = now
@@ -336,7 +338,13 @@
         judge = move.judge
         acknowledged = judge.evidence.sequence_of(host, incarnation) if incarnation else 0
         return MoveShare(
-            move.move_id, judge.incarnation, judge.step, judge.step_since, acknowledged, judge.why
+            move_id=move.move_id,
+            incarnation=judge.incarnation,
+            step=judge.step,
+            step_since=judge.step_since,
+            acknowledged=acknowledged,
+            why=judge.why,
+            closely=judge.is_suspect(),
         )
 
     def _facts_of(self, move: HostMove) -> MoveFacts:
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Protocol
@@ -161,7 +162,9 @@
         self.taken_back = ""
         self.why = "not started"
         self.finding: Finding = NOTHING
-        self._detector = LateDetector(max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move)))
+        period_s = max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move))
+        expected = math.ceil(duration_s(move) / period_s)
+        self._detector = LateDetector(move.starts_at, period_s, expected)
         self._heard: dict[str, HostReport] = {}
         self._looked_at = now
         self._valid_from = 0.0
@@ -236,7 +239,7 @@
 
     def may_finish(self, now: float, live: Collection[str], report_period_s: float) -> bool:
         """Tell whether "done" may be recorded: all traffic moved, nothing bad seen since."""
-        if self.taken_back or self.step != COMPLETE_STEP or self._is_suspect():
+        if self.taken_back or self.step != COMPLETE_STEP or self.is_suspect():
             return False
         return self._is_heard(now, live, report_period_s, COMPLETE_STEP)
 
@@ -247,7 +250,7 @@
             return "not started"
         if not self._is_heard(now, live, report_period_s, 0):
             return "too few hosts have reported"
-        if self._is_suspect():
+        if self.is_suspect():
             return f"under suspicion: {self.finding.why}"
         if step == FIRST_STEP:
             return ""
@@ -278,7 +281,8 @@
                 heard += 1
         return heard >= HEARD_FRACTION * len(live)
 
-    def _is_suspect(self) -> bool:
+    def is_suspect(self) -> bool:
+        """Tell whether the evidence of badness is near its threshold."""
         return self.finding.excess > -SUSPICION_GAP
 
     def _trials(self) -> int:
