Keep idle connections open while a host stops; scenarios over real processes

Cause: a planned stop closed idle connections at once; a caller that was just sending its next request saw the connection close without an answer (red: 3 requests without an answer in 'A planned stop cuts nothing off'). Answers now carry Connection: close from the beginning of the stop and idle connections stay until the end. Excluded: a lost stream; only first bytes were affected.

--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -121,6 +121,10 @@
         self._server = HttpServer(loop, address, limits, self._on_request, self._on_fault)
         self.address = self._server.address
 
+    def announce_close(self) -> None:
+        """Let callers turn to other hosts after their next answer."""
+        self._server.announce_close()
+
     def stop(self) -> None:
         """Take no new requests; those in progress go on."""
         self.stopping = True
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -482,8 +482,6 @@
         self._conn.resume_reading()
         if self._reader.ready or self._fault:
             self._server.loop.timers.call_later(0.0, self._next_exchange)
-        elif self._server.stopping and self.idle:
-            self._close_when_sent()
         else:
             self._expect(self._server.limits.idle_timeout_s)
 
@@ -494,11 +492,6 @@
         self._conn.reset()
         self._server.forget(self)
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is under way."""
-        if self.idle:
-            self._close_when_sent()
-
     def _next_exchange(self) -> None:
         if self._current is not None or self._conn.closed:
             return
@@ -598,12 +591,17 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    def announce_close(self) -> None:
+        """Tell callers with each answer from now on that their connection will be closed."""
+        self.stopping = True
+
     def stop(self) -> None:
-        """Refuse new connections and close idle ones; requests under way are answered."""
+        """Refuse new connections; those that stand are still served.
+
+        An idle connection stays open, since its caller may be sending a request just now.
+        """
         self.stopping = True
         self._listener.close()
-        for conn in list(self._connections):
-            conn.close_if_idle()
 
     def forget(self, conn: CallerConnection) -> None:
         """Drop a connection that has ended."""
--- a/tarragonwind/daemon_operators.py
+++ b/tarragonwind/daemon_operators.py
@@ -141,6 +141,7 @@
             in_progress=self._daemon.in_progress,
             waiting=self._scheduler.waiting_by_tier(),
             sheds=self._daemon.sheds_by_tier(),
+            owned_pools=sorted(self._scheduler.owners.active_pools()),
         )
 
     def hosts(self) -> list[HostReport]:
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -149,6 +149,7 @@
             return
         self.stopping = True
         logger.info("event=stopping in_progress={}", self.in_progress)
+        self.gateway.announce_close()
         self.membership.leave()
         self._loop.timers.call_later(self._cfg.stop.notice_s, self._close_door)
 
--- a/tarragonwind/operator_services.py
+++ b/tarragonwind/operator_services.py
@@ -305,6 +305,8 @@
         Requests that are dispatched and not ended.
     sheds : list of int
         Requests shed since the start, by tier.
+    owned_pools : list of str
+        Pools whose one queue this host keeps.
     """
 
     host: str
@@ -317,6 +319,7 @@
     in_progress: int
     waiting: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
+    owned_pools: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/scenario_worlds.py
@@ -0,0 +1,161 @@
+"""Hold the fleet, the callers and the catalogue that the scenarios' steps work on."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import subprocess
+import time
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from standins.callers import Callers, CallPlan
+from standins.checkers import Run, check_promises, read_runs
+from standins.demo import entry, upstream
+from standins.fleets import LOOPBACK, Fleet, control, free_port, wait_until
+
+TOKEN = "token-officina"
+FLOOD_TOKEN = "token-cantiere"
+SERVICE_SLOTS = 16
+
+
+class World:
+    """Run one scenario's processes."""
+
+    def __init__(self, directory: Path) -> None:
+        self.fleet = Fleet(directory)
+        self.callers: list[Callers] = []
+        self.failed_at = 0.0
+        self.command: subprocess.CompletedProcess[str] | None = None
+        self.racers: list[subprocess.CompletedProcess[str]] = []
+        self.cuts = 0
+
+    def start(self, host_count: int, planned: int = 0) -> None:
+        """Start the platform, the upstreams and the hosts, and put the catalogue."""
+        fleet = self.fleet
+        fleet.start_platform()
+        names = [f"entry-{number}" for number in range(1, host_count + planned + 1)]
+        fleet.plan_hosts(names)
+        entries = [
+            self.organisation("officina"),
+            self.organisation("cantiere"),
+            entry("pool", "drafting", back_end="engine", version="v1"),
+            entry("pool", "registry", back_end="service", version="v1"),
+            self._route("gate", "registry", 0, path_prefix="/passports"),
+            self._route("stamp", "registry", 1, path_prefix="/stamps", idempotent=False),
+            self._route("question", "drafting", 2, model="small", deadline_s=5.0),
+            self._route("dossier", "drafting", 3, model="large", deadline_s=5.0),
+        ]
+        for number in (1, 2):
+            entries.append(self._start_service(f"registry-{number}", "v1"))
+        for number, slots in ((1, 8), (2, 4)):
+            name = f"engine-{number}"
+            engine = fleet.start_engine(name, "--slots", str(slots), "--token_ms", "4")
+            entries.append(upstream(name, "drafting", "v1", engine.port, slots=slots))
+        for name in names[:host_count]:
+            fleet.start_host(name)
+        self.put(entries)
+        assert self.command is not None and self.command.returncode == 0, self.command
+        fleet.wait_ready()
+
+    def _route(self, name: str, pool: str, tier: int, **fields: Any) -> dict[str, Any]:
+        return entry("route", name, pool=pool, tier=tier, **{"deadline_s": 10.0, **fields})
+
+    def _start_service(self, name: str, version: str) -> dict[str, Any]:
+        """Start a service behind a fault proxy and return its upstream's entry."""
+        service = self.fleet.start_service(name, "--version", version, "--work_ms", "4")
+        port = free_port()
+        self.fleet.start_standin(
+            f"link-{name}",
+            "standins.fault_proxy",
+            "--listen",
+            f"{LOOPBACK}:{port}",
+            "--target",
+            f"{LOOPBACK}:{service.port}",
+        )
+        return upstream(name, "registry", version, port, slots=SERVICE_SLOTS)
+
+    def add_version(self, version: str, fail_fraction: float) -> None:
+        """Start two services of a new version beside the old ones."""
+        entries = []
+        for number in (1, 2):
+            name = f"registry-{version}-{number}"
+            entries.append(self._start_service(name, version))
+            control(self.fleet.processes[name].port, fail_fraction=fail_fraction)
+        self.put(entries)
+
+    def put(self, entries: list[dict[str, Any]], *options: str) -> None:
+        """Put entries by the command line and keep how it ended."""
+        path = self.write_entries("put.yaml", entries)
+        self.command = self.fleet.operate("catalogue", "put", str(path), *options)
+
+    def write_entries(self, name: str, entries: list[dict[str, Any]]) -> Path:
+        """Write entries to a file for the command line."""
+        path = self.fleet.directory / name
+        path.write_text(yaml.safe_dump(entries))
+        return path
+
+    def organisation(self, name: str) -> dict[str, Any]:
+        """Return an organisation's entry."""
+        digest = hashlib.sha256(f"token-{name}".encode()).hexdigest()
+        return entry("organisation", name, token_sha256=[digest])
+
+    def call(self, *plans: CallPlan) -> None:
+        """Start callers against every running host."""
+        ports = [self.fleet.hosts[name].callers for name in self.running_hosts()]
+        callers = Callers(ports, list(plans))
+        callers.start()
+        self.callers.append(callers)
+
+    def running_hosts(self) -> list[str]:
+        """Return the hosts whose processes live."""
+        return [
+            name
+            for name in self.fleet.hosts
+            if name in self.fleet.processes and self.fleet.processes[name].process.poll() is None
+        ]
+
+    def go_on(self, seconds: float) -> None:
+        """Let callers call for a while."""
+        time.sleep(seconds)
+
+    def note_failure(self) -> None:
+        """Remember when something was broken."""
+        self.failed_at = time.time()
+
+    def records(self) -> list[Any]:
+        """Return the records of all callers."""
+        return [record for callers in self.callers for record in callers.log.records]
+
+    def runs(self) -> list[Run]:
+        """Return all executions that upstreams have written down."""
+        return read_runs(sorted(self.fleet.directory.glob("*.journal")))
+
+    def finish_calls(self) -> None:
+        """Let every caller end its last request."""
+        for callers in self.callers:
+            callers.stop()
+
+    def violations(self) -> list[Any]:
+        """Stop the callers and return the broken promises."""
+        self.finish_calls()
+        return check_promises(self.records(), self.runs())
+
+    def ask_each(self, *arguments: str) -> dict[str, Any]:
+        """Return the JSON that the command line prints for each running host."""
+        answers = {}
+        for name in self.running_hosts():
+            ended = self.fleet.operate("--json", *arguments, at=name)
+            answers[name] = json.loads(ended.stdout) if ended.stdout.strip() else None
+        return answers
+
+    def wait_each(self, what: str, reached: Any, *arguments: str) -> None:
+        """Wait until the answers of all running hosts satisfy a condition."""
+        wait_until(lambda: reached(self.ask_each(*arguments)), what)
+
+    def close(self) -> None:
+        """End everything."""
+        self.finish_calls()
+        self.fleet.stop()
