Tighten the tests of the catalogue that stayed green with their mechanism off

Cause: five mechanisms could be switched off in scratch copies without a red test. The tests now bring about what each is for.

--- a/tests/test_catalogue_followers.py
+++ b/tests/test_catalogue_followers.py
@@ -62,9 +62,12 @@
 def test_a_write_whose_host_dies_spreads_by_the_watchers(fleet, store):
     outsider = Fleet(store, store.timers, 2)
     outsider.add_hosts(1)
-    settle(store.timers, outsider.hosts["host-000"].service.writer.put(organisation("a"), "b"))
-    outsider.remove_host("host-000")
-    assert fleet.spread_time(2, 30.0) < NORMAL_LIMIT_S
+    store.timers.advance(1.0)
+    took_s = []
+    for index in range(10):
+        fut = outsider.hosts["host-000"].service.writer.put(organisation(f"o{index}"), "b")
+        took_s.append(fleet.spread_time(settle(store.timers, fut)[0].number, 30.0))
+    assert max(took_s) < NORMAL_LIMIT_S / 4
 
 
 @pytest.mark.parametrize("fault", ["cut_watches", "freeze_watches"])
@@ -119,6 +122,7 @@
     for host in fleet.hosts.values():
         host.store.away = True
     store.restore(old)
+    fleet.peer_latency_s = 0.3
     (added,) = fleet.add_hosts(1)
     seen = []
     added.service.state.subscribe(lambda catalogue: seen.append(catalogue.number))
@@ -174,7 +178,6 @@
         self.accepted = {}
         self.written = 0
         self.floors = {}
-        self.old = self.store.snapshot()
         self.store.timers.advance(1.0)
 
     def _host(self, index):
@@ -216,20 +219,18 @@
     def add_host(self):
         self.fleet.add_hosts(1)
 
-    @rule()
-    def keep_copy(self):
-        if self._settled():
-            self.old = self.store.snapshot()
-
-    @rule()
-    def come_back_old(self):
-        if self._settled():
-            self.store.restore(self.old)
-
-    def _settled(self):
-        """Tell whether every daemon has all that was accepted, so that it outlives the store."""
-        heads = self.fleet.numbers()
-        return len(heads) == 1 and min(heads) >= len(self.accepted)
+    @rule(away=st.booleans())
+    def come_back_old(self, away):
+        """Lose writes of the store that are in force, as a restored copy would."""
+        self.store.away = False
+        self.fleet.loss = 0.0
+        self.fleet.timers.advance(10.0)
+        old = self.store.snapshot()
+        self.put(0)
+        self.fleet.timers.advance(10.0)
+        assert len(self.fleet.numbers()) == 1
+        self.store.away = away
+        self.store.restore(old)
 
     @invariant()
     def no_number_falls(self):
@@ -243,6 +244,9 @@
         self.store.away = False
         self.fleet.loss = 0.0
         self.fleet.timers.advance(40.0)
+        host = self._host(0)
+        number = settle(self.fleet.timers, host.service.writer.put(organisation("z"), "ana"))
+        self.fleet.spread_time(number[-1].number, FAULTY_LIMIT_S)
         digests = {host.service.state.in_force.digest for host in self.fleet.hosts.values()}
         assert len(digests) == 1
         in_force = next(iter(self.fleet.hosts.values())).service.state.in_force
--- a/tests/test_catalogue_writers.py
+++ b/tests/test_catalogue_writers.py
@@ -215,9 +215,14 @@
     settle(timers, first.writer.put_all(entries, "ana"))
     settle(timers, second.writer.put(organisation("last"), "ben"))
     settle(timers, first.writer.put(organisation("really-last"), "ben"))
+    settle(timers, second.writer.put(organisation("very-last"), "ben"))
     store.restore({})
-    store.before_commit = [lambda: None, lambda: None, lambda: second.healer.heal()]
-    settle(timers, first.healer.heal())
-    settle(timers, first.healer.heal())
+
+    def overtake():
+        settle(timers, second.healer.heal())
+        settle(timers, second.writer.put(organisation("after"), "ben"))
+
+    store.before_commit = [lambda: None, lambda: None, overtake]
+    assert settle(timers, first.healer.heal()) is None
     whole = settle(timers, first.reader_whole())
-    assert (whole.number, whole.digest) == (first.state.number, first.state.in_force.digest)
+    assert (whole.number, whole.digest) == (second.state.number, second.state.in_force.digest)
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -144,6 +144,8 @@
         for state in getattr(self, "states", ()):
             assert state.in_force.digest == self.truth[state.number].digest
             assert state.divergence is Divergence.NONE
+            fresh = build_catalogue(state.number, state.in_force.records)
+            assert fresh.digest == state.in_force.digest
 
     def teardown(self):
         states = getattr(self, "states", None)
