--- a/tarragonwind/core/badness_tests.py
+++ b/tarragonwind/core/badness_tests.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from tarragonwind.core.evidence import Cell, CellKey, Cells, LoadLevel, Side, Signal, Tally
-from tarragonwind.core.move_steps import COMPLETE_STEP, CONTROLLED_STEP
+from tarragonwind.core.move_steps import CONTROLLED_STEP
 from tarragonwind.core.sequential_tests import (
     Pair,
     bad_log_evidence,
@@ -33,6 +33,9 @@
 MIN_ROUTES = 4
 """Least number of routes that the error rate is divided by."""
 
+MIN_CONCURRENT = 3
+"""Outcomes of the old version from which it shows whether it has become worse itself."""
+
 ALL_ROUTES = "*"
 
 
@@ -59,19 +62,12 @@
     return finding.excess
 
 
-@dataclass(frozen=True, slots=True)
-class Stratum:
-    """Name outcomes of both versions that are comparable."""
-
-    step: int
-    route: str
-    level: LoadLevel
-
-
 @dataclass(slots=True)
 class Sides:
-    """Hold the outcomes of both versions in one stratum."""
+    """Hold the comparable outcomes of both versions in one step, on one route, at one level."""
 
+    route: str
+    level: LoadLevel
     new: Cell
     old: Cell
 
@@ -81,86 +77,119 @@
 
 
 def find_in_cells(cells: Cells, alpha: float, margins: dict[Signal, float]) -> Finding:
-    """Return the strongest sign in cells, where all comparisons together may spend `alpha`."""
-    strata = _group(cells)
-    routes = sorted({stratum.route for stratum in strata})
-    threshold = log_threshold(alpha / _comparison_count(len(routes)))
-    best = NOTHING
-    for signal in Signal:
-        for what, pairs in _comparisons(strata, routes, signal):
-            best = max(best, _weigh(pairs, margins[signal], threshold, what), key=_excess)
+    """Return the strongest sign in cells, where all comparisons together may spend `alpha`.
+
+    The sum of all routes and levels spends half of it, each route at each level a part of the rest.
+    """
+    groups = _group(cells)
+    findings = _find_in_everything(groups, alpha / 2.0, margins)
+    routes = {route for route, _ in groups}
+    threshold = log_threshold(alpha / 2.0 / _comparison_count(len(routes)))
+    for (route, level), sides in groups.items():
+        for signal in Signal:
+            what = f"{signal.name.lower()} on {route} under {level.name.lower()} load"
+            findings.append(_weigh(sides, signal, margins[signal], threshold, what))
     for route in routes:
-        pairs = _pairs_across_levels(strata, route)
+        sides = _beside_any_level(groups, route)
         what = f"failed on {route} under high load"
-        best = max(best, _weigh(pairs, OTHER_LEVEL_MARGIN, threshold, what), key=_excess)
-    return best
+        findings.append(_weigh(sides, Signal.FAILED, OTHER_LEVEL_MARGIN, threshold, what))
+    return max(findings, key=_excess)
+
+
+def _find_in_everything(
+    groups: dict[tuple[str, LoadLevel], list[Sides]], alpha: float, margins: dict[Signal, float]
+) -> list[Finding]:
+    everything: list[Sides] = []
+    for level in LoadLevel:
+        everything += groups.get((ALL_ROUTES, level), [])
+    threshold = log_threshold(alpha / len(Signal))
+    findings = []
+    for signal in Signal:
+        what = f"{signal.name.lower()} on all routes"
+        findings.append(_weigh(everything, signal, margins[signal], threshold, what))
+    return findings
+
 
+def find_beside_past(recent: Cells, cells: Cells, step: int, alpha: float) -> Finding:
+    """Return the strongest sign in recent outcomes of a step, beside the old version's past.
 
-def find_beside_past(cells: Cells, alpha: float) -> Finding:
-    """Return the strongest sign of a complete move, beside the old version's past."""
-    return find_in_cells(_with_past(cells, cells), alpha, PAST_MARGINS)
+    A signal for which the old version itself has become worse is left out.
+    """
+    mixed: Cells = {}
+    new_keys = [key for key in recent if key.step == step and key.side is Side.NEW]
+    for key in new_keys:
+        mixed[key] = recent[key]
+    for key, cell in cells.items():
+        if key.side is Side.OLD:
+            past_key = dataclasses.replace(key, step=step)
+            mixed[past_key] = mixed.get(past_key, Cell()).plus(cell)
+    margins = {}
+    for signal in Signal:
+        worse = _is_old_worse(recent, mixed, step, signal)
+        margins[signal] = 1.0 if worse else PAST_MARGINS[signal]
+    return find_in_cells(mixed, alpha, margins)
 
 
-def _group(cells: Cells) -> dict[Stratum, Sides]:
-    """Return the cells by stratum, with one more route for the sum of all."""
-    strata: dict[Stratum, Sides] = {}
+def _is_old_worse(recent: Cells, past: Cells, step: int, signal: Signal) -> bool:
+    recent_old = Tally(0, 0)
+    for key, cell in recent.items():
+        if key.step == step and key.side is Side.OLD:
+            recent_old = recent_old + cell.tally(signal)
+    past_old = Tally(0, 0)
+    for key, cell in past.items():
+        if key.side is Side.OLD:
+            past_old = past_old + cell.tally(signal)
+    is_worse = recent_old.rate > past_old.rate + PAST_MARGINS[signal]
+    return recent_old.trials >= MIN_CONCURRENT and is_worse
+
+
+def _group(cells: Cells) -> dict[tuple[str, LoadLevel], list[Sides]]:
+    """Return the outcomes of all steps by route and level, with one more route for the sum."""
+    found: dict[tuple[int, str, LoadLevel], Sides] = {}
     for key, cell in cells.items():
         for route in (key.route, ALL_ROUTES):
-            sides = strata.setdefault(Stratum(key.step, route, key.level), Sides(Cell(), Cell()))
+            name = (key.step, route, key.level)
+            sides = found.get(name)
+            if sides is None:
+                sides = found[name] = Sides(route, key.level, Cell(), Cell())
             if key.side is Side.NEW:
                 sides.new = sides.new.plus(cell)
             else:
                 sides.old = sides.old.plus(cell)
-    return strata
+    groups: dict[tuple[str, LoadLevel], list[Sides]] = {}
+    for sides in found.values():
+        groups.setdefault((sides.route, sides.level), []).append(sides)
+    return groups
 
 
 def _comparison_count(route_count: int) -> int:
     """Return how many comparisons are made for a number of routes, the sum of all included."""
     routes = max(MIN_ROUTES, route_count - 1) + 1
-    return len(Signal) * (routes * len(LoadLevel) + 1) + routes
-
+    return len(Signal) * routes * len(LoadLevel) + routes
 
-def _comparisons(
-    strata: dict[Stratum, Sides], routes: list[str], signal: Signal
-) -> Iterable[tuple[str, list[Pair]]]:
-    """Yield what is compared for a signal, and the pairs for it."""
-    for route in routes:
-        for level in LoadLevel:
-            pairs = _select(strata, signal, route, level)
-            yield f"{signal.name.lower()} on {route} under {level.name.lower()} load", pairs
-    yield f"{signal.name.lower()} on all routes", _select(strata, signal, ALL_ROUTES, None)
 
-
-def _select(
-    strata: dict[Stratum, Sides], signal: Signal, route: str, level: LoadLevel | None
-) -> list[Pair]:
-    pairs = []
-    for stratum, sides in strata.items():
-        if stratum.route == route and level in (None, stratum.level):
-            pairs.append(sides.pair(signal))
-    return _usable(pairs)
+def _beside_any_level(groups: dict[tuple[str, LoadLevel], list[Sides]], route: str) -> list[Sides]:
+    """Return the new version under high load beside the old version at any load."""
+    new = Cell()
+    old = Cell()
+    for level in LoadLevel:
+        for sides in groups.get((route, level), ()):
+            old = old.plus(sides.old)
+            if level is LoadLevel.HIGH:
+                new = new.plus(sides.new)
+    return [Sides(route, LoadLevel.HIGH, new, old)]
 
 
-def _pairs_across_levels(strata: dict[Stratum, Sides], route: str) -> list[Pair]:
-    """Return failures under high load beside those of the old version at any load."""
+def _weigh(
+    sides: Sequence[Sides], signal: Signal, margin: float, threshold: float, what: str
+) -> Finding:
+    if not any(one.new.hits(signal) for one in sides):
+        return NOTHING
     pairs = []
-    for stratum, sides in strata.items():
-        if stratum.route != route or stratum.level is not LoadLevel.HIGH:
-            continue
-        old = Tally(0, 0)
-        for level in LoadLevel:
-            other = strata.get(Stratum(stratum.step, route, level))
-            if other is not None:
-                old = old + other.old.tally(Signal.FAILED)
-        pairs.append(Pair(sides.new.tally(Signal.FAILED), old))
-    return _usable(pairs)
-
-
-def _usable(pairs: list[Pair]) -> list[Pair]:
-    return [pair for pair in pairs if pair.new.trials and pair.old.trials]
-
-
-def _weigh(pairs: list[Pair], margin: float, threshold: float, what: str) -> Finding:
+    for one in sides:
+        pair = one.pair(signal)
+        if pair.new.trials and pair.old.trials:
+            pairs.append(pair)
     evidence = bad_log_evidence(pairs, margin)
     if evidence <= 0.0:
         return NOTHING
@@ -169,23 +198,10 @@
     return Finding(evidence - threshold, f"{what}: new version {new}, old version {old}")
 
 
-def _with_past(recent: Cells, cells: Cells) -> Cells:
-    """Return the recent cells of a complete move beside the last controlled step's old cells."""
-    mixed: Cells = {}
-    for key, cell in recent.items():
-        if key.step == COMPLETE_STEP and key.side is Side.NEW:
-            mixed[key] = cell
-    for key, cell in cells.items():
-        if key.step == CONTROLLED_STEP and key.side is Side.OLD:
-            mixed[dataclasses.replace(key, step=COMPLETE_STEP)] = cell
-    return mixed
-
-
 @dataclass(slots=True)
 class Restart:
     """Hold the state of a step's outcomes when the comparison was started anew."""
 
-    started_at: float
     number: int
     cells: Cells
 
@@ -193,20 +209,26 @@
 class LateDetector:
     """Start the comparison anew at a steady pace, so that a good past doesn't hide badness.
 
-    Each restart spends its own part of the error rate, so that the sum over any time is bounded.
+    Restarts are due at the same times for every judge of a move. Each spends its own part of the
+    error rate, so that the sum over any time is bounded.
 
     Parameters
     ----------
+    starts_at : float
+        Start of the move, in seconds since the epoch.
     period_s : float
         Time between restarts, in seconds.
+    expected : int
+        Restarts within the move's time.
     """
 
-    __slots__ = ("_number", "_period_s", "_restarts", "_step")
+    __slots__ = ("_expected", "_period_s", "_restarts", "_starts_at", "_step")
 
-    def __init__(self, period_s: float) -> None:
+    def __init__(self, starts_at: float, period_s: float, expected: int) -> None:
+        self._starts_at = starts_at
         self._period_s = period_s
+        self._expected = expected
         self._restarts: list[Restart] = []
-        self._number = 0
         self._step = 0
 
     def find(self, now: float, cells: Cells, step: int) -> Finding:
@@ -223,22 +245,23 @@
         return best
 
     def _find_since(self, restart: Restart, recent: Cells, cells: Cells) -> Finding:
-        alpha = restart_alpha(BAD_ALPHA / 4.0, restart.number)
         window = _subtract(recent, restart.cells)
-        if self._step == COMPLETE_STEP:
-            return find_in_cells(_with_past(window, cells), alpha, PAST_MARGINS)
-        return find_in_cells(window, alpha, BAD_MARGINS)
+        alpha = restart_alpha(BAD_ALPHA / 4.0, restart.number, self._expected)
+        best = find_in_cells(window, alpha, BAD_MARGINS)
+        if self._step >= CONTROLLED_STEP:
+            finding = find_beside_past(window, cells, self._step, alpha / 2.0)
+            best = max(best, finding, key=_excess)
+        return best
 
     def _restart(self, now: float, recent: Cells) -> None:
-        if self._restarts and now - self._restarts[-1].started_at < self._period_s:
+        number = max(0, int((now - self._starts_at) / self._period_s)) + 1
+        if self._restarts and self._restarts[-1].number == number:
             return
-        self._number += 1
-        self._restarts.append(Restart(now, self._number, recent))
+        self._restarts.append(Restart(number, recent))
         kept: dict[int, Restart] = {}
         for restart in self._restarts:
-            periods = int((now - restart.started_at) / self._period_s)
-            kept.setdefault(periods.bit_length(), restart)
-        self._restarts = sorted(kept.values(), key=lambda restart: restart.started_at)
+            kept.setdefault((number - restart.number).bit_length(), restart)
+        self._restarts = sorted(kept.values(), key=lambda restart: restart.number)
 
 
 def _subtract(cells: Cells, earlier: Cells) -> Cells:
--- a/tarragonwind/core/sequential_tests.py
+++ b/tarragonwind/core/sequential_tests.py
@@ -87,11 +87,12 @@
 def least_excess(pair: Pair) -> float:
     """Return the observed excess of the new rate, less one standard error."""
     new = pair.new
-    if not new.trials or not pair.old.trials:
+    old = pair.old
+    if not new.trials or not old.trials:
         return 0.0
-    smoothed = (new.hits + 1) / (new.trials + 2)
-    error = math.sqrt(smoothed * (1.0 - smoothed) / new.trials)
-    return new.rate - pair.old.rate - error
+    smoothed = (new.hits + old.hits + 1) / (new.trials + old.trials + 2)
+    error = math.sqrt(smoothed * (1.0 - smoothed) * (1.0 / new.trials + 1.0 / old.trials))
+    return new.rate - old.rate - error
 
 
 def log_threshold(alpha: float) -> float:
@@ -99,9 +100,22 @@
     return -math.log(alpha)
 
 
-def restart_alpha(alpha: float, number: int) -> float:
-    """Return the part of `alpha` that the restart with a number (from 1) may spend."""
-    return alpha / (number * (number + 1))
+def restart_alpha(alpha: float, number: int, expected: int) -> float:
+    """Return the part of `alpha` that one restart of a test may spend.
+
+    Half is divided evenly among the expected restarts, half among all that may ever come.
+
+    Parameters
+    ----------
+    alpha : float
+        Error rate of all restarts together.
+    number : int
+        Number of the restart, from 1.
+    expected : int
+        Restarts that are planned.
+    """
+    even = alpha / 2.0 / expected if number <= expected else 0.0
+    return even + alpha / 2.0 / (number * (number + 1))
 
 
 def _log_mixture(tally: Tally) -> float:
