Claim idempotency keys before dispatch

The gateway claims the key by compare-and-swap before it waits, asks again whether the claim is held right before dispatch, and keeps the key taken when the outcome is unknown. Excluded: a claim after the permit, which holds a slot for the store's time.

--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -13,6 +13,7 @@
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.refusals import answer_refusal
 from tarragonwind.adapters.relays import Relay, RelayEnd, RelayRules
+from tarragonwind.claims import Claim, Claims
 from tarragonwind.core.classifications import CatalogueView, RequestClass, classify_request
 from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
 from tarragonwind.core.organisation_limits import Admission, OrganisationLimits
@@ -28,6 +29,8 @@
 MAX_CONNECT_ATTEMPTS = 3
 REQUEST_ID_HEADER = b"x-request-id"
 MAX_REQUEST_ID_LENGTH = 128
+CLAIM_TTL_S = 3_600
+"""Time for which an idempotency key stays taken, in seconds."""
 SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
 DROPPED_REQUEST_HEADERS = frozenset(
     [
@@ -90,6 +93,8 @@
         Returns the catalogue in force, or None before there is one.
     scheduler : Scheduler
         Source of permits.
+    claims : Claims, optional
+        Claims of idempotency keys; without it a request with a key is refused.
     times : GatewayTimes, optional
         Bounds for dispatches.
     id_prefix : str
@@ -104,6 +109,7 @@
         client: HttpClient,
         catalogue: Callable[[], GatewayCatalogue | None],
         scheduler: Scheduler,
+        claims: Claims | None = None,
         times: GatewayTimes | None = None,
         id_prefix: str = "request",
     ) -> None:
@@ -112,6 +118,7 @@
         self.catalogue = catalogue
         self.scheduler = scheduler
         self.limits = OrganisationLimits()
+        self.claims = claims
         self.times = times or GatewayTimes()
         self.active: set[RequestRun] = set()
         self.stopping = False
@@ -161,6 +168,9 @@
         self._wait: Future[Permit] | None = None
         self._ask_id = 0
         self._admission: Admission | None = None
+        self._claim: Claim | None = None
+        self._sent = False
+        self._answered = False
         self._started_at = gateway.loop.timers.now()
         self._waited_s = 0.0
         self.request_id = request_id
@@ -182,6 +192,7 @@
             self._refuse(RequestError(ErrorKind.INTERNAL, "an internal error ended the request"))
         finally:
             self._gateway.active.discard(self)
+            self._settle_claim()
             if self._admission is not None:
                 self._gateway.limits.end(self._gateway.loop.timers.now(), self._admission)
             self._log()
@@ -196,6 +207,7 @@
         self._class = cls
         now = self._gateway.loop.timers.now()
         self._admission = self._gateway.limits.admit(now, cls.organisation, cls.route)
+        await self._claim_key(cls)
         work = self._describe_work(cls)
         for _ in range(MAX_CONNECT_ATTEMPTS):
             permit = await self._obtain_permit(work)
@@ -204,6 +216,37 @@
             work.avoid.append(permit.upstream)
         raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
 
+    async def _claim_key(self, cls: RequestClass) -> None:
+        """Claim the request's key, so that no other host dispatches work under it."""
+        if not cls.idempotency_key:
+            return
+        claims = self._gateway.claims
+        if claims is None:
+            raise RequestError(ErrorKind.STORE_UNAVAILABLE, "this host has no store for keys")
+        self._claim = await claims.claim(
+            cls.organisation.name, cls.route.name, cls.idempotency_key, CLAIM_TTL_S
+        )
+        if self._exchange.gone:
+            raise FutureCancelled
+
+    def _settle_claim(self) -> None:
+        """Record what became of the claimed work; an unknown outcome keeps the key taken."""
+        claims = self._gateway.claims
+        if self._claim is None or claims is None:
+            return
+        if self._answered:
+            claims.finish(self._claim)
+        elif not self._sent or self._life.refusal_proven:
+            claims.release(self._claim)
+
+    def _require_claim(self) -> None:
+        """Refuse to dispatch when the claim may have lapsed while the request waited."""
+        claims = self._gateway.claims
+        if self._claim is not None and claims is not None and not claims.still_held(self._claim):
+            raise RequestError(
+                ErrorKind.STORE_UNAVAILABLE, "the claim of the key lapsed while the request waited"
+            )
+
     def _describe_work(self, cls: RequestClass) -> Work:
         work = Work(
             pool=cls.route.pool,
@@ -241,6 +284,11 @@
         if left_s <= 0:
             scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
+        try:
+            self._require_claim()
+        except RequestError:
+            scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
+            raise
         rules = RelayRules(upstream.refusal_not_run, left_s, self._gateway.times.idle_timeout_s)
         relay = Relay(self._exchange, self._life, rules, self._gateway.loop.timers)
         relay.on_first_byte = lambda: scheduler.first_byte(permit)
@@ -248,6 +296,8 @@
         relay.start(self._gateway.client, Address(upstream.host, upstream.port), self._forward())
         end = await relay.end
         self._exchange.events = self
+        self._sent = self._sent or relay.sent
+        self._answered = end is RelayEnd.WHOLE
         scheduler.finished(permit, describe_dispatch(end, relay))
         if end is RelayEnd.NOT_SENT:
             return False
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -111,6 +111,11 @@
         self._timer: Timer | None = None
         self.on_first_byte: Callable[[], None] = _ignore
 
+    @property
+    def sent(self) -> bool:
+        """Tell whether a byte of the request may have reached the upstream."""
+        return self._exchange is not None and self._exchange.sent
+
     def start(self, client: HttpClient, address: Address, req: HttpRequest) -> None:
         """Dispatch the request."""
         self._caller.events = self
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -19,6 +19,7 @@
 from tarragonwind.adapters.peers import PeerSettings, create_peers
 from tarragonwind.adapters.stores import StoreSettings, create_store
 from tarragonwind.catalogue_services import create_catalogue_service
+from tarragonwind.claims import create_claims
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.daemon_operators import DaemonOperatorService
 from tarragonwind.logs import configure_logs
@@ -62,18 +63,20 @@
         self.peers = create_peers(loop, peer_settings(cfg, rng))
         seeds = [seed.address() for seed in cfg.peers.seeds if seed.name != cfg.host.name]
         self.membership = create_membership(self.peers, loop.timers, MembershipSettings(seeds), rng)
+        root = cfg.store.prefix.rstrip("/")
         self.catalogue = create_catalogue_service(
             self.store,
             self.membership,
             self.peers,
             loop.timers,
             rng,
-            cfg.store.prefix.rstrip("/"),
+            root,
         )
         self.moves = MoveRunner(
             self.membership, self.peers, loop.timers, rng, self.catalogue.writer, incarnation
         )
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
+        self.claims = create_claims(self.store, self.membership, loop.timers, rng, root)
         self.gateway = Gateway(
             loop,
             Address(cfg.callers.listen_host, cfg.callers.listen_port),
@@ -81,6 +84,7 @@
             self.client,
             self._catalogue_in_force,
             self.scheduler,
+            self.claims,
             GatewayTimes(cfg.upstreams.idle_timeout_s),
             f"{cfg.host.name}-{incarnation:x}",
         )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -99,7 +99,6 @@
             pause_s=0.05,
         )
     )
-    )
 
 
 @given(parsers.parse("a new version {version} of the registry that is good"))
