--- /dev/null
+++ b/bench/relays.py
@@ -0,0 +1,401 @@
+"""Measure the way through one daemon against the same way without it.
+
+``python -m bench.relays`` starts a source, an entry host and, for comparison, a bare epoll relay,
+each as a process, and drives them from this one. Results go to standard output as a table and to
+``--out`` as JSON.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import select
+import socket
+import statistics
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import fire
+import yaml
+
+from standins.demo import entry, upstream
+from standins.fleets import LOOPBACK, Fleet, call, free_port
+
+TOKEN = "token-bench"
+CHUNK = (
+    b'data: {"id":"g","object":"text_completion","model":"m",'
+    b'"choices":[{"index":0,"finish_reason":null,"text":"word "}]}\n\n'
+)
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+STREAMS = 32
+CHUNKS_PER_STREAM = 3_000
+PACE_S = 0.008
+PACED_CHUNKS = 400
+SLOW_CALLERS = 10
+IDLE_STREAMS = 400
+SHORT_REQUESTS = 4_000
+SLOW_READ_S = 3.0
+READ_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class Figure:
+    """Hold one measured figure with its bound."""
+
+    name: str
+    value: float
+    unit: str
+    bound: str
+    ok: bool
+
+
+def run_source(port: int) -> None:
+    """Answer completions with chunks as fast as they are taken, other paths at once.
+
+    ``max_tokens`` in the body tells the number of chunks; 1 leaves the stream open and idle.
+    """
+    server = socket.create_server((LOOPBACK, port), backlog=1024)
+    while True:
+        conn, _ = server.accept()
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=serve_source, args=(conn,), daemon=True).start()
+
+
+def serve_source(conn: socket.socket) -> None:
+    """Serve one connection of the source."""
+    framed = b"%x\r\n%b\r\n" % (len(CHUNK), CHUNK)
+    try:
+        while True:
+            data = read_request(conn)
+            if not data:
+                return
+            if data.startswith(b"GET"):
+                conn.sendall(SHORT)
+                continue
+            count = int(json.loads(data.partition(b"\r\n\r\n")[2])["max_tokens"])
+            pause_s = PACE_S if b"paced" in data else 0.0
+            conn.sendall(HEAD)
+            for _ in range(count):
+                conn.sendall(framed)
+                if pause_s:
+                    time.sleep(pause_s)
+            if count > 1:
+                conn.sendall(b"0\r\n\r\n")
+    except OSError:
+        return
+
+
+def read_request(conn: socket.socket) -> bytes:
+    """Read one request with a short body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = conn.recv(READ_BYTES)
+        if not more:
+            return b""
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    while len(body) < length:
+        more = conn.recv(READ_BYTES)
+        data += more
+        body += more
+    return data
+
+
+def run_bare_relay(port: int, target: int) -> None:
+    """Relay connections with a bare epoll loop and no parsing."""
+    server = socket.create_server((LOOPBACK, port), backlog=1024)
+    poller = select.epoll()
+    poller.register(server.fileno(), select.EPOLLIN)
+    others: dict[int, socket.socket] = {}
+    own: dict[int, socket.socket] = {}
+    while True:
+        for fileno, _ in poller.poll():
+            if fileno == server.fileno():
+                near, _ = server.accept()
+                far = socket.create_connection((LOOPBACK, target))
+                for one, other in ((near, far), (far, near)):
+                    one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    own[one.fileno()] = one
+                    others[one.fileno()] = other
+                    poller.register(one.fileno(), select.EPOLLIN)
+                continue
+            relay_once(poller, own, others, fileno)
+
+
+def relay_once(
+    poller: select.epoll, own: dict[int, socket.socket], others: dict[int, socket.socket], fd: int
+) -> None:
+    """Pass on what one socket has, or close both."""
+    if fd not in own:
+        return
+    try:
+        data = own[fd].recv(READ_BYTES)
+        if data:
+            others[fd].sendall(data)
+            return
+    except OSError:
+        pass
+    other = others[fd]
+    for one in (own[fd], other):
+        number = one.fileno()
+        own.pop(number, None)
+        others.pop(number, None)
+        poller.unregister(number)
+        one.close()
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process so far, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def rss_bytes(pid: int) -> int:
+    """Return the resident memory of a process in bytes."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def completion(max_tokens: int, prompt: str = "p") -> bytes:
+    """Return the bytes of a streamed completion request."""
+    doc = {"model": "m", "prompt": prompt, "max_tokens": max_tokens, "stream": True}
+    body = json.dumps(doc).encode()
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer {TOKEN}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def connect(port: int) -> socket.socket:
+    """Return a connection to loopback."""
+    sock = socket.create_connection((LOOPBACK, port))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(60)
+    return sock
+
+
+def read_stream(sock: socket.socket) -> int:
+    """Read a chunked stream to its end and return the number of events."""
+    events = 0
+    tail = b""
+    while True:
+        data = sock.recv(READ_BYTES)
+        if not data:
+            raise OSError("the stream was cut")
+        events += (tail[-1:] + data).count(b"\n\n")
+        tail = (tail + data)[-5:]
+        if tail == b"0\r\n\r\n":
+            return events
+
+
+def measure_chunks(
+    port: int, pid: int, prompt: str = "p", per_stream: int = CHUNKS_PER_STREAM
+) -> tuple[float, float]:
+    """Return the chunks a second of processor time and of the clock through a port."""
+    counts: list[int] = []
+
+    def read() -> None:
+        sock = connect(port)
+        sock.sendall(completion(per_stream, prompt))
+        counts.append(read_stream(sock))
+        sock.close()
+
+    threads = [threading.Thread(target=read) for _ in range(STREAMS)]
+    cpu, clock = cpu_s(pid), time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    cpu, clock = cpu_s(pid) - cpu, time.monotonic() - clock
+    return sum(counts) / max(cpu, 1e-9), sum(counts) / clock
+
+
+def measure_first_byte(port: int, count: int = 300) -> list[float]:
+    """Return the times from request to answer over a kept connection, in milliseconds."""
+    sock = connect(port)
+    request = f"GET /s HTTP/1.1\r\nHost: b\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode()
+    times = []
+    for _ in range(count):
+        begun = time.perf_counter()
+        sock.sendall(request)
+        while b"{}" not in sock.recv(READ_BYTES):
+            continue
+        times.append((time.perf_counter() - begun) * 1000)
+        time.sleep(0.002)
+    sock.close()
+    return times
+
+
+def measure_short(port: int, pid: int) -> float:
+    """Return the requests without streams a second of processor time."""
+    request = f"GET /s HTTP/1.1\r\nHost: b\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode()
+    per_thread = SHORT_REQUESTS // 8
+
+    def send() -> None:
+        sock = connect(port)
+        for _ in range(per_thread):
+            sock.sendall(request)
+            while b"{}" not in sock.recv(READ_BYTES):
+                continue
+        sock.close()
+
+    threads = [threading.Thread(target=send) for _ in range(8)]
+    cpu = cpu_s(pid)
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return per_thread * 8 / (cpu_s(pid) - cpu)
+
+
+def measure_idle_streams(port: int, pid: int) -> float:
+    """Return the memory of one open, idle stream in KiB."""
+    before = rss_bytes(pid)
+    socks = []
+    for _ in range(IDLE_STREAMS):
+        sock = connect(port)
+        sock.sendall(completion(1))
+        sock.recv(READ_BYTES)
+        socks.append(sock)
+    after = rss_bytes(pid)
+    for sock in socks:
+        sock.close()
+    return (after - before) / IDLE_STREAMS / 1024
+
+
+def measure_slow_callers(port: int, pid: int) -> tuple[float, float]:
+    """Return the memory of a caller who does not read in KiB, and another's worst time in ms."""
+    before = rss_bytes(pid)
+    slow = []
+    for _ in range(SLOW_CALLERS):
+        sock = connect(port)
+        sock.sendall(completion(200_000))
+        sock.recv(100)
+        slow.append(sock)
+    begun = time.monotonic()
+    worst = 0.0
+    while time.monotonic() - begun < SLOW_READ_S:
+        worst = max(worst, max(measure_first_byte(port, 20)))
+    grown = (rss_bytes(pid) - before) / 1024 / SLOW_CALLERS
+    for sock in slow:
+        sock.close()
+    return grown, worst
+
+
+def start_source(fleet: Fleet, name: str) -> int:
+    """Start a source and return its port."""
+    port = free_port()
+    started = fleet.spawn(name, ["-m", "bench.relays", "source", str(port)], port)
+    fleet.wait_for_port(started, port)
+    return port
+
+
+def start_host(fleet: Fleet, source_port: int, service_port: int) -> int:
+    """Start one entry host whose catalogue leads to the sources, and return its port."""
+    fleet.kv_port = fleet.start_standin("kv", "standins.kv").port
+    fleet.extra_settings = {"log": {"level": "warning"}}
+    fleet.plan_hosts(["entry-1"])
+    fleet.start_host("entry-1")
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    entries = [
+        entry("organisation", "bench", token_sha256=[digest], requests_per_s=100_000),
+        entry("pool", "source", back_end="engine", version="v1"),
+        entry("route", "stream", pool="source", tier=1, model="m", deadline_s=60),
+        entry("pool", "service", back_end="service", version="v1"),
+        entry("route", "short", pool="service", tier=1, path_prefix="/s", deadline_s=60),
+        upstream("source", "source", "v1", source_port, slots=10_000, tokens_per_s=10_000_000),
+        upstream("service", "service", "v1", service_port, slots=10_000),
+    ]
+    path = fleet.directory / "catalogue.yaml"
+    path.write_text(yaml.safe_dump(entries))
+    ended = fleet.operate("catalogue", "put", str(path))
+    if ended.returncode:
+        raise RuntimeError(ended.stderr)
+    fleet.wait_ready()
+    return fleet.hosts["entry-1"].callers
+
+
+def measure(fleet: Fleet) -> list[Figure]:
+    """Run every measurement and return the figures."""
+    source_port, bare_port = start_source(fleet, "source"), free_port()
+    service_port = start_source(fleet, "service")
+    arguments = ["-m", "bench.relays", "bare", str(bare_port), str(source_port)]
+    bare = fleet.spawn("bare", arguments, bare_port)
+    fleet.wait_for_port(bare, bare_port)
+    port = start_host(fleet, source_port, service_port)
+    host = fleet.processes["entry-1"]
+    call(port, "GET", "/s", headers={"Authorization": f"Bearer {TOKEN}"})
+    figures = []
+
+    def add(name: str, value: float, unit: str, bound: str, holds: Callable[[float], bool]) -> None:
+        figures.append(Figure(name, round(value, 3), unit, bound, holds(value)))
+
+    bare_cpu, bare_clock = measure_chunks(bare_port, bare.pid)
+    host_cpu, host_clock = measure_chunks(port, host.pid)
+    add(
+        "chunks a second of clock, all streams",
+        host_clock,
+        "1/s",
+        ">= 15000",
+        lambda v: v >= 15_000,
+    )
+    add("chunks a second of processor time", host_cpu, "1/s", ">= 15000", lambda v: v >= 15_000)
+    add("the same, bare relay", bare_cpu, "1/s", "", lambda v: True)
+    add("share of the bare relay", host_cpu / bare_cpu, "", ">= 0.333", lambda v: v >= 1 / 3)
+    add("clock: share of the bare relay", host_clock / bare_clock, "", "", lambda v: True)
+    bare_paced, _ = measure_chunks(bare_port, bare.pid, "paced", PACED_CHUNKS)
+    host_paced, _ = measure_chunks(port, host.pid, "paced", PACED_CHUNKS)
+    add("one chunk a read, processor time", host_paced, "1/s", ">= 15000", lambda v: v >= 15_000)
+    add("the same, bare relay", bare_paced, "1/s", "", lambda v: True)
+    share = host_paced / bare_paced
+    add("share of the bare relay, one chunk a read", share, "", ">= 0.333", lambda v: v >= 1 / 3)
+    direct = statistics.median(measure_first_byte(service_port))
+    through = statistics.median(measure_first_byte(port))
+    add("added time to first byte, idle, median", through - direct, "ms", "<= 2", lambda v: v <= 2)
+    add(
+        "requests a second of processor time",
+        measure_short(port, host.pid),
+        "1/s",
+        ">= 1000",
+        lambda v: v >= 1_000,
+    )
+    add(
+        "an open, idle stream",
+        measure_idle_streams(port, host.pid),
+        "KiB",
+        "<= 24",
+        lambda v: v <= 24,
+    )
+    grown, worst = measure_slow_callers(port, host.pid)
+    add("a caller that does not read", grown, "KiB", "<= 1024", lambda v: v <= 1_024)
+    add("worst other request meanwhile", worst, "ms", "", lambda v: True)
+    return figures
+
+
+def main(out: str = "") -> None:
+    """Measure, print a table and write the figures as JSON."""
+    with tempfile.TemporaryDirectory(prefix="bench-") as directory, Fleet(Path(directory)) as fleet:
+        figures = measure(fleet)
+    for figure in figures:
+        mark = "ok" if figure.ok else "SHORT"
+        print(f"{figure.name:<42} {figure.value:>12} {figure.unit:<5} {figure.bound:<10} {mark}")
+    if out:
+        Path(out).write_text(json.dumps([asdict(figure) for figure in figures], indent=1) + "\n")
+    sys.exit(0 if all(figure.ok for figure in figures) else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire({"source": run_source, "bare": run_bare_relay, "measure": main})
