--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,123 @@
+"""Share what tests need: a loop that runs until a state is reached, and small fakes at ports."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import threading
+from collections.abc import Callable
+
+from tarragonwind.adapters.loops import Loop, create_loop
+from tarragonwind.core.entries import OrganisationEntry, RouteEntry, UpstreamEntry
+from tarragonwind.core.permit_clients import Permit
+from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+
+WAIT_LIMIT_S = 20.0
+TOKEN = "token-a"
+
+
+class StateNotReached(AssertionError):
+    """Report that a state was not reached within the limit."""
+
+
+class LoopRunner:
+    """Run a loop on a thread of its own, so that a test can use blocking clients."""
+
+    def __init__(self) -> None:
+        self.loop: Loop = create_loop()
+        self._thread = threading.Thread(target=self.loop.run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def call(self, function: Callable[[], object]) -> object:
+        """Run a function on the loop and return its result."""
+        done = threading.Event()
+        results: list[object] = []
+
+        def run() -> None:
+            results.append(function())
+            done.set()
+
+        self.loop.timers.call_later(0.0, run)
+        self.loop.poller.resume()
+        assert done.wait(WAIT_LIMIT_S)
+        return results[0]
+
+    def stop(self) -> None:
+        self.loop.timers.call_later(0.0, self.loop.stop)
+        self.loop.poller.resume()
+        self._thread.join(WAIT_LIMIT_S)
+
+
+def run_until(loop: Loop, reached: Callable[[], bool], limit_s: float = WAIT_LIMIT_S) -> None:
+    """Run a loop on this thread until a state is reached."""
+    timers = loop.timers
+    late = [False]
+
+    def check() -> None:
+        if reached():
+            loop.stop()
+
+    def give_up() -> None:
+        late[0] = True
+        loop.stop()
+
+    poll = timers.call_every(0.005, check)
+    limit = timers.call_later(limit_s, give_up)
+    loop.run()
+    poll.cancel()
+    limit.cancel()
+    if late[0] and not reached():
+        raise StateNotReached("the state was not reached in time")
+
+
+class FakeCatalogue:
+    """Answer the gateway's questions from lists of entries."""
+
+    def __init__(self, upstreams: list[UpstreamEntry], routes: list[RouteEntry]) -> None:
+        self.upstreams = upstreams
+        self.routes = routes
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        self.organisation = OrganisationEntry(name="org-a", owner="o", token_sha256=[digest])
+
+    def organisation_for(self, token_sha256: str) -> OrganisationEntry | None:
+        return self.organisation if token_sha256 in self.organisation.token_sha256 else None
+
+    def route_for_model(self, model: str) -> RouteEntry | None:
+        return next((route for route in self.routes if route.model == model), None)
+
+    def route_for_path(self, path: str) -> RouteEntry | None:
+        found = [r for r in self.routes if r.path_prefix and path.startswith(r.path_prefix)]
+        return found[0] if found else None
+
+    def entry(self, key: str) -> UpstreamEntry | None:
+        return next((one for one in self.upstreams if one.key == key), None)
+
+
+class TurnScheduler(Scheduler):
+    """Grant at once, each upstream in turn."""
+
+    def __init__(self, upstreams: list[str]) -> None:
+        self.names = itertools.cycle(upstreams)
+        self.works: list[Work] = []
+        self.reports: list[DispatchReport] = []
+        self.cancelled: list[int] = []
+
+    def ask(self, work: Work, on_granted, on_refused) -> int:
+        self.works.append(work)
+        ask_id = len(self.works)
+        on_granted(Permit(ask_id, work.pool, next(self.names), "v1", ""))
+        return ask_id
+
+    def cancel(self, ask_id: int) -> None:
+        self.cancelled.append(ask_id)
+
+    def dispatched(self, permit: Permit) -> None:
+        pass
+
+    def first_byte(self, permit: Permit) -> None:
+        pass
+
+    def finished(self, permit: Permit, report: DispatchReport) -> None:
+        self.reports.append(report)
