--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -27,6 +27,9 @@
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
 
+CLIENT_MESSAGES = (PermitGrant, PermitRefusal, PermitBeat, PermitQuery)
+"""Classes of the messages that go to clients."""
+
 LOCAL = ""
 """Stands for the local share where a host's name is expected."""
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -32,7 +32,14 @@
 WAIT_MARGINS = (2.0, 1.5, 1.25, 1.0)
 """How far an expected wait must exceed the time left for an ask of each tier to be refused."""
 
-SWEEP_PERIOD_S = 5.0
+MAX_DRAWS = 3
+"""Draws of a version for one ask; each draw past the first raises the share of a small version
+that alone can serve."""
+
+SWEEP_PERIOD_S = 0.2
+"""Time between two sweeps over waiting asks, in seconds."""
+
+IDLE_SWEEP_PERIOD_S = 5.0
 """Time between two sweeps over idle state, in seconds."""
 
 Send = Callable[[str, Message], object]
@@ -154,6 +161,7 @@
         self._epoch = rng.getrandbits(31)
         self._called_at: float | None = None
         self._beat_at = 0.0
+        self._swept_at = 0.0
         self._idle_swept_at = 0.0
 
     # What the daemon tells.
@@ -218,12 +226,7 @@
 
     def on_versions_changed(self, now: float) -> None:
         """Choose the version of each waiting ask anew."""
-        asks = sorted(self._queue, key=lambda ask: (ask.deadline, ask.key))
-        for ask in asks:
-            self._queue.remove(ask.key)
-        for ask in asks:
-            ask.version = self._version_for(now, ask.route)
-            self._queue.push(ask)
+        self._draw_again(now, list(self._queue))
         self._drain(now)
 
     def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
@@ -237,12 +240,15 @@
         self._note_call(now)
         self._free_lost_hosts(now)
         self._rate.observe(now, len(self._queue) > 0)
-        self._refuse_unmeetable(now)
+        if now - self._swept_at >= SWEEP_PERIOD_S:
+            self._swept_at = now
+            self._refuse_unmeetable(now)
+            self._draw_for_stranded(now)
         self._drain(now)
         if now - self._beat_at >= self._settings.beat_period_s:
             self._beat_at = now
             self._send_beats()
-        if now - self._idle_swept_at >= SWEEP_PERIOD_S:
+        if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
             self._queue.forget_idle()
             self._query_silent_hosts(now)
@@ -330,7 +336,37 @@
             self._refuse(shed, ErrorKind.SHED)
 
     def _version_for(self, now: float, route: str) -> str:
-        return self._choose_version(now, self._rng, self.pool, route)
+        """Draw a version; draw again, a bounded number of times, when it can't serve now."""
+        version = ""
+        for _ in range(MAX_DRAWS):
+            version = self._choose_version(now, self._rng, self.pool, route)
+            if self._can_serve(version):
+                break
+        return version
+
+    def _can_serve(self, version: str) -> bool:
+        versions = self._serving_versions()
+        return version in versions or (version == "" and bool(versions))
+
+    def _serving_versions(self) -> set[str]:
+        return {load.entry.version for load in self._loads.values() if load.takes_work()}
+
+    def _draw_for_stranded(self, now: float) -> None:
+        """Draw the versions of asks anew whose version can't serve any more, once for each."""
+        serving = self._serving_versions() | {""}
+        stranded = [
+            ask for ask in self._queue if ask.version not in serving and not ask.drawn_again
+        ]
+        for ask in stranded:
+            ask.drawn_again = True
+        self._draw_again(now, stranded)
+
+    def _draw_again(self, now: float, asks: list[WaitingAsk]) -> None:
+        for ask in asks:
+            self._queue.remove(ask.key)
+        for ask in asks:
+            ask.version = self._version_for(now, ask.route)
+            self._queue.push(ask)
 
     def _has_upstream(self, version: str) -> bool:
         return any(
@@ -345,20 +381,24 @@
         return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
     def _refuse_unmeetable(self, now: float) -> None:
+        waits_s = self._waits_by_tier_s()
         for ask in self._queue.lowest_first():
             if ask.deadline <= now:
                 self._queue.remove(ask.key)
                 self._refuse(ask, ErrorKind.DEADLINE_PASSED)
-        if not self._active or not self._rate.measured:
-            return
-        ahead = [0.0]
-        for lines in self._queue.work_by_tier():
-            ahead.append(ahead[-1] + lines)
-        for ask in self._queue.lowest_first():
-            if ahead[ask.tier] / self._rate.tokens_per_s > _patience_s(now, ask):
+            elif waits_s[ask.tier] > _patience_s(now, ask):
                 self._queue.remove(ask.key)
                 self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
 
+    def _waits_by_tier_s(self) -> list[float]:
+        """Return the time that the work of higher tiers takes, for each tier."""
+        waits_s = [0.0]
+        if not self._active or not self._rate.measured:
+            return waits_s * TIER_COUNT
+        for work in self._queue.work_by_tier():
+            waits_s.append(waits_s[-1] + work / self._rate.tokens_per_s)
+        return waits_s
+
     def _refuse(self, ask: WaitingAsk, kind: ErrorKind) -> None:
         wait_ms = int(1_000 * self.retry_after_s(ask.tier, ask.organisation))
         refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
@@ -457,6 +497,8 @@
             self.hints.forget(permit.upstream)
         elif msg.outcome in (Outcome.FAILED, Outcome.REFUSED, Outcome.TIMED_OUT):
             load.on_failed(now, self._rng)
+        if load.ejected:
+            self._draw_for_stranded(now)
 
     def _observe(self, now: float, load: UpstreamLoad, permit: _Permit, msg: PermitDone) -> None:
         first_byte_s = msg.first_byte_ms / 1_000
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -37,6 +37,8 @@
         Hashes of prompt prefixes, the shortest first.
     avoid : frozenset of str
         Upstreams that have failed this request.
+    drawn_again : bool
+        Whether its version was drawn anew because the first one could not serve.
     """
 
     host: str
@@ -50,6 +52,7 @@
     version: str = ""
     prefixes: tuple[int, ...] = ()
     avoid: frozenset[str] = frozenset()
+    drawn_again: bool = False
 
     @property
     def key(self) -> AskKey:
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -111,6 +111,7 @@
         self.settings = settings or PermitSettings()
         self.on_sent = lambda sender, receiver, msg: None
         self.version = VERSION
+        self.draws = []
         self.links = {}
         self.cut = set()
         self.dead = set()
@@ -123,7 +124,7 @@
         self.advance(1.0)
 
     def choose_version(self, now, rng, pool, route):
-        return self.version
+        return self.draws.pop(0) if self.draws else self.version
 
     def send(self, sender, receiver, msg):
         if receiver in self.dead or (sender, receiver) in self.cut:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -149,6 +149,37 @@
     assert [permit.upstream for permit in host.granted.values()] == ["u2", "u1"]
 
 
+def test_asks_are_not_stranded_with_a_version_whose_upstreams_are_gone():
+    upstreams = [
+        create_upstream("u1", slots=2, version="v1"),
+        create_upstream("u2", slots=1, version="v2"),
+    ]
+    fleet = Fleet(upstreams)
+    host = fleet.hosts["h1"]
+    fleet.draws = ["v2", "v2"]
+    first = ask_many(fleet, host, 1)[0]
+    second = ask_many(fleet, host, 1)[0]
+    give_back(fleet, host, first, Outcome.CONNECT_FAILED)
+    fleet.advance(0.1)
+    assert host.granted[second].upstream == "u1"
+    fleet.draws = ["v2", "v1"]
+    third = ask_many(fleet, host, 1)[0]
+    assert host.granted[third].upstream == "u1"
+
+
+def test_a_version_that_is_only_full_is_waited_for():
+    upstreams = [
+        create_upstream("u1", slots=1, version="v1"),
+        create_upstream("u2", slots=5, version="v2"),
+    ]
+    fleet = Fleet(upstreams)
+    host = fleet.hosts["h1"]
+    ask_many(fleet, host, 2)
+    fleet.version = "v2"
+    fleet.advance(3.0)
+    assert [permit.upstream for permit in host.granted.values()] == ["u1"]
+
+
 def test_an_owner_that_was_paused_grants_nothing_on_what_it_knew():
     fleet = Fleet([create_upstream("u1", slots=1)])
     holder, asker = fleet.hosts["h1"], fleet.hosts["h2"]
