Take the account of permits out of the pool's owner

No behaviour changes; the tests of permits, clients, placement and queues pass unchanged but for an import.

--- /dev/null
+++ b/tarragonwind/core/permit_ledgers.py
@@ -0,0 +1,164 @@
+"""Keep account of the permits that are out and of the upstreams that they are for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry, UpstreamState
+from tarragonwind.core.queues import AskKey
+from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
+
+
+@dataclass(slots=True)
+class GrantedPermit:
+    """Hold a permit that is out.
+
+    Attributes
+    ----------
+    host : str
+        Host that holds it.
+    ask_id : int
+        Ask that it was granted for.
+    upstream, version : str
+        Where the host may dispatch.
+    tier : int
+        Importance of the request.
+    cost_tokens : int
+        Estimated work.
+    granted_at : float
+        Time of the grant, or of the last time that it was sent, in seconds.
+    first_byte_s, token_s : float
+        Expected time to the first byte and of a token, in seconds; 0 when they teach nothing.
+    """
+
+    host: str
+    ask_id: int
+    upstream: str
+    version: str
+    tier: int
+    cost_tokens: int
+    granted_at: float
+    first_byte_s: float = 0.0
+    token_s: float = 0.0
+
+    @property
+    def key(self) -> AskKey:
+        """Return what names the permit in the pool."""
+        return (self.host, self.ask_id)
+
+
+class PermitLedger:
+    """Hold a pool's upstreams with their load, and the permits that make it up.
+
+    Parameters
+    ----------
+    settings : LoadSettings
+        How upstreams are loaded and judged.
+    """
+
+    __slots__ = ("_permits", "_settings", "_share", "loads")
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self.loads: dict[str, UpstreamLoad] = {}
+        self._settings = settings
+        self._share = 1.0
+        self._permits: dict[AskKey, GrantedPermit] = {}
+
+    def __len__(self) -> int:
+        return len(self._permits)
+
+    def configure(self, upstreams: Iterable[UpstreamEntry]) -> list[str]:
+        """Put upstreams in force and return the names of those that are gone."""
+        entries = {entry.name: entry for entry in upstreams}
+        for name, entry in entries.items():
+            load = self.loads.get(name)
+            if load is None:
+                load = UpstreamLoad(entry, self._settings)
+                load.share = self._share
+                self.loads[name] = load
+            load.entry = entry
+        gone = [name for name in self.loads if name not in entries]
+        for name in gone:
+            self._forget_upstream(name)
+        return gone
+
+    def set_share(self, share: float) -> None:
+        """Use no more than a part of each upstream."""
+        self._share = share
+        for load in self.loads.values():
+            load.share = share
+
+    def add(self, now: float, permit: GrantedPermit) -> None:
+        """Count a permit."""
+        self._permits[permit.key] = permit
+        self.loads[permit.upstream].add(now, permit.cost_tokens)
+
+    def release(self, now: float, key: AskKey) -> GrantedPermit | None:
+        """Count a permit out and return it, or None when it isn't known."""
+        permit = self._permits.pop(key, None)
+        if permit is not None:
+            load = self.loads.get(permit.upstream)
+            if load is not None:
+                load.release(now, permit.cost_tokens)
+        return permit
+
+    def clear(self, now: float) -> None:
+        """Count all permits out."""
+        for key in list(self._permits):
+            self.release(now, key)
+
+    def find(self, key: AskKey) -> GrantedPermit | None:
+        """Return a permit by key."""
+        return self._permits.get(key)
+
+    def keys_of(self, host: str) -> list[AskKey]:
+        """Return the keys of a host's permits."""
+        return [key for key in self._permits if key[0] == host]
+
+    def hosts(self, granted_before: float = float("inf")) -> set[str]:
+        """Return the hosts that hold a permit granted before a time."""
+        return {
+            permit.host for permit in self._permits.values() if permit.granted_at < granted_before
+        }
+
+    def count_by_tier(self) -> list[int]:
+        """Return the number of permits of each tier."""
+        counts = [0] * TIER_COUNT
+        for permit in self._permits.values():
+            counts[permit.tier] += 1
+        return counts
+
+    def loads_of(self, version: str) -> list[UpstreamLoad]:
+        """Return the upstreams of a version, all for an empty text."""
+        return [load for load in self.loads.values() if version in ("", load.entry.version)]
+
+    def has_live(self, version: str) -> bool:
+        """Tell whether the catalogue has a live upstream of a version."""
+        return any(load.entry.state is UpstreamState.LIVE for load in self.loads_of(version))
+
+    def serving_versions(self) -> set[str]:
+        """Return the versions of upstreams that take work, with an empty text if there is any."""
+        versions = {load.entry.version for load in self.loads.values() if load.takes_work()}
+        return versions | {""} if versions else versions
+
+    def versions_with_room(self, now: float) -> set[str]:
+        """Return the versions of upstreams with room, with an empty text if there is any."""
+        versions = {load.entry.version for load in self.loads.values() if load.has_room(now)}
+        return versions | {""} if versions else versions
+
+    def is_below_share(self) -> bool:
+        """Tell whether one more permit keeps to the share of the pool."""
+        if self._share >= 1.0:
+            return True
+        slots = sum(load.entry.slots for load in self.loads.values() if load.takes_work())
+        return len(self._permits) < max(1, round(slots * self._share))
+
+    def nominal_rate(self) -> float:
+        """Return the tokens a second that the catalogue promises for the share."""
+        return self._share * sum(load.entry.tokens_per_s for load in self.loads.values())
+
+    def _forget_upstream(self, name: str) -> None:
+        del self.loads[name]
+        for key in [key for key, permit in self._permits.items() if permit.upstream == name]:
+            del self._permits[key]
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -4,11 +4,12 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from tarragonwind.core.drain_rates import DrainRate
-from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry, UpstreamState
+from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
+from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
+from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
     HeldPermit,
@@ -24,7 +25,7 @@
 )
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
-from tarragonwind.core.queues import AskKey, TierQueue, WaitingAsk
+from tarragonwind.core.queues import TierQueue, WaitingAsk
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -42,69 +43,6 @@
 IDLE_SWEEP_PERIOD_S = 5.0
 """Time between two sweeps over idle state, in seconds."""
 
-Send = Callable[[str, Message], object]
-"""Sends a message to a host, this one included."""
-
-
-class VersionChooser(Protocol):
-    """Choose the version that serves one request."""
-
-    def __call__(self, now: float, rng: random.Random, pool: str, route: str) -> str:
-        """Return a version, or an empty text for any."""
-
-
-@dataclass(frozen=True, slots=True)
-class PermitSettings:
-    """Set how an owner works.
-
-    Attributes
-    ----------
-    settle_s : float
-        Time without grants after becoming the owner, while hosts tell what they hold.
-    pause_limit_s : float
-        Time between two calls after which the owner takes what it knows for stale.
-    host_grace_s : float
-        Time after which the permits of a lost host are free again.
-    beat_period_s : float
-        Time between two signs of life to hosts with waiting asks.
-    resend_after_s : float
-        Time after which a permit that a host doesn't know of is granted to it again.
-    query_after_s : float
-        Time without a statement after which a host that holds permits is asked for one.
-    max_waiting : int
-        Most asks that wait.
-    max_retry_after_s : float
-        Longest time to come back that is given.
-    """
-
-    settle_s: float = 0.4
-    pause_limit_s: float = 1.5
-    host_grace_s: float = 5.0
-    beat_period_s: float = 0.3
-    resend_after_s: float = 0.4
-    query_after_s: float = 15.0
-    max_waiting: int = 2_000
-    max_retry_after_s: float = 120.0
-
-
-@dataclass(slots=True)
-class _Permit:
-    """Hold a permit that is out."""
-
-    host: str
-    ask_id: int
-    upstream: str
-    version: str
-    tier: int
-    cost_tokens: int
-    granted_at: float
-    first_byte_s: float = 0.0
-    token_s: float = 0.0
-
-    @property
-    def key(self) -> AskKey:
-        return (self.host, self.ask_id)
-
 
 class PoolOwner:
     """Grant permits for one pool.
@@ -150,9 +88,7 @@
         self.placer = Placer(self._load_settings, self.hints, distance_s)
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
-        self._loads: dict[str, UpstreamLoad] = {}
-        self._share = 1.0
-        self._permits: dict[AskKey, _Permit] = {}
+        self._ledger = PermitLedger(self._load_settings)
         self._hosts: set[str] = set()
         self._lost: dict[str, float] = {}
         self._stated_at: dict[str, float] = {}
@@ -169,17 +105,9 @@
     def configure(self, now: float, upstreams: Iterable[UpstreamEntry]) -> None:
         """Put the pool's upstreams from the catalogue in force."""
         self._note_call(now)
-        entries = {entry.name: entry for entry in upstreams}
-        for name, entry in entries.items():
-            load = self._loads.get(name)
-            if load is None:
-                self._loads[name] = UpstreamLoad(entry, self._load_settings)
-                self._loads[name].share = self._share
-            else:
-                load.entry = entry
-        for name in [name for name in self._loads if name not in entries]:
-            self._forget_upstream(name)
-        self._rate.set_nominal(self._nominal_rate())
+        for name in self._ledger.configure(upstreams):
+            self.hints.forget(name)
+        self._rate.set_nominal(self._ledger.nominal_rate())
         self.on_versions_changed(now)
 
     def set_share(self, now: float, share: float) -> None:
@@ -192,10 +120,8 @@
         share : float
             Above 0, at most 1.
         """
-        self._share = share
-        for load in self._loads.values():
-            load.share = share
-        self._rate.set_nominal(self._nominal_rate())
+        self._ledger.set_share(share)
+        self._rate.set_nominal(self._ledger.nominal_rate())
         self._drain(now)
 
     def on_members_changed(self, now: float, live: Iterable[str], is_owner: bool) -> None:
@@ -208,7 +134,7 @@
             self._restart(now)
         elif was_owner and not is_owner:
             self._clear(now)
-        known = self._hosts | {permit.host for permit in self._permits.values()}
+        known = self._hosts | self._ledger.hosts()
         for host in known - live_hosts:
             self._lost.setdefault(host, now)
             self._drop_asks(host)
@@ -231,7 +157,7 @@
 
     def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
         """Take in a load report of an upstream."""
-        load = self._loads.get(upstream)
+        load = self._ledger.loads.get(upstream)
         if load is not None:
             load.on_report(now, in_flight, age_s)
 
@@ -284,18 +210,15 @@
 
     def loads(self) -> list[UpstreamLoad]:
         """Return what is known of each upstream."""
-        return list(self._loads.values())
+        return list(self._ledger.loads.values())
 
     def in_flight(self) -> int:
         """Return the number of permits out."""
-        return len(self._permits)
+        return len(self._ledger)
 
     def in_flight_by_tier(self) -> list[int]:
         """Return the number of permits out of each tier."""
-        counts = [0] * TIER_COUNT
-        for permit in self._permits.values():
-            counts[permit.tier] += 1
-        return counts
+        return self._ledger.count_by_tier()
 
     def retry_after_s(self, tier: int, organisation: str) -> float:
         """Return the expected wait of a new ask, in seconds."""
@@ -308,7 +231,7 @@
         key = (host, msg.ask_id)
         if host in self._lost or key in self._queue:
             return
-        permit = self._permits.get(key)
+        permit = self._ledger.find(key)
         if permit is not None:
             self._resend(now, permit)
             return
@@ -325,7 +248,7 @@
             prefixes=tuple(msg.prefixes),
             avoid=frozenset(msg.avoid),
         )
-        if self._active and not self._has_upstream(ask.version):
+        if self._active and not self._ledger.has_live(ask.version):
             self._refuse(ask, ErrorKind.NO_UPSTREAM)
             return
         if self._active and self._is_unmeetable(now, ask):
@@ -340,20 +263,13 @@
         version = ""
         for _ in range(MAX_DRAWS):
             version = self._choose_version(now, self._rng, self.pool, route)
-            if self._can_serve(version):
+            if version in self._ledger.serving_versions():
                 break
         return version
 
-    def _can_serve(self, version: str) -> bool:
-        versions = self._serving_versions()
-        return version in versions or (version == "" and bool(versions))
-
-    def _serving_versions(self) -> set[str]:
-        return {load.entry.version for load in self._loads.values() if load.takes_work()}
-
     def _draw_for_stranded(self, now: float) -> None:
         """Draw the versions of asks anew whose version can't serve any more, once for each."""
-        serving = self._serving_versions() | {""}
+        serving = self._ledger.serving_versions()
         stranded = [
             ask for ask in self._queue if ask.version not in serving and not ask.drawn_again
         ]
@@ -368,12 +284,6 @@
             ask.version = self._version_for(now, ask.route)
             self._queue.push(ask)
 
-    def _has_upstream(self, version: str) -> bool:
-        return any(
-            load.entry.state is UpstreamState.LIVE and version in ("", load.entry.version)
-            for load in self._loads.values()
-        )
-
     def _is_unmeetable(self, now: float, ask: WaitingAsk) -> bool:
         if len(self._queue) == 0:
             return False
@@ -408,7 +318,7 @@
         if not self._active:
             return
         before = now - self._settings.query_after_s
-        old = {permit.host for permit in self._permits.values() if permit.granted_at < before}
+        old = self._ledger.hosts(granted_before=before)
         for host in sorted(old - set(self._lost)):
             if self._stated_at.get(host, before) <= before:
                 self._stated_at[host] = now
@@ -424,8 +334,8 @@
     def _drain(self, now: float) -> None:
         if not self._active or now < self._settled_at:
             return
-        while len(self._queue) > 0 and self._below_share():
-            open_versions = self._versions_with_room(now)
+        while len(self._queue) > 0 and self._ledger.is_below_share():
+            open_versions = self._ledger.versions_with_room(now)
             if not open_versions:
                 return
             ask = self._queue.pop(open_versions.__contains__)
@@ -433,20 +343,8 @@
                 return
             self._grant(now, ask)
 
-    def _below_share(self) -> bool:
-        if self._share >= 1.0:
-            return True
-        slots = sum(load.entry.slots for load in self._loads.values() if load.takes_work())
-        return len(self._permits) < max(1, round(slots * self._share))
-
-    def _versions_with_room(self, now: float) -> set[str]:
-        versions = {load.entry.version for load in self._loads.values() if load.has_room(now)}
-        if versions:
-            versions.add("")
-        return versions
-
     def _grant(self, now: float, ask: WaitingAsk) -> None:
-        loads = [load for load in self._loads.values() if ask.version in ("", load.entry.version)]
+        loads = self._ledger.loads_of(ask.version)
         placement = self.placer.choose(now, self._rng, loads, ask)
         if placement is None:
             raise AssertionError("a popped ask has an upstream with room")
@@ -455,7 +353,7 @@
         if now + load.least_first_byte_s(now, unread_tokens) > ask.deadline:
             self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
             return
-        permit = _Permit(
+        permit = GrantedPermit(
             host=ask.host,
             ask_id=ask.ask_id,
             upstream=load.entry.name,
@@ -466,14 +364,13 @@
             first_byte_s=0.0 if placement.cached_share else placement.first_byte_s,
             token_s=placement.token_s,
         )
-        self._permits[permit.key] = permit
-        load.add(now, permit.cost_tokens)
+        self._ledger.add(now, permit)
         self._rate.add(permit.cost_tokens)
         if ask.prefixes:
             self.hints.add(load.entry.name, ask.prefixes)
         self._send(ask.host, PermitGrant(self.pool, ask.ask_id, permit.upstream, permit.version))
 
-    def _resend(self, now: float, permit: _Permit) -> None:
+    def _resend(self, now: float, permit: GrantedPermit) -> None:
         if now - permit.granted_at < self._settings.resend_after_s:
             return
         permit.granted_at = now
@@ -483,10 +380,10 @@
     # Releases.
 
     def _on_done(self, now: float, host: str, msg: PermitDone) -> None:
-        permit = self._release(now, (host, msg.ask_id))
+        permit = self._ledger.release(now, (host, msg.ask_id))
         if permit is None:
             return
-        load = self._loads.get(permit.upstream)
+        load = self._ledger.loads.get(permit.upstream)
         if load is None:
             return
         if msg.outcome == Outcome.OK:
@@ -500,27 +397,15 @@
         if load.ejected:
             self._draw_for_stranded(now)
 
-    def _observe(self, now: float, load: UpstreamLoad, permit: _Permit, msg: PermitDone) -> None:
+    def _observe(
+        self, now: float, load: UpstreamLoad, permit: GrantedPermit, msg: PermitDone
+    ) -> None:
         first_byte_s = msg.first_byte_ms / 1_000
         load.on_first_byte(now, permit.first_byte_s, first_byte_s)
         if msg.output_tokens > 1:
             rest_s = msg.duration_ms / 1_000 - first_byte_s
             load.on_tokens(now, permit.token_s * (msg.output_tokens - 1), rest_s)
 
-    def _release(self, now: float, key: AskKey) -> _Permit | None:
-        permit = self._permits.pop(key, None)
-        if permit is not None:
-            load = self._loads.get(permit.upstream)
-            if load is not None:
-                load.release(now, permit.cost_tokens)
-        return permit
-
-    def _forget_upstream(self, name: str) -> None:
-        del self._loads[name]
-        self.hints.forget(name)
-        for key in [key for key, permit in self._permits.items() if permit.upstream == name]:
-            del self._permits[key]
-
     def _free_lost_hosts(self, now: float) -> None:
         ended = [
             host
@@ -530,8 +415,8 @@
         for host in ended:
             del self._lost[host]
             self._hosts.discard(host)
-            for key in [key for key in self._permits if key[0] == host]:
-                self._release(now, key)
+            for key in self._ledger.keys_of(host):
+                self._ledger.release(now, key)
 
     # Hand-over.
 
@@ -542,9 +427,9 @@
         held = [_read_permit(values) for values in msg.permits]
         waiting_ids = {ask.ask_id for ask in asks}
         held_ids = {permit.ask_id for permit in held}
-        for key in [key for key in self._permits if key[0] == host]:
+        for key in self._ledger.keys_of(host):
             if key[1] not in held_ids and key[1] not in waiting_ids:
-                self._release(now, key)
+                self._ledger.release(now, key)
         for waiting in self._queue:
             if waiting.host == host and waiting.ask_id not in waiting_ids:
                 self._queue.remove(waiting.key)
@@ -556,15 +441,15 @@
 
     def _adopt(self, now: float, host: str, held: HeldPermit) -> None:
         key = (host, held.ask_id)
-        known = self._permits.get(key)
+        known = self._ledger.find(key)
         if known is not None and known.upstream == held.upstream:
             return
-        self._release(now, key)
+        self._ledger.release(now, key)
         self._queue.remove(key)
-        load = self._loads.get(held.upstream)
+        load = self._ledger.loads.get(held.upstream)
         if load is None:
             return
-        self._permits[key] = _Permit(
+        permit = GrantedPermit(
             host=host,
             ask_id=held.ask_id,
             upstream=held.upstream,
@@ -573,18 +458,17 @@
             cost_tokens=held.cost_tokens,
             granted_at=now,
         )
-        load.add(now, held.cost_tokens)
+        self._ledger.add(now, permit)
 
     def _restart(self, now: float) -> None:
-        hosts = self._hosts | {permit.host for permit in self._permits.values()}
+        hosts = self._hosts | self._ledger.hosts()
         self._clear(now)
         self._settled_at = now + self._settings.settle_s
         for host in sorted(hosts):
             self._send_beat(host)
 
     def _clear(self, now: float) -> None:
-        for key in list(self._permits):
-            self._release(now, key)
+        self._ledger.clear(now)
         for ask in self._queue:
             self._queue.remove(ask.key)
         self._hosts.clear()
@@ -619,10 +503,6 @@
         for host in sorted(counts):
             self._send(host, PermitBeat(self.pool, self._epoch, counts[host]))
 
-    def _nominal_rate(self) -> float:
-        total = sum(load.entry.tokens_per_s for load in self._loads.values())
-        return total * self._share
-
 
 def _patience_s(now: float, ask: WaitingAsk) -> float:
     return (ask.deadline - now) * WAIT_MARGINS[ask.tier]
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -8,13 +8,14 @@
 from collections.abc import Callable, Iterable
 
 from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
 from tarragonwind.core.permit_messages import (
     PermitAsk,
     PermitCancel,
     PermitDone,
     PermitSync,
 )
-from tarragonwind.core.permits import PermitSettings, PoolOwner, Send, VersionChooser
+from tarragonwind.core.permits import PoolOwner
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.messages import Message
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -6,13 +6,13 @@
 from permit_fleets import POOL, Fleet, create_request, create_upstream
 
 from tarragonwind.core.entries import UpstreamState
+from tarragonwind.core.owner_settings import PermitSettings
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
     Outcome,
     PermitGrant,
     PermitRefusal,
 )
-from tarragonwind.core.permits import PermitSettings
 from tarragonwind.errors import ErrorKind
 
 
