--- a/tarragonwind/core/permit_ledgers.py
+++ b/tarragonwind/core/permit_ledgers.py
@@ -133,9 +133,14 @@
         """Return the upstreams of a version, all for an empty text."""
         return [load for load in self.loads.values() if version in ("", load.entry.version)]
 
-    def has_live(self, version: str) -> bool:
-        """Tell whether the catalogue has a live upstream of a version."""
-        return any(load.entry.state is UpstreamState.LIVE for load in self.loads_of(version))
+    def live_versions(self) -> set[str]:
+        """Return the versions of live upstreams, with an empty text if there is any."""
+        versions = {
+            load.entry.version
+            for load in self.loads.values()
+            if load.entry.state is UpstreamState.LIVE
+        }
+        return versions | {""} if versions else versions
 
     def serving_versions(self) -> set[str]:
         """Return the versions of upstreams that take work, with an empty text if there is any."""
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -168,8 +168,8 @@
         self._rate.observe(now, len(self._queue) > 0)
         if now - self._swept_at >= SWEEP_PERIOD_S:
             self._swept_at = now
-            self._refuse_unmeetable(now)
             self._draw_for_stranded(now)
+            self._refuse_unmeetable(now)
         self._drain(now)
         if now - self._beat_at >= self._settings.beat_period_s:
             self._beat_at = now
@@ -248,7 +248,7 @@
             prefixes=tuple(msg.prefixes),
             avoid=frozenset(msg.avoid),
         )
-        if self._active and not self._ledger.has_live(ask.version):
+        if self._active and ask.version not in self._ledger.live_versions():
             self._refuse(ask, ErrorKind.NO_UPSTREAM)
             return
         if self._active and self._is_unmeetable(now, ask):
@@ -292,13 +292,18 @@
 
     def _refuse_unmeetable(self, now: float) -> None:
         waits_s = self._waits_by_tier_s()
+        live = self._ledger.live_versions()
         for ask in self._queue.lowest_first():
+            kind = None
             if ask.deadline <= now:
-                self._queue.remove(ask.key)
-                self._refuse(ask, ErrorKind.DEADLINE_PASSED)
+                kind = ErrorKind.DEADLINE_PASSED
+            elif self._active and ask.version not in live:
+                kind = ErrorKind.NO_UPSTREAM
             elif waits_s[ask.tier] > _patience_s(now, ask):
+                kind = ErrorKind.DEADLINE_UNMEETABLE
+            if kind is not None:
                 self._queue.remove(ask.key)
-                self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
+                self._refuse(ask, kind)
 
     def _waits_by_tier_s(self) -> list[float]:
         """Return the time that the work of higher tiers takes, for each tier."""
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -92,6 +92,16 @@
     assert host.refused[asks[0]][0] is ErrorKind.NO_UPSTREAM
 
 
+def test_waiting_asks_are_told_when_the_last_upstream_leaves():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    running, waiting = ask_many(fleet, host, 2)
+    fleet.configure([create_upstream("u1", slots=1, state=UpstreamState.LEAVING)])
+    fleet.advance(0.5)
+    assert host.refused[waiting][0] is ErrorKind.NO_UPSTREAM
+    assert set(host.granted) == {running}
+
+
 def test_what_cannot_be_met_is_refused_at_once_and_the_time_to_come_back_is_true():
     fleet = Fleet([create_upstream("u1", slots=1, tokens_per_s=100.0)])
     host = fleet.hosts["h1"]
--- /dev/null
+++ b/tests/test_pool_owners.py
@@ -0,0 +1,65 @@
+"""Test keeping the owners of several pools on one host."""
+
+import random
+
+from permit_fleets import create_upstream
+
+from tarragonwind.core.permit_messages import PermitAsk, PermitGrant, PermitSync
+from tarragonwind.core.pool_owners import OwnerParts, PoolOwners
+
+
+def create_owners(sent, live=("h0", "h1")):
+    parts = OwnerParts(
+        lambda host, msg: sent.append((host, msg)),
+        random.Random(1),
+        lambda now, rng, pool, route: "",
+        lambda organisation: 1.0,
+    )
+    return PoolOwners("h0", parts, lambda pool: "h0" if pool == "mine" else "h1", lambda: live)
+
+
+def create_pool_upstream(name, pool, slots=2):
+    entry = create_upstream(name, slots=slots)
+    entry.pool = pool
+    return entry
+
+
+def ask(owners, pool, ask_id):
+    owners.on_message(1.0, "h1", PermitSync(pool))
+    owners.on_message(1.0, "h1", PermitAsk(ask_id, pool, "chat", 0, "a", 10, 0, 9_000))
+
+
+def granted(sent):
+    return [(msg.pool, msg.upstream) for _, msg in sent if isinstance(msg, PermitGrant)]
+
+
+def test_only_owned_pools_grant_and_each_with_its_own_upstreams():
+    sent = []
+    owners = create_owners(sent)
+    upstreams = [create_pool_upstream("u1", "mine"), create_pool_upstream("u2", "other")]
+    owners.configure(0.0, ["mine", "other"], upstreams)
+    ask(owners, "mine", 1)
+    ask(owners, "other", 2)
+    assert owners.active_pools() == ["mine"]
+    assert granted(sent) == [("mine", "u1")]
+
+
+def test_a_pool_that_leaves_the_catalogue_takes_its_owner_along():
+    sent = []
+    owners = create_owners(sent)
+    owners.configure(0.0, ["mine"], [create_pool_upstream("u1", "mine")])
+    owners.configure(0.5, [], [])
+    ask(owners, "mine", 1)
+    assert owners.owner("mine") is None
+    assert granted(sent) == []
+
+
+def test_a_local_owner_keeps_to_the_share_of_one_host():
+    local = []
+    owners = create_owners([], live=("h0", "h1", "h2", "h3"))
+    owners.configure(0.0, ["other"], [create_pool_upstream("u1", "other", slots=8)])
+    owner = owners.create_local_owner(1.0, "other", lambda host, msg: local.append((host, msg)))
+    owner.on_message(1.0, "h0", PermitSync("other"))
+    for ask_id in range(5):
+        owner.on_message(1.0, "h0", PermitAsk(ask_id, "other", "chat", 0, "a", 10, 0, 9_000))
+    assert granted(local) == [("other", "u1")] * 2
