Measure how the catalogue spreads, and part the daemons' polls and repair lost changes sooner

The first pause between polls is now any part of the period, the fleet's reads of the head are 2.5 a second, and a daemon tells its neighbours the number 0.15 s after a change came into force there.

--- a/bench/catalogue_fleets.py
+++ b/bench/catalogue_fleets.py
@@ -103,6 +103,7 @@
         self._store = store
         self._fleet = fleet
         self.away = False
+        self.watch_silent = False
         self.latency_s = STORE_LATENCY_S
 
     def _later(self, call: Callable[[], Future[ResultT]]) -> Future[ResultT]:
@@ -153,7 +154,7 @@
         """Follow a prefix."""
 
         def deliver(events: list[WatchEvent]) -> None:
-            if not self.away:
+            if not self.away and not self.watch_silent:
                 self._fleet.timers.call_later(self.latency_s, lambda: on_events(events))
 
         return self._store.watch(prefix, from_revision, deliver, on_end)
--- a/tarragonwind/catalogue_followers.py
+++ b/tarragonwind/catalogue_followers.py
@@ -17,7 +17,10 @@
     CataloguePartAsk,
 )
 from tarragonwind.core.catalogue_states import CatalogueState, Divergence
+from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.changes import Change, from_wire, to_wire
+from tarragonwind.core.memberships import RING_COUNT
+from tarragonwind.core.rendezvous import choose_neighbours
 from tarragonwind.delays import delay
 from tarragonwind.futures import Future, spawn
 from tarragonwind.ports import Members, Peers, Timer, Timers
@@ -25,6 +28,8 @@
 GOSSIP_PERIOD_S = 1.0
 """Time between comparisons of numbers with peers, in seconds."""
 GOSSIP_PEERS = 2
+ANNOUNCE_PAUSE_S = 0.15
+"""Time from a change's coming into force until neighbours are told the number, in seconds."""
 ASK_PAUSE_S = 0.3
 """Least time between asks for what is missing, in seconds."""
 SPREAD_WIDTH = 8
@@ -104,8 +109,12 @@
         self._heard: dict[str, tuple[int, float]] = {}
         self._asked_at = float("-inf")
         self._fork_reported = 0
+        self._ringed_live: tuple[str, ...] = ()
+        self._neighbours: list[str] = []
+        self._announcing = False
         self._timer: Timer | None = None
         self._stopped = False
+        state.subscribe(self._on_in_force)
         peers.subscribe(CatalogueNumber, self._on_number)
         peers.subscribe(CatalogueChanges, self._on_changes)
         peers.subscribe(CatalogueAsk, self._on_ask)
@@ -126,6 +135,21 @@
         """Return the live daemons without this one."""
         return [host for host in self._members.live() if host != self._members.name]
 
+    def neighbours(self) -> list[str]:
+        """Return the few daemons that numbers are compared with.
+
+        They are those that membership probes too, whose connections are open.
+        """
+        live = self._members.live()
+        if live != self._ringed_live:
+            self._ringed_live = live
+            self._neighbours = choose_neighbours(self._members.name, live, RING_COUNT)
+        return self._neighbours
+
+    def _forget_dead(self) -> None:
+        live = set(self._members.live())
+        self._heard = {host: heard for host, heard in self._heard.items() if host in live}
+
     def spread(self, changes: list[Change]) -> None:
         """Pass on changes that came into force here first."""
         self._forward(self._members.name, 0, [to_wire(change) for change in changes])
@@ -140,9 +164,9 @@
     def _gossip(self) -> None:
         if self._stopped:
             return
-        others = self.others()
-        self._heard = {host: self._heard[host] for host in others if host in self._heard}
-        for host in self._rng.sample(others, min(GOSSIP_PEERS, len(others))):
+        self._forget_dead()
+        neighbours = self.neighbours()
+        for host in self._rng.sample(neighbours, min(GOSSIP_PEERS, len(neighbours))):
             self._peers.send(host, self._number_message(wants_answer=True))
         if self._state.behind or self._state.divergence is not Divergence.NONE:
             self._ask_anyone()
@@ -150,6 +174,18 @@
         pause_s = period_s * self._rng.uniform(0.75, 1.25)
         self._timer = self._timers.call_later(pause_s, self._gossip)
 
+    def _on_in_force(self, catalogue: Catalogue) -> None:
+        """Tell neighbours soon, should the change have missed them on its way."""
+        if not self._announcing and not self._stopped:
+            self._announcing = True
+            pause_s = ANNOUNCE_PAUSE_S * self._rng.uniform(0.75, 1.25)
+            self._timers.call_later(pause_s, self._announce)
+
+    def _announce(self) -> None:
+        self._announcing = False
+        for host in self.neighbours():
+            self._peers.send(host, self._number_message(wants_answer=False))
+
     def _number_message(self, wants_answer: bool) -> CatalogueNumber:
         in_force = self._state.in_force
         return CatalogueNumber(in_force.number, in_force.digest, wants_answer)
--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -25,11 +25,13 @@
 """Daemons of a fleet that watch the store."""
 WATCHER_POLL_PERIOD_S = 1.0
 """Time between a watcher's reads of the head, in seconds."""
-FLEET_POLL_PERIOD_S = 0.5
+FLEET_POLL_PERIOD_S = 0.4
 """Time between the reads of the head by all daemons together, in seconds."""
 PEER_PATIENCE_S = 3.0
 """Time that a starting daemon waits for an answer of live peers before it trusts the store."""
 START_PAUSE_S = 0.1
+START_PEERS = 8
+"""Peers that a starting daemon asks for their numbers."""
 STORE_RETRY_S = 0.5
 
 
@@ -90,6 +92,7 @@
         self._watch: Watch | None = None
         self._poll_timer: Timer | None = None
         self._polling: Task[None] | None = None
+        self._polled = False
         self._store_away_since: float | None = None
         self._stopped = False
         self.loaded: Future[None] = Future()
@@ -102,7 +105,7 @@
     def start(self) -> None:
         """Get the catalogue from peers or the store and follow it from then on."""
         self._follower.start()
-        self._start_step(self._timers.now())
+        self._start_step(self._timers.now(), set())
 
     def stop(self) -> None:
         """End the watch and the polls."""
@@ -112,20 +115,33 @@
         if self._poll_timer is not None:
             self._poll_timer.cancel()
 
-    def _start_step(self, began_at: float) -> None:
+    def _start_step(self, began_at: float, asked: set[str]) -> None:
         """Wait for a peer's number; the store alone may hold an older state than is in force."""
         if self._stopped:
             return
         waited_s = self._timers.now() - began_at
-        if self._peers_have_answered() or waited_s >= PEER_PATIENCE_S:
+        if self._peers_have_answered(asked) or waited_s >= PEER_PATIENCE_S:
             self.poll_now()
             return
-        self._follower.ask_numbers()
-        self._timers.call_later(START_PAUSE_S, lambda: self._start_step(began_at))
-
-    def _peers_have_answered(self) -> bool:
-        others = [item for item in self._follower.numbers() if item.host != self._members.name]
-        return not others or any(item.age_s != float("inf") for item in others)
+        self._timers.call_later(START_PAUSE_S, lambda: self._start_step(began_at, asked))
+
+    def _peers_have_answered(self, asked: set[str]) -> bool:
+        """Tell whether a peer has named a number, or all that are asked have none either.
+
+        Asks some more peers when it isn't so.
+        """
+        others = self._follower.others()
+        if not others or self._state.highest_heard:
+            return True
+        heard = {item.host for item in self._follower.numbers() if item.age_s < float("inf")}
+        asked &= set(others)
+        if asked and asked <= heard:
+            return True
+        if len(asked) < START_PEERS:
+            asked.update(self._follower.neighbours())
+            asked.update(self._rng.sample(others, min(START_PEERS, len(others))))
+        self._follower.ask_numbers(sorted(asked - heard))
+        return False
 
     @property
     def watches(self) -> bool:
@@ -153,7 +169,9 @@
             task.result()
         except Exception:
             logger.exception("event=catalogue_poll_failed")
-        pause_s = period_s * self._rng.uniform(0.75, 1.25)
+        # The first pause is any part of the period: daemons that start together part.
+        pause_s = period_s * self._rng.uniform(0.75 if self._polled else 0.0, 1.25)
+        self._polled = True
         self._poll_timer = self._timers.call_later(pause_s, self.poll_now)
 
     async def _poll(self) -> None:
