Test the store over the real client, and that daemons poll apart

Cause: the watch and the timeout of the gateway's adapter were tested over a fake only, and the fault of polls in step was known from the measurement alone.

--- a/tests/test_catalogue_followers.py
+++ b/tests/test_catalogue_followers.py
@@ -91,6 +91,20 @@
     assert fleet.spread_time(2, 30.0) < FAULTY_LIMIT_S
 
 
+def test_daemons_that_start_together_poll_apart(store):
+    fleet = Fleet(store, store.timers, 1)
+    fleet.add_hosts(80)
+    outsider = Fleet(store, store.timers, 2)
+    outsider.add_hosts(1)
+    store.timers.advance(5.0)
+    for host in watchers(fleet):
+        host.store.away = True
+    for index in range(5):
+        writer = outsider.hosts["host-000"].service.writer
+        settle(store.timers, writer.put(organisation(f"o{index}"), "b"))
+        assert fleet.spread_time(index + 1, 30.0) < FAULTY_LIMIT_S
+
+
 def test_lost_messages_leave_the_bound(fleet):
     fleet.loss = 0.4
     worst_s = max(put(fleet, f"host-{index:03}", f"o{index}")[1] for index in range(12))
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -10,11 +10,14 @@
 
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.etcd_stores import EtcdStore
+from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.loops import create_loop
 from tarragonwind.adapters.stores import StoreSettings, create_store
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, Compare, Delete, HttpCaller, HttpError, HttpResponse, Put
 from tests.store_fakes import BlockingHttp
+from tests.support import run_until
 
 
 @contextmanager
@@ -136,6 +139,40 @@
     assert store.get("a").result().value == b"old"
 
 
+@pytest.mark.process
+def test_a_watch_over_the_real_client_reports_changes_and_its_end(kv):
+    control(kv, restore="empty")
+    loop = create_loop()
+    store = EtcdStore(HttpClient(loop), [kv], 5.0, lambda kind: None)
+    seen, ends = [], []
+
+    def start():
+        store.watch("p/", 1, seen.extend, ends.append)
+        store.commit([], [Put("p/a", b"1"), Put("q", b"2")])
+
+    loop.timers.call_later(0.0, start)
+    run_until(loop, lambda: len(seen) == 1)
+    loop.timers.call_later(0.0, lambda: store.commit([], [Delete("p/a")]))
+    run_until(loop, lambda: len(seen) == 2)
+    assert [(event.key, event.value) for event in seen] == [("p/a", b"1"), ("p/a", None)]
+    control(kv, cut_watches=True)
+    run_until(loop, lambda: ends)
+    assert control(kv)["watches"] == 0
+
+
+@pytest.mark.process
+def test_a_store_that_hangs_ends_each_call_in_time(kv):
+    control(kv, restore="empty")
+    loop = create_loop()
+    store = EtcdStore(HttpClient(loop), [kv], 0.2, lambda kind: None)
+    control(kv, outage="hang")
+    futs = []
+    loop.timers.call_later(0.0, lambda: futs.extend([store.get("a"), store.commit([], [])]))
+    run_until(loop, lambda: len(futs) == 2 and all(fut.done() for fut in futs))
+    control(kv, outage="")
+    assert [fut._exc.maybe_applied for fut in futs] == [False, True]
+
+
 class ScriptedHttp(HttpCaller):
     """Answer each call with the next of a script and keep the addresses asked."""
 
