--- a/tests/test_catalogue_followers.py
+++ b/tests/test_catalogue_followers.py
@@ -91,6 +91,20 @@
     assert fleet.spread_time(2, 30.0) < FAULTY_LIMIT_S
 
 
+def test_daemons_that_start_together_poll_apart(store):
+    fleet = Fleet(store, store.timers, 1)
+    fleet.add_hosts(80)
+    outsider = Fleet(store, store.timers, 2)
+    outsider.add_hosts(1)
+    store.timers.advance(5.0)
+    for host in watchers(fleet):
+        host.store.away = True
+    for index in range(5):
+        writer = outsider.hosts["host-000"].service.writer
+        settle(store.timers, writer.put(organisation(f"o{index}"), "b"))
+        assert fleet.spread_time(index + 1, 30.0) < FAULTY_LIMIT_S
+
+
 def test_lost_messages_leave_the_bound(fleet):
     fleet.loss = 0.4
     worst_s = max(put(fleet, f"host-{index:03}", f"o{index}")[1] for index in range(12))
@@ -148,10 +162,11 @@
 
 
 def test_operators_see_which_number_each_host_has(fleet):
+    follower = fleet.hosts["host-003"].service.follower
+    assert settle(fleet.timers, follower.wait_in_force(1, 4.0)) == []
     fleet.cut_hosts.add("host-007")
     fleet.hosts["host-007"].store.away = True
     number = settle(fleet.timers, fleet.hosts["host-003"].service.writer.put(pool("b"), "a"))[0]
-    follower = fleet.hosts["host-003"].service.follower
     late = settle(fleet.timers, follower.wait_in_force(number.number, 4.0))
     assert [(item.host, item.number) for item in late] == [("host-007", 1)]
     fleet.cut_hosts.clear()
