--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 import time
 
 import pytest
+from circuits import Component, Event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -258,6 +259,31 @@
     assert ask(running, "GET", "/healthz")[0] == 200
 
 
+class failing(Event):  # noqa: N801
+    """Carry a secret to a handler that fails."""
+
+
+class FailingComponent(Component):
+    channel = "failing"
+
+    def failing(self, secret):
+        raise RuntimeError(secret)
+
+
+def test_a_failed_handler_is_logged_without_what_its_event_carried(running, log, capfd):
+    def fire():
+        FailingComponent().register(running.loop.root)
+        running.loop.root.fire(failing("hunter2"), "failing")
+
+    running.call(fire)
+    give_up_at = time.monotonic() + 10
+    while "event=event_handler_failed failed=failing" not in log.getvalue():
+        assert time.monotonic() < give_up_at
+        time.sleep(0.005)
+    assert "error=RuntimeError" in log.getvalue()
+    assert "hunter2" not in log.getvalue() + capfd.readouterr().err
+
+
 @settings(derandomize=True, max_examples=200)
 @given(
     st.lists(
