--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -221,7 +221,7 @@
     backend: StoreBackend = StoreBackend.MEMORY
     endpoints: list[EndpointSettings] = field(default_factory=list)
     timeout_s: ShortS = 2.0
-    prefix: Annotated[str, Field(pattern=r"^/[a-z0-9/_.-]{0,100}/$|^/$")] = "/tarragonwind/"
+    prefix: Annotated[str, Field(pattern=r"^/([a-z0-9/_.-]{0,100}/)?$")] = "/tarragonwind/"
 
 
 @dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
