--- a/tarragonwind/telemetry.py
+++ b/tarragonwind/telemetry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable
 
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
@@ -16,7 +17,7 @@
 from tarragonwind.settings import HostSettings, TelemetrySettings
 from tarragonwind.telemetry_exporters import ExporterPair, create_exporters
 from tarragonwind.telemetry_instruments import InstrumentKind, InstrumentTable
-from tarragonwind.telemetry_traces import HeaderPairs, Hop, RequestTrace, TraceChooser, read_parent
+from tarragonwind.telemetry_traces import HeaderPairs, RequestTrace, TraceChooser, read_parent
 
 SERVICE_NAME = "tarragonwind"
 SPAN_EXPORT_PERIOD_S = 1.0
@@ -97,13 +98,7 @@
         """Start the trace of a caller's request from its header fields."""
         parent = read_parent(headers)
         recorded = self._tracer is not None and self._chooser.choose(parent)
-        return RequestTrace(self._tracer if recorded else None, parent, Hop.CALLER)
-
-    def join_as_owner(self, traceparent: str) -> RequestTrace:
-        """Join a request's trace as its pool's owner; `traceparent` is empty when unrecorded."""
-        parent = read_parent([(b"traceparent", traceparent.encode("latin-1", "replace"))])
-        recorded = parent is not None and parent.trace_flags.sampled
-        return RequestTrace(self._tracer if recorded else None, parent, Hop.OWNER)
+        return RequestTrace(self._tracer if recorded else None, parent)
 
     def close(self) -> None:
         """Export what is queued and end the SDK's threads; call it after the loop has ended."""
@@ -122,6 +117,12 @@
     return assemble_telemetry(cfg, host, create_exporters(cfg), [], rng, now)
 
 
+def create_silent_telemetry() -> Telemetry:
+    """Return telemetry that counts and sends nothing, for parts that run without a daemon."""
+    host = HostSettings(name="none", data_centre="none")
+    return create_telemetry(TelemetrySettings(), host, random.Random(0), time.monotonic)
+
+
 def assemble_telemetry(
     cfg: TelemetrySettings,
     host: HostSettings,
--- a/tarragonwind/telemetry_traces.py
+++ b/tarragonwind/telemetry_traces.py
@@ -40,11 +40,9 @@
     STREAM = "stream"
 
 
-_HOP_KINDS = {
-    Hop.CALLER: SpanKind.SERVER,
-    Hop.OWNER: SpanKind.SERVER,
-    Hop.DISPATCH: SpanKind.CLIENT,
-}
+_HOP_KINDS = {Hop.DISPATCH: SpanKind.CLIENT}
+_OUTER_HOPS = {Hop.OWNER: Hop.WAIT, Hop.FIRST_TOKEN: Hop.DISPATCH, Hop.STREAM: Hop.DISPATCH}
+"""Hops that are part of another than the caller's."""
 
 
 def read_parent(headers: HeaderPairs) -> SpanContext | None:
@@ -80,21 +78,18 @@
         None when the request is not recorded.
     parent : SpanContext or None
         Trace context of the caller.
-    hop : Hop
-        First hop, which every other hop is part of.
     """
 
-    __slots__ = ("_open", "_parent", "_root", "_root_context", "_tracer")
+    __slots__ = ("_open", "_parent", "_root", "_tracer")
 
-    def __init__(self, tracer: Tracer | None, parent: SpanContext | None, hop: Hop) -> None:
+    def __init__(self, tracer: Tracer | None, parent: SpanContext | None) -> None:
         self._tracer = tracer
         self._parent = parent
         self._open: dict[Hop, Span] = {}
         self._root: Span | None = None
         if tracer is not None:
             outer = set_span_in_context(NonRecordingSpan(parent)) if parent else Context()
-            self._root = tracer.start_span(hop.value, outer, kind=_HOP_KINDS[hop])
-            self._root_context = set_span_in_context(self._root, Context())
+            self._root = tracer.start_span(Hop.CALLER.value, outer, kind=SpanKind.SERVER)
 
     @property
     def recorded(self) -> bool:
@@ -114,8 +109,11 @@
         """Begin a hop, unless it is open."""
         if self._tracer is None or hop in self._open:
             return
+        outer = self._open.get(_OUTER_HOPS.get(hop, Hop.CALLER)) or self._root
+        assert outer is not None
+        context = set_span_in_context(outer, Context())
         kind = _HOP_KINDS.get(hop, SpanKind.INTERNAL)
-        self._open[hop] = self._tracer.start_span(hop.value, self._root_context, kind=kind)
+        self._open[hop] = self._tracer.start_span(hop.value, context, kind=kind)
 
     def end(self, hop: Hop) -> None:
         """End a hop; harmless when it is not open."""
@@ -132,7 +130,7 @@
         """End every open hop and the trace; harmless when it has ended."""
         if self._root is None or not self._root.is_recording():
             return
-        for hop in list(self._open):
+        for hop in reversed(list(self._open)):
             self.end(hop)
         self._root.set_attribute("outcome", outcome)
         self._root.end()
@@ -143,13 +141,6 @@
         context = span.get_span_context() if span else self._parent
         return write_context(context) if context else []
 
-    def traceparent(self) -> str:
-        """Return what the pool's owner needs to join the trace, empty when it is not recorded."""
-        if self._root is None:
-            return ""
-        span = self._open.get(Hop.WAIT, self._root)
-        return write_context(span.get_span_context())[0][1].decode()
-
 
 class TraceChooser:
     """Choose which requests are recorded.
