Test the membership over a fake network, and count running leavers for the majority

Cause: in a cut of 3 and 3 hosts both halves called themselves isolated once a host of each was leaving (test_of_two_halves_exactly_one_goes_on_through_a_change); a listed-leaving host took part in its own view. Only members that ended after leaving are taken out of the fleet's size now. A suspicion of an isolated host is not spread any more.

--- a/bench/member_networks.py
+++ b/bench/member_networks.py
@@ -68,6 +68,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._groups: dict[str, int] = {}
+        self._cut_links: set[frozenset[str]] = set()
         self._starts = itertools.count(1)
         self._timers: dict[str, float] = {}
 
@@ -152,9 +153,14 @@
         """Let hosts reach only those of their own group; the rest are one more group."""
         self._groups = {name: number for number, group in enumerate(groups, 1) for name in group}
 
+    def cut_link(self, one: str, other: str) -> None:
+        """Let two hosts reach each other no more, but both everyone else."""
+        self._cut_links.add(frozenset((one, other)))
+
     def heal(self) -> None:
         """End every cut."""
         self._groups = {}
+        self._cut_links.clear()
 
     def running(self) -> list[str]:
         """Return the sorted names of hosts whose process runs."""
@@ -167,6 +173,8 @@
         return all(self.hosts[name].core.live() == view for name in names)
 
     def _connected(self, one: str, other: str) -> bool:
+        if frozenset((one, other)) in self._cut_links:
+            return False
         return self._groups.get(one, 0) == self._groups.get(other, 0)
 
     def _count_resumed(self, host: FakeHost) -> None:
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -183,6 +183,8 @@
     Of two equal halves the one that holds the first name in sorted order is the larger.
     """
     all_names = set(fleet)
+    if not all_names:
+        return True
     part = all_names.intersection(reached)
     if 2 * len(part) == len(all_names):
         return min(all_names) in part
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -564,7 +564,7 @@
             self._suspects.add(member.name)
         else:
             self._suspects.discard(member.name)
-        if member.health is not Health.DEAD or not self._isolated:
+        if member.health is Health.ALIVE or not self._isolated:
             self._spread(now, member.name)
         self._note_change()
         if member.health is Health.DEAD and known.health is not Health.DEAD:
@@ -596,10 +596,10 @@
         self._plan(now)
 
     def _refresh_live(self) -> bool:
-        names = [n for n in self.view.taking_part() if n not in self._listed_leaving]
+        names = set(self.view.taking_part())
         if not self.own.leaving:
-            names.append(self.own.name)
-        live = tuple(sorted(names))
+            names.add(self.own.name)
+        live = tuple(sorted(names - self._listed_leaving))
         changed = live != self._live
         self._live = live
         return changed
@@ -617,12 +617,10 @@
         return bool(others) and now - self._heard_at > self.times().alone_s
 
     def _reaches_majority(self) -> bool:
-        fleet = self._listed
-        if fleet is None:
-            fleet = frozenset(m.name for m in self.view.members.values() if not m.leaving)
-        leaving = {m.name for m in self.view.members.values() if m.leaving}
-        fleet = (fleet - leaving) | {self.own.name}
-        return has_majority([self.own.name, *self.view.running()], fleet)
+        fleet = self._listed or {self.own.name, *self.view.members}
+        members = self.view.members.values()
+        ended = {m.name for m in members if m.leaving and m.health is Health.DEAD}
+        return has_majority([self.own.name, *self.view.running()], fleet - ended)
 
 
 def _check_list(value: Any) -> list:
