Keep the verdicts of a daemon that was cut off to itself until it has compared views

A daemon that was isolated is stale, as one that was paused, until a peer has handed its view over; a stale daemon spreads no suspicion and no death, and adopts the view of a peer in touch with the larger part.

Before: test_a_cut_off_host_knows_that_it_is_alone[24] failed with 'the cut-off host's verdicts were taken'. After: python -m pytest tests/test_memberships.py: 48 passed.

--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -93,7 +93,8 @@
     view : MemberView
         Records of the other members.
     stale : bool
-        Whether the process was paused and has not compared its view with a peer since.
+        Whether the process was paused or cut off, and has not compared its view with a peer
+        since.
     joined : bool
         Whether the view was once compared with another member's.
     """
@@ -368,7 +369,7 @@
             self._send(name, self._build_ping(self._probes.next_seq(), name))
 
     def _rejoin_chance(self, candidate_count: int) -> float:
-        if self._isolated or self.stale:
+        if not self._is_trusted():
             return 1.0
         wanted_per_s = REJOIN_ATTEMPTS_PER_S * candidate_count / (len(self.view.running()) + 1)
         return wanted_per_s * self.times().rejoin_s
@@ -399,7 +400,7 @@
         return Push(self._take_updates(MAX_PUSH_UPDATES, ""), self._facts.collect())
 
     def _build_sync(self, answer: bool, buckets: Collection[int] = ()) -> Sync:
-        trusted = not self.stale and not self._isolated
+        trusted = self._is_trusted()
         records = []
         for member in self.view.in_buckets(buckets or range(BUCKET_COUNT)):
             if member.health is not Health.DEAD or trusted:
@@ -496,7 +497,7 @@
         self._facts.consume(sender, msg.facts)
 
     def _on_sync(self, now: float, sender: str, msg: Sync) -> None:
-        if msg.trusted and (self._isolated or self.stale):
+        if msg.trusted and not self._is_trusted():
             self._adopt(now, msg.records)
         self._take_updates_of(now, msg.records)
         self.joined = True
@@ -564,7 +565,7 @@
             self._suspects.add(member.name)
         else:
             self._suspects.discard(member.name)
-        if member.health is Health.ALIVE or not self._isolated:
+        if member.health is Health.ALIVE or self._is_trusted():
             self._spread(now, member.name)
         self._note_change()
         if member.health is Health.DEAD and known.health is not Health.DEAD:
@@ -609,9 +610,14 @@
         changed = isolated != self._isolated
         self._isolated = isolated
         if isolated and changed:
+            self.stale = True
             self._forget_verdicts()
         return changed
 
+    def _is_trusted(self) -> bool:
+        """Tell whether this daemon may spread what it says of others."""
+        return not self._isolated and not self.stale
+
     def _is_alone(self, now: float) -> bool:
         others = self.view.running()
         return bool(others) and now - self._heard_at > self.times().alone_s
