--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -124,6 +124,8 @@
         wait_s = IDLE_WAIT_S
         if self._heap:
             wait_s = min(wait_s, max(0.0, self._heap[0][0] - self.now()))
+        if not self.root.running:
+            wait_s = 0.0
         event.reduce_time_left(wait_s)
 
     def run_due(self) -> None:
--- /dev/null
+++ b/tarragonwind/core/sequential_tests.py
@@ -0,0 +1,153 @@
+"""Compare two versions by tests that stay valid however often and whenever they are looked at.
+
+The statistic is a likelihood ratio: a mixture over both rates, divided by the largest likelihood
+that the null hypothesis allows (universal inference; Wasserman, Ramdas and Balakrishnan, 2020).
+Under any rates of the null hypothesis it is below a non-negative martingale that starts at 1, so
+it ever reaches ``1 / alpha`` with a probability of at most ``alpha``. It depends on totals only:
+neither the order of reports, nor their number, nor the process that adds them up changes it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tarragonwind.core.evidence import Tally
+
+PRIOR_HITS = 0.5
+PRIOR_MISSES = 0.5
+SEARCH_STEPS = 40
+_PRIOR_LOG_BETA = math.lgamma(PRIOR_HITS) + math.lgamma(PRIOR_MISSES) - math.lgamma(1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """Hold what two versions did side by side, with an unchanged ratio of their shares."""
+
+    new: Tally
+    old: Tally
+
+
+def bad_log_evidence(pairs: Sequence[Pair], margin: float) -> float:
+    """Return the log evidence against "the new rate never exceeds the old by more than `margin`".
+
+    Parameters
+    ----------
+    pairs : sequence of Pair
+        Totals of periods or load levels. Under the null hypothesis the old rate may differ from
+        pair to pair, so that a common change of both versions is no evidence.
+    margin : float
+        Excess of the new version's rate that is put up with.
+
+    Returns
+    -------
+    float
+        Natural logarithm of the evidence; 0 when the observed excess is within the margin.
+    """
+    new, old = _sum_pairs(pairs)
+    if not new.trials or not old.trials or new.rate <= old.rate + margin:
+        return 0.0
+    null = 0.0
+    for pair in pairs:
+        if pair.new.rate <= pair.old.rate + margin:
+            null += _largest_log_likelihood(pair.new) + _largest_log_likelihood(pair.old)
+        else:
+            null += _boundary_log_likelihood(pair, margin)
+    return _log_mixture(new) + _log_mixture(old) - null
+
+
+def good_log_evidence(pairs: Sequence[Pair], margin: float) -> float:
+    """Return the log evidence against "the new rate always exceeds the old by `margin` or more"."""
+    new, old = _sum_pairs(pairs)
+    if not new.trials or not old.trials or new.rate >= old.rate + margin:
+        return 0.0
+    null = 0.0
+    for pair in pairs:
+        if pair.new.rate >= pair.old.rate + margin:
+            null += _largest_log_likelihood(pair.new) + _largest_log_likelihood(pair.old)
+        else:
+            null += _boundary_log_likelihood(pair, margin)
+    return _log_mixture(new) + _log_mixture(old) - null
+
+
+def _sum_pairs(pairs: Sequence[Pair]) -> tuple[Tally, Tally]:
+    new = Tally(0, 0)
+    old = Tally(0, 0)
+    for pair in pairs:
+        new = new + pair.new
+        old = old + pair.old
+    return new, old
+
+
+def _largest_log_likelihood(tally: Tally) -> float:
+    return _log_likelihood(tally, tally.rate)
+
+
+def least_excess(pair: Pair) -> float:
+    """Return the observed excess of the new rate, less one standard error."""
+    new = pair.new
+    old = pair.old
+    if not new.trials or not old.trials:
+        return 0.0
+    smoothed = (new.hits + old.hits + 1) / (new.trials + old.trials + 2)
+    error = math.sqrt(smoothed * (1.0 - smoothed) * (1.0 / new.trials + 1.0 / old.trials))
+    return new.rate - old.rate - error
+
+
+def log_threshold(alpha: float) -> float:
+    """Return the log evidence that an error rate of `alpha` asks for."""
+    return -math.log(alpha)
+
+
+def restart_alpha(alpha: float, number: int, expected: int) -> float:
+    """Return the part of `alpha` that one restart of a test may spend.
+
+    Half is divided evenly among the expected restarts, half among all that may ever come.
+
+    Parameters
+    ----------
+    alpha : float
+        Error rate of all restarts together.
+    number : int
+        Number of the restart, from 1.
+    expected : int
+        Restarts that are planned.
+    """
+    even = alpha / 2.0 / expected if number <= expected else 0.0
+    return even + alpha / 2.0 / (number * (number + 1))
+
+
+def _log_mixture(tally: Tally) -> float:
+    hits = PRIOR_HITS + tally.hits
+    misses = PRIOR_MISSES + tally.trials - tally.hits
+    return math.lgamma(hits) + math.lgamma(misses) - math.lgamma(hits + misses) - _PRIOR_LOG_BETA
+
+
+def _boundary_log_likelihood(pair: Pair, margin: float) -> float:
+    """Return the largest log likelihood with the new rate `margin` above the old one."""
+    new = pair.new
+    old = pair.old
+    low = 0.0
+    high = 1.0 - margin
+    for _ in range(SEARCH_STEPS):
+        middle = (low + high) / 2.0
+        if _slope(new, middle + margin) + _slope(old, middle) > 0.0:
+            low = middle
+        else:
+            high = middle
+    rate = (low + high) / 2.0
+    return _log_likelihood(new, rate + margin) + _log_likelihood(old, rate)
+
+
+def _slope(tally: Tally, rate: float) -> float:
+    return tally.hits / rate - (tally.trials - tally.hits) / (1.0 - rate)
+
+
+def _log_likelihood(tally: Tally, rate: float) -> float:
+    total = 0.0
+    if tally.hits:
+        total += tally.hits * math.log(rate)
+    if tally.trials > tally.hits:
+        total += (tally.trials - tally.hits) * math.log1p(-rate)
+    return total
