Test moves over a fake fleet, one fault at a time and in any order

A partial common outage at a share of 0.9 took a good version back in the first run of the test ("new version 11 of 17, old version 10 of 2157"): the past is now used only when the old version's recent outcomes don't fit the new one's rate (chance below 0.02).

--- a/bench/move_fleets.py
+++ b/bench/move_fleets.py
@@ -8,6 +8,7 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tarragonwind.core.entries import MoveEntry
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
@@ -42,9 +43,20 @@
 
 @dataclass(slots=True)
 class FakeRecord:
-    """Keep answers as the store would; away while `up` is false."""
+    """Keep answers as the store would; away while `up` is false.
+
+    Attributes
+    ----------
+    up : bool
+        Whether calls take effect.
+    loses_answers : bool
+        Whether the answer to a write is lost after it took effect.
+    answers : dict
+        Recorded answers by move.
+    """
 
     up: bool = True
+    loses_answers: bool = False
     answers: dict[str, tuple[MoveAnswer, str]] = field(default_factory=dict)
 
 
@@ -66,7 +78,8 @@
     def _write(self, move_id: str, answer: MoveAnswer, why: str) -> None:
         if self._fleet.record.up:
             self._fleet.record.answers.setdefault(move_id, (answer, why))
-            self._answer(move_id)
+            if not self._fleet.record.loses_answers:
+                self._answer(move_id)
 
     def _answer(self, move_id: str) -> None:
         table = self._fleet.tables.get(self._host)
@@ -88,13 +101,15 @@
         self.tables: dict[str, MoveTable] = {}
         self.stopped: set[str] = set()
         self.bytes_sent = 0
+        self.members: dict[str, FakeMembers] = {}
+        self.copies_of: Callable[[Outgoing], int] = lambda out: 1
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         for host in self.live:
             self._add_table(host)
 
     def _add_table(self, host: str) -> None:
-        members = FakeMembers(host, self.live)
+        members = self.members[host] = FakeMembers(host, self.live)
         self.tables[host] = MoveTable(members, 1, FleetRecorder(self, host))
         self.after(self.rng.random() * TICK_PERIOD_S, lambda: self._tick(host))
 
@@ -122,7 +137,8 @@
         """Deliver messages after the peers' delay."""
         for out in outgoing:
             self.bytes_sent += len(pack_message(out.msg))
-            self.after(MESSAGE_DELAY_S, lambda out=out: self._deliver(sender, out))  # type: ignore
+            for _ in range(self.copies_of(out)):
+                self.after(MESSAGE_DELAY_S, partial(self._deliver, sender, out))
 
     def _deliver(self, sender: str, out: Outgoing) -> None:
         table = self.tables.get(out.host)
--- a/tarragonwind/core/badness_tests.py
+++ b/tarragonwind/core/badness_tests.py
@@ -11,6 +11,7 @@
 from tarragonwind.core.sequential_tests import (
     Pair,
     bad_log_evidence,
+    chance_of_at_most,
     log_threshold,
     restart_alpha,
 )
@@ -33,8 +34,8 @@
 MIN_ROUTES = 4
 """Least number of routes that the error rate is divided by."""
 
-MIN_CONCURRENT = 3
-"""Outcomes of the old version from which it shows whether it has become worse itself."""
+COMMON_CHANCE = 0.02
+"""Chance of the old version's outcomes at the new one's rate below which the rates differ."""
 
 ALL_ROUTES = "*"
 
@@ -113,7 +114,7 @@
 def find_beside_past(recent: Cells, cells: Cells, step: int, alpha: float) -> Finding:
     """Return the strongest sign in recent outcomes of a step, beside the old version's past.
 
-    A signal for which the old version itself has become worse is left out.
+    A signal is left out while the old version may have become as bad itself.
     """
     mixed: Cells = {}
     new_keys = [key for key in recent if key.step == step and key.side is Side.NEW]
@@ -123,24 +124,25 @@
         if key.side is Side.OLD:
             past_key = dataclasses.replace(key, step=step)
             mixed[past_key] = mixed.get(past_key, Cell()).plus(cell)
-    margins = {}
+    margins = dict(PAST_MARGINS)
     for signal in Signal:
-        worse = _is_old_worse(recent, mixed, step, signal)
-        margins[signal] = 1.0 if worse else PAST_MARGINS[signal]
+        if step <= CONTROLLED_STEP and _may_be_common(recent, step, signal):
+            margins[signal] = 1.0
     return find_in_cells(mixed, alpha, margins)
 
 
-def _is_old_worse(recent: Cells, past: Cells, step: int, signal: Signal) -> bool:
-    recent_old = Tally(0, 0)
+def _may_be_common(recent: Cells, step: int, signal: Signal) -> bool:
+    """Tell whether the old version's recent outcomes fit the new one's rate."""
+    new = Tally(0, 0)
+    old = Tally(0, 0)
     for key, cell in recent.items():
-        if key.step == step and key.side is Side.OLD:
-            recent_old = recent_old + cell.tally(signal)
-    past_old = Tally(0, 0)
-    for key, cell in past.items():
-        if key.side is Side.OLD:
-            past_old = past_old + cell.tally(signal)
-    is_worse = recent_old.rate > past_old.rate + PAST_MARGINS[signal]
-    return recent_old.trials >= MIN_CONCURRENT and is_worse
+        if key.step != step:
+            continue
+        if key.side is Side.NEW:
+            new = new + cell.tally(signal)
+        else:
+            old = old + cell.tally(signal)
+    return chance_of_at_most(old, new.rate) > COMMON_CHANCE
 
 
 def _group(cells: Cells) -> dict[tuple[str, LoadLevel], list[Sides]]:
--- a/tarragonwind/core/sequential_tests.py
+++ b/tarragonwind/core/sequential_tests.py
@@ -18,6 +18,7 @@
 PRIOR_HITS = 0.5
 PRIOR_MISSES = 0.5
 SEARCH_STEPS = 40
+LARGEST_RATE = 1.0 - 1e-9
 _PRIOR_LOG_BETA = math.lgamma(PRIOR_HITS) + math.lgamma(PRIOR_MISSES) - math.lgamma(1.0)
 
 
@@ -95,6 +96,18 @@
     return new.rate - old.rate - error
 
 
+def chance_of_at_most(tally: Tally, rate: float) -> float:
+    """Return the chance of at most the tally's hits at a rate."""
+    if rate <= 0.0 or tally.rate >= rate:
+        return 1.0
+    chance = 0.0
+    for hits in range(tally.hits + 1):
+        chance += math.comb(tally.trials, hits) * math.exp(
+            _log_likelihood(Tally(tally.trials, hits), min(rate, LARGEST_RATE))
+        )
+    return chance
+
+
 def log_threshold(alpha: float) -> float:
     """Return the log evidence that an error rate of `alpha` asks for."""
     return -math.log(alpha)
--- /dev/null
+++ b/tests/test_sequential_tests.py
@@ -0,0 +1,113 @@
+"""Test the stated error rates and the power of the sequential tests, by simulation with seeds."""
+
+import random
+
+import pytest
+
+from tarragonwind.core.badness_tests import find_beside_past, find_in_cells
+from tarragonwind.core.evidence import Cell, CellKey, LoadLevel, Side, Signal, Tally
+from tarragonwind.core.sequential_tests import (
+    Pair,
+    bad_log_evidence,
+    good_log_evidence,
+    log_threshold,
+    restart_alpha,
+)
+
+ALPHA = 0.05
+RUNS = 200
+LENGTH = 200
+
+
+def draw(rng, chance, trials):
+    return sum(rng.random() < chance for _ in range(trials))
+
+
+def ever_crosses(seed, evidence, margin, new_rate, old_rates):
+    """Look after each request of the new version, beside four of the old one."""
+    rng = random.Random(seed)
+    pairs = []
+    for old_rate in old_rates:
+        new, old = Tally(0, 0), Tally(0, 0)
+        pairs.append(Pair(new, old))
+        for _ in range(LENGTH // len(old_rates)):
+            new = new + Tally(1, draw(rng, new_rate(old_rate), 1))
+            old = old + Tally(4, draw(rng, old_rate, 4))
+            pairs[-1] = Pair(new, old)
+            if evidence(pairs, margin) >= log_threshold(ALPHA):
+                return True
+    return False
+
+
+@pytest.mark.parametrize("old_rates", [(0.1,), (0.01,), (0.02, 0.3), (0.3, 0.0, 0.3, 0.05)])
+def test_equal_versions_are_rarely_found_bad_at_any_look(old_rates):
+    crossed = sum(
+        ever_crosses(seed, bad_log_evidence, 0.0, lambda old: old, old_rates)
+        for seed in range(RUNS)
+    )
+    assert crossed <= ALPHA * RUNS
+
+
+@pytest.mark.parametrize(("old", "excess"), [(0.1, 0.1), (0.01, 0.05), (0.4, 0.2)])
+def test_a_version_at_the_margin_is_rarely_found_good(old, excess):
+    crossed = sum(
+        ever_crosses(seed, good_log_evidence, excess, lambda rate: rate + excess, (old,))
+        for seed in range(RUNS)
+    )
+    assert crossed <= ALPHA * RUNS
+
+
+@pytest.mark.parametrize(("old", "new"), [(0.0, 1.0), (0.01, 0.2), (0.1, 0.4)])
+def test_a_clear_difference_is_found(old, new):
+    crossed = sum(
+        ever_crosses(seed, bad_log_evidence, 0.005, lambda _: new, (old,)) for seed in range(100)
+    )
+    assert crossed >= 99
+
+
+def test_an_equal_version_is_found_good():
+    crossed = sum(
+        ever_crosses(seed, good_log_evidence, 0.1, lambda old: old, (0.01,)) for seed in range(100)
+    )
+    assert crossed >= 95
+
+
+def test_more_traffic_during_a_common_outage_is_no_evidence():
+    calm = Pair(Tally(50, 0), Tally(950, 10))
+    outage = Pair(Tally(900, 450), Tally(100, 50))
+    assert bad_log_evidence([calm, outage], 0.005) <= 0.0
+    merged = Pair(calm.new + outage.new, calm.old + outage.old)
+    assert bad_log_evidence([merged], 0.005) > 50.0
+
+
+def test_restarts_spend_no_more_than_the_error_rate():
+    spent = sum(restart_alpha(ALPHA, number, 40) for number in range(1, 10_000))
+    assert 0.99 * ALPHA < spent <= ALPHA
+
+
+def cell_key(step, side, route="a", level=LoadLevel.LOW):
+    return CellKey(step, side, route, level)
+
+
+def test_badness_on_one_route_or_level_is_not_hidden_by_the_others():
+    margins = dict.fromkeys(Signal, 0.05)
+    for where in ({"route": "b"}, {"level": LoadLevel.HIGH}):
+        cells = {
+            cell_key(1, Side.OLD): Cell(5_000, 500),
+            cell_key(1, Side.NEW): Cell(1_000, 100),
+            cell_key(1, Side.OLD, **where): Cell(100, 0),
+            cell_key(1, Side.NEW, **where): Cell(20, 12),
+        }
+        finding = find_in_cells(cells, 0.002, margins)
+        assert finding.excess > 0.0
+        assert "12 of 20" in finding.why
+
+
+def test_the_past_is_not_held_against_a_version_when_the_old_one_got_worse_too():
+    cells = {cell_key(1, Side.OLD): Cell(1_000, 4), cell_key(5, Side.NEW): Cell(100, 60)}
+    cells[cell_key(5, Side.OLD)] = Cell(5, 0)
+    assert find_beside_past(cells, cells, 5, 0.001).excess > 0.0
+    cells[cell_key(5, Side.OLD)] = Cell(5, 1)
+    assert find_beside_past(cells, cells, 5, 0.001).excess < 0.0
+    cells[cell_key(5, Side.OLD)] = Cell(2, 0)
+    assert find_beside_past(cells, cells, 5, 0.001).excess < 0.0
