--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,261 @@
+"""Test orders: their plan, the claim under pauses and store faults, and the weight store's pace."""
+
+import json
+import math
+import subprocess
+import sys
+import time
+
+import pytest
+
+from bench.virtual_clocks import VirtualTimers
+from tarragonwind.adapters.orders import (
+    CLAIM_TTL_S,
+    ORDER_TIMEOUT_S,
+    OrderRunner,
+    claim_key,
+)
+from tarragonwind.core.entries import MoveEntry, MoveState, UpstreamEntry, UpstreamState
+from tarragonwind.core.orders import (
+    LEASE_MARGIN_S,
+    Claim,
+    OrderBook,
+    OrderKind,
+    RateBudget,
+    may_issue,
+    plan_wanted,
+)
+from tarragonwind.futures import Future
+from tarragonwind.ports import Address, HttpCaller, HttpError, HttpRequest, HttpResponse
+from tests.store_fakes import BlockingHttp, FaultyStore
+
+WEIGHTS = Address("127.0.0.1", 1)
+LIFETIME_S = "30"
+
+
+def create_upstream(number, version="v1", **fields):
+    return UpstreamEntry(
+        name=f"engine-{number}",
+        owner="tests",
+        pool="drafting",
+        version=version,
+        host="127.0.0.1",
+        port=100 + number,
+        data_centre="etna",
+        **fields,
+    )
+
+
+def create_move(to_version, starts_at, state=MoveState.RUNNING):
+    return MoveEntry(
+        name=f"to-{to_version}",
+        owner="tests",
+        pool="drafting",
+        from_version="v1",
+        to_version=to_version,
+        starts_at=starts_at,
+        done_by=starts_at + 60.0,
+        state=state,
+    )
+
+
+class FakeUpstreams(HttpCaller):
+    """Keep the versions of upstreams and the orders that reached them."""
+
+    def __init__(self, timers, count):
+        self.timers = timers
+        self.versions = {100 + number: "v0" for number in range(count)}
+        self.orders = []
+        self.loads = []
+        self.busy_until = 0.0
+        self.lose_answers = 0
+        self.answer_delay_s = 0.0
+
+    def fetch(self, address, req, timeout_s):
+        fut = Future()
+        self.timers.call_later(self.answer_delay_s, lambda: self._answer(fut, address, req))
+        return fut
+
+    def follow(self, address, req, on_data, on_end):
+        raise NotImplementedError
+
+    def _answer(self, fut, address, req):
+        doc = json.loads(req.body or b"{}")
+        if address == WEIGHTS:
+            fut.set_result(self._load(doc))
+            return
+        if req.target == "/orders":
+            self.orders.append((self.timers.now(), address.port, doc))
+            self.versions[address.port] = doc["version"]
+            if self.lose_answers:
+                self.lose_answers -= 1
+                fut.set_exception(HttpError("lost", sent=True))
+                return
+        body = json.dumps({"version": self.versions[address.port]}).encode()
+        fut.set_result(HttpResponse(200, [], body))
+
+    def _load(self, doc):
+        if self.timers.now() < self.busy_until:
+            wait = math.ceil(self.busy_until - self.timers.now())
+            return HttpResponse(429, [(b"Retry-After", b"%d" % wait)], b"")
+        self.loads.append((self.timers.now(), doc["version"]))
+        return HttpResponse(200, [], b"{}")
+
+
+class Desk:
+    """Run order runners of several hosts over one store and the same upstreams."""
+
+    def __init__(self, count=3, hosts=("host-a",), rate=1.0, **fields):
+        self.timers = VirtualTimers()
+        self.store = FaultyStore(self.timers)
+        self.caller = FakeUpstreams(self.timers, count)
+        entries = [create_upstream(number, **fields) for number in range(count)]
+        addresses = {entry.name: Address(entry.host, entry.port) for entry in entries}
+        self.runners = {}
+        for host in hosts:
+            runner = OrderRunner(
+                "drafting", host, self.store, self.caller, self.timers, WEIGHTS, rate
+            )
+            runner.set_wanted(plan_wanted(entries, [], 7), addresses)
+            self.runners[host] = runner
+
+    def run_until(self, condition, limit_s=60.0):
+        end = self.timers.now() + limit_s
+        while not condition():
+            assert self.timers.now() < end
+            self.timers.advance(0.05)
+
+    def is_settled(self):
+        return set(self.caller.versions.values()) == {"v1"}
+
+
+def test_orders_go_by_deadline_under_the_rate():
+    upstreams = [create_upstream(0), create_upstream(1, "v3"), create_upstream(2, "v2")]
+    moves = [create_move("v2", 10.5), create_move("v3", 20.0)]
+    book = OrderBook(RateBudget(rate_per_s=2.0))
+    book.set_wanted(plan_wanted(upstreams, moves, 7))
+    for upstream in upstreams:
+        book.note_report(upstream.name, "")
+    planned = book.plan(10.0)
+    assert [one.wanted.order.upstream for one in planned] == ["engine-2", "engine-1", "engine-0"]
+    assert [one.starts_at for one in planned] == [10.0, 10.5, 11.0]
+    assert not any(one.is_late for one in planned)
+    assert book.plan(12.0)[0].is_late
+
+
+def test_cancelled_moves_set_no_deadline_and_leaving_upstreams_are_drained_once():
+    upstreams = [create_upstream(0, "v2"), create_upstream(1, state=UpstreamState.LEAVING)]
+    wanted = plan_wanted(upstreams, [create_move("v2", 5.0, MoveState.CANCELLED)], 7)
+    assert {one.deadline for one in wanted} == {math.inf}
+    book = OrderBook(RateBudget(1.0))
+    book.set_wanted(wanted)
+    book.note_report("engine-1", "v1")
+    drain = book.next_order(0.0)
+    assert drain.order.kind is OrderKind.DRAIN
+    book.note_issued(0.0, drain.order)
+    assert book.next_order(100.0) is None
+
+
+@pytest.mark.parametrize(
+    ("now", "lease_until", "looked_at", "checks", "allowed"),
+    [
+        (20.0, 30.0, 19.8, False, True),
+        (20.0, 20.0 + ORDER_TIMEOUT_S + LEASE_MARGIN_S, 19.8, False, False),
+        (20.0, 30.0, 18.0, True, False),
+        (11.0, 30.0, 10.8, False, False),
+        (11.0, 30.0, 10.8, True, True),
+    ],
+)
+def test_when_an_order_may_be_issued(now, lease_until, looked_at, checks, allowed):
+    claim = Claim(5, 10.0, lease_until)
+    assert may_issue(now, claim, looked_at, ORDER_TIMEOUT_S, checks) is allowed
+    assert not may_issue(now, None, looked_at, ORDER_TIMEOUT_S, checks)
+
+
+def test_upstreams_are_brought_to_their_version_at_the_pace_of_the_weight_store():
+    desk = Desk(rate=0.5)
+    desk.caller.busy_until = 8.0
+    desk.run_until(desk.is_settled)
+    starts = [at for at, _ in desk.caller.loads]
+    assert starts[0] >= 8.0
+    assert all(later - earlier >= 2.0 for earlier, later in zip(starts, starts[1:], strict=False))
+    assert {doc["generation"] for *_, doc in desk.caller.orders} == {7}
+
+
+def test_an_order_whose_answer_was_lost_is_settled_by_reading():
+    desk = Desk(count=1)
+    desk.caller.lose_answers = 1
+    desk.run_until(desk.is_settled)
+    desk.timers.advance(20.0)
+    assert len(desk.caller.orders) == 1
+
+
+def test_a_claim_whose_answer_was_lost_is_settled_by_reading():
+    desk = Desk(count=1)
+    desk.store.drop_answers = 1
+    desk.run_until(desk.is_settled)
+    item = desk.store.inner.get(claim_key("drafting")).result()
+    assert desk.runners["host-a"].claim.fencing == item.mod_revision
+
+
+def test_only_one_of_two_hosts_gives_orders_and_the_next_has_a_larger_number():
+    desk = Desk(count=1, hosts=("host-a", "host-b"))
+    desk.run_until(desk.is_settled)
+    holders = [host for host, runner in desk.runners.items() if runner.claim]
+    assert len(holders) == 1
+    first = desk.runners[holders[0]].claim.fencing
+    other = next(runner for host, runner in desk.runners.items() if host != holders[0])
+    desk.runners[holders[0]].stop()
+    desk.run_until(lambda: other.claim is not None, CLAIM_TTL_S + 10.0)
+    assert other.claim.fencing > first
+
+
+def test_no_order_leaves_near_the_end_of_a_lease_while_the_store_is_away():
+    desk = Desk(count=1)
+    desk.run_until(desk.is_settled)
+    desk.store.away = True
+    until = desk.runners["host-a"].claim.lease_until
+    desk.timers.advance(CLAIM_TTL_S - 2.0)
+    desk.caller.versions[100] = "v0"
+    desk.timers.advance(30.0)
+    assert all(at <= until - ORDER_TIMEOUT_S for at, *_ in desk.caller.orders)
+    assert desk.caller.versions[100] == "v0"
+
+
+@pytest.mark.parametrize("checks", [False, True])
+def test_a_holder_that_was_paused_renews_and_reads_before_it_gives_orders(checks):
+    desk = Desk(count=1, checks_fencing=checks)
+    desk.run_until(desk.is_settled)
+    runner = desk.runners["host-a"]
+    fencing = runner.claim.fencing
+    desk.caller.versions[100] = "v0"
+    runner.book.note_report("engine-0", "v0")
+    lease_id = desk.store.inner.get(claim_key("drafting")).result().lease_id
+    desk.store.inner.revoke_lease(lease_id)
+    before = len(desk.caller.orders)
+    runner._looked_at -= 60.0
+    runner.look()
+    desk.timers.advance(0.1)
+    assert len(desk.caller.orders) == before
+    desk.run_until(desk.is_settled)
+    assert all(doc["fencing"] > fencing for *_, doc in desk.caller.orders[before:])
+
+
+def test_the_weight_store_stand_in_limits_loads():
+    port = 18_770
+    command = [sys.executable, "-m", "standins.weight_store", "--port", str(port)]
+    process = subprocess.Popen([*command, "--rate", "0.1", "--lifetime", LIFETIME_S])
+    try:
+        req = HttpRequest("POST", "/loads", [], b'{"version": "v1"}')
+        statuses = []
+        end = time.monotonic() + 20.0
+        while len(statuses) < 2 and time.monotonic() < end:
+            fut = BlockingHttp().fetch(Address("127.0.0.1", port), req, 2.0)
+            try:
+                statuses.append(fut.result().status)
+            except HttpError:
+                time.sleep(0.05)
+        assert statuses == [200, 429]
+    finally:
+        process.kill()
+        process.wait()
