Resume streams that break off, measure requests, choose test ports outside the outgoing range

Cause: an engine that can resume lost a stream with its connection; the relay now passes on whole events and asks for the rest by the last one's number, three times at most. A daemon died at its start in 'A host dies and another one at once' (address already in use): the port was taken by an outgoing connection between look and start; ports now come from below that range. Excluded: the daemon itself; its log ended in bind.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -20,6 +20,9 @@
 """Characters of a prompt block in the prefix cache."""
 CACHE_EVENT_LIMIT = 10_000
 KEPT_STREAMS = 200
+RESUME_WINDOW_S = 5.0
+"""Time for which a stream that broke off goes on, in seconds."""
+STREAMS_PATH = "/v1/streams/"
 
 
 class EngineFaults:
@@ -53,20 +56,54 @@
         self.made = 0
         self.ended = False
         self.attached = True
+        self.was_cut = False
+        self.resumable = engine.resumable and self.stream
         exchange.events = self
+        if self.resumable:
+            engine.keep_stream(self)
 
     def on_caller_gone(self) -> None:
         """Cancel, or wait for a resume when the stream can be resumed."""
         self.attached = False
-        if not self.ended:
+        if self.ended:
+            return
+        if not self.resumable:
+            self.engine.cancel(self)
+            return
+        self.engine.loop.timers.call_later(RESUME_WINDOW_S, self._give_up)
+
+    def _give_up(self) -> None:
+        if not self.attached and not self.ended:
             self.engine.cancel(self)
 
+    def resume(self, exchange: CallerExchange, after: int) -> None:
+        """Send the events after a number, and the rest as it comes."""
+        self.exchange = exchange
+        self.attached = True
+        exchange.events = self
+        exchange.start(200, [(b"Content-Type", b"text/event-stream")])
+        for number in range(after + 1, self.made + 1):
+            exchange.write(self.encode_event(number))
+        if self.ended:
+            self._end_stream()
+
+    def _end_stream(self) -> None:
+        if self.attached:
+            self.exchange.write(self._id_line(self.total + 1) + b"data: [DONE]\n\n")
+            self.exchange.finish()
+
+    def _id_line(self, number: int) -> bytes:
+        return b"id: %d\n" % number if self.resumable else b""
+
     def begin(self) -> None:
         """Start decoding after the prefill."""
         if self.ended:
             return
         if self.stream and self.attached:
-            self.exchange.start(200, [(b"Content-Type", b"text/event-stream")])
+            headers = [(b"Content-Type", b"text/event-stream")]
+            if self.resumable:
+                headers.append((b"Stream-Id", self.id.encode()))
+            self.exchange.start(200, headers)
         self._next_token()
 
     def _next_token(self) -> None:
@@ -80,13 +117,18 @@
         if self._cut():
             return
         self.made += 1
-        if self.stream:
+        if self.stream and self.attached:
             self.exchange.write(self.encode_event(self.made))
         self.engine.loop.timers.call_later(self.engine.token_s(), self._next_token)
 
     def _cut(self) -> bool:
         limit = self.engine.faults.cut_after_events
-        if not limit or self.made < limit:
+        if not limit or self.made < limit or self.was_cut:
+            return False
+        self.was_cut = True
+        if self.resumable:
+            self.exchange.abort()
+            self.on_caller_gone()
             return False
         self.ended = True
         self.engine.release(self, "cut")
@@ -103,14 +145,13 @@
             choice["text"] = text
         kind = "chat.completion.chunk" if self.chat else "text_completion"
         doc = {"id": self.id, "object": kind, "model": self.model, "choices": [choice]}
-        return b"data: " + json.dumps(doc).encode() + b"\n\n"
+        return self._id_line(number) + b"data: " + json.dumps(doc).encode() + b"\n\n"
 
     def _finish(self) -> None:
         self.ended = True
         self.engine.release(self, "finished")
         if self.stream:
-            self.exchange.write(b"data: [DONE]\n\n")
-            self.exchange.finish()
+            self._end_stream()
             return
         text = "".join(f"w{number} " for number in range(1, self.total + 1))
         choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
@@ -143,6 +184,8 @@
         Prompt blocks that the prefix cache holds.
     checks_fencing : bool
         Whether an order with an old fencing number is refused.
+    resumable : bool
+        Whether streams can be resumed and cancelled by their id.
     journal : str
         File for executions.
     seed : int
@@ -159,6 +202,7 @@
         prefill_tokens_per_s: float = 20_000.0,
         cache_blocks: int = 4_096,
         checks_fencing: bool = False,
+        resumable: bool = False,
         journal: str = "",
         seed: int = 1,
     ) -> None:
@@ -169,6 +213,8 @@
         self.slots = slots
         self._token_ms = token_ms
         self._prefill_tokens_per_s = prefill_tokens_per_s
+        self.resumable = resumable
+        self._streams: OrderedDict[str, Generation] = OrderedDict()
         self._checks_fencing = checks_fencing
         self._journal = Journal(journal, name)
         self._rng = random.Random(seed)
@@ -191,6 +237,26 @@
         self.routes["/stats"] = self._show_stats
         self.loop.timers.call_later(self.faults.report_lag_s, self._renew_report)
 
+    def keep_stream(self, generation: Generation) -> None:
+        """Keep a stream for a resume; the oldest goes first."""
+        self._streams[generation.id] = generation
+        while len(self._streams) > KEPT_STREAMS:
+            self._streams.popitem(last=False)
+
+    def handle_other(self, exchange: CallerExchange, path: str) -> None:
+        """Resume or cancel a stream."""
+        generation = self._streams.get(path.removeprefix(STREAMS_PATH))
+        if generation is None:
+            answer_json(exchange, 404, {"error": "not found"})
+        elif exchange.request.method == "DELETE":
+            if not generation.ended:
+                self.cancel(generation)
+            answer_json(exchange, 200, {"cancelled": generation.id})
+        else:
+            after = exchange.request.header(b"last-event-id")
+            self._journal.write("resumed", request=generation.request_id, after=int(after or 0))
+            generation.resume(exchange, int(after or 0))
+
     def token_s(self) -> float:
         """Return the time to the next token of a stream, in seconds."""
         load = min(1.0, len(self._running) / self.slots)
--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -18,11 +20,25 @@
 import yaml
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORT_STEP = 97
+"""Distance between the first ports of two processes that start one after another."""
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 10.0
 POLL_S = 0.02
 
 
+def port_numbers() -> Iterator[int]:
+    """Yield ports in turn, from a place of this process's own on."""
+    offset = os.getpid() * PORT_STEP
+    for number in itertools.count(offset):
+        yield FIRST_PORT + number % (LAST_PORT - FIRST_PORT)
+
+
+_PORTS = port_numbers()
+
+
 class FleetError(Exception):
     """Report a process that did not start or a state that was not reached."""
 
@@ -92,9 +108,16 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nobody listens on."""
-    with socket.create_server((LOOPBACK, 0)) as sock:
-        return int(sock.getsockname()[1])
+    """Return a port of the loopback address that nobody listens on.
+
+    Ports below the system's range for outgoing connections are tried in turn, so that none is
+    taken by a connection between this look and the start of the process that listens on it.
+    """
+    for _ in range(LAST_PORT - FIRST_PORT):
+        port = next(_PORTS)
+        with contextlib.suppress(OSError), socket.create_server((LOOPBACK, port)):
+            return port
+    raise FleetError("no free port")
 
 
 def call(
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -25,6 +25,8 @@
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled, spawn
 from tarragonwind.ports import Address, HttpRequest
+from tarragonwind.telemetry import Telemetry, create_silent_telemetry
+from tarragonwind.telemetry_traces import Hop
 
 MAX_CONNECT_ATTEMPTS = 3
 REQUEST_ID_HEADER = b"x-request-id"
@@ -48,6 +50,8 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
+        b"traceparent",
+        b"tracestate",
         REQUEST_ID_HEADER,
     ]
 )
@@ -95,6 +99,8 @@
         Source of permits.
     claims : Claims, optional
         Claims of idempotency keys; without it a request with a key is refused.
+    telemetry : Telemetry, optional
+        Instruments and traces; without it nothing leaves the process.
     times : GatewayTimes, optional
         Bounds for dispatches.
     id_prefix : str
@@ -110,6 +116,7 @@
         catalogue: Callable[[], GatewayCatalogue | None],
         scheduler: Scheduler,
         claims: Claims | None = None,
+        telemetry: Telemetry | None = None,
         times: GatewayTimes | None = None,
         id_prefix: str = "request",
     ) -> None:
@@ -119,6 +126,7 @@
         self.scheduler = scheduler
         self.limits = OrganisationLimits()
         self.claims = claims
+        self.telemetry = telemetry or create_silent_telemetry()
         self.times = times or GatewayTimes()
         self.active: set[RequestRun] = set()
         self.stopping = False
@@ -171,12 +179,15 @@
         self._claim: Claim | None = None
         self._sent = False
         self._answered = False
+        self._first_byte_seen = False
         self._started_at = gateway.loop.timers.now()
         self._waited_s = 0.0
         self.request_id = request_id
         given = exchange.request.header(REQUEST_ID_HEADER).decode("latin-1")
         usable = given.isascii() and given.isprintable() and len(given) <= MAX_REQUEST_ID_LENGTH
         self.name = given if given and usable else f"{gateway.id_prefix}-{request_id}"
+        self._trace = gateway.telemetry.start_request(exchange.request.headers)
+        self._refusal = ""
         exchange.events = self
 
     async def serve(self) -> None:
@@ -195,6 +206,7 @@
             self._settle_claim()
             if self._admission is not None:
                 self._gateway.limits.end(self._gateway.loop.timers.now(), self._admission)
+            self._measure()
             self._log()
 
     async def _run(self) -> None:
@@ -205,6 +217,7 @@
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
         cls = classify_request(self._exchange.request, catalogue)
         self._class = cls
+        self._trace.begin(Hop.WAIT)
         now = self._gateway.loop.timers.now()
         self._admission = self._gateway.limits.admit(now, cls.organisation, cls.route)
         await self._claim_key(cls)
@@ -265,9 +278,12 @@
         self._life.advance(LifeState.WAITING)
         wait: Future[Permit] = Future()
         self._wait = wait
+        self._trace.begin(Hop.OWNER)
         self._ask_id = self._gateway.scheduler.ask(work, wait.set_result, wait.set_exception)
         permit = await wait
         self._wait = None
+        self._trace.end(Hop.OWNER)
+        self._trace.end(Hop.WAIT)
         self._waited_s = self._gateway.loop.timers.now() - self._started_at
         self._life.advance(LifeState.PERMITTED)
         return permit
@@ -291,8 +307,11 @@
             raise
         rules = RelayRules(upstream.refusal_not_run, left_s, self._gateway.times.idle_timeout_s)
         relay = Relay(self._exchange, self._life, rules, self._gateway.loop.timers)
-        relay.on_first_byte = lambda: scheduler.first_byte(permit)
+        relay.on_first_byte = lambda: self._note_first_byte(permit)
         scheduler.dispatched(permit)
+        self._trace.note("upstream", permit.upstream)
+        self._trace.begin(Hop.DISPATCH)
+        self._trace.begin(Hop.FIRST_TOKEN)
         relay.start(self._gateway.client, Address(upstream.host, upstream.port), self._forward())
         end = await relay.end
         self._exchange.events = self
@@ -304,6 +323,12 @@
         self._raise_for(end, relay)
         return True
 
+    def _note_first_byte(self, permit: Permit) -> None:
+        self._gateway.scheduler.first_byte(permit)
+        self._first_byte_seen = True
+        self._trace.end(Hop.FIRST_TOKEN)
+        self._trace.begin(Hop.STREAM)
+
     def _raise_for(self, end: RelayEnd, relay: Relay) -> None:
         if end is RelayEnd.REFUSED:
             raise RequestError(ErrorKind.UPSTREAM_REFUSED, "the upstream refused the request")
@@ -317,7 +342,7 @@
     def _forward(self) -> HttpRequest:
         req = self._exchange.request
         named = {name.strip().lower() for name in req.header(b"connection").split(b",")}
-        headers = [(REQUEST_ID_HEADER, self.name.encode("latin-1"))]
+        headers = [(REQUEST_ID_HEADER, self.name.encode("latin-1")), *self._trace.headers()]
         for name, value in req.headers:
             lowered = name.lower()
             if lowered not in DROPPED_REQUEST_HEADERS and lowered not in named:
@@ -332,8 +357,10 @@
 
     def _refuse(self, exc: RequestError) -> None:
         not_run = self._life.not_run(exc.kind)
+        self._refusal = exc.kind.value
         if exc.kind in SHED_KINDS and self._class is not None:
             self._gateway.sheds[self._class.tier] += 1
+            self._gateway.telemetry.sheds.add(1, self._class.tier)
         self._life.end(Outcome.REFUSED)
         if self._exchange.gone:
             return
@@ -348,13 +375,29 @@
             not_run.value,
         )
 
+    def _measure(self) -> None:
+        telemetry = self._gateway.telemetry
+        cls = self._class
+        outcome = self._life.outcome.value if self._life.outcome is not None else "none"
+        self._trace.finish(outcome)
+        if cls is None:
+            return
+        telemetry.requests.add(1, cls.tier, outcome, self._refusal)
+        if self._waited_s:
+            telemetry.wait.record(self._waited_s, cls.tier)
+        if self._answered:
+            telemetry.goodput.add(1, cls.tier)
+        elif self._sent and not self._first_byte_seen:
+            telemetry.wasted_prefill.add(cls.prompt_tokens)
+
     def _log(self) -> None:
         cls = self._class
         outcome = self._life.outcome
         logger.info(
-            "event=request_ended request={} outcome={} organisation={} route={} tier={} "
+            "event=request_ended request={} trace={} outcome={} organisation={} route={} tier={} "
             "waited_ms={:.1f} took_ms={:.1f}",
             self.name,
+            self._trace.trace_id,
             outcome.value if outcome is not None else "none",
             cls.organisation.name if cls else "-",
             cls.route.name if cls else "-",
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -11,6 +11,14 @@
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, Timer, Timers
 
+STREAM_ID_HEADER = b"stream-id"
+"""Field by which an engine names a stream that it can resume and cancel."""
+STREAM_TARGET = "/v1/streams/{}"
+LAST_EVENT_HEADER = b"Last-Event-ID"
+MAX_RESUMES = 3
+RESUME_DELAY_S = 0.1
+CANCEL_TIMEOUT_S = 2.0
+MAX_STREAM_ID_LENGTH = 128
 REFUSAL_STATUSES = frozenset([429, 503])
 EVENT_END = b"\n\n"
 
@@ -52,6 +60,36 @@
         self.idle_timeout_s = idle_timeout_s
 
 
+class ResumedStream(ResponseSink):
+    """Follow the rest of a stream that broke off, on behalf of its relay."""
+
+    __slots__ = ("_accepted", "_relay")
+
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+        self._accepted = False
+
+    def on_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Go on when the engine still has the stream."""
+        self._accepted = status == 200
+        if not self._accepted:
+            self._relay.give_up_resuming(f"the engine refused to resume: status {status}")
+
+    def on_body(self, data: bytes) -> None:
+        """Pass the next part on."""
+        if self._accepted:
+            self._relay.on_body(data)
+
+    def on_complete(self) -> None:
+        """End the answer."""
+        if self._accepted:
+            self._relay.on_complete()
+
+    def on_failed(self, exc: HttpError) -> None:
+        """Try again, or cut the answer."""
+        self._relay.on_stream_broken(str(exc))
+
+
 class Relay(ResponseSink, AnswerEvents):
     """Send one request to one upstream and pass the answer on as it comes.
 
@@ -72,14 +110,19 @@
     """
 
     __slots__ = (
+        "_address",
         "_caller",
+        "_client",
         "_dispatched_at",
         "_exchange",
         "_head",
         "_heard_at",
         "_life",
+        "_partial",
         "_paused",
+        "_resumes",
         "_rules",
+        "_stream_id",
         "_timer",
         "_timers",
         "duration_s",
@@ -108,6 +151,11 @@
         self._dispatched_at = timers.now()
         self._heard_at = 0.0
         self._paused = False
+        self._stream_id = ""
+        self._partial = b""
+        self._resumes = 0
+        self._client: HttpClient | None = None
+        self._address: Address | None = None
         self._timer: Timer | None = None
         self.on_first_byte: Callable[[], None] = _ignore
 
@@ -119,6 +167,8 @@
     def start(self, client: HttpClient, address: Address, req: HttpRequest) -> None:
         """Dispatch the request."""
         self._caller.events = self
+        self._client = client
+        self._address = address
         self._timer = self._timers.call_later(self._rules.first_byte_timeout_s, self._late)
         exchange = client.exchange(address, req, self)
         self._exchange = exchange
@@ -140,7 +190,10 @@
             self._cancel_exchange()
             return
         self._life.advance(LifeState.STREAMING)
-        self._caller.start(status, headers, content_length(headers))
+        length = content_length(headers)
+        if length is None:
+            self._stream_id = find_stream_id(headers)
+        self._caller.start(status, headers, length)
         self._restart_timer()
 
     def on_body(self, data: bytes) -> None:
@@ -152,6 +205,10 @@
             self.first_byte_s = now - self._dispatched_at
             self.on_first_byte()
         self._heard_at = now
+        if self._stream_id:
+            data = self._take_whole_events(data)
+        if not data:
+            return
         self.event_count += data.count(EVENT_END)
         try:
             self._caller.write(data)
@@ -163,10 +220,21 @@
             self._paused = True
             self._exchange.pause()
 
+    def _take_whole_events(self, data: bytes) -> bytes:
+        """Return the whole events so far and keep the rest, so that a resume begins at an event."""
+        data = self._partial + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            end = 0
+        self._partial = data[end:]
+        return data[:end]
+
     def on_complete(self) -> None:
         """End the caller's answer."""
         if self.end.done():
             return
+        if self._partial:
+            self._caller.write(self._partial)
         self._life.end(Outcome.ANSWERED)
         self._caller.finish()
         self._finish(RelayEnd.WHOLE)
@@ -179,10 +247,37 @@
         if not exc.sent:
             self._finish(RelayEnd.NOT_SENT)
         elif self._life.state is LifeState.STREAMING:
-            self._cut()
+            self.on_stream_broken(self.reason)
         else:
             self._finish(RelayEnd.FAILED_BEFORE_ANSWER)
 
+    def on_stream_broken(self, reason: str) -> None:
+        """Resume a stream that broke off, where the engine can; else cut the answer."""
+        if self.end.done():
+            return
+        self.reason = reason
+        if not self._stream_id or self._resumes >= MAX_RESUMES:
+            self._cut()
+            return
+        self._resumes += 1
+        self._partial = b""
+        delay_s = RESUME_DELAY_S * (self._resumes - 1)
+        self._timers.call_later(delay_s, self._resume)
+
+    def give_up_resuming(self, reason: str) -> None:
+        """Cut the answer: the engine no longer has the stream."""
+        if not self.end.done():
+            self.reason = reason
+            self._cut()
+
+    def _resume(self) -> None:
+        if self.end.done() or self._client is None or self._address is None:
+            return
+        headers = [(LAST_EVENT_HEADER, b"%d" % self.event_count)]
+        req = HttpRequest("GET", STREAM_TARGET.format(self._stream_id), headers)
+        self._paused = False
+        self._exchange = self._client.exchange(self._address, req, ResumedStream(self))
+
     def on_caller_drained(self) -> None:
         """Read the upstream again."""
         if self._paused and self._exchange is not None:
@@ -228,6 +323,9 @@
     def _cancel_exchange(self) -> None:
         if self._exchange is not None:
             self._exchange.cancel()
+        if self._stream_id and self._client is not None and self._address is not None:
+            req = HttpRequest("DELETE", STREAM_TARGET.format(self._stream_id))
+            self._client.fetch(self._address, req, CANCEL_TIMEOUT_S)
 
     def _finish(self, end: RelayEnd) -> None:
         if self._timer is not None:
@@ -243,3 +341,13 @@
         if name.lower() == b"content-length":
             return int(value)
     return None
+
+
+def find_stream_id(headers: list[tuple[bytes, bytes]]) -> str:
+    """Return the name of a stream that can be resumed, empty when it can't."""
+    for name, value in headers:
+        if name.lower() == STREAM_ID_HEADER:
+            text = value.decode("latin-1")
+            plain = text.replace("-", "").isalnum() and text.isascii()
+            return text if plain and len(text) <= MAX_STREAM_ID_LENGTH else ""
+    return ""
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -27,6 +27,8 @@
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import CallerSettings, Settings
+from tarragonwind.telemetry import create_telemetry
+from tarragonwind.upstream_reports import UpstreamReports
 
 SIGNAL_POLL_S = 0.1
 """Time between two looks for a signal, in seconds."""
@@ -56,10 +58,13 @@
         self._signals_seen = 0
         rng = random.Random(secrets.randbits(64))
         incarnation = int(loop.timers.wall() * 1000)
+        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, loop.timers.now)
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
-        self.store = create_store(store_settings(cfg), loop.timers, self.client)
+        self.store = create_store(
+            store_settings(cfg), loop.timers, self.client, self._count_store_call
+        )
         self.peers = create_peers(loop, peer_settings(cfg, rng))
         seeds = [seed.address() for seed in cfg.peers.seeds if seed.name != cfg.host.name]
         self.membership = create_membership(self.peers, loop.timers, MembershipSettings(seeds), rng)
@@ -85,9 +90,11 @@
             self._catalogue_in_force,
             self.scheduler,
             self.claims,
+            self.telemetry,
             GatewayTimes(cfg.upstreams.idle_timeout_s),
             f"{cfg.host.name}-{incarnation:x}",
         )
+        self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
         self.operators = self._create_operators()
         self.catalogue.state.subscribe(self._on_catalogue)
         self.membership.subscribe_resumed(self.scheduler.resume)
@@ -120,11 +127,13 @@
         """Run until a planned stop has ended."""
         self._loop.timers.call_later(0.0, self._start)
         self._loop.run()
+        self.telemetry.close()
 
     def _start(self) -> None:
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
+        self._loop.timers.call_every(self._cfg.telemetry.export_period_s / 2, self._renew_gauges)
         self.membership.start()
         self.catalogue.watcher.start()
         logger.info(
@@ -134,6 +143,20 @@
             self.peers.address,
         )
 
+    def _count_store_call(self, kind: str) -> None:
+        self.telemetry.store_calls.add(1, kind)
+
+    def _renew_gauges(self) -> None:
+        telemetry = self.telemetry
+        telemetry.catalogue_number.set(self.catalogue.state.number)
+        telemetry.live_hosts.set(len(self.membership.live()))
+        telemetry.permits.set(self.scheduler.client.held())
+        for name, traffic in self.peers.traffic.items():
+            telemetry.control_sent.set(traffic.sent_bytes, name)
+            telemetry.control_received.set(traffic.received_bytes, name)
+        for state, count in self.moves.count_by_state().items():
+            telemetry.moves.set(count, state)
+
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
         self._signals += 1
 
@@ -188,6 +211,7 @@
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         self.moves.set_catalogue(catalogue)
         self.scheduler.set_catalogue(catalogue)
+        self.reports.set_catalogue(catalogue)
 
 
 def store_settings(cfg: Settings) -> StoreSettings:
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -105,6 +105,13 @@
         """Choose a request's version; moves count on the wall clock that hosts share."""
         return self.table.choose_version(self._timers.wall(), rng, pool, route)
 
+    def count_by_state(self) -> dict[str, int]:
+        """Return the number of moves in each state, ``not_settled`` for those without answer."""
+        counts = {"not_settled": 0, "done": 0, "taken_back": 0}
+        for status in self.table.statuses(self._timers.wall()):
+            counts[status.answer.value if status.answer else "not_settled"] += 1
+        return counts
+
     def read(self, move_id: str) -> None:
         """Look an answer up in the catalogue in force."""
         entry = self._find(move_id)
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -47,9 +47,14 @@
 class Bench:
     """Hold a gateway, its loop and an engine of its own on the same loop."""
 
-    def __init__(self, upstream_port: int | None = None, refusal_not_run: bool = False) -> None:
+    def __init__(
+        self,
+        upstream_port: int | None = None,
+        refusal_not_run: bool = False,
+        resumable: bool = False,
+    ) -> None:
         self.runner = LoopRunner()
-        self.engine = Engine(0, token_ms=1.0)
+        self.engine = Engine(0, token_ms=1.0, resumable=resumable)
         self.engine_runner = threading.Thread(target=self.engine.loop.run, daemon=True)
         self.engine_runner.start()
         port = upstream_port or self.engine._server.address.port
@@ -207,6 +212,28 @@
     upstream.close()
 
 
+@pytest.mark.parametrize("cut_after", [1, 7, 50])
+def test_a_stream_that_breaks_off_is_resumed_at_its_place(cut_after):
+    bench = Bench(resumable=True)
+    bench.engine.faults.cut_after_events = cut_after
+    got, _ = bench.post(chat(stream=True, tokens=50))
+    events = [line for line in got.read().split(b"\n") if line.startswith(b"data: {")]
+    words = [json.loads(line[6:])["choices"][0]["delta"]["content"] for line in events]
+    assert words == [f"w{number} " for number in range(1, 51)]
+    assert len(bench.scheduler.works) == 1
+    bench.close()
+
+
+def test_a_stream_that_the_engine_no_longer_has_is_cut_visibly():
+    bench = Bench(resumable=True)
+    bench.engine.faults.cut_after_events = 7
+    bench.engine.keep_stream = lambda generation: None
+    got, _ = bench.post(chat(stream=True, tokens=50))
+    with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+        got.read()
+    bench.close()
+
+
 def test_extra_bytes_after_an_answer_reach_nobody():
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
     upstream = ScriptedUpstream(answer + b"Content-Length: 5\r\n\r\nother", keep=True)
