Split the membership's core into standing, merging, building and protocol

No change of behaviour but for three edges: incarnations are bounded below 2^62 (a record with 2^64-1 would have made the refuting daemon unable to pack its own), a host that left by plan is not sought again, and departed contacts are forgotten with the list.

python -m pytest tests/test_memberships.py tests/test_membership_adapters.py tests/test_peers.py: 82 passed.

--- a/bench/member_networks.py
+++ b/bench/member_networks.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 
 from tarragonwind.core.member_views import Member
-from tarragonwind.core.memberships import FactSource, MembershipCore
+from tarragonwind.core.membership_builders import FactSource
+from tarragonwind.core.memberships import MembershipCore
 from tarragonwind.messages import Message, pack_message
 from tarragonwind.ports import Address
 
@@ -33,8 +34,8 @@
         Messages that arrived during a pause, each with its sender.
     sent_messages, sent_bytes : int
         Protocol messages sent so far and their packed bytes.
-    removals : dict
-        When each name left this host's live hosts, for those still missing, in seconds.
+    resumed : int
+        Pauses that the host has noticed.
     """
 
     core: MembershipCore
--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -12,9 +12,9 @@
 from tarragonwind.adapters.peer_conns import PeerIdentity
 from tarragonwind.adapters.peers import TcpPeers
 from tarragonwind.core.member_views import Health, Member
+from tarragonwind.core.membership_builders import FactSource
 from tarragonwind.core.memberships import (
     PROTOCOL_MESSAGES,
-    FactSource,
     MembershipCore,
     Outgoing,
 )
@@ -129,7 +129,7 @@
         self._core = MembershipCore(own, rng, timers.now(), self._facts)
         self._core.on_changed = self._tell_changed
         self._core.on_resumed = self._tell_resumed
-        self._core.on_dead = peers.drop
+        self._core.on_dead(peers.drop)
         self._changed: list[Callable[[], None]] = []
         self._resumed: list[Callable[[], None]] = []
         self._owners: dict[str, str] = {}
@@ -152,7 +152,7 @@
 
     def stop(self) -> None:
         """Tell the neighbours that the process ends, and stop."""
-        self._core.depart(self._timers.now())
+        self._core.depart()
         self._settle()
         for timer in (self._timer, self._seed_timer):
             if timer is not None:
@@ -206,6 +206,10 @@
         self._core.leave(self._timers.now())
         self._settle()
 
+    def neighbours(self) -> list[str]:
+        """Return a few live daemons, the same for long, that connections are kept with anyway."""
+        return self._core.neighbours()
+
     def members(self) -> list[Member]:
         """Return the records of all known members, this one first."""
         return [self._core.own, *self._core.view.members.values()]
--- /dev/null
+++ b/tarragonwind/core/fleet_standings.py
@@ -0,0 +1,93 @@
+"""Work out who takes part, and whether a daemon reaches the larger part of its fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tarragonwind.core.member_views import Health, MemberView, has_majority
+
+
+class FleetStanding:
+    """Join a daemon's view with the platform's list.
+
+    Parameters
+    ----------
+    view : MemberView
+        View of the daemon.
+    now : float
+        Present time, in seconds.
+
+    Attributes
+    ----------
+    live : tuple of str
+        Sorted names of the members that take part, this daemon included.
+    isolated : bool
+        Whether the daemon can't reach the larger part of the fleet.
+    listed : frozenset of str
+        Hosts that the platform calls live, empty before the first list.
+    heard_at : float
+        When a message of anybody last arrived, in seconds.
+    """
+
+    __slots__ = (
+        "_listed_leaving",
+        "_outdated",
+        "_reaches_majority",
+        "_view",
+        "heard_at",
+        "isolated",
+        "listed",
+        "live",
+    )
+
+    def __init__(self, view: MemberView, now: float) -> None:
+        self._view = view
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._outdated = False
+        self._reaches_majority = True
+        self.live: tuple[str, ...] = (view.own.name,)
+        self.isolated = False
+        self.listed: frozenset[str] = frozenset()
+        self.heard_at = now
+
+    def set_listed(self, live: Iterable[str], leaving: Iterable[str]) -> None:
+        """Take the platform's list: hosts that it calls live and leaving."""
+        self.listed = frozenset(live)
+        self._listed_leaving = frozenset(leaving)
+        self._outdated = True
+
+    def note_change(self) -> None:
+        """Work the standing out anew at the next `refresh`."""
+        self._outdated = True
+
+    def refresh(self, now: float, alone_s: float) -> bool:
+        """Bring the standing up to date; return whether anything changed.
+
+        Parameters
+        ----------
+        now : float
+            Present time, in seconds.
+        alone_s : float
+            Time without a message of anybody after which the daemon is isolated.
+        """
+        before = (self.live, self.isolated)
+        if self._outdated:
+            self._outdated = False
+            self._reaches_majority = self._work_out_majority()
+            self.live = self._work_out_live()
+        alone = self._view.running_count() > 0 and now - self.heard_at > alone_s
+        self.isolated = alone or not self._reaches_majority
+        return before != (self.live, self.isolated)
+
+    def _work_out_live(self) -> tuple[str, ...]:
+        names = set(self._view.taking_part())
+        if not self._view.own.leaving:
+            names.add(self._view.own.name)
+        return tuple(sorted(names - self._listed_leaving))
+
+    def _work_out_majority(self) -> bool:
+        own_name = self._view.own.name
+        members = self._view.members.values()
+        fleet = self.listed or {own_name, *self._view.members}
+        ended = {m.name for m in members if m.leaving and m.health is Health.DEAD}
+        return has_majority([own_name, *self._view.running()], fleet - ended)
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -16,6 +16,7 @@
 
 BUCKET_COUNT = 32
 """Parts of a view that two daemons compare before they exchange records."""
+MAX_INCARNATION = 1 << 62
 _LEAVING_FLAG = 4
 _RECORD_FIELDS = 6
 
@@ -86,8 +87,8 @@
     numbers = isinstance(port, int) and isinstance(incarnation, int) and isinstance(flags, int)
     if not texts or not numbers or not name or not 0 <= flags <= _LEAVING_FLAG + Health.DEAD:
         raise MessageError("a member record has a field of the wrong type")
-    if flags % _LEAVING_FLAG > Health.DEAD:
-        raise MessageError("a member record has an unknown health")
+    if flags % _LEAVING_FLAG > Health.DEAD or not 0 <= incarnation <= MAX_INCARNATION:
+        raise MessageError("a member record has an unknown health or incarnation")
     return Member(
         name,
         Address(host, port),
@@ -153,6 +154,37 @@
         """Return the names of members that are not dead."""
         return [m.name for m in self.members.values() if m.health is not Health.DEAD]
 
+    def running_count(self) -> int:
+        """Return the number of members that are not dead."""
+        return sum(1 for m in self.members.values() if m.health is not Health.DEAD)
+
+    def lost(self) -> list[str]:
+        """Return the names of members that are dead without having left."""
+        return [m.name for m in self.members.values() if m.health is Health.DEAD and not m.leaving]
+
+    def forget_dead(self, before: float, listed: Collection[str]) -> list[str]:
+        """Forget members that died before a time, but for listed ones; return their names."""
+        forgotten = [
+            m.name
+            for m in self.members.values()
+            if m.health is Health.DEAD and m.changed_at <= before and m.name not in listed
+        ]
+        for name in forgotten:
+            self.remove(name)
+        return forgotten
+
+    def differing_buckets(self, digests: list[Any]) -> list[int]:
+        """Return the buckets whose digest differs from another daemon's.
+
+        Raises
+        ------
+        MessageError
+            When the number of digests is wrong.
+        """
+        if len(digests) != BUCKET_COUNT:
+            raise MessageError(f"a comparison has {BUCKET_COUNT} digests")
+        return [index for index, own in enumerate(self._buckets) if own != digests[index]]
+
     def taking_part(self) -> list[str]:
         """Return the names of members that are neither dead nor leaving."""
         return [
@@ -177,6 +209,19 @@
     return xxhash.xxh32_intdigest(name.encode()) % BUCKET_COUNT
 
 
+def check_list(value: Any) -> list:
+    """Return a value that must be an array.
+
+    Raises
+    ------
+    MessageError
+        When it is none.
+    """
+    if not isinstance(value, list):
+        raise MessageError("an array is missing")
+    return value
+
+
 def has_majority(reached: Iterable[str], fleet: Iterable[str]) -> bool:
     """Tell whether the reached hosts are the larger part of a fleet.
 
--- a/tarragonwind/core/membership_messages.py
+++ b/tarragonwind/core/membership_messages.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-from tarragonwind.messages import Message, message
+from tarragonwind.core.member_views import MAX_INCARNATION, check_list
+from tarragonwind.messages import Message, MessageError, message
 
 
 @message(10)
@@ -108,3 +109,30 @@
     """Ask a member to exchange the buckets whose digests differ from its own."""
 
     digests: list[int]
+
+
+def check_probe(msg: Ping | Ack) -> None:
+    """Check the numbers of a probe or its answer.
+
+    Raises
+    ------
+    MessageError
+        When one has the wrong type or is out of range.
+    """
+    if not isinstance(msg.seq, int) or not isinstance(msg.incarnation, int):
+        raise MessageError("a probe's numbers have the wrong type")
+    if not 0 <= msg.incarnation <= MAX_INCARNATION:
+        raise MessageError("a probe's incarnation is out of range")
+
+
+def check_buckets(value: list[int]) -> list[int]:
+    """Return the buckets of a `Sync`.
+
+    Raises
+    ------
+    MessageError
+        When they are no numbers.
+    """
+    if not all(isinstance(bucket, int) for bucket in check_list(value)):
+        raise MessageError("a bucket is a number")
+    return value
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -91,7 +91,7 @@
     lossy = net.hosts[names[7]].core
     for name in names[20:23]:
         lossy.view.remove(name)
-    lossy._note_change()
+    lossy.note_change()
     net.run_for(0.1)
     settle(net, names, 8.0)
 
