--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -5,27 +5,24 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from loguru import logger
 
-from tarragonwind.adapters.peer_conns import PeerIdentity
+from tarragonwind.adapters.fact_slots import FactSlot, FactSlots
+from tarragonwind.adapters.peer_greetings import PeerIdentity
 from tarragonwind.adapters.peers import TcpPeers
 from tarragonwind.core.member_views import Health, Member
-from tarragonwind.core.membership_builders import FactSource
 from tarragonwind.core.memberships import (
     PROTOCOL_MESSAGES,
     MembershipCore,
     Outgoing,
 )
 from tarragonwind.core.rendezvous import choose_owner, rank_names
-from tarragonwind.messages import Message, MessageError
+from tarragonwind.messages import Message
 from tarragonwind.ports import Address, Gossip, Members, Timer, Timers
 
 SEED_PERIOD_S = 1.0
 """Time between two attempts to reach the seeds that have not answered yet."""
-MAX_FACT_BYTES = 200
-"""Most bytes of facts on one message of the protocol."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,69 +35,6 @@
     leaving: bool
 
 
-@dataclass(slots=True)
-class FactSlot:
-    """Hold one subscription to the facts on probes."""
-
-    name: str
-    provider: Callable[[], bytes | None]
-    consumer: Callable[[str, bytes], None]
-
-
-class FactSlots(FactSource):
-    """Attach facts to probes within a bound of bytes, the slots in turn."""
-
-    def __init__(self) -> None:
-        self._slots: dict[str, FactSlot] = {}
-        self._first = 0
-
-    def attach(self, slot: FactSlot) -> None:
-        """Add a slot.
-
-        Raises
-        ------
-        ValueError
-            When the name is taken.
-        """
-        if slot.name in self._slots:
-            raise ValueError(f"fact slot {slot.name} is taken")
-        self._slots[slot.name] = slot
-
-    def collect(self) -> list[list]:
-        """Return the facts for one message; a slot that finds no room goes first next time."""
-        slots = list(self._slots.values())
-        room = MAX_FACT_BYTES
-        facts: list[list] = []
-        for offset in range(len(slots)):
-            index = (self._first + offset) % len(slots)
-            value = slots[index].provider()
-            if not value:
-                continue
-            if len(value) > room:
-                self._first = index
-                break
-            room -= len(value)
-            facts.append([slots[index].name, value])
-        return facts
-
-    def consume(self, sender: str, facts: Any) -> None:
-        """Hand the facts of a message to their slots.
-
-        Raises
-        ------
-        MessageError
-            When the facts are malformed.
-        """
-        if not isinstance(facts, list):
-            raise MessageError("facts are an array")
-        for fact in facts:
-            if not isinstance(fact, list) or len(fact) != 2 or not isinstance(fact[1], bytes):
-                raise MessageError("a fact is a name and bytes")
-            slot = self._slots.get(fact[0]) if isinstance(fact[0], str) else None
-            if slot is not None:
-                slot.consumer(sender, fact[1])
-
-
 @dataclass(slots=True)
 class MembershipSettings:
     """Hold what the membership needs to know.
--- a/tarragonwind/adapters/peers.py
+++ b/tarragonwind/adapters/peers.py
@@ -4,22 +4,14 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
 
 from tarragonwind.adapters.loops import Loop
-from tarragonwind.adapters.peer_conns import (
-    READ_BYTES,
-    ConnOwner,
-    Hello,
-    PeerConn,
-    PeerIdentity,
-    PeerListener,
-    check_hello,
-    create_hello,
-)
+from tarragonwind.adapters.peer_conns import READ_BYTES, ConnOwner, PeerConn, PeerListener
+from tarragonwind.adapters.peer_greetings import Hello, PeerIdentity, check_hello, create_hello
+from tarragonwind.adapters.peer_settings import PeerSettings, Traffic
 from tarragonwind.messages import MAX_MESSAGE_BYTES, Message, MessageError, pack_message
 from tarragonwind.ports import Address, Peers, Timer
 
@@ -37,48 +29,6 @@
 _OWN_REASONS = ("replaced", "dropped", "stopped", "peer_restarted", "yielded")
 
 
-@dataclass(slots=True)
-class PeerSettings:
-    """Hold what the transport needs to know.
-
-    Attributes
-    ----------
-    name, data_centre : str
-        This host.
-    listen : Address
-        Where to listen for peers; port 0 takes a free one.
-    token : bytes
-        Secret that all daemons of the fleet share.
-    start_id : int
-        Random number of this start of the process.
-    advertise : Address or None
-        Address that the others should use, None for the listening one.
-    idle_s : float
-        Quiet time after which an opened connection is closed.
-    message_timeout_s : float
-        Longest pause in the middle of a message.
-    """
-
-    name: str
-    data_centre: str
-    listen: Address
-    token: bytes
-    start_id: int
-    advertise: Address | None = None
-    idle_s: float = 60.0
-    message_timeout_s: float = 5.0
-
-
-@dataclass(slots=True)
-class Traffic:
-    """Count messages of one class; bytes are packed bytes without TCP headers."""
-
-    sent_messages: int = 0
-    sent_bytes: int = 0
-    received_messages: int = 0
-    received_bytes: int = 0
-
-
 class TcpPeers(Peers, ConnOwner):
     """Exchange messages with other daemons, one connection in use for each direction.
 
--- /dev/null
+++ b/tests/test_peer_processes.py
@@ -0,0 +1,23 @@
+"""Stop, continue and kill real processes of transport and membership."""
+
+import signal
+
+import pytest
+
+from bench.peers import RealFleet
+
+
+@pytest.mark.process
+def test_a_stopped_process_is_taken_out_and_back_and_a_killed_one_removed():
+    fleet = RealFleet(4, 100.0)
+    try:
+        fleet.wait_for(4)
+        fleet.processes[3].send_signal(signal.SIGSTOP)
+        lines = fleet.wait_for(3, skip=3)
+        assert not any(line["isolated"] for line in lines)
+        fleet.processes[3].send_signal(signal.SIGCONT)
+        assert not any(line["isolated"] for line in fleet.wait_for(4))
+        fleet.processes[0].kill()
+        fleet.wait_for(3, skip=0)
+    finally:
+        fleet.end()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tarragonwind.adapters import peer_conns
-from tarragonwind.adapters.peer_conns import Hello, PeerIdentity, create_hello
+from tarragonwind.adapters.peer_conns import MAX_QUEUE_BYTES
+from tarragonwind.adapters.peer_greetings import Hello, PeerIdentity, check_hello, create_hello
 from tarragonwind.messages import Message, MessageError, message, pack_message
 from tarragonwind.ports import Address
 
@@ -143,7 +143,7 @@
         conn.flush()
         most = max(most, conn.queued_bytes)
     assert sent < 100
-    assert most <= peer_conns.MAX_QUEUE_BYTES
+    assert most <= MAX_QUEUE_BYTES
     assert conn.closed
     sock.close()
     b_sock.close()
@@ -196,6 +196,18 @@
     bench.wait(lambda: got == [("b", 1)], "note of another peer")
 
 
+def test_a_host_that_accepts_and_stays_silent_is_given_up(bench):
+    a = bench.peers("a")
+    silent = socket.create_server(("127.0.0.1", 0))
+    a.set_address("b", Address(*silent.getsockname()[:2]))
+    lost = []
+    a.subscribe_lost(lost.append)
+    a.send("b", Note(1))
+    bench.wait(lambda: lost == ["b"], "loss told")
+    assert a.conn_count() == 0
+    silent.close()
+
+
 def test_a_silent_stranger_is_closed(bench):
     a = bench.peers("a")
     sock = _connect(a, greet=False)
@@ -226,4 +238,4 @@
 )
 def test_no_greeting_without_the_token_is_accepted(values):
     with pytest.raises(MessageError):
-        peer_conns.check_hello(Hello(*values), TOKEN)
+        check_hello(Hello(*values), TOKEN)
