Let few daemons write the claims of a large fleet

Beyond 32 daemons, 16 of them gather claims for 0.08 s and write up to 60 in one transaction; each write keeps its own comparison, so two daemons that both take themselves for a key's writer do no harm.

Excluded: claims without the store, by the owner's memory alone; it doesn't outlive the owner.

--- /dev/null
+++ b/tarragonwind/claim_writers.py
@@ -0,0 +1,139 @@
+"""Let a few daemons write the claims of a large fleet, many in one transaction."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+
+import xxhash
+
+from tarragonwind.errors import StoreError
+from tarragonwind.futures import Future
+from tarragonwind.messages import Message, message
+from tarragonwind.ports import Compare, Members, Peers, Put, Store, Timers
+from tarragonwind.write_batches import WriteBatcher
+
+DIRECT_HOSTS = 32
+"""Daemons up to which each writes its own claims."""
+WRITER_COUNT = 16
+"""Daemons that write for a larger fleet."""
+LINGER_S = 0.08
+"""Time for which a writer gathers claims, in seconds."""
+ANSWER_TIMEOUT_S = 1.0
+
+
+@message(25)
+@dataclass(slots=True)
+class ClaimWrite(Message):
+    """Ask a daemon to write one key if its last write is as told."""
+
+    number: int
+    key: str
+    mod_revision: int
+    value: bytes
+    lease_id: int
+
+
+@message(26)
+@dataclass(slots=True)
+class ClaimWritten(Message):
+    """Answer `ClaimWrite`.
+
+    Attributes
+    ----------
+    number : int
+        Number of the request.
+    revision : int
+        Revision of the write, 0 when it was refused.
+    failure : str
+        What the store did instead of answering, empty otherwise.
+    maybe_applied : bool
+        Whether a write that failed may have taken effect.
+    """
+
+    number: int
+    revision: int
+    failure: str
+    maybe_applied: bool
+
+
+class ClaimWriters:
+    """Write claims here or by way of the daemon that writes for their keys.
+
+    Two daemons may both take themselves for a key's writer: each write carries its comparison, so
+    the store decides.
+
+    Parameters
+    ----------
+    store : Store
+        Store of the claims.
+    members : Members
+        Live daemons.
+    peers : Peers
+        Messages to them.
+    timers : Timers
+        Clock and timer subscriptions.
+    """
+
+    def __init__(self, store: Store, members: Members, peers: Peers, timers: Timers) -> None:
+        self._members = members
+        self._peers = peers
+        self._timers = timers
+        self._direct = WriteBatcher(store, timers)
+        self._gathering = WriteBatcher(store, timers, LINGER_S)
+        self._asked: dict[int, Future[int]] = {}
+        self._numbers = itertools.count(1)
+        peers.subscribe(ClaimWrite, self._on_write)
+        peers.subscribe(ClaimWritten, self._on_written)
+
+    def submit(self, compare: Compare, put: Put) -> Future[int]:
+        """Write a key if its comparison holds.
+
+        Returns
+        -------
+        Future of int
+            The revision of the write, 0 when it was refused. It may fail with `StoreError`.
+        """
+        if len(self._members.live()) <= DIRECT_HOSTS:
+            return self._direct.submit(compare, put)
+        slot = xxhash.xxh64_intdigest(put.key.encode()) % WRITER_COUNT
+        writer = self._members.owner_of(f"claim-writer/{slot}")
+        if writer == self._members.name:
+            return self._gathering.submit(compare, put)
+        return self._ask(writer, compare, put)
+
+    def _ask(self, writer: str, compare: Compare, put: Put) -> Future[int]:
+        number = next(self._numbers)
+        msg = ClaimWrite(number, put.key, compare.mod_revision, put.value, put.lease_id)
+        if not self._peers.send(writer, msg):
+            return self._direct.submit(compare, put)
+        fut: Future[int] = Future()
+        self._asked[number] = fut
+        self._timers.call_later(ANSWER_TIMEOUT_S, lambda: self._give_up(number, writer))
+        return fut
+
+    def _give_up(self, number: int, writer: str) -> None:
+        fut = self._asked.pop(number, None)
+        if fut is not None:
+            fut.set_exception(StoreError(f"{writer} gave no answer", maybe_applied=True))
+
+    def _on_write(self, host: str, msg: ClaimWrite) -> None:
+        compare = Compare(msg.key, msg.mod_revision)
+        fut = self._gathering.submit(compare, Put(msg.key, msg.value, msg.lease_id))
+        fut.add_callback(lambda done: self._answer(host, msg.number, done))
+
+    def _answer(self, host: str, number: int, done: Future[int]) -> None:
+        try:
+            answer = ClaimWritten(number, done.result(), "", False)
+        except StoreError as exc:
+            answer = ClaimWritten(number, 0, str(exc) or "no answer", exc.maybe_applied)
+        self._peers.send(host, answer)
+
+    def _on_written(self, host: str, msg: ClaimWritten) -> None:
+        fut = self._asked.pop(msg.number, None)
+        if fut is None:
+            return
+        if msg.failure:
+            fut.set_exception(StoreError(f"{host}: {msg.failure}", msg.maybe_applied))
+        else:
+            fut.set_result(msg.revision)
--- a/tarragonwind/claims.py
+++ b/tarragonwind/claims.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from tarragonwind.claim_writers import ClaimWriters
 from tarragonwind.core.claim_records import (
     ClaimRecord,
     ClaimState,
@@ -18,9 +19,8 @@
 from tarragonwind.delays import delay
 from tarragonwind.errors import ErrorKind, RequestError, StoreError
 from tarragonwind.futures import Future, spawn
-from tarragonwind.ports import Compare, KeyValue, Members, Put, Store, Timers
+from tarragonwind.ports import Compare, KeyValue, Members, Peers, Put, Store, Timers
 from tarragonwind.shared_leases import SharedLease, SharedLeases
-from tarragonwind.write_batches import WriteBatcher
 
 SETTLE_LIMIT_S = 2.0
 """Time to find out what became of a claim, in seconds; the request waits for it."""
@@ -68,6 +68,8 @@
         Store that holds the claims.
     members : Members
         Live daemons; their number sets the pace of what can wait.
+    writers : ClaimWriters
+        Way of a claim's first write to the store.
     timers : Timers
         Clock and timer subscriptions.
     rng : random.Random
@@ -77,7 +79,13 @@
     """
 
     def __init__(
-        self, store: Store, members: Members, timers: Timers, rng: random.Random, root: str
+        self,
+        store: Store,
+        members: Members,
+        writers: ClaimWriters,
+        timers: Timers,
+        rng: random.Random,
+        root: str,
     ) -> None:
         self._store = store
         self._members = members
@@ -85,7 +93,7 @@
         self._rng = rng
         self._prefix = f"{root}/claims/"
         self._leases = SharedLeases(store, timers)
-        self._batcher = WriteBatcher(store)
+        self._writers = writers
         self._known: OrderedDict[str, Claim] = OrderedDict()
         self._pending: set[str] = set()
         self._unused: dict[str, Claim] = {}
@@ -172,7 +180,7 @@
     async def _try_first(self, claim: Claim) -> bool:
         """Take a key that nobody has named yet; return whether that is certain."""
         try:
-            claim.mod_revision = await self._batcher.submit(*self._write(claim, 0))
+            claim.mod_revision = await self._writers.submit(*self._write(claim, 0))
         except StoreError as exc:
             if not exc.maybe_applied:
                 self._leases.forget(claim.lease)
@@ -276,7 +284,7 @@
     async def _record(self, claim: Claim) -> None:
         compare, put = self._write(claim, claim.mod_revision)
         try:
-            if not await self._batcher.submit(compare, put):
+            if not await self._writers.submit(compare, put):
                 await self._store.commit([compare], [put])
         except StoreError as exc:
             logger.warning("event=claim_not_recorded why={!r}", str(exc))
@@ -303,7 +311,27 @@
 
 
 def create_claims(
-    store: Store, members: Members, timers: Timers, rng: random.Random, root: str
+    store: Store,
+    members: Members,
+    peers: Peers,
+    timers: Timers,
+    rng: random.Random,
+    root: str,
 ) -> Claims:
-    """Return the claims of one daemon."""
-    return Claims(store, members, timers, rng, root)
+    """Return the claims of one daemon.
+
+    Parameters
+    ----------
+    store : Store
+        Store of the claims.
+    members, peers : Members, Peers
+        Live daemons and messages to them.
+    timers : Timers
+        Clock and timer subscriptions.
+    rng : random.Random
+        Source of claim ids.
+    root : str
+        What the claims' keys begin with, without a slash at its end.
+    """
+    writers = ClaimWriters(store, members, peers, timers)
+    return Claims(store, members, writers, timers, rng, root)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,7 +12,7 @@
 from tarragonwind.claims import HELD_MARGIN_S, create_claims
 from tarragonwind.core.claim_records import digest_key
 from tarragonwind.errors import ERROR_ANSWERS, ErrorKind, NotRun, RequestError
-from tarragonwind.ports import Members
+from tarragonwind.ports import Members, Peers
 from tarragonwind.shared_leases import SHARE_PERIOD_S
 from tests.store_fakes import FaultyStore, settle
 
@@ -36,9 +36,20 @@
         pass
 
 
+class NoPeers(Peers):
+    """Reach nobody."""
+
+    def send(self, host, msg):
+        return False
+
+    def subscribe(self, cls, callback):
+        pass
+
+
 def new_claims(store, name, seed=0):
     timers = store.timers if isinstance(store, FaultyStore) else store._fleet.timers
-    return create_claims(store, FixedMembers(name), timers, random.Random(f"{name}{seed}"), "t")
+    rng = random.Random(f"{name}{seed}")
+    return create_claims(store, FixedMembers(name), NoPeers(), timers, rng, "t")
 
 
 @pytest.fixture
@@ -155,7 +166,7 @@
     kinds = [fut._exc.kind for fut in waiting if fut._exc is not None]
     assert kinds == [KINDS.KEY_IN_USE]
     assert store.calls["lease_grant"] == 1
-    assert store.calls["txn"] <= 3 + 60
+    assert store.calls["txn"] <= 3 + 2 * 7
     store.calls.clear()
     assert refused(store, claims, "k1") is KINDS.KEY_IN_USE
     assert sum(store.calls.values()) == 0
