--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -24,6 +24,7 @@
 
 from bench.catalogue_fleets import Fleet, FleetHost, FleetMembers
 from bench.virtual_clocks import VirtualTimers
+from tarragonwind import catalogue_watchers
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.adapters.memory_stores import MemoryStore
@@ -99,6 +100,32 @@
     day_bytes_per_s: float
 
 
+@dataclass(slots=True)
+class DesignRow:
+    """Hold one way to bring changes into force, with a writer that dies after each change.
+
+    Attributes
+    ----------
+    hosts : int
+        Daemons of the fleet.
+    design : str
+        Key of `DESIGNS`.
+    median_s, worst_s : float
+        Time from the acceptance until all daemons have it, in seconds.
+    store_calls_per_s : float
+        Calls of the whole fleet while nothing changes.
+    store_watches : int
+        Waiting watches of the whole fleet.
+    """
+
+    hosts: int
+    design: str
+    median_s: float
+    worst_s: float
+    store_calls_per_s: float
+    store_watches: int
+
+
 @dataclass(slots=True)
 class MemoryRow:
     """Hold what a catalogue takes.
@@ -216,6 +243,49 @@
 )
 
 
+DESIGNS = {
+    "few watch, peers spread": (2, 0.4),
+    "all watch": (1_000, 0.4),
+    "all poll each 2 s": (0, 2.0),
+}
+"""Daemons that watch and the period of polls in seconds, of the whole fleet or of each daemon.
+
+The last two have no peers. A watching daemon polls each second.
+"""
+
+
+def measure_design(hosts: int, design: str) -> DesignRow:
+    """Measure one way, by the same code with other numbers."""
+    kept = (catalogue_watchers.FLEET_WATCHERS, catalogue_watchers.FLEET_POLL_PERIOD_S)
+    watchers, poll_s = DESIGNS[design]
+    poll_s = poll_s / hosts if watchers == 0 else poll_s
+    catalogue_watchers.FLEET_WATCHERS, catalogue_watchers.FLEET_POLL_PERIOD_S = watchers, poll_s
+    try:
+        return run_design(hosts, design)
+    finally:
+        catalogue_watchers.FLEET_WATCHERS, catalogue_watchers.FLEET_POLL_PERIOD_S = kept
+
+
+def run_design(hosts: int, design: str) -> DesignRow:
+    """Let writers die after their changes and measure the spread."""
+    counted = CountedFleet(hosts, 1)
+    fleet = counted.fleet
+    if design != next(iter(DESIGNS)):
+        fleet.loss = 1.0
+    counted.timers.advance(5.0)
+    counted.calls.clear()
+    counted.timers.advance(IDLE_S)
+    calls = sum(counted.calls.values()) / IDLE_S
+    outsider = counted.start_outsider()
+    times = []
+    for index in range(CHANGES):
+        number = finish(counted.timers, outsider.service.writer.put(organisation(index), "bench"))
+        times.append(fleet.spread_time(number, SPREAD_LIMIT_S))
+        counted.timers.advance(counted.rng.uniform(1.0, 3.0))
+    watches = sum(host.service.watcher.watches for host in fleet.hosts.values())
+    return DesignRow(hosts, design, statistics.median(times), max(times), calls, watches)
+
+
 def measure_cost(hosts: int) -> CostRow:
     """Measure the bytes and calls of a fleet."""
     counted = CountedFleet(hosts, 1)
@@ -365,7 +435,9 @@
     )
 
 
-def print_rows(title: str, rows: list[SpreadRow] | list[CostRow] | list[MemoryRow]) -> None:
+def print_rows(
+    title: str, rows: list[SpreadRow] | list[CostRow] | list[MemoryRow] | list[DesignRow]
+) -> None:
     """Print rows as a table."""
     print(f"\n{title}")
     names = list(asdict(rows[0]))
@@ -391,12 +463,15 @@
     print_rows("Spread", spread)
     cost = [measure_cost(hosts) for hosts in FLEETS]
     print_rows("Cost", cost)
+    designs = [measure_design(hosts, design) for hosts in FLEETS for design in DESIGNS]
+    print_rows("Designs, the writer dies", designs)
     if args.out is not None:
         args.out.mkdir(parents=True, exist_ok=True)
         doc = {
             "memory": [asdict(row) for row in memory],
             "spread": [asdict(row) for row in spread],
             "cost": [asdict(row) for row in cost],
+            "designs": [asdict(row) for row in designs],
         }
         (args.out / "catalogue.json").write_text(json.dumps(doc, indent=1) + "\n")
 
