--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from tarragonwind.core.drain_rates import DrainRate
-from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry, UpstreamState
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
     HeldPermit,
@@ -18,6 +18,7 @@
     PermitCancel,
     PermitDone,
     PermitGrant,
+    PermitQuery,
     PermitRefusal,
     PermitSync,
 )
@@ -28,6 +29,9 @@
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
 
+SWEEP_PERIOD_S = 5.0
+"""Time between two sweeps over idle state, in seconds."""
+
 Send = Callable[[str, Message], object]
 """Sends a message to a host, this one included."""
 
@@ -55,6 +59,8 @@
         Time between two signs of life to hosts with waiting asks.
     resend_after_s : float
         Time after which a permit that a host doesn't know of is granted to it again.
+    query_after_s : float
+        Time without a statement after which a host that holds permits is asked for one.
     max_waiting : int
         Most asks that wait.
     max_retry_after_s : float
@@ -66,6 +72,7 @@
     host_grace_s: float = 5.0
     beat_period_s: float = 0.3
     resend_after_s: float = 0.4
+    query_after_s: float = 15.0
     max_waiting: int = 2_000
     max_retry_after_s: float = 120.0
 
@@ -111,8 +118,6 @@
         How upstreams are loaded and judged.
     distance_s : dict of str to float
         Way to each data centre and back, in seconds.
-    share : float
-        Part of the pool's capacity that may be used.
     """
 
     def __init__(
@@ -125,10 +130,8 @@
         settings: PermitSettings | None = None,
         load_settings: LoadSettings | None = None,
         distance_s: dict[str, float] | None = None,
-        share: float = 1.0,
     ) -> None:
         self.pool = pool
-        self.share = share
         self.hints = PrefixHints()
         self._send = send
         self._rng = rng
@@ -139,9 +142,11 @@
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
         self._loads: dict[str, UpstreamLoad] = {}
+        self._share = 1.0
         self._permits: dict[AskKey, _Permit] = {}
         self._hosts: set[str] = set()
         self._lost: dict[str, float] = {}
+        self._stated_at: dict[str, float] = {}
         self._active = False
         self._settled_at = 0.0
         self._epoch = rng.getrandbits(31)
@@ -159,6 +164,7 @@
             load = self._loads.get(name)
             if load is None:
                 self._loads[name] = UpstreamLoad(entry, self._load_settings)
+                self._loads[name].share = self._share
             else:
                 load.entry = entry
         for name in [name for name in self._loads if name not in entries]:
@@ -166,6 +172,22 @@
         self._rate.set_nominal(self._nominal_rate())
         self.on_versions_changed(now)
 
+    def set_share(self, now: float, share: float) -> None:
+        """Use no more than a part of the pool's capacity.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        share : float
+            Above 0, at most 1.
+        """
+        self._share = share
+        for load in self._loads.values():
+            load.share = share
+        self._rate.set_nominal(self._nominal_rate())
+        self._drain(now)
+
     def on_members_changed(self, now: float, live: Iterable[str], is_owner: bool) -> None:
         """Take in which hosts are alive and whether this host owns the pool."""
         self._note_call(now)
@@ -218,9 +240,10 @@
         if now - self._beat_at >= self._settings.beat_period_s:
             self._beat_at = now
             self._send_beats()
-        if now - self._idle_swept_at >= 10.0:
+        if now - self._idle_swept_at >= SWEEP_PERIOD_S:
             self._idle_swept_at = now
             self._queue.forget_idle()
+            self._query_silent_hosts(now)
 
     # What hosts send.
 
@@ -230,8 +253,8 @@
         if isinstance(msg, PermitSync):
             self._on_sync(now, host, msg)
         elif isinstance(msg, PermitAsk):
-            self._greet(host)
-            self._add_ask(now, host, msg)
+            if self._greet(host):
+                self._add_ask(now, host, msg)
         elif isinstance(msg, PermitDone):
             self._greet(host)
             self._on_done(now, host, msg)
@@ -259,6 +282,13 @@
         """Return the number of permits out."""
         return len(self._permits)
 
+    def in_flight_by_tier(self) -> list[int]:
+        """Return the number of permits out of each tier."""
+        counts = [0] * TIER_COUNT
+        for permit in self._permits.values():
+            counts[permit.tier] += 1
+        return counts
+
     def retry_after_s(self, tier: int, organisation: str) -> float:
         """Return the expected wait of a new ask, in seconds."""
         wait_s = self._queue.work_before(tier, organisation) / self._rate.tokens_per_s
@@ -332,6 +362,16 @@
         refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
         self._send(ask.host, refusal)
 
+    def _query_silent_hosts(self, now: float) -> None:
+        if not self._active:
+            return
+        before = now - self._settings.query_after_s
+        old = {permit.host for permit in self._permits.values() if permit.granted_at < before}
+        for host in sorted(old - set(self._lost)):
+            if self._stated_at.get(host, before) <= before:
+                self._stated_at[host] = now
+                self._send(host, PermitQuery(self.pool))
+
     def _drop_asks(self, host: str) -> None:
         for ask in self._queue:
             if ask.host == host:
@@ -352,10 +392,10 @@
             self._grant(now, ask)
 
     def _below_share(self) -> bool:
-        if self.share >= 1.0:
+        if self._share >= 1.0:
             return True
         slots = sum(load.entry.slots for load in self._loads.values() if load.takes_work())
-        return len(self._permits) < max(1, round(slots * self.share))
+        return len(self._permits) < max(1, round(slots * self._share))
 
     def _versions_with_room(self, now: float) -> set[str]:
         versions = {load.entry.version for load in self._loads.values() if load.has_room(now)}
@@ -456,6 +496,7 @@
 
     def _on_sync(self, now: float, host: str, msg: PermitSync) -> None:
         self._hosts.add(host)
+        self._stated_at[host] = now
         asks = [_read_ask(values) for values in msg.asks]
         held = [_read_permit(values) for values in msg.permits]
         waiting_ids = {ask.ask_id for ask in asks}
@@ -510,6 +551,7 @@
             self._queue.remove(ask.key)
         self._hosts.clear()
         self._lost.clear()
+        self._stated_at.clear()
         self._epoch = self._rng.getrandbits(31)
 
     def _note_call(self, now: float) -> None:
@@ -518,10 +560,11 @@
         if called_at is not None and now - called_at > self._settings.pause_limit_s:
             self.on_resumed(now)
 
-    def _greet(self, host: str) -> None:
+    def _greet(self, host: str) -> bool:
+        """Tell whether a host has stated what it holds in this epoch; if not, ask it to."""
         if host not in self._hosts and host not in self._lost:
-            self._hosts.add(host)
             self._send_beat(host)
+        return host in self._hosts
 
     def _send_beat(self, host: str) -> None:
         if not self._active:
@@ -540,7 +583,7 @@
 
     def _nominal_rate(self) -> float:
         total = sum(load.entry.tokens_per_s for load in self._loads.values())
-        return total * min(1.0, self.share)
+        return total * self._share
 
 
 def _read_ask(values: list[Any]) -> PermitAsk:
