Let the web server know connections by an object, not by their socket

Cause: circuits.web asks a socket for its peer when its event's turn comes; after a reset it failed, logged a stack and kept a parser for each. The sockets' server kept 5 buffers of closed sockets; they are forgotten a second later.

--- a/tarragonwind/adapters/operator_gates.py
+++ b/tarragonwind/adapters/operator_gates.py
@@ -27,6 +27,7 @@
 WEB_CHANNEL = "web"
 MAX_HEAD_BYTES = 16 * 1024
 """Largest request head, in bytes."""
+FORGET_DELAY_S = 1.0
 ANSWER_TIMEOUT_S = 60.0
 """Time from a whole request to the end of its answer, in seconds."""
 
@@ -148,15 +149,27 @@
 
 
 class GateConnection:
-    """Hold one connection's reader and time limit."""
+    """Hold one connection; the web server knows it by this object in place of its socket.
 
-    __slots__ = ("answered", "reader", "timer")
+    The web server's turn may come after the socket has been closed; this object answers all the
+    same.
+    """
+
+    __slots__ = ("answered", "peer", "reader", "sock", "timer")
 
-    def __init__(self, reader: RequestReader, timer: Timer) -> None:
+    def __init__(
+        self, sock: socket, peer: tuple[str, int], reader: RequestReader, timer: Timer
+    ) -> None:
+        self.sock = sock
+        self.peer = peer
         self.reader = reader
         self.timer = timer
         self.answered = False
 
+    def getpeername(self) -> tuple[str, int]:
+        """Return the address of the other side."""
+        return self.peer
+
 
 class OperatorGate(Component):
     """Own the operator port's sockets and guard the web server behind them."""
@@ -189,7 +202,7 @@
         return len(self._conns)
 
     @handler("connect")
-    def _on_connect(self, sock: socket, *_peer: Any) -> None:
+    def _on_connect(self, sock: socket, host: str, port: int, *_rest: Any) -> None:
         if len(self._conns) >= self._cfg.max_connections:
             logger.warning(
                 "event=operator_connection_refused open={} action={}",
@@ -199,7 +212,8 @@
             self.fire(_disconnect(sock), SOCKET_CHANNEL)
             return
         timer = self._timers.call_later(self._cfg.request_timeout_s, lambda: self._time_out(sock))
-        self._conns[sock] = GateConnection(RequestReader(self._cfg.max_body_bytes), timer)
+        reader = RequestReader(self._cfg.max_body_bytes)
+        self._conns[sock] = GateConnection(sock, (host, port), reader, timer)
 
     def _time_out(self, sock: socket) -> None:
         conn = self._conns.get(sock)
@@ -222,7 +236,7 @@
             return
         if conn.reader.complete:
             self._arm(sock, conn, ANSWER_TIMEOUT_S)
-            self.fire(read(sock, conn.reader.canonical()), WEB_CHANNEL)
+            self.fire(read(conn, conn.reader.canonical()), WEB_CHANNEL)
 
     def _refuse(self, sock: socket, conn: GateConnection, exc: GateError) -> None:
         conn.answered = True
@@ -255,22 +269,20 @@
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket) -> None:
+        # The server makes a buffer for a socket that is ready and closed in the same pass.
+        self._timers.call_later(FORGET_DELAY_S, lambda: self.server._buffers.pop(sock, None))
         conn = self._conns.pop(sock, None)
         if conn is not None:
             conn.timer.cancel()
-            self.fire(disconnect(sock), WEB_CHANNEL)
+            self.fire(disconnect(conn), WEB_CHANNEL)
 
     @handler("write", channel=WEB_CHANNEL)
-    def _on_web_write(self, sock: socket, data: bytes) -> None:
-        conn = self._conns.get(sock)
-        if conn is not None and not conn.answered:
-            self._send(sock, data)
+    def _on_web_write(self, conn: GateConnection, data: bytes) -> None:
+        if conn.sock in self._conns and not conn.answered:
+            self._send(conn.sock, data)
 
     @handler("close", channel=WEB_CHANNEL)
-    def _on_web_close(self, sock: socket | None = None) -> None:
-        if sock is None:
-            return
-        conn = self._conns.get(sock)
-        if conn is not None and not conn.answered:
+    def _on_web_close(self, conn: GateConnection | None = None) -> None:
+        if conn is not None and conn.sock in self._conns and not conn.answered:
             conn.answered = True
-            self._close_after_send(sock)
+            self._close_after_send(conn.sock)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,10 +4,12 @@
 import io
 import json
 import socket
+import struct
 import time
 
 import pytest
 from circuits import Component, Event
+from circuits.web.http import HTTP
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -261,6 +263,29 @@
     assert ask(running, "GET", "/healthz")[0] == 200
 
 
+def test_connections_of_any_end_leave_nothing_behind(running, capfd):
+    request = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+    for index in range(200):
+        sock = socket.create_connection(("127.0.0.1", running.port), 10)
+        sock.sendall((request, b"GET /heal", b"nonsense\r\n\r\n")[index % 3])
+        if index % 2:
+            reset = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        sock.close()
+
+    def count_kept():
+        http_part = next(part for part in running.loop.root.components if isinstance(part, HTTP))
+        server = running.server.gate.server
+        kept = [server._buffers, server._clients, http_part._clients, http_part._buffers]
+        return running.server.gate.open_connections + sum(len(part) for part in kept)
+
+    give_up_at = time.monotonic() + 10
+    while running.call(count_kept):
+        assert time.monotonic() < give_up_at, running.call(count_kept)
+        time.sleep(0.01)
+    assert "failed" not in capfd.readouterr().err
+
+
 class failing(Event):  # noqa: N801
     """Carry a secret to a handler that fails."""
 
