Tell a suspect of its suspicion at once, and begin suspicions anew after a cut

Printed: 'the cut-off host's verdicts were taken'.

A suspect is pinged with the suspicion on the message; a daemon that is trusted again gives every suspect its whole time and spreads the suspicion. A verdict that is due is applied without a second look at the clock: rounding made the core of the fake network spin when nobody refuted.

--- a/bench/member_networks.py
+++ b/bench/member_networks.py
@@ -70,6 +70,7 @@
         self._sequence = itertools.count()
         self._groups: dict[str, int] = {}
         self._cut_links: set[frozenset[str]] = set()
+        self._deaf: set[str] = set()
         self._starts = itertools.count(1)
         self._timers: dict[str, float] = {}
 
@@ -158,8 +159,13 @@
         """Let two hosts reach each other no more, but both everyone else."""
         self._cut_links.add(frozenset((one, other)))
 
+    def deafen(self, name: str) -> None:
+        """Let a host send but receive nothing."""
+        self._deaf.add(name)
+
     def heal(self) -> None:
         """End every cut."""
+        self._deaf.clear()
         self._groups = {}
         self._cut_links.clear()
 
@@ -195,7 +201,9 @@
 
     def _send(self, sender: str, name: str, msg: Message) -> None:
         host = self.hosts.get(name)
-        if not self._connected(sender, name) or self._rng.random() < self.loss:
+        if not self._connected(sender, name) or name in self._deaf:
+            return
+        if self._rng.random() < self.loss:
             return
         if host is None or host.dead:
             self._tell_unreachable(sender, name)
--- a/tarragonwind/core/member_merges.py
+++ b/tarragonwind/core/member_merges.py
@@ -67,7 +67,8 @@
         """Call the suspects dead that have not refuted in time."""
         for name in list(self.suspects):
             if now >= self.verdict_at(name):
-                self.apply(now, replace(self._view.members[name], health=Health.DEAD))
+                known = self._view.members[name]
+                self._replace(now, known, replace(known, health=Health.DEAD))
 
     def verdict_at(self, name: str) -> float:
         """Return when a suspect is called dead, in seconds."""
@@ -76,9 +77,10 @@
         return max(member.changed_at + times.suspicion_s, member.heard_at + times.fresh_s)
 
     def restart_suspicions(self, now: float) -> None:
-        """Give every suspect its whole time again."""
+        """Give every suspect its whole time again, and tell of the suspicions anew."""
         for name in self.suspects:
             self._view.members[name].changed_at = now
+            self._spread(now, name)
 
     def adopt(self, now: float, said: Member) -> None:
         """Take back an own verdict that a member in touch with the larger part doesn't share."""
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -243,11 +243,18 @@
         if self.isolated and not was_isolated:
             self.stale = True
             self._merger.forget_verdicts()
-        self._merger.trusted = self._is_trusted()
+        self._update_trust(now)
         if changed:
             self.on_changed()
         self._plan(now)
 
+    def _update_trust(self, now: float) -> None:
+        trusted = self._is_trusted()
+        if trusted and not self._merger.trusted:
+            self._probes.clear()
+            self._merger.restart_suspicions(now)
+        self._merger.trusted = trusted
+
     def _is_trusted(self) -> bool:
         """Tell whether this daemon may spread what it says against others."""
         return not self.isolated and not self.stale
@@ -298,6 +305,7 @@
         for seq, probe in self._probes.take_late(now):
             if probe.relayed:
                 self._merger.suspect(now, probe.target)
+                self._send(probe.target, self._build.ping(self._probes.next_seq(), probe.target))
             else:
                 probe.relayed = True
                 probe.deadline = now + self.times().relayed_s
--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -87,7 +87,9 @@
 
 
 def test_a_record_that_got_lost_is_found_by_comparing_views():
-    net, names = start_settled(40)
+    net = MemberNetwork(1)
+    names = net.start_fleet(40)
+    settle(net, names)
     lossy = net.hosts[names[7]].core
     for name in names[20:23]:
         lossy.view.remove(name)
@@ -96,9 +98,9 @@
     settle(net, names, 8.0)
 
 
-@pytest.mark.parametrize("count", [6, 24])
-def test_a_cut_off_host_knows_that_it_is_alone(count):
-    net, names = start_settled(count)
+@pytest.mark.parametrize(("count", "seed"), [(6, 1), (24, 1), (24, 2), (24, 3), (24, 4)])
+def test_a_cut_off_host_knows_that_it_is_alone(count, seed):
+    net, names = start_settled(count, seed)
     net.cut([names[0]])
     took_s = net.wait(lambda: isolated(net) == [names[0]], 10.0)
     assert took_s <= net.hosts[names[0]].core.times().alone_s + 0.3
@@ -110,6 +112,16 @@
     settle(net, names, 0.1)
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("count", [6, 24])
+def test_a_deaf_host_removes_nobody_else(count, seed):
+    net, names = start_settled(count, seed)
+    net.deafen(names[0])
+    assert watch_views(net, names[1:], names[1:], 5.0)
+    assert isolated(net) == [names[0]]
+    assert watch_views(net, names[1:], names[1:], 10.0)
+
+
 def test_of_two_halves_exactly_one_goes_on_through_a_change():
     net, names = start_settled(6)
     left, right = names[:3], names[3:]
