--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -24,6 +24,7 @@
 LAST_PORT = 32_000
 PORT_STEP = 97
 """Distance between the first ports of two processes that start one after another."""
+HOST_LIST_LAG_S = "2"
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 10.0
 POLL_S = 0.02
@@ -200,8 +201,12 @@
         return started
 
     def start_platform(self) -> None:
-        """Start the key-value service."""
+        """Start the key-value service, the host list and the weight store."""
         self.kv_port = self.start_standin("kv", "standins.kv").port
+        self.host_list_port = self.start_standin(
+            "hosts", "standins.host_list", "--lag", HOST_LIST_LAG_S
+        ).port
+        self.weight_store_port = self.start_standin("weights", "standins.weight_store").port
 
     def start_engine(self, name: str, *arguments: str) -> FleetProcess:
         """Start an engine that keeps a journal."""
@@ -225,11 +230,24 @@
         """Start a planned entry host and wait until it listens."""
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self.host_settings(name, data_centre)))
+        self.register_host(name, data_centre)
         arguments = ["-m", "tarragonwind", "serve", "--settings", str(path)]
         started = self.spawn(name, arguments, self.hosts[name].callers)
         self.wait_for_port(started, self.hosts[name].operators)
         return started
 
+    def register_host(self, name: str, data_centre: str) -> None:
+        """Have the platform list a host, as it does when it starts one."""
+        if not self.host_list_port:
+            return
+        doc = {
+            "name": name,
+            "address": LOOPBACK,
+            "port": self.hosts[name].peers,
+            "data_centre": data_centre,
+        }
+        call(self.host_list_port, "POST", "/register", json.dumps(doc).encode())
+
     def host_settings(self, name: str, data_centre: str) -> dict[str, Any]:
         """Return the settings of one entry host."""
         ports = self.hosts[name]
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from tarragonwind.adapters.gateways import Gateway, GatewayTimes
+from tarragonwind.adapters.host_lists import HostListReader, create_host_list_reader
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.http_servers import HttpLimits
 from tarragonwind.adapters.loops import Loop, create_loop
@@ -24,6 +25,7 @@
 from tarragonwind.daemon_operators import DaemonOperatorService
 from tarragonwind.logs import configure_logs
 from tarragonwind.move_runners import MoveRunner
+from tarragonwind.pool_orders import PoolOrders
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import CallerSettings, Settings
@@ -82,7 +84,7 @@
             self.membership, self.peers, loop.timers, rng, self.catalogue.writer, incarnation
         )
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
-        self.claims = create_claims(self.store, self.membership, loop.timers, rng, root)
+        self.claims = create_claims(self.store, self.membership, self.peers, loop.timers, rng, root)
         self.gateway = Gateway(
             loop,
             Address(cfg.callers.listen_host, cfg.callers.listen_port),
@@ -96,10 +98,39 @@
             f"{cfg.host.name}-{incarnation:x}",
         )
         self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
+        self.orders = self._create_orders()
+        self.host_list = self._create_host_list(rng)
         self.operators = self._create_operators()
         self.catalogue.state.subscribe(self._on_catalogue)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
+    def _create_orders(self) -> PoolOrders | None:
+        address = self._cfg.weights.address()
+        if address is None:
+            return None
+        return PoolOrders(
+            self.membership,
+            self.scheduler.owners,
+            self.store,
+            self.client,
+            self._loop.timers,
+            address,
+            self._cfg.weights.rate_per_s,
+        )
+
+    def _create_host_list(self, rng: random.Random) -> HostListReader | None:
+        address = self._cfg.host_list.address()
+        if address is None:
+            return None
+        return create_host_list_reader(
+            self.client,
+            self._loop.timers,
+            address,
+            self._cfg.host_list.poll_period_s,
+            rng,
+            self.membership.set_listed,
+        )
+
     def _create_operators(self) -> OperatorServer:
         service = DaemonOperatorService(
             self,
@@ -140,6 +171,8 @@
         self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
         self._loop.timers.call_every(self._cfg.telemetry.export_period_s / 2, self._renew_gauges)
         self.membership.start()
+        if self.host_list is not None:
+            self.host_list.start()
         self.catalogue.watcher.start()
         logger.info(
             "event=started callers={} operators={} peers={}",
@@ -202,6 +235,8 @@
         self._loop.timers.call_later(FAREWELL_S, self._end)
 
     def _end(self) -> None:
+        if self.host_list is not None:
+            self.host_list.stop()
         self.catalogue.watcher.stop()
         self.membership.stop()
         self.peers.stop()
@@ -218,6 +253,8 @@
         self.moves.set_catalogue(catalogue)
         self.scheduler.set_catalogue(catalogue)
         self.reports.set_catalogue(catalogue)
+        if self.orders is not None:
+            self.orders.set_catalogue(catalogue)
 
 
 def store_settings(cfg: Settings) -> StoreSettings:
--- /dev/null
+++ b/tarragonwind/pool_orders.py
@@ -0,0 +1,91 @@
+"""Give the orders of the engine pools that this host owns."""
+
+from __future__ import annotations
+
+from tarragonwind.adapters.orders import OrderRunner
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.entries import BackEndKind, MoveEntry
+from tarragonwind.core.orders import plan_wanted
+from tarragonwind.core.pool_owners import PoolOwners
+from tarragonwind.ports import Address, HttpCaller, Members, Store, Timers
+
+REVIEW_PERIOD_S = 0.5
+"""Time between two looks at which pools are owned, in seconds."""
+
+
+class PoolOrders:
+    """Run one `OrderRunner` for each engine pool that this host owns.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts and this one's name.
+    owners : PoolOwners
+        Owners of pools on this host.
+    store : Store
+        Keeper of claims.
+    http : HttpCaller
+        Way to upstreams and to the weight store.
+    timers : Timers
+        Clock and timer subscriptions.
+    weights : Address
+        Weight store.
+    rate_per_s : float
+        Loads that the weight store lets begin each second.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        owners: PoolOwners,
+        store: Store,
+        http: HttpCaller,
+        timers: Timers,
+        weights: Address,
+        rate_per_s: float,
+    ) -> None:
+        self._members = members
+        self._owners = owners
+        self._store = store
+        self._http = http
+        self._timers = timers
+        self._weights = weights
+        self._rate_per_s = rate_per_s
+        self._catalogue = Catalogue()
+        self._runners: dict[str, OrderRunner] = {}
+        timers.call_every(REVIEW_PERIOD_S, self._review)
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Put a catalogue in force."""
+        self._catalogue = catalogue
+        for pool, runner in self._runners.items():
+            self._set_wanted(pool, runner)
+
+    def _review(self) -> None:
+        """Start runners for pools that are owned now, and stop those of other pools."""
+        wanted = {pool for pool in self._owners.active_pools() if self._has_engines(pool)}
+        for pool in [pool for pool in self._runners if pool not in wanted]:
+            self._runners.pop(pool).stop()
+        for pool in wanted - set(self._runners):
+            runner = OrderRunner(
+                pool,
+                self._members.name,
+                self._store,
+                self._http,
+                self._timers,
+                self._weights,
+                self._rate_per_s,
+            )
+            self._set_wanted(pool, runner)
+            self._runners[pool] = runner
+
+    def _has_engines(self, name: str) -> bool:
+        pool = self._catalogue.pool(name)
+        return pool is not None and pool.back_end is BackEndKind.ENGINE
+
+    def _set_wanted(self, pool: str, runner: OrderRunner) -> None:
+        upstreams = self._catalogue.upstreams_of(pool)
+        entries = self._catalogue.contents("move").values()
+        moves = [one for one in entries if isinstance(one, MoveEntry) and one.pool == pool]
+        addresses = {entry.name: Address(entry.host, entry.port) for entry in upstreams}
+        runner.set_wanted(plan_wanted(upstreams, moves, self._catalogue.number), addresses)
