--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -79,12 +79,12 @@
     slots: int
     tokens_per_s: float
 
-    def entry(self) -> UpstreamEntry:
+    def entry(self, pool: str) -> UpstreamEntry:
         """Return the engine's entry in the catalogue."""
         return UpstreamEntry(
             name=self.name,
             owner="ops",
-            pool=POOL,
+            pool=pool,
             version=VERSION,
             host="127.0.0.1",
             port=9000,
@@ -116,25 +116,43 @@
         self.control_bytes = 0
         self.estimator = CostEstimator()
         self.jobs: dict[int, tuple[FakeEngine, Job]] = {}
+        self.in_pool: dict[str, int] = {}
         rng = random.Random(f"{fleet.seed} {name}")
         parts = OwnerParts(self.send, rng, lambda *_: VERSION, lambda _: 1.0)
-        self.owners = PoolOwners(name, parts, lambda _: self.owner_name, lambda: self.live)
+        self.owners = PoolOwners(name, parts, self.owner_of, lambda: self.live)
         self.client = PermitClient(
             name,
             self.send,
             rng,
-            lambda _: self.owner_name,
+            self.owner_of,
             self.owners.create_local_owner,
         )
-        self.owners.configure(0.0, [POOL], [spec.entry() for spec in fleet.specs])
+        self.owners.configure(0.0, fleet.pools, fleet.entries())
+        self.choice = random.Random(f"choice {fleet.seed} {name}")
 
     @property
     def owner(self) -> PoolOwner:
         """Return this host's owner of the pool, active or not."""
-        owner = self.owners.owner(POOL)
+        owner = self.owners.owner(self.fleet.pools[0])
         assert owner is not None
         return owner
 
+    def owner_of(self, pool: str) -> str:
+        """Return the owner of a pool; cells after the first belong to the hosts that follow."""
+        names = self.fleet.names
+        position = names.index(self.owner_name) + self.fleet.pools.index(pool)
+        return names[position % len(names)]
+
+    def choose_pool(self) -> str:
+        """Return the cell in which this host has the least for its capacity."""
+        pools = self.fleet.pools
+        if len(pools) == 1:
+            return pools[0]
+        return min(pools, key=lambda pool: (self._load_of(pool), self.choice.random()))
+
+    def _load_of(self, pool: str) -> float:
+        return self.in_pool.get(pool, 0) / self.fleet.capacity_of(pool)
+
     def send(self, host: str, msg: Message) -> bool:
         """Send a message to another host."""
         return self.fleet.send(self, host, msg)
@@ -180,8 +198,10 @@
         now = self.fleet.schedule.now
         prompt_bytes = arrival.prompt_tokens * BYTES_PER_TOKEN
         estimate = self.estimator.estimate("chat", arrival.organisation, prompt_bytes, None)
+        pool = self.choose_pool()
+        self.in_pool[pool] = self.in_pool.get(pool, 0) + 1
         request = PermitRequest(
-            pool=POOL,
+            pool=pool,
             route="chat",
             organisation=arrival.organisation,
             tier=arrival.tier,
@@ -192,6 +212,7 @@
         )
 
         def on_refused(_kind: ErrorKind, retry_after_s: float) -> None:
+            self.in_pool[pool] -= 1
             record.refused_at = self.fleet.schedule.now
             record.retry_after_s = retry_after_s
             self.fleet.on_refused(record)
@@ -203,6 +224,7 @@
     def leave(self, record: Record) -> None:
         """Cancel the work of a caller that has left."""
         now = self.fleet.schedule.now
+        # Placement runs with one cell, so in_pool needs no correction here.
         if self.client.cancel(now, record.ask_id):
             self.fleet.on_refused(record)
             return
@@ -231,6 +253,7 @@
         arrival = record.arrival
         now = self.fleet.schedule.now
         self.jobs.pop(permit.ask_id, None)
+        self.in_pool[permit.pool] -= 1
         self.estimator.observe(
             "chat",
             arrival.organisation,
@@ -258,8 +281,10 @@
         host_count: int = 8,
         specs: tuple[EngineSpec, ...] = ENGINES,
         max_prefixes: int = 0,
+        cell_count: int = 1,
     ) -> None:
         self.seed = seed
+        self.pools = [f"{POOL}-{number}" if number else POOL for number in range(cell_count)]
         self.specs = specs
         self.schedule = Schedule()
         self.names = [f"h{number}" for number in range(host_count)]
@@ -293,6 +318,19 @@
         )
         return True
 
+    def entries(self) -> list[UpstreamEntry]:
+        """Return the catalogue's engines, dealt out to the cells in turn."""
+        return [
+            spec.entry(self.pools[number % len(self.pools)])
+            for number, spec in enumerate(self.specs)
+        ]
+
+    def capacity_of(self, pool: str) -> float:
+        """Return the tokens a second of a cell."""
+        return sum(
+            spec.tokens_per_s for spec in self.specs[self.pools.index(pool) :: len(self.pools)]
+        )
+
     def load_trace(self, trace: list[Arrival], take: Callable[[Record], None]) -> None:
         """Schedule the arrivals of a trace."""
         for arrival in trace:
--- a/bench/tiers.py
+++ b/bench/tiers.py
@@ -166,6 +166,15 @@
     return fleet.give_to_host
 
 
+@policy("two cells")
+def use_two_cells(fleet: Fleet) -> Callable[[Record], None]:
+    """Divide the pool into two cells with an owner each; hosts ask the one they use less."""
+    return use_one_owner(fleet)
+
+
+CELLS = {"two cells": 2}
+"""Cells of the pool, for ways that have more than one."""
+
 FAULTS: dict[str, Callable[[Fleet], None]] = {}
 """Faults of the owner, by name; each is put into the schedule of a fleet."""
 
@@ -252,7 +261,7 @@
 
 def run_once(name: str, load: float, seed: int, fault_name: str = "none") -> Result:
     """Run one trace under one policy and return its figures."""
-    fleet = Fleet(seed, HOST_COUNT)
+    fleet = Fleet(seed, HOST_COUNT, cell_count=CELLS.get(name, 1))
     take = POLICIES[name](fleet)
     trace = draw_trace(seed, load, CAPACITY_TOKENS_PER_S, LENGTH_S, HOST_COUNT)
     FAULTS[fault_name](fleet)
