Let a local share follow the catalogue and versions that are taken back

Cause: the owner that a host makes for its local share while the pool's owner is silent was told of no later change: a leaving upstream and a version taken back went on getting work from it. Owners of local shares now hear of both while they are in use, and a client takes nothing from one that it no longer uses.

Seen red in a scratch copy (pytest tests/test_permit_clients.py): "['u1', 'u1'] == ['u1', 'u2']" and "['u2'] == ['u2', 'u1']". The first of these tests failed at first with the mechanism on: the test's fleet gave a catalogue to a paused host too, which ended the pause; paused hosts are left out now.

--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -324,7 +324,7 @@
 
     def _on_grant(self, now: float, host: str, msg: PermitGrant) -> None:
         state = self._pools.get(msg.pool)
-        if state is None:
+        if state is None or (host == LOCAL and state.local is None):
             self._return(host, msg)
             return
         self._note_heard(now, state, host)
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 import random
+import weakref
 from collections.abc import Callable, Iterable
 
 from tarragonwind.core.entries import UpstreamEntry
@@ -96,12 +97,14 @@
         self._live = live
         self._owners: dict[str, PoolOwner] = {}
         self._upstreams: dict[str, list[UpstreamEntry]] = {}
+        self._local: weakref.WeakValueDictionary[str, PoolOwner] = weakref.WeakValueDictionary()
 
     def configure(self, now: float, pools: Iterable[str], upstreams: list[UpstreamEntry]) -> None:
         """Put the catalogue's pools and upstreams in force."""
         names = set(pools)
         for pool in [pool for pool in self._owners if pool not in names]:
             del self._owners[pool]
+            del self._upstreams[pool]
         live = tuple(self._live())
         for pool in sorted(names):
             self._upstreams[pool] = [entry for entry in upstreams if entry.pool == pool]
@@ -110,6 +113,8 @@
             owner = self._owners[pool]
             owner.configure(now, self._upstreams[pool])
             owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
+        for pool, local in list(self._local.items()):
+            local.configure(now, self._upstreams.get(pool, []))
 
     def on_members_changed(self, now: float) -> None:
         """Take in a change of the live hosts."""
@@ -124,9 +129,9 @@
 
     def on_versions_changed(self, now: float, pool: str) -> None:
         """Choose the versions of a pool's waiting asks anew, as after a version is taken back."""
-        owner = self._owners.get(pool)
-        if owner is not None:
-            owner.on_versions_changed(now)
+        for owner in (self._owners.get(pool), self._local.get(pool)):
+            if owner is not None:
+                owner.on_versions_changed(now)
 
     def on_message(self, now: float, host: str, msg: Message) -> None:
         """Pass a message of `OWNER_MESSAGES` to the owner of its pool."""
@@ -171,4 +176,5 @@
         owner.configure(now, self._upstreams.get(pool, []))
         owner.set_share(now, 1.0 / max(1, len(tuple(self._live()))))
         owner.on_members_changed(now, [self._name], True)
+        self._local[pool] = owner
         return owner
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -168,6 +168,8 @@
     def configure(self, upstreams):
         self.upstreams = list(upstreams)
         for host in self.hosts.values():
+            if host.paused:
+                continue
             host.owners.configure(self.now, [POOL], self.upstreams)
 
     def owner(self, name="h0"):
--- a/tests/test_permit_clients.py
+++ b/tests/test_permit_clients.py
@@ -2,6 +2,7 @@
 
 from permit_fleets import Fleet, create_request, create_upstream
 
+from tarragonwind.core.entries import UpstreamState
 from tarragonwind.core.permit_messages import Outcome, PermitGrant
 from tarragonwind.errors import ErrorKind
 
@@ -64,6 +65,39 @@
     assert fleet.owner().in_flight() == 3
 
 
+def test_the_local_share_follows_the_catalogue():
+    fleet = Fleet([create_upstream("u1", slots=9)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    host.ask(create_request(deadline=fleet.now + 50))
+    fleet.advance(2.0)
+    leaving = create_upstream("u1", slots=9, state=UpstreamState.LEAVING)
+    fleet.configure([leaving, create_upstream("u2", slots=9)])
+    host.ask(create_request(deadline=fleet.now + 50))
+    fleet.advance(0.5)
+    assert host.client.uses_local_share("drafting")
+    assert [permit.upstream for permit in host.granted.values()] == ["u1", "u2"]
+
+
+def test_the_local_share_follows_a_version_that_is_taken_back():
+    upstreams = [
+        create_upstream("u1", slots=3, version="v1"),
+        create_upstream("u2", slots=3, version="v2"),
+    ]
+    fleet = Fleet(upstreams)
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    fleet.version = "v2"
+    for _ in range(2):
+        host.ask(create_request(deadline=fleet.now + 50))
+    fleet.advance(2.0)
+    fleet.version = "v1"
+    host.owners.on_versions_changed(fleet.now, "drafting")
+    fleet.advance(0.3)
+    assert host.client.uses_local_share("drafting")
+    assert [permit.upstream for permit in host.granted.values()] == ["u2", "u1"]
+
+
 def test_two_owners_never_grant_one_request_twice():
     fleet = Fleet([create_upstream("u1", slots=1), create_upstream("u2", slots=1)])
     host = fleet.hosts["h1"]
