--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -115,7 +115,7 @@
             self.client,
             self._loop.timers,
             address,
-            self._cfg.weights.rate_per_s,
+            self._cfg.weights.loads_per_second,
         )
 
     def _create_host_list(self, rng: random.Random) -> HostListReader | None:
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -255,14 +255,14 @@
         Address of the store; empty and 0 when there is none.
     timeout_s : float
         Time for one call, in seconds.
-    rate_per_s : float
+    loads_per_second : float
         Loads that the store lets begin each second.
     """
 
     host: OptionalIp = ""
     port: OptionalPort = 0
     timeout_s: ShortS = 5.0
-    rate_per_s: Annotated[float, Field(strict=True, gt=0, le=1_000)] = 1.0
+    loads_per_second: Annotated[float, Field(strict=True, gt=0, le=1_000)] = 1.0
 
     def address(self) -> Address | None:
         """Return the store's address, or None when there is none."""
