--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -76,7 +76,7 @@
             self.membership, self.peers, loop.timers, rng, self.catalogue.writer, incarnation
         )
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
-        self.claims = create_claims(self.store, self.membership, loop.timers, rng, root)
+        self.claims = create_claims(self.store, self.membership, self.peers, loop.timers, rng, root)
         self.gateway = Gateway(
             loop,
             Address(cfg.callers.listen_host, cfg.callers.listen_port),
