Write claims again that the store has lost, and split large modules

Cause: a store that comes back old forgets claims, and their keys could run again through any host. Excluded: comparing with the highest revision at the answer, which a slow answer falls below.

The values and the cleaning of claims, the edits of the catalogue and the calls of the stand-in have modules of their own; their code is as it was.

--- /dev/null
+++ b/tarragonwind/catalogue_edits.py
@@ -0,0 +1,75 @@
+"""Describe edits of the catalogue and cut them into writes that fit one transaction."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.changes import canonical_json
+from tarragonwind.core.entries import MoveEntry, dump_entry
+from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict, pack_verdict
+from tarragonwind.errors import EntryError
+
+MAX_ENTRY_BYTES = 256 * 1024
+MAX_EDITS_PER_WRITE = 40
+"""Entries in one transaction; each takes three operations of the service's 128."""
+MAX_WRITE_BYTES = 512 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """Ask for one entry to be written or removed.
+
+    Attributes
+    ----------
+    key : str
+        Key of the entry.
+    doc : bytes or None
+        Canonical JSON, None to remove the entry.
+    expected_number : int or None
+        Number that the entry must have, 0 for no entry; None takes what is in force at the call.
+    """
+
+    key: str
+    doc: bytes | None
+    expected_number: int | None = None
+
+
+def verdict_edits(catalogue: Catalogue, verdict: MoveVerdict) -> list[Edit]:
+    """Return the edits that record a verdict; a finished move changes its pool's version too."""
+    edits = [Edit(verdict.key, pack_verdict(verdict), 0)]
+    move = catalogue.entry(f"move/{verdict.move}")
+    if verdict.outcome is not MoveOutcome.DONE or not isinstance(move, MoveEntry):
+        return edits
+    pool = catalogue.pool(move.pool)
+    if pool is not None and pool.version == move.from_version:
+        doc = dump_entry(pool)
+        doc["version"] = move.to_version
+        edits.append(Edit(pool.key, canonical_json(doc)))
+    return edits
+
+
+def check_sizes(edits: list[Edit]) -> None:
+    """Refuse edits that don't fit one transaction."""
+    if not 1 <= len(edits) <= MAX_EDITS_PER_WRITE:
+        raise EntryError(f"entries: {len(edits)} in one write; allowed: 1 to {MAX_EDITS_PER_WRITE}")
+    for edit in edits:
+        if len(edit.doc or b"") > MAX_ENTRY_BYTES:
+            raise EntryError(
+                f"{edit.key}: {len(edit.doc or b'')} bytes; allowed: to {MAX_ENTRY_BYTES}"
+            )
+
+
+def split_edits(edits: list[Edit]) -> list[list[Edit]]:
+    """Return the edits in groups that each fit one transaction."""
+    groups: list[list[Edit]] = []
+    size = 0
+    for edit in edits:
+        added = len(edit.doc or b"")
+        full = groups and (len(groups[-1]) == MAX_EDITS_PER_WRITE or size + added > MAX_WRITE_BYTES)
+        if not groups or full:
+            groups.append([])
+            size = 0
+        groups[-1].append(edit)
+        size += added
+    return groups
--- a/tarragonwind/catalogue_writers.py
+++ b/tarragonwind/catalogue_writers.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from tarragonwind.catalogue_edits import Edit, check_sizes, split_edits, verdict_edits
 from tarragonwind.catalogue_errors import (
     CatalogueConflict,
     StoreBehind,
@@ -18,12 +19,11 @@
 from tarragonwind.catalogue_readers import CatalogueReader
 from tarragonwind.core.catalogue_checks import check_write
 from tarragonwind.core.catalogue_states import RECENT_CHANGES, CatalogueState
-from tarragonwind.core.catalogues import Catalogue
-from tarragonwind.core.changes import Change, canonical_json, pack_entry
-from tarragonwind.core.entries import Entry, MoveEntry, dump_entry
-from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict, pack_verdict
+from tarragonwind.core.changes import Change, pack_entry
+from tarragonwind.core.entries import Entry
+from tarragonwind.core.verdicts import MoveVerdict
 from tarragonwind.delays import delay
-from tarragonwind.errors import EntryError, StoreError
+from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
 from tarragonwind.ports import Compare, Delete, Put, Store, Timers
 
@@ -32,29 +32,6 @@
 SETTLE_LIMIT_S = 10.0
 """Time to find out what became of a write whose answer was lost, in seconds."""
 SETTLE_PAUSE_S = 0.2
-MAX_ENTRY_BYTES = 256 * 1024
-MAX_EDITS_PER_WRITE = 40
-"""Entries in one transaction; each takes three operations of the service's 128."""
-MAX_WRITE_BYTES = 512 * 1024
-
-
-@dataclass(frozen=True, slots=True)
-class Edit:
-    """Ask for one entry to be written or removed.
-
-    Attributes
-    ----------
-    key : str
-        Key of the entry.
-    doc : bytes or None
-        Canonical JSON, None to remove the entry.
-    expected_number : int or None
-        Number that the entry must have, 0 for no entry; None takes what is in force at the call.
-    """
-
-    key: str
-    doc: bytes | None
-    expected_number: int | None = None
 
 
 @dataclass(slots=True)
@@ -331,43 +308,3 @@
 
     async def _history(self, key: str) -> list[Change]:
         return [change for change in await self._reader.read_changes() if change.key == key]
-
-
-def verdict_edits(catalogue: Catalogue, verdict: MoveVerdict) -> list[Edit]:
-    """Return the edits that record a verdict; a finished move changes its pool's version too."""
-    edits = [Edit(verdict.key, pack_verdict(verdict), 0)]
-    move = catalogue.entry(f"move/{verdict.move}")
-    if verdict.outcome is not MoveOutcome.DONE or not isinstance(move, MoveEntry):
-        return edits
-    pool = catalogue.pool(move.pool)
-    if pool is not None and pool.version == move.from_version:
-        doc = dump_entry(pool)
-        doc["version"] = move.to_version
-        edits.append(Edit(pool.key, canonical_json(doc)))
-    return edits
-
-
-def check_sizes(edits: list[Edit]) -> None:
-    """Refuse edits that don't fit one transaction."""
-    if not 1 <= len(edits) <= MAX_EDITS_PER_WRITE:
-        raise EntryError(f"entries: {len(edits)} in one write; allowed: 1 to {MAX_EDITS_PER_WRITE}")
-    for edit in edits:
-        if len(edit.doc or b"") > MAX_ENTRY_BYTES:
-            raise EntryError(
-                f"{edit.key}: {len(edit.doc or b'')} bytes; allowed: to {MAX_ENTRY_BYTES}"
-            )
-
-
-def split_edits(edits: list[Edit]) -> list[list[Edit]]:
-    """Return the edits in groups that each fit one transaction."""
-    groups: list[list[Edit]] = []
-    size = 0
-    for edit in edits:
-        added = len(edit.doc or b"")
-        full = groups and (len(groups[-1]) == MAX_EDITS_PER_WRITE or size + added > MAX_WRITE_BYTES)
-        if not groups or full:
-            groups.append([])
-            size = 0
-        groups[-1].append(edit)
-        size += added
-    return groups
--- a/tarragonwind/claims.py
+++ b/tarragonwind/claims.py
@@ -4,23 +4,24 @@
 
 import random
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from loguru import logger
 
+from tarragonwind.claim_cleaners import ClaimCleaner
+from tarragonwind.claim_values import Claim, claim_write, read_claim, refusal
 from tarragonwind.claim_writers import ClaimWriters
 from tarragonwind.core.claim_records import (
     ClaimRecord,
     ClaimState,
     digest_key,
-    pack_claim,
-    unpack_claim,
 )
 from tarragonwind.delays import delay
 from tarragonwind.errors import ErrorKind, RequestError, StoreError
 from tarragonwind.futures import Future, spawn
-from tarragonwind.ports import Compare, KeyValue, Members, Peers, Put, Store, Timers
-from tarragonwind.shared_leases import SharedLease, SharedLeases
+from tarragonwind.ports import KeyValue, Members, Peers, Store, Timers
+from tarragonwind.shared_leases import SharedLeases
+from tarragonwind.write_batches import MAX_WAITING_WRITES, WriteBatcher
 
 SETTLE_LIMIT_S = 2.0
 """Time to find out what became of a claim, in seconds; the request waits for it."""
@@ -30,33 +31,9 @@
 DONE_PERIOD_S = 1.0
 FLEET_DONE_WRITES_PER_S = 50.0
 """Transactions a second in which all daemons together record what is done."""
-CLEAN_PERIOD_S = 1.0
 MAX_KNOWN_CLAIMS = 20_000
 """Claims that a daemon remembers, the latest."""
 UNAVAILABLE_RETRY_S = 5.0
-IN_USE_RETRY_S = 2.0
-
-
-@dataclass(slots=True, eq=False)
-class Claim:
-    """Hold one key that this daemon has claimed.
-
-    Attributes
-    ----------
-    key : str
-        Digest of organisation, route and idempotency key.
-    record : ClaimRecord
-        What the store holds, as far as this daemon knows.
-    mod_revision : int
-        Revision of the claim's write.
-    lease : SharedLease
-        Lease that it ends with.
-    """
-
-    key: str
-    record: ClaimRecord
-    lease: SharedLease
-    mod_revision: int = 0
 
 
 class Claims:
@@ -96,10 +73,10 @@
         self._writers = writers
         self._known: OrderedDict[str, Claim] = OrderedDict()
         self._pending: set[str] = set()
-        self._unused: dict[str, Claim] = {}
+        self._cleaner = ClaimCleaner(store, timers, self._prefix)
         self._finished: dict[str, Claim] = {}
-        self._cleaning = False
         self._recording = False
+        self._highest_revision = 0
 
     def claim(
         self, organisation: str, route: str, idempotency_key: str, ttl_s: int
@@ -130,7 +107,7 @@
         """Free the key of work that was never dispatched."""
         if self._known.get(claim.key) is claim:
             del self._known[claim.key]
-        self._give_up(claim)
+        self._cleaner.give_up(claim)
 
     def finish(self, claim: Claim) -> None:
         """Note that the work was performed and answered; it is recorded some time later."""
@@ -179,26 +156,53 @@
 
     async def _try_first(self, claim: Claim) -> bool:
         """Take a key that nobody has named yet; return whether that is certain."""
+        seen = self._highest_revision
         try:
-            claim.mod_revision = await self._writers.submit(*self._write(claim, 0))
+            claim.mod_revision = await self._writers.submit(*claim_write(self._prefix, claim, 0))
         except StoreError as exc:
             if not exc.maybe_applied:
                 self._leases.forget(claim.lease)
                 raise
-        return claim.mod_revision > 0
+        if not claim.mod_revision:
+            return False
+        self._note_revision(claim.mod_revision, seen)
+        return True
+
+    def _note_revision(self, revision: int, seen: int) -> None:
+        """Notice a store that came back old: a write's revision is above all seen before it."""
+        if revision > seen:
+            self._highest_revision = max(self._highest_revision, revision)
+            return
+        logger.error("event=store_behind revision={} seen={}", revision, seen)
+        self._highest_revision = revision
+        spawn(self._assert_again())
+
+    async def _assert_again(self) -> None:
+        """Write the latest claims again where the store has lost them."""
+        batcher = WriteBatcher(self._store, self._timers)
+        latest = list(self._known.values())[-MAX_WAITING_WRITES:]
+        for claim in latest:
+            self._leases.forget(claim.lease)
+        try:
+            copies = [
+                replace(claim, lease=await self._leases.find(claim.lease.ttl_s)) for claim in latest
+            ]
+            results = [batcher.submit(*claim_write(self._prefix, copy, 0)) for copy in copies]
+            for claim, copy, result in zip(latest, copies, results, strict=True):
+                revision = await result
+                if revision:
+                    claim.lease, claim.mod_revision = copy.lease, revision
+        except StoreError as exc:
+            logger.error("event=claims_not_written_again why={!r}", str(exc))
+        logger.info("event=claims_written_again checked={}", len(latest))
 
     async def _settle_or_give_up(self, claim: Claim) -> None:
         try:
             await self._settle(claim)
         except StoreError:
-            self._give_up(claim)
+            self._cleaner.give_up(claim)
             raise
 
-    def _write(self, claim: Claim, mod_revision: int) -> tuple[Compare, Put]:
-        name = self._prefix + claim.key
-        put = Put(name, pack_claim(claim.record), claim.lease.lease_id)
-        return Compare(name, mod_revision), put
-
     async def _settle(self, claim: Claim) -> None:
         """Find out who holds the key, and take it while it is free.
 
@@ -212,10 +216,12 @@
                 item = await self._store.get(self._prefix + claim.key)
                 if self._is_held(claim, item):
                     return
-                compare, put = self._write(claim, item.mod_revision if item else 0)
+                compare, put = claim_write(self._prefix, claim, item.mod_revision if item else 0)
+                seen = self._highest_revision
                 result = await self._store.commit([compare], [put])
                 if result.succeeded:
                     claim.mod_revision = result.revision
+                    self._note_revision(result.revision, seen)
                     return
             except StoreError as exc:
                 failure = StoreError(str(exc), maybe_applied=True)
@@ -230,7 +236,7 @@
         if standing.claim_id == claim.record.claim_id:
             claim.mod_revision = item.mod_revision
             return True
-        if standing.state is ClaimState.RELEASED or standing.claim_id in self._unused:
+        if standing.state is ClaimState.RELEASED or self._cleaner.is_unused(standing.claim_id):
             return False
         raise refusal(standing.state)
 
@@ -239,40 +245,6 @@
         while len(self._known) > MAX_KNOWN_CLAIMS:
             self._known.popitem(last=False)
 
-    def _give_up(self, claim: Claim) -> None:
-        """Free the key of a claim that was never dispatched, as soon as the store allows."""
-        claim.record = replace(claim.record, state=ClaimState.RELEASED)
-        self._unused[claim.record.claim_id] = claim
-        if not self._cleaning:
-            self._cleaning = True
-            spawn(self._clean())
-
-    async def _clean(self) -> None:
-        while self._unused:
-            try:
-                for claim in list(self._unused.values()):
-                    if await self._free(claim):
-                        del self._unused[claim.record.claim_id]
-            except StoreError as exc:
-                logger.warning("event=claim_not_freed why={!r}", str(exc))
-            if self._unused:
-                await delay(self._timers, CLEAN_PERIOD_S)
-        self._cleaning = False
-
-    async def _free(self, claim: Claim) -> bool:
-        """Write over an unused claim, so that no late copy of it can take the key."""
-        if self._timers.now() >= claim.lease.ends_at:
-            return True
-        item = await self._store.get(self._prefix + claim.key)
-        if item is not None:
-            standing = read_claim(item)
-            other = standing.claim_id != claim.record.claim_id
-            if other and standing.state is not ClaimState.RELEASED:
-                return True
-        compare, put = self._write(claim, item.mod_revision if item else 0)
-        result = await self._store.commit([compare], [put])
-        return result.succeeded
-
     def _record_finished(self) -> None:
         self._recording = False
         finished = list(self._finished.values())
@@ -282,7 +254,7 @@
                 spawn(self._record(claim))
 
     async def _record(self, claim: Claim) -> None:
-        compare, put = self._write(claim, claim.mod_revision)
+        compare, put = claim_write(self._prefix, claim, claim.mod_revision)
         try:
             if not await self._writers.submit(compare, put):
                 await self._store.commit([compare], [put])
@@ -291,25 +263,6 @@
             self.finish(claim)
 
 
-def read_claim(item: KeyValue) -> ClaimRecord:
-    """Return the record of a key; raise StoreError for a value of another form."""
-    try:
-        return unpack_claim(item.value)
-    except (KeyError, TypeError, ValueError) as exc:
-        raise StoreError(f"the value at {item.key} is no claim") from exc
-
-
-def refusal(state: ClaimState) -> RequestError:
-    """Return the error for a key that is taken."""
-    if state is ClaimState.DONE:
-        return RequestError(ErrorKind.KEY_ALREADY_RUN, "the work under this key was run")
-    return RequestError(
-        ErrorKind.KEY_IN_USE,
-        "the work under this key was begun; its outcome is not known here",
-        IN_USE_RETRY_S,
-    )
-
-
 def create_claims(
     store: Store,
     members: Members,
--- a/tarragonwind/shared_leases.py
+++ b/tarragonwind/shared_leases.py
@@ -19,6 +19,8 @@
     ----------
     lease_id : int
         Id in the store.
+    ttl_s : int
+        Time that each key bound to it lives at the least, in seconds.
     granted_at : float
         Time on the monotonic clock before which the lease has not begun.
     ends_at : float
@@ -26,6 +28,7 @@
     """
 
     lease_id: int
+    ttl_s: int
     granted_at: float
     ends_at: float
 
@@ -56,7 +59,7 @@
         began_at = self._timers.now()
         duration_s = ttl_s + int(SHARE_PERIOD_S)
         lease_id = await self._store.grant_lease(duration_s)
-        lease = SharedLease(lease_id, began_at, began_at + duration_s)
+        lease = SharedLease(lease_id, ttl_s, began_at, began_at + duration_s)
         self._leases[ttl_s] = lease
         return lease
 
--- a/tests/store_fakes.py
+++ b/tests/store_fakes.py
@@ -111,11 +111,12 @@
         """Return the present content."""
         return dict(self.inner._items)
 
-    def restore(self, items):
-        """Come back with an older content; revisions go on."""
+    def restore(self, items, revision=None):
+        """Come back with an older content; revisions go on unless one is told."""
         self.cut_watches()
         self.inner._items = dict(items)
         self.inner._sorted_keys = sorted(items)
+        self.inner.revision = revision or self.inner.revision
 
 
 def settle(timers, fut, limit_s=60.0):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -186,6 +186,20 @@
     assert store.calls["lease_grant"] == 2
 
 
+def test_claims_that_a_store_lost_are_written_again(store, hosts):
+    first, second = hosts
+    settle(store.timers, take(first, "before"))
+    settle(store.timers, take(second, "seen"))
+    old, revision = store.snapshot(), store.inner.revision
+    for index in range(9):
+        settle(store.timers, take(first, f"k{index}"))
+    store.restore(old, revision)
+    settle(store.timers, take(first, "after"))
+    store.timers.advance(1.0)
+    for index in range(9):
+        assert refused(store, second, f"k{index}") is KINDS.KEY_IN_USE
+
+
 def test_a_wrong_value_under_a_key_is_refused_as_unavailable(store, hosts):
     name = "t/claims/" + digest_key("andino", "redeem", "k")
     settle(store.timers, take(hosts[0]))
