--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -29,7 +29,17 @@
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
 
-SWEEP_PERIOD_S = 5.0
+WAIT_MARGINS = (2.0, 1.5, 1.25, 1.0)
+"""How far an expected wait must exceed the time left for an ask of each tier to be refused."""
+
+MAX_DRAWS = 3
+"""Draws of a version for one ask; each draw past the first raises the share of a small version
+that alone can serve."""
+
+SWEEP_PERIOD_S = 0.2
+"""Time between two sweeps over waiting asks, in seconds."""
+
+IDLE_SWEEP_PERIOD_S = 5.0
 """Time between two sweeps over idle state, in seconds."""
 
 Send = Callable[[str, Message], object]
@@ -88,9 +98,8 @@
     tier: int
     cost_tokens: int
     granted_at: float
-    predicted_s: float
-    output_tokens: float
-    prefixes: tuple[int, ...]
+    first_byte_s: float = 0.0
+    token_s: float = 0.0
 
     @property
     def key(self) -> AskKey:
@@ -138,7 +147,7 @@
         self._choose_version = choose_version
         self._settings = settings or PermitSettings()
         self._load_settings = load_settings or LoadSettings()
-        self._placer = Placer(self._load_settings, self.hints, distance_s)
+        self.placer = Placer(self._load_settings, self.hints, distance_s)
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
         self._loads: dict[str, UpstreamLoad] = {}
@@ -152,6 +161,7 @@
         self._epoch = rng.getrandbits(31)
         self._called_at: float | None = None
         self._beat_at = 0.0
+        self._swept_at = 0.0
         self._idle_swept_at = 0.0
 
     # What the daemon tells.
@@ -216,12 +226,7 @@
 
     def on_versions_changed(self, now: float) -> None:
         """Choose the version of each waiting ask anew."""
-        asks = sorted(self._queue, key=lambda ask: (ask.deadline, ask.key))
-        for ask in asks:
-            self._queue.remove(ask.key)
-        for ask in asks:
-            ask.version = self._version_for(now, ask.route)
-            self._queue.push(ask)
+        self._draw_again(now, list(self._queue))
         self._drain(now)
 
     def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
@@ -235,12 +240,15 @@
         self._note_call(now)
         self._free_lost_hosts(now)
         self._rate.observe(now, len(self._queue) > 0)
-        self._refuse_unmeetable(now)
+        if now - self._swept_at >= SWEEP_PERIOD_S:
+            self._swept_at = now
+            self._refuse_unmeetable(now)
+            self._draw_for_stranded(now)
         self._drain(now)
         if now - self._beat_at >= self._settings.beat_period_s:
             self._beat_at = now
             self._send_beats()
-        if now - self._idle_swept_at >= SWEEP_PERIOD_S:
+        if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
             self._queue.forget_idle()
             self._query_silent_hosts(now)
@@ -328,7 +336,37 @@
             self._refuse(shed, ErrorKind.SHED)
 
     def _version_for(self, now: float, route: str) -> str:
-        return self._choose_version(now, self._rng, self.pool, route)
+        """Draw a version; draw again, a bounded number of times, when it can't serve now."""
+        version = ""
+        for _ in range(MAX_DRAWS):
+            version = self._choose_version(now, self._rng, self.pool, route)
+            if self._can_serve(version):
+                break
+        return version
+
+    def _can_serve(self, version: str) -> bool:
+        versions = self._serving_versions()
+        return version in versions or (version == "" and bool(versions))
+
+    def _serving_versions(self) -> set[str]:
+        return {load.entry.version for load in self._loads.values() if load.takes_work()}
+
+    def _draw_for_stranded(self, now: float) -> None:
+        """Draw the versions of asks anew whose version can't serve any more, once for each."""
+        serving = self._serving_versions() | {""}
+        stranded = [
+            ask for ask in self._queue if ask.version not in serving and not ask.drawn_again
+        ]
+        for ask in stranded:
+            ask.drawn_again = True
+        self._draw_again(now, stranded)
+
+    def _draw_again(self, now: float, asks: list[WaitingAsk]) -> None:
+        for ask in asks:
+            self._queue.remove(ask.key)
+        for ask in asks:
+            ask.version = self._version_for(now, ask.route)
+            self._queue.push(ask)
 
     def _has_upstream(self, version: str) -> bool:
         return any(
@@ -340,23 +378,27 @@
         if len(self._queue) == 0:
             return False
         work = self._queue.work_before(ask.tier, ask.organisation)
-        return now + work / self._rate.tokens_per_s > ask.deadline
+        return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
     def _refuse_unmeetable(self, now: float) -> None:
+        waits_s = self._waits_by_tier_s()
         for ask in self._queue.lowest_first():
             if ask.deadline <= now:
                 self._queue.remove(ask.key)
                 self._refuse(ask, ErrorKind.DEADLINE_PASSED)
-        if not self._active or not self._rate.measured:
-            return
-        ahead = [0.0]
-        for lines in self._queue.work_by_tier():
-            ahead.append(ahead[-1] + lines)
-        for ask in self._queue.lowest_first():
-            if now + ahead[ask.tier] / self._rate.tokens_per_s > ask.deadline:
+            elif waits_s[ask.tier] > _patience_s(now, ask):
                 self._queue.remove(ask.key)
                 self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
 
+    def _waits_by_tier_s(self) -> list[float]:
+        """Return the time that the work of higher tiers takes, for each tier."""
+        waits_s = [0.0]
+        if not self._active or not self._rate.measured:
+            return waits_s * TIER_COUNT
+        for work in self._queue.work_by_tier():
+            waits_s.append(waits_s[-1] + work / self._rate.tokens_per_s)
+        return waits_s
+
     def _refuse(self, ask: WaitingAsk, kind: ErrorKind) -> None:
         wait_ms = int(1_000 * self.retry_after_s(ask.tier, ask.organisation))
         refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
@@ -405,13 +447,14 @@
 
     def _grant(self, now: float, ask: WaitingAsk) -> None:
         loads = [load for load in self._loads.values() if ask.version in ("", load.entry.version)]
-        placement = self._placer.choose(now, self._rng, loads, ask)
+        placement = self.placer.choose(now, self._rng, loads, ask)
         if placement is None:
             raise AssertionError("a popped ask has an upstream with room")
-        if now + placement.first_byte_s > ask.deadline:
+        load = placement.load
+        unread_tokens = ask.prompt_tokens * (1.0 - placement.cached_share)
+        if now + load.least_first_byte_s(now, unread_tokens) > ask.deadline:
             self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
             return
-        load = placement.load
         permit = _Permit(
             host=ask.host,
             ask_id=ask.ask_id,
@@ -420,11 +463,8 @@
             tier=ask.tier,
             cost_tokens=ask.cost_tokens,
             granted_at=now,
-            predicted_s=placement.expected_s,
-            output_tokens=max(
-                1.0, ask.cost_tokens - ask.prompt_tokens / self._load_settings.prefill_speedup
-            ),
-            prefixes=ask.prefixes,
+            first_byte_s=0.0 if placement.cached_share else placement.first_byte_s,
+            token_s=placement.token_s,
         )
         self._permits[permit.key] = permit
         load.add(now, permit.cost_tokens)
@@ -457,14 +497,15 @@
             self.hints.forget(permit.upstream)
         elif msg.outcome in (Outcome.FAILED, Outcome.REFUSED, Outcome.TIMED_OUT):
             load.on_failed(now, self._rng)
+        if load.ejected:
+            self._draw_for_stranded(now)
 
     def _observe(self, now: float, load: UpstreamLoad, permit: _Permit, msg: PermitDone) -> None:
-        if permit.predicted_s <= 0 or msg.duration_ms <= 0:
-            return
-        predicted_s = permit.predicted_s
-        if msg.output_tokens > 0:
-            predicted_s *= max(1.0, msg.output_tokens) / permit.output_tokens
-        load.on_observed(now, predicted_s, msg.duration_ms / 1_000)
+        first_byte_s = msg.first_byte_ms / 1_000
+        load.on_first_byte(now, permit.first_byte_s, first_byte_s)
+        if msg.output_tokens > 1:
+            rest_s = msg.duration_ms / 1_000 - first_byte_s
+            load.on_tokens(now, permit.token_s * (msg.output_tokens - 1), rest_s)
 
     def _release(self, now: float, key: AskKey) -> _Permit | None:
         permit = self._permits.pop(key, None)
@@ -531,9 +572,6 @@
             tier=held.tier,
             cost_tokens=held.cost_tokens,
             granted_at=now,
-            predicted_s=0.0,
-            output_tokens=1.0,
-            prefixes=(),
         )
         load.add(now, held.cost_tokens)
 
@@ -586,6 +624,10 @@
         return total * self._share
 
 
+def _patience_s(now: float, ask: WaitingAsk) -> float:
+    return (ask.deadline - now) * WAIT_MARGINS[ask.tier]
+
+
 def _read_ask(values: list[Any]) -> PermitAsk:
     return PermitAsk(*values)
 
--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -23,11 +23,17 @@
         Expected time to the whole answer, in seconds.
     first_byte_s : float
         Expected time to the first byte, in seconds.
+    token_s : float
+        Expected time of each token after the first, in seconds.
+    cached_share : float
+        Part of the prompt that is probably cached.
     """
 
     load: UpstreamLoad
     expected_s: float
     first_byte_s: float
+    token_s: float
+    cached_share: float
 
 
 class Placer:
@@ -58,13 +64,18 @@
     def expect(self, now: float, load: UpstreamLoad, ask: WaitingAsk) -> Placement:
         """Estimate an ask's times on one upstream."""
         cached = self._hints.cached_share(load.entry.name, ask.prefixes)
-        prefill_s = load.prefill_s(ask.prompt_tokens * (1.0 - cached), now)
         distance_s = self._distance_s.get(load.entry.data_centre, 0.0)
-        step_s = load.step_s(now)
-        first_byte_s = distance_s + prefill_s + step_s
+        first_byte_s = distance_s + load.first_byte_s(now, ask.prompt_tokens * (1.0 - cached))
+        token_s = load.token_s(now)
         prompt_cost = ask.prompt_tokens / self._settings.prefill_speedup
         output_tokens = max(1.0, ask.cost_tokens - prompt_cost)
-        return Placement(load, first_byte_s + output_tokens * step_s, first_byte_s)
+        return Placement(
+            load=load,
+            expected_s=first_byte_s + output_tokens * token_s,
+            first_byte_s=first_byte_s,
+            token_s=token_s,
+            cached_share=cached,
+        )
 
     def choose(
         self, now: float, rng: random.Random, loads: Iterable[UpstreamLoad], ask: WaitingAsk
@@ -80,11 +91,17 @@
             return None
         wanted = self._without_outliers(now, wanted)
         rng.shuffle(wanted)
-        placements = [self.expect(now, load, ask) for load in wanted]
+        return self.choose_among(now, wanted, ask)
+
+    def choose_among(self, now: float, loads: list[UpstreamLoad], ask: WaitingAsk) -> Placement:
+        """Choose the upstream with the least expected completion."""
+        placements = [self.expect(now, load, ask) for load in loads]
         return min(placements, key=lambda placement: placement.expected_s)
 
     def _without_outliers(self, now: float, loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
-        fastest = min(load.slowness(now) for load in loads)
-        bound = fastest * self._settings.outlier_slowness
-        kept = [load for load in loads if load.slowness(now) <= bound or load.in_flight == 0]
-        return kept or loads
+        slownesses = [load.slowness(now) for load in loads]
+        bound = min(slownesses) * self._settings.outlier_slowness
+        if max(slownesses) <= bound:
+            return loads
+        pairs = zip(loads, slownesses, strict=True)
+        return [load for load, slowness in pairs if slowness <= bound or load.in_flight == 0]
