--- a/tests/test_memberships.py
+++ b/tests/test_memberships.py
@@ -69,11 +69,13 @@
 
 def test_a_broken_link_between_two_hosts_removes_neither():
     net, names = start_settled(6)
+    starts = [net.hosts[name].core.own.incarnation for name in names]
     for other in names[1:]:
         net.cut_link(names[0], other)
         net.run_for(0.01)
         assert watch_views(net, names, names, 10.0)
         net.heal()
+    assert [net.hosts[name].core.own.incarnation for name in names] == starts, "one was suspected"
 
 
 def watch_views(net, viewers, names, seconds):
