--- /dev/null
+++ b/tests/test_http_servers.py
@@ -0,0 +1,138 @@
+"""Test the request reader: whole requests from any pieces, and bounds on everything else."""
+
+import socket
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonwind.adapters.http_servers import HttpLimits, HttpServer, RequestReader
+from tarragonwind.errors import ErrorKind
+from tarragonwind.ports import Address
+from tests.support import LoopRunner
+
+LIMITS = HttpLimits(max_head_bytes=2_000, max_body_bytes=3_000)
+
+BODIES = st.binary(max_size=400)
+NAMES = st.from_regex(r"[A-Za-z][A-Za-z0-9-]{0,15}", fullmatch=True).map(lambda name: f"X-{name}")
+VALUES = st.from_regex(r"[!-~]([ -~]{0,30}[!-~])?", fullmatch=True)
+
+
+@st.composite
+def requests(draw):
+    """Draw the bytes of a valid request with its method, target and body."""
+    method = draw(st.sampled_from(["GET", "POST", "PUT", "DELETE"]))
+    target = "/" + draw(st.from_regex(r"[a-z0-9/._~-]{0,30}", fullmatch=True))
+    body = draw(BODIES)
+    lines = [f"{method} {target} HTTP/1.1", "Host: a"]
+    for name in draw(st.lists(NAMES, max_size=4)):
+        lines.append(f"{name}: {draw(VALUES)}")
+    if draw(st.booleans()):
+        lines.append("Transfer-Encoding: chunked")
+        parts = b"".join(b"%x\r\n%b\r\n" % (1, body[i : i + 1]) for i in range(len(body)))
+        tail = parts + b"0\r\n\r\n"
+    else:
+        lines.append(f"Content-Length: {len(body)}")
+        tail = body
+    return method, target, body, "\r\n".join(lines).encode() + b"\r\n\r\n" + tail
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(st.lists(requests(), min_size=1, max_size=4), st.lists(st.integers(1, 60), min_size=1))
+def test_any_pieces_give_the_same_requests(sent, sizes):
+    data = b"".join(request[3] for request in sent)
+    reader = RequestReader(LIMITS)
+    position = 0
+    for turn in range(len(data)):
+        size = sizes[turn % len(sizes)]
+        assert reader.feed(data[position : position + size]) is None
+        position += size
+        if position >= len(data):
+            break
+    found = [(req.method, req.target, req.body) for req in reader.ready]
+    assert found == [request[:3] for request in sent]
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(st.binary(max_size=300), max_size=20), st.booleans())
+def test_no_bytes_break_the_reader_or_its_bounds(pieces, begins_well):
+    reader = RequestReader(LIMITS)
+    if begins_well:
+        reader.feed(b"POST / HTTP/1.1\r\nHost: a\r\n")
+    fault = None
+    for piece in pieces:
+        before = len(reader.ready)
+        now = reader.feed(piece)
+        assert fault is None or (now is fault and len(reader.ready) == before)
+        fault = now
+    assert all(len(req.body) <= LIMITS.max_body_bytes for req in reader.ready)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(requests(), st.data())
+def test_a_request_with_one_byte_changed_is_whole_or_refused(sent, data):
+    raw = bytearray(sent[3])
+    index = data.draw(st.integers(0, len(raw) - 1))
+    raw[index] = data.draw(st.integers(0, 255))
+    reader = RequestReader(LIMITS)
+    fault = reader.feed(bytes(raw))
+    assert fault is None or fault.kind in (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.HEADERS_TOO_LARGE,
+        ErrorKind.METHOD_REFUSED,
+    )
+
+
+@pytest.fixture
+def server():
+    runner = LoopRunner()
+    limits = HttpLimits(head_timeout_s=0.2, body_timeout_s=0.2, idle_timeout_s=5.0)
+
+    def answer(exchange, *fault):
+        exchange.answer(fault[0].kind is ErrorKind.REQUEST_TOO_SLOW and 408 or 400, [], b"")
+
+    one = HttpServer(
+        runner.loop,
+        Address("127.0.0.1", 0),
+        limits,
+        lambda exchange: exchange.answer(200, [], b"ok"),
+        answer,
+    )
+    runner.start()
+    yield one
+    runner.stop()
+
+
+@pytest.mark.parametrize(
+    "begun",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: ",
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx",
+    ],
+)
+def test_a_slow_request_is_refused_in_time_however_often_a_byte_comes(server, begun):
+    sock = socket.create_connection(("127.0.0.1", server.address.port))
+    sock.sendall(begun)
+    sock.settimeout(0.02)
+    got = b""
+    deadline = time.monotonic() + 10
+    while not got and time.monotonic() < deadline:
+        try:
+            sock.sendall(b"x")
+            got = sock.recv(4_096)
+        except TimeoutError:
+            continue
+    assert got.startswith(b"HTTP/1.1 408")
+
+
+def test_a_request_after_a_whole_answer_is_read_on_the_same_connection(server):
+    sock = socket.create_connection(("127.0.0.1", server.address.port))
+    sock.settimeout(10)
+    for _ in range(3):
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        got = b""
+        while not got.endswith(b"ok"):
+            got += sock.recv(4_096)
+        assert got.startswith(b"HTTP/1.1 200")
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,87 @@
+"""Test back-pressure and kept connections between callers and upstreams."""
+
+import http.client
+import json
+import socket
+import threading
+import time
+
+from tarragonwind.adapters.connections import HIGH_WATER_BYTES, READ_CHUNK_BYTES
+from tests.support import TOKEN
+from tests.test_gateways import AUTH, Bench, chat
+
+CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+ENDLESS_CHUNKS = 4_000
+
+
+class EndlessUpstream:
+    """Send chunks as long as somebody takes them, and count them."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.ended = threading.Event()
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self._sock.getsockname()[1]
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        conn, _ = self._sock.accept()
+        conn.recv(65536)
+        conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        try:
+            for _ in range(ENDLESS_CHUNKS):
+                conn.sendall(CHUNK)
+                self.sent += len(CHUNK)
+        except OSError:
+            pass
+        self.ended.set()
+
+
+def test_a_caller_that_does_not_read_stops_its_upstream_and_its_leaving_cancels_it():
+    upstream = EndlessUpstream()
+    bench = Bench(upstream.port)
+    body = json.dumps(chat(stream=True)).encode()
+    sock = socket.create_connection(("127.0.0.1", bench.gateway.address.port))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n"
+    sock.sendall(head.encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+    seen = -1
+    while seen != upstream.sent or not seen:
+        seen = upstream.sent
+        time.sleep(0.3)
+    assert upstream.sent < ENDLESS_CHUNKS * len(CHUNK)
+    (connection,) = bench.gateway._server._connections
+    assert connection._conn.unsent <= HIGH_WATER_BYTES + 2 * READ_CHUNK_BYTES
+    sock.close()
+    assert upstream.ended.wait(10)
+    bench.close()
+
+
+class ClosingUpstream:
+    """Answer each request on a connection that it closes soon after, and count the requests."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self._sock.getsockname()[1]
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            conn, _ = self._sock.accept()
+            if conn.recv(65536):
+                self.requests += 1
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            conn.close()
+
+
+def test_a_stale_kept_connection_costs_a_new_connection_and_no_answer():
+    upstream = ClosingUpstream()
+    bench = Bench(upstream.port)
+    conn = http.client.HTTPConnection("127.0.0.1", bench.gateway.address.port, timeout=10)
+    for _ in range(20):
+        conn.request("POST", "/v1/chat/completions", json.dumps(chat()), AUTH)
+        answer = conn.getresponse()
+        assert (answer.status, answer.read()) == (200, b"ok")
+    assert upstream.requests == 20
+    bench.close()
