--- a/bench/move_workloads.py
+++ b/bench/move_workloads.py
@@ -285,6 +285,7 @@
 
     SHARES = (0.05, 0.10, 0.25, 0.50, 0.95, 1.0)
     WINDOW_S = 15.0
+    LOOK_PERIOD_S = 0.25
     MIN_REQUESTS = 20
     FAILED_LIMIT = 0.05
     SLOWNESS_LIMIT = 1.5
@@ -294,6 +295,7 @@
         self._starts_at = starts_at
         self._duration_s = duration_s
         self._window: list[tuple[float, bool, bool, float]] = []
+        self._looked_at = 0.0
         self.taken_back_at: float | None = None
 
     def choose(self, now: float, host: str, route: str) -> str:
@@ -320,8 +322,9 @@
         self._window.append((now, is_new, req.failed, req.first_byte_s))
         while self._window[0][0] < now - self.WINDOW_S:
             del self._window[0]
-        if is_new and self.taken_back_at is None and self._is_bad():
-            self.taken_back_at = now
+        if self.taken_back_at is None and now - self._looked_at >= self.LOOK_PERIOD_S:
+            self._looked_at = now
+            self.taken_back_at = now if self._is_bad() else None
 
     def _is_bad(self) -> bool:
         new = [entry for entry in self._window if entry[1]]
--- /dev/null
+++ b/bench/sequential_tests.py
@@ -0,0 +1,136 @@
+"""Simulate the sequential tests: error rates at any look, and requests until a difference shows.
+
+Run ``python -m bench.sequential_tests --out docs/data``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from tarragonwind.core.evidence import Tally
+from tarragonwind.core.sequential_tests import (
+    Pair,
+    bad_log_evidence,
+    good_log_evidence,
+    log_threshold,
+)
+
+RUNS = 500
+LENGTH = 400
+OLD_PER_NEW = 4
+ALPHA = 0.05
+STRICT_ALPHA = 0.0001
+
+Evidence = Callable[[Sequence[Pair], float], float]
+
+
+@dataclass(slots=True)
+class Case:
+    """Hold one simulation and its result.
+
+    Attributes
+    ----------
+    what : str
+        Hypothesis that is tested.
+    old, new, margin : float
+        Rates of both versions and the margin of the test.
+    alpha : float
+        Error rate asked for.
+    crossed : float
+        Fraction of runs in which the evidence ever reached its threshold.
+    median_requests : float or None
+        Requests of the new version until then, median of those runs.
+    """
+
+    what: str
+    old: float
+    new: float
+    margin: float
+    alpha: float
+    crossed: float = 0.0
+    median_requests: float | None = None
+
+
+def create_cases() -> list[Case]:
+    """Return the cases: first those at the edge of the null hypothesis, then real differences."""
+    return [
+        Case("bad, null true", 0.01, 0.01, 0.0, ALPHA),
+        Case("bad, null true", 0.1, 0.1, 0.0, ALPHA),
+        Case("bad, null true", 0.1, 0.15, 0.05, ALPHA),
+        Case("good, null true", 0.01, 0.06, 0.05, ALPHA),
+        Case("good, null true", 0.1, 0.2, 0.1, ALPHA),
+        Case("bad", 0.005, 1.0, 0.005, STRICT_ALPHA),
+        Case("bad", 0.005, 0.2, 0.005, STRICT_ALPHA),
+        Case("bad", 0.005, 0.1, 0.005, STRICT_ALPHA),
+        Case("bad", 0.005, 0.05, 0.005, STRICT_ALPHA),
+        Case("bad", 0.1, 0.5, 0.05, STRICT_ALPHA),
+        Case("good", 0.005, 0.005, 0.1, ALPHA),
+        Case("good", 0.005, 0.005, 0.04, ALPHA),
+    ]
+
+
+def run_case(case: Case) -> None:
+    """Fill in the result of a case."""
+    evidence = bad_log_evidence if case.what.startswith("bad") else good_log_evidence
+    lengths = []
+    for seed in range(RUNS):
+        length = _run_once(case, evidence, random.Random(seed))
+        if length is not None:
+            lengths.append(length)
+    case.crossed = len(lengths) / RUNS
+    case.median_requests = statistics.median(lengths) if lengths else None
+
+
+def _run_once(case: Case, evidence: Evidence, rng: random.Random) -> int | None:
+    """Return the requests of the new version until the threshold, None when it wasn't reached."""
+    new_hits = 0
+    old_hits = 0
+    threshold = log_threshold(case.alpha)
+    for length in range(1, LENGTH + 1):
+        new_hits += rng.random() < case.new
+        old_hits += sum(rng.random() < case.old for _ in range(OLD_PER_NEW))
+        pair = Pair(Tally(length, new_hits), Tally(OLD_PER_NEW * length, old_hits))
+        if evidence([pair], case.margin) >= threshold:
+            return length
+    return None
+
+
+def render_table(cases: list[Case]) -> str:
+    """Return the cases as a Markdown table."""
+    lines = [
+        "| test | old rate | new rate | margin | alpha | crossed | median requests |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for case in cases:
+        requests = "-" if case.median_requests is None else f"{case.median_requests:.0f}"
+        lines.append(
+            f"| {case.what} | {case.old} | {case.new} | {case.margin} | {case.alpha} "
+            f"| {case.crossed:.3f} | {requests} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Run all cases and write their results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=Path, default=Path("docs/data"))
+    args = parser.parse_args()
+    cases = create_cases()
+    for case in cases:
+        run_case(case)
+    args.out.mkdir(parents=True, exist_ok=True)
+    doc = [asdict(case) for case in cases]
+    (args.out / "sequential_tests.json").write_text(json.dumps(doc, indent=1) + "\n")
+    table = render_table(cases)
+    (args.out / "sequential_tests.md").write_text(table)
+    print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
+import bisect
 import enum
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-MIDDLE_LOAD_FRACTION = 0.3
-"""Fraction of an upstream's slots in use from which its load counts as middle."""
-
-HIGH_LOAD_FRACTION = 0.6
-"""Fraction of an upstream's slots in use from which its load counts as high."""
+LOAD_LEVEL_FRACTIONS = (0.2, 0.4, 0.6, 0.8)
+"""Fractions of an upstream's slots in use at which the next load level begins."""
 
 SLOW_QUANTILE = 0.9
 """Quantile of the old version's concurrent times above which a request counts as slow."""
@@ -42,9 +40,11 @@
 class LoadLevel(enum.IntEnum):
     """Tell the load of the upstream at dispatch."""
 
-    LOW = 0
-    MIDDLE = 1
-    HIGH = 2
+    LIGHT = 0
+    LOW = 1
+    MIDDLE = 2
+    HIGH = 3
+    FULL = 4
 
 
 class Signal(enum.IntEnum):
@@ -57,9 +57,7 @@
 
 def load_level(in_flight_fraction: float) -> LoadLevel:
     """Return the level of an upstream that uses this fraction of its slots."""
-    if in_flight_fraction >= HIGH_LOAD_FRACTION:
-        return LoadLevel.HIGH
-    return LoadLevel.MIDDLE if in_flight_fraction >= MIDDLE_LOAD_FRACTION else LoadLevel.LOW
+    return LoadLevel(bisect.bisect_right(LOAD_LEVEL_FRACTIONS, in_flight_fraction))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -24,7 +24,7 @@
 TICK_PERIOD_S = 0.25
 """Time between two calls of `MoveTable.tick`, in seconds."""
 
-URGENT_PERIOD_S = 0.5
+URGENT_PERIOD_S = 0.25
 """Least time between two reports, in seconds."""
 
 REPORT_PERIOD_S = 1.0
@@ -276,12 +276,20 @@
             self._record(now, move)
         elif name == owner:
             outgoing += self._lead(now, move)
+        if name in (owner, deputy):
+            self._hear_itself(now, move, name == owner)
         return outgoing
 
+    def _hear_itself(self, now: float, move: HostMove, is_owner: bool) -> None:
+        """Count this host's own judge as heard while most hosts report to it."""
+        if move.judge.is_heard(now, self._members.live(), self.report_period_s, 0):
+            own = self._share_message(move, self._members.name, self._incarnation)
+            move.hear_judge(now, own, is_owner)
+
     def _report(self, now: float, move: HostMove, judges: set[str]) -> list[Outgoing]:
         period_s = URGENT_PERIOD_S if move.counter.urgent else self.report_period_s
         if move.closely:
-            period_s = TICK_PERIOD_S
+            period_s = URGENT_PERIOD_S
         if now - move.reported_at < period_s - TICK_PERIOD_S / 2 or now < move.entry.starts_at:
             return []
         move.reported_at = now
@@ -303,8 +311,6 @@
         step = judge.step
         live = self._members.live()
         judge.grow(now, live, self.report_period_s)
-        own = self._share_message(move, self._members.name, self._incarnation)
-        move.hear_judge(now, own, is_owner=True)
         if judge.step == COMPLETE_STEP:
             judge.why = COMPLETE_WHY
             if judge.may_finish(now, live, self.report_period_s):
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -241,14 +241,14 @@
         """Tell whether "done" may be recorded: all traffic moved, nothing bad seen since."""
         if self.taken_back or self.step != COMPLETE_STEP or self.is_suspect():
             return False
-        return self._is_heard(now, live, report_period_s, COMPLETE_STEP)
+        return self.is_heard(now, live, report_period_s, COMPLETE_STEP)
 
     def _obstacle(self, now: float, live: Collection[str], report_period_s: float) -> str:
         """Return what keeps the move from its next step, empty for nothing."""
         step = self.step + 1
         if now < self.move.starts_at:
             return "not started"
-        if not self._is_heard(now, live, report_period_s, 0):
+        if not self.is_heard(now, live, report_period_s, 0):
             return "too few hosts have reported"
         if self.is_suspect():
             return f"under suspicion: {self.finding.why}"
@@ -270,9 +270,22 @@
             return f"step {self.step} of {COMPLETE_STEP} in force, as planned"
         return unloaded or self._missing_evidence(step)
 
-    def _is_heard(
+    def is_heard(
         self, now: float, live: Collection[str], report_period_s: float, step: int
     ) -> bool:
+        """Tell whether most live hosts have reported lately, from a step on.
+
+        Parameters
+        ----------
+        now : float
+            Seconds since the epoch.
+        live : collection of str
+            Names of the live hosts.
+        report_period_s : float
+            Time between two reports of a host, in seconds.
+        step : int
+            Step that must be in force at a host for it to count.
+        """
         since = max(self._valid_from, now - FRESH_PERIODS * report_period_s)
         heard = 0
         for host in live:
@@ -293,43 +306,48 @@
                 total += cell.finished
         return total
 
-    def _sum(self, side: Side, level: LoadLevel | None = None) -> Cell:
+    def _pairs(self, signal: Signal) -> list[Pair]:
+        """Return a signal's tallies at the step, one pair for each load level."""
+        pairs = []
+        for level in LoadLevel:
+            new = self._sum(Side.NEW, level, level).tally(signal)
+            old = self._sum(Side.OLD, level, level).tally(signal)
+            if new.trials and old.trials:
+                pairs.append(Pair(new, old))
+        return pairs
+
+    def _sum(self, side: Side, lowest: LoadLevel, highest: LoadLevel) -> Cell:
         total = Cell()
         for key, cell in self.evidence.totals.items():
-            if key.step == self.step and key.side is side and level in (None, key.level):
+            if key.step == self.step and key.side is side and lowest <= key.level <= highest:
                 total = total.plus(cell)
         return total
 
     def _doubt(self, step: int) -> str:
         """Return which signal looks worse than a step allows, empty for none."""
-        new = self._sum(Side.NEW)
-        old = self._sum(Side.OLD)
         for signal in Signal:
-            excess = least_excess(Pair(new.tally(signal), old.tally(signal)))
-            if excess > good_margin(signal, step):
-                return f"in doubt: {signal.name.lower()} {new.tally(signal)}, {old.tally(signal)}"
+            for pair in self._pairs(signal):
+                if least_excess(pair) > good_margin(signal, step):
+                    return f"in doubt: {signal.name.lower()}, new {pair.new}, old {pair.old}"
         return ""
 
     def _missing_evidence(self, step: int) -> str:
         """Return which evidence a step before its latest time lacks, empty for none."""
-        new = self._sum(Side.NEW)
-        old = self._sum(Side.OLD)
         for signal in Signal:
-            if signal is not Signal.FAILED and not old.tally(signal).trials:
+            pairs = self._pairs(signal)
+            if signal is not Signal.FAILED and not pairs:
                 continue
-            margin = good_margin(signal, step)
-            pair = Pair(new.tally(signal), old.tally(signal))
-            evidence = good_log_evidence([pair], margin)
+            evidence = good_log_evidence(pairs, good_margin(signal, step))
             if evidence < log_threshold(GOOD_ALPHA):
-                return f"gathering evidence: {signal.name.lower()}, {new.finished} requests seen"
+                return f"gathering evidence: {signal.name.lower()}, {self._trials()} requests seen"
         return ""
 
     def _missing_load(self) -> str:
         """Return that the new version lacks outcomes under high load, empty if it has them."""
         if self.step < FIRST_LOADED_STEP:
             return ""
-        old = self._sum(Side.OLD, LoadLevel.HIGH)
-        new = self._sum(Side.NEW, LoadLevel.HIGH)
+        old = self._sum(Side.OLD, LoadLevel.HIGH, LoadLevel.FULL)
+        new = self._sum(Side.NEW, LoadLevel.HIGH, LoadLevel.FULL)
         if old.finished >= MIN_LEVEL_TRIALS > new.finished:
             return f"gathering evidence under high load, {new.finished} requests seen"
         return ""
