--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,213 @@
+"""Work each role out at the target size from measured slopes.
+
+``python -m bench.capacity`` reads the results that the other benches have written to ``docs/data``
+and prints a table of what each role costs at the target, with its budget; ``--plot`` draws the
+measured control cost over the number of daemons.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import fire
+
+DATA = Path(__file__).parent.parent / "docs" / "data"
+
+DAEMONS = 320
+UPSTREAMS = 600
+REQUESTS_PER_S = 5_500
+TOKENS_PER_S = 2_300_000
+TOKEN_INTERVAL_S = 0.041
+ORGANISATIONS = 13_000
+MODELS = 36
+CHANGES_PER_DAY = 1_400
+CPU_BUDGET_PERCENT = 2.1
+MEMORY_BUDGET_MIB = 256.0
+BYTES_BUDGET_PER_S = 3_000.0
+STORE_READS_PER_S = 2_000.0
+STORE_WRITES_PER_S = 300.0
+SPREAD_BUDGET_S = 4.0
+KEYED_SHARE = 0.1
+"""Part of requests that are taken to carry an Idempotency-Key."""
+SECONDS_PER_DAY = 86_400
+
+
+@dataclass(slots=True)
+class Row:
+    """Hold what one role costs a daemon, or the store, at the target.
+
+    Attributes
+    ----------
+    role : str
+        Role of a daemon.
+    what : str
+        What is counted.
+    value : float
+        Worked-out figure.
+    unit : str
+        Its unit.
+    budget : float
+        Most that it may be, 0 for none of its own.
+    source : str
+        Command that gave the slope.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    budget: float
+    source: str
+
+    @property
+    def margin(self) -> str:
+        """Return the part of the budget that is left, or how far it is over."""
+        if not self.budget:
+            return ""
+        left = 1 - self.value / self.budget
+        return f"{left:.0%} left" if left >= 0 else f"OVER by {-left:.0%}"
+
+
+def load(name: str) -> Any:
+    """Return the results of one bench."""
+    return json.loads((DATA / f"{name}.json").read_text())
+
+
+def figure(relays: list[dict[str, Any]], name: str) -> float:
+    """Return one figure of the relay bench."""
+    return float(next(row["value"] for row in relays if row["name"] == name))
+
+
+def gateway_rows() -> list[Row]:
+    """Return what meeting callers costs a daemon; this is not control."""
+    relays = load("relays")
+    source = "python -m bench.relays measure"
+    chunks = TOKENS_PER_S / DAEMONS
+    requests = REQUESTS_PER_S / DAEMONS
+    streams = TOKENS_PER_S * TOKEN_INTERVAL_S / DAEMONS
+    relay = 100 * chunks / figure(relays, "one chunk a read, processor time")
+    short = 100 * requests / figure(relays, "requests a second of processor time")
+    idle_kib = figure(relays, "an open, idle stream")
+    return [
+        Row("gateway", "relayed tokens, of a core", relay, "%", 0, source),
+        Row("gateway", "requests, of a core", short, "%", 0, source),
+        Row("gateway", f"{streams:.0f} open streams", streams * idle_kib / 1024, "MiB", 0, source),
+    ]
+
+
+def permit_rows() -> list[Row]:
+    """Return what permits cost the daemon of a pool's owner, and the average daemon."""
+    costs = load("permit_costs")
+    source = "python -m bench.permit_costs"
+    rows = []
+    for target in costs["target"]:
+        role = f"permits, {target['owners']} owners"
+        cpu = 100 * target["core"]
+        rows.append(Row(role, "of a core", cpu, "%", CPU_BUDGET_PERCENT, source))
+        sent = target["sent_bytes_per_s"]
+        rows.append(Row(role, "sent", sent, "B/s", BYTES_BUDGET_PER_S, source))
+    return rows
+
+
+def catalogue_rows() -> list[Row]:
+    """Return what keeping the catalogue costs a daemon and the store."""
+    results = load("catalogue")
+    source = "python -m bench.catalogue"
+    largest = max(results["memory"], key=lambda row: row["organisations"])
+    cpu = 100 * CHANGES_PER_DAY / SECONDS_PER_DAY * largest["change_ms"] / 1000
+    spread = [row for row in results["spread"] if row["hosts"] == DAEMONS]
+    worst = max(spread, key=lambda row: row["worst_s"])
+    return [
+        Row("catalogue", "memory", largest["rss_mib"], "MiB", MEMORY_BUDGET_MIB, source),
+        Row("catalogue", "changes, of a core", cpu, "%", CPU_BUDGET_PERCENT, source),
+        Row(
+            "catalogue",
+            f"worst spread ({worst['case']})",
+            worst["worst_s"],
+            "s",
+            SPREAD_BUDGET_S,
+            source,
+        ),
+    ]
+
+
+def claim_rows() -> list[Row]:
+    """Return what claims cost the store."""
+    source = "python -m bench.claims"
+    wanted = REQUESTS_PER_S * KEYED_SHARE
+    rows = [row for row in load("claims") if row["hosts"] == DAEMONS]
+    near = min(rows, key=lambda row: (abs(row["claims_per_s"] - wanted), row["writes_per_s"]))
+    what = f"{near['claims_per_s']:.0f} claims a second, way: {near['way']}"
+    return [
+        Row("claims", what, near["writes_per_s"], "writes/s", STORE_WRITES_PER_S, source),
+        Row("claims", what, near["reads_per_s"], "reads/s", STORE_READS_PER_S, source),
+    ]
+
+
+def idle_rows() -> list[Row]:
+    """Return what a whole idle daemon costs, from the largest fleet that was run."""
+    source = "python -m bench.control"
+    rows = [row for row in load("control") if row["load"] == "idle"]
+    largest = max(rows, key=lambda row: row["daemons"])
+    role = f"whole daemon, idle, measured at {largest['daemons']}"
+    memory = float(largest["rss_mib"])
+    return [
+        Row(role, "of a core", largest["cpu_percent"], "%", CPU_BUDGET_PERCENT, source),
+        Row(role, "sent", largest["sent_bytes_per_s"], "B/s", BYTES_BUDGET_PER_S, source),
+        Row(role, "memory", memory, "MiB", MEMORY_BUDGET_MIB, source),
+        Row(role, "fleet", largest["store_calls_per_s"], "calls/s", STORE_READS_PER_S, source),
+    ]
+
+
+def render(rows: list[Row]) -> str:
+    """Return the rows as a table in Markdown."""
+    lines = [
+        "| role | what | at the target | budget | margin | slope from |",
+        "|---|---|---|---|---|---|",
+    ]
+    for row in rows:
+        budget = f"{row.budget:g} {row.unit}" if row.budget else "-"
+        value = f"{row.value:.2f} {row.unit}"
+        lines.append(
+            f"| {row.role} | {row.what} | {value} | {budget} | {row.margin} | `{row.source}` |"
+        )
+    return "\n".join(lines)
+
+
+def draw(path: Path) -> None:
+    """Draw the control cost over the number of daemons."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    rows = load("control")
+    figure_, axes = pyplot.subplots(1, 2, figsize=(9, 3.5))
+    for axis, key, label in (
+        (axes[0], "sent_bytes_per_s", "bytes sent a second, one daemon"),
+        (axes[1], "cpu_percent", "part of a core in %, one daemon"),
+    ):
+        idle = [row for row in rows if row["load"] == "idle"]
+        axis.plot([row["daemons"] for row in idle], [row[key] for row in idle], marker="o")
+        axis.set_xlabel("daemons")
+        axis.set_title(f"idle: {label}", fontsize=9)
+        axis.set_ylim(bottom=0)
+    figure_.tight_layout()
+    figure_.savefig(path)
+
+
+def main(plot: bool = False) -> None:
+    """Print the table, and draw the plot when asked."""
+    rows = [*idle_rows(), *permit_rows(), *catalogue_rows(), *claim_rows(), *gateway_rows()]
+    print(render(rows))
+    if plot:
+        draw(DATA / "control.svg")
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
