--- a/standins/servers.py
+++ b/standins/servers.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from tarragonwind.adapters.http_servers import CallerExchange, HttpLimits, HttpServer
+from tarragonwind.adapters.http_requests import HttpLimits
+from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.errors import RequestError
 from tarragonwind.ports import Address
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -10,14 +10,15 @@
 
 from loguru import logger
 
-from tarragonwind.adapters.gateways import Gateway, GatewayTimes
+from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.host_lists import HostListReader, create_host_list_reader
 from tarragonwind.adapters.http_clients import HttpClient
-from tarragonwind.adapters.http_servers import HttpLimits
+from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.adapters.memberships import MembershipSettings, create_membership
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
 from tarragonwind.adapters.peers import PeerSettings, Traffic, create_peers
+from tarragonwind.adapters.request_runs import GatewayParts, GatewayTimes
 from tarragonwind.adapters.stores import StoreSettings, create_store
 from tarragonwind.catalogue_services import create_catalogue_service
 from tarragonwind.claims import create_claims
@@ -86,16 +87,18 @@
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
         self.claims = create_claims(self.store, self.membership, self.peers, loop.timers, rng, root)
         self.gateway = Gateway(
-            loop,
             Address(cfg.callers.listen_host, cfg.callers.listen_port),
             http_limits(cfg.callers),
-            self.client,
-            self._catalogue_in_force,
-            self.scheduler,
-            self.claims,
-            self.telemetry,
-            GatewayTimes(cfg.upstreams.idle_timeout_s),
-            f"{cfg.host.name}-{incarnation:x}",
+            GatewayParts(
+                loop,
+                self.client,
+                self._catalogue_in_force,
+                self.scheduler,
+                self.claims,
+                self.telemetry,
+                GatewayTimes(cfg.upstreams.idle_timeout_s),
+                f"{cfg.host.name}-{incarnation:x}",
+            ),
         )
         self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
         self.orders = self._create_orders()
@@ -149,7 +152,7 @@
 
     def sheds_by_tier(self) -> list[int]:
         """Return the requests shed since the start, by tier."""
-        return list(self.gateway.sheds)
+        return list(self.gateway.parts.sheds)
 
     def traffic(self) -> list[Traffic]:
         """Return the messages between hosts, counted by class."""
--- a/tests/test_classifications.py
+++ b/tests/test_classifications.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tarragonwind.adapters.http_servers import CallerRequest
+from tarragonwind.adapters.http_requests import CallerRequest
 from tarragonwind.core.classifications import classify_request
 from tarragonwind.core.entries import RouteEntry
 from tarragonwind.core.prompt_prefixes import BLOCK_CHARACTERS, hash_prefixes
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -10,7 +10,8 @@
 from standins.engine import Engine
 from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.http_clients import HttpClient
-from tarragonwind.adapters.http_servers import HttpLimits
+from tarragonwind.adapters.http_requests import HttpLimits
+from tarragonwind.adapters.request_runs import GatewayParts
 from tarragonwind.core.entries import RouteEntry, UpstreamEntry
 from tarragonwind.ports import Address
 from tests.support import TOKEN, FakeCatalogue, LoopRunner, TurnScheduler
@@ -75,14 +76,9 @@
         self.catalogue = FakeCatalogue([upstream], routes)
         self.scheduler = TurnScheduler(["up-1"])
         loop = self.runner.loop
-        self.gateway = Gateway(
-            loop,
-            Address("127.0.0.1", 0),
-            HttpLimits(),
-            HttpClient(loop, connect_timeout_s=1.0),
-            lambda: self.catalogue,
-            self.scheduler,
-        )
+        client = HttpClient(loop, connect_timeout_s=1.0)
+        parts = GatewayParts(loop, client, lambda: self.catalogue, self.scheduler)
+        self.gateway = Gateway(Address("127.0.0.1", 0), HttpLimits(), parts)
         self.runner.start()
 
     def post(self, doc: dict, headers: dict | None = None, path: str = "/v1/chat/completions"):
--- a/tests/test_http_servers.py
+++ b/tests/test_http_servers.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tarragonwind.adapters.http_servers import HttpLimits, HttpServer, RequestReader
+from tarragonwind.adapters.http_requests import HttpLimits, RequestReader
+from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.errors import ErrorKind
 from tarragonwind.ports import Address
 from tests.support import LoopRunner
