Judge the store's head by what was known before it was read

Cause: a write that came into force while a slow read of the head was under way made a writer take the store for an old one: it refused with StoreBehind and raised the alarm. The fakes had hidden it, because a read there took effect at its answer; now it takes effect half way. Excluded: a mend begun by it; the healer reads again and found nothing to mend. Seen red (python -m pytest tests/test_catalogue_followers.py, before the change): "StoreBehind: the store came back with number 1 though 2 is in force" in test_a_read_that_is_overtaken_by_a_change_is_no_old_store.

--- a/bench/catalogue_fleets.py
+++ b/bench/catalogue_fleets.py
@@ -108,17 +108,23 @@
 
     def _later(self, call: Callable[[], Future[ResultT]]) -> Future[ResultT]:
         fut: Future[ResultT] = Future()
-        self._fleet.timers.call_later(self.latency_s, lambda: self._answer(call, fut))
+        self._fleet.timers.call_later(self.latency_s / 2, lambda: self._answer(call, fut))
         return fut
 
     def _answer(self, call: Callable[[], Future[ResultT]], fut: Future[ResultT]) -> None:
+        answer: Future[ResultT] = Future()
         if self.away:
-            fut.set_exception(StoreError("the store is away"))
-            return
-        try:
-            fut.set_result(call().result())
-        except StoreError as exc:
-            fut.set_exception(exc)
+            answer.set_exception(StoreError("the store is away"))
+        else:
+            answer = call()
+
+        def pass_on() -> None:
+            try:
+                fut.set_result(answer.result())
+            except StoreError as exc:
+                fut.set_exception(exc)
+
+        self._fleet.timers.call_later(self.latency_s / 2, pass_on)
 
     def get(self, key: str) -> Future[KeyValue | None]:
         """Read one key."""
--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -176,9 +176,10 @@
 
     async def _poll(self) -> None:
         try:
+            in_force = self._state.in_force
             head = await self._reader.read_head()
             self._note_store(away=False, why="")
-            if needs_heal(head, self._state.in_force):
+            if needs_heal(head, in_force):
                 await self._heal()
                 return
             missed = head.number > self._state.number
--- a/tarragonwind/catalogue_writers.py
+++ b/tarragonwind/catalogue_writers.py
@@ -159,8 +159,9 @@
     async def _synchronise(self) -> Head:
         """Bring the newest accepted state in force here and return its head."""
         for _ in range(MAX_ATTEMPTS):
+            known = max(self._state.highest_heard, self._state.number)
             head = await self._reader.read_head()
-            self._require_current(head)
+            self._require_current(head, known)
             applied = await self._reader.catch_up(self._state, head)
             if applied:
                 self.on_accepted(applied)
@@ -169,8 +170,8 @@
                 return head
         raise WriteContended("the catalogue changes too fast; nothing was written, try again")
 
-    def _require_current(self, head: Head) -> None:
-        known = max(self._state.highest_heard, self._state.number)
+    def _require_current(self, head: Head, known: int) -> None:
+        """Refuse a head below a number that was known before it was read."""
         if head.number < known:
             logger.error(
                 "event=store_behind store_number={} in_force={} hint=the_store_lost_writes",
--- a/tests/test_catalogue_followers.py
+++ b/tests/test_catalogue_followers.py
@@ -173,6 +173,18 @@
     assert settle(fleet.timers, follower.wait_in_force(number.number, 4.0)) == []
 
 
+def test_a_read_that_is_overtaken_by_a_change_is_no_old_store(fleet, store):
+    slow = fleet.hosts["host-005"]
+    slow.store.latency_s = 0.4
+    behind = []
+    slow.service.writer.on_store_behind = lambda: behind.append(True)
+    late = slow.service.writer.put(organisation("late"), "ana")
+    store.timers.advance(0.25)
+    number, _ = put(fleet, "host-003", "a")
+    assert settle(store.timers, late)[-1].number == number + 1
+    assert behind == []
+
+
 def test_an_idle_fleet_stays_within_its_budget(fleet, store):
     fleet.sent_bytes.clear()
     store.calls.clear()
