--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -23,6 +23,8 @@
 
 SEED_PERIOD_S = 1.0
 """Time between two attempts to reach the seeds that have not answered yet."""
+JOIN_LIMIT_S = 3.0
+"""Time after which a daemon that nobody answers goes on alone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
         self._timer_due = float("inf")
         self._seed_timer: Timer | None = None
         self._settling = False
+        self._gave_up = False
         for cls in PROTOCOL_MESSAGES:
             peers.subscribe(cls, self._on_message)
         peers.subscribe_greeted(self._on_greeted)
@@ -81,6 +84,7 @@
     def start(self) -> None:
         """Begin to probe and to look for the others."""
         self._greet_seeds()
+        self._timers.call_later(JOIN_LIMIT_S, self._give_up)
         self._seed_timer = self._timers.call_every(SEED_PERIOD_S, self._greet_seeds)
         self._settle()
 
@@ -124,8 +128,9 @@
         return self._core.own.leaving
 
     def joined(self) -> bool:
-        """Tell whether the view was compared with another daemon's, or there is none to ask."""
-        return self._core.joined or not (self._seeds or self._core.knows_others())
+        """Tell whether the view was compared with another daemon's, or nobody has answered."""
+        nobody_known = not self._seeds and not self._core.knows_others()
+        return self._core.joined or self._gave_up or nobody_known
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after each change of the live daemons or of `isolated`."""
@@ -173,6 +178,9 @@
         self._core.push_facts(self._timers.now())
         self._settle()
 
+    def _give_up(self) -> None:
+        self._gave_up = True
+
     def _greet_seeds(self) -> None:
         for seed in sorted(self._seeds_left, key=str):
             self._peers.greet(seed)
--- a/tests/test_membership_adapters.py
+++ b/tests/test_membership_adapters.py
@@ -1,7 +1,11 @@
 """Run the membership over real connections on one loop."""
 
+import socket
+
 import pytest
 
+from tarragonwind.ports import Address
+
 from .peer_helpers import Bench
 
 
@@ -41,6 +45,19 @@
         assert fleet[0].rank(key, 2)[0] == fleet[0].owner_of(key)
 
 
+def test_a_host_whose_seeds_are_all_away_goes_on_alone(bench):
+    peers = bench.peers("host-0")
+    free = socket.create_server(("127.0.0.1", 0))
+    seed = Address(*free.getsockname()[:2])
+    free.close()
+    member = bench.membership(peers, [seed])
+    member.start()
+    assert not member.joined()
+    bench.wait(member.joined, "joined alone")
+    assert member.live() == ("host-0",)
+    assert not member.isolated
+
+
 def test_a_leaving_host_owns_nothing_but_can_be_reached(bench):
     fleet = start_fleet(bench, 4)
     bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
