--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -300,31 +300,18 @@
 
     async def _dispatch(self, cls: RequestClass, permit: Permit) -> bool:
         """Dispatch under a permit; return False when nothing was sent and another may be tried."""
-        catalogue = self._parts.catalogue()
-        upstream = catalogue.entry(f"upstream/{permit.upstream}") if catalogue else None
         scheduler = self._parts.scheduler
-        if not isinstance(upstream, UpstreamEntry):
+        upstream = self._find_upstream(permit)
+        if upstream is None:
             scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             return False
-        left_s = self._started_at + cls.timeout_s - self._parts.loop.timers.now()
-        if left_s <= 0:
-            scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
-            raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
         try:
+            left_s = self._require_time(cls)
             self._require_claim()
         except RequestError:
             scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             raise
-        times = self._parts.times
-        wait_s = min(left_s, times.first_byte_timeout_s)
-        rules = RelayRules(upstream.refusal_not_run, wait_s, times.idle_timeout_s)
-        relay = Relay(self._exchange, self._life, rules, self._parts.loop.timers)
-        relay.on_first_byte = lambda: self._note_first_byte(permit)
-        scheduler.dispatched(permit)
-        self._trace.note("upstream", permit.upstream)
-        self._trace.begin(Hop.DISPATCH)
-        self._trace.begin(Hop.FIRST_TOKEN)
-        relay.start(self._parts.client, Address(upstream.host, upstream.port), self._forward())
+        relay = self._start_relay(permit, upstream, left_s)
         self._parts.dispatched_requests += 1
         end = await relay.end
         self._parts.dispatched_requests -= 1
@@ -338,6 +325,31 @@
         self._raise_for(end, relay)
         return True
 
+    def _find_upstream(self, permit: Permit) -> UpstreamEntry | None:
+        catalogue = self._parts.catalogue()
+        entry = catalogue.entry(f"upstream/{permit.upstream}") if catalogue else None
+        return entry if isinstance(entry, UpstreamEntry) else None
+
+    def _require_time(self, cls: RequestClass) -> float:
+        """Return the seconds left for the first byte; refuse to dispatch when there are none."""
+        left_s = self._started_at + cls.timeout_s - self._parts.loop.timers.now()
+        if left_s <= 0:
+            raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
+        return left_s
+
+    def _start_relay(self, permit: Permit, upstream: UpstreamEntry, left_s: float) -> Relay:
+        times = self._parts.times
+        wait_s = min(left_s, times.first_byte_timeout_s)
+        rules = RelayRules(upstream.refusal_not_run, wait_s, times.idle_timeout_s)
+        relay = Relay(self._exchange, self._life, rules, self._parts.loop.timers)
+        relay.on_first_byte = lambda: self._note_first_byte(permit)
+        self._parts.scheduler.dispatched(permit)
+        self._trace.note("upstream", permit.upstream)
+        self._trace.begin(Hop.DISPATCH)
+        self._trace.begin(Hop.FIRST_TOKEN)
+        relay.start(self._parts.client, Address(upstream.host, upstream.port), self._forward())
+        return relay
+
     def _note_first_byte(self, permit: Permit) -> None:
         self._parts.scheduler.first_byte(permit)
         self._first_byte_seen = True
