Ask another peer when an answer about changes doesn't come

Cause: a lost answer was asked for again only at the next comparison of numbers, up to 1.25 s later.

--- a/tarragonwind/catalogue_followers.py
+++ b/tarragonwind/catalogue_followers.py
@@ -221,6 +221,13 @@
             since = WHOLE
         if self._peers.send(host, CatalogueAsk(since)):
             self._asked_at = now
+            pause_s = ASK_PAUSE_S * self._rng.uniform(1.05, 1.25)
+            self._timers.call_later(pause_s, self._ask_again)
+
+    def _ask_again(self) -> None:
+        """Ask someone else when an answer has not come."""
+        if self._state.behind and not self._stopped:
+            self._ask_anyone()
 
     def _ask_anyone(self) -> None:
         """Ask the peer that named the highest number, or any."""
