--- a/bench/moves.py
+++ b/bench/moves.py
@@ -37,7 +37,6 @@
 TAIL_S = 15.0
 WINDOW_S = 5.0
 MIN_WINDOW_REQUESTS = 40
-WITNESS_LEAD_S = 10.0
 PROBE_PERIOD_S = 0.1
 END_PERIOD_S = 0.25
 BAD_SEEDS = range(1, 4)
@@ -105,12 +104,12 @@
 class Witness:
     """Judge with every outcome at once, to know when badness shows."""
 
-    def __init__(self, fleet: Fleet, entry: MoveEntry, starts_at: float) -> None:
+    def __init__(self, fleet: Fleet, entry: MoveEntry) -> None:
         self.shown_at: float | None = None
         self._fleet = fleet
         self._judge = MoveJudge(entry, 0.0)
         self._sequence = 0
-        fleet.after(starts_at, self._look)
+        self._look()
 
     def _look(self) -> None:
         self._sequence += 1
@@ -136,8 +135,7 @@
     _schedule_faults(fleet, scenario, duration_s)
     watching = None
     if witness:
-        bad_from = STARTS_AT + scenario.bad_from * duration_s
-        watching = Witness(fleet, entry, max(0.0, bad_from - WITNESS_LEAD_S))
+        watching = Witness(fleet, entry)
     ended: list[tuple[str, float]] = []
     _watch_end(fleet, ended)
     workload.start()
--- a/tarragonwind/core/badness_tests.py
+++ b/tarragonwind/core/badness_tests.py
@@ -144,12 +144,12 @@
         return finding
     margins = dict(PAST_MARGINS)
     for signal in Signal:
-        if _may_be_common(recent, step, signal):
+        if may_be_common(recent, step, signal):
             margins[signal] = 1.0
     return find_in_cells(mixed, alpha, margins)
 
 
-def _may_be_common(recent: Cells, step: int, signal: Signal) -> bool:
+def may_be_common(recent: Cells, step: int, signal: Signal) -> bool:
     """Tell whether the old version's recent outcomes fit the new one's rate."""
     new = Tally(0, 0)
     old = Tally(0, 0)
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -17,9 +17,10 @@
     LateDetector,
     find_beside_past,
     find_in_cells,
+    may_be_common,
 )
 from tarragonwind.core.entries import MoveEntry
-from tarragonwind.core.evidence import Cell, LoadLevel, MergedEvidence, Side, Signal
+from tarragonwind.core.evidence import Cell, LoadLevel, MergedEvidence, Side, Signal, Tally
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
     COMPLETE_STEP,
@@ -241,6 +242,9 @@
         """Tell whether "done" may be recorded: all traffic moved, nothing bad seen since."""
         if self.taken_back or self.step != COMPLETE_STEP or self.is_suspect():
             return False
+        dwelt = now - self.step_since >= MIN_DWELL_FRACTION * duration_s(self.move)
+        if not dwelt or self._doubt(COMPLETE_STEP):
+            return False
         return self.is_heard(now, live, report_period_s, COMPLETE_STEP)
 
     def _obstacle(self, now: float, live: Collection[str], report_period_s: float) -> str:
@@ -306,35 +310,57 @@
                 total += cell.finished
         return total
 
-    def _pairs(self, signal: Signal) -> list[Pair]:
-        """Return a signal's tallies at the step, one pair for each load level."""
+    def _pairs(self, signal: Signal, steps: Iterable[int]) -> list[Pair]:
+        """Return a signal's tallies, one pair for each step and load level."""
         pairs = []
-        for level in LoadLevel:
-            new = self._sum(Side.NEW, level, level).tally(signal)
-            old = self._sum(Side.OLD, level, level).tally(signal)
-            if new.trials and old.trials:
-                pairs.append(Pair(new, old))
+        for step in steps:
+            for level in LoadLevel:
+                new = self._sum(step, Side.NEW, level, level).tally(signal)
+                old = self._sum(step, Side.OLD, level, level).tally(signal)
+                if new.trials and old.trials:
+                    pairs.append(Pair(new, old))
         return pairs
 
-    def _sum(self, side: Side, lowest: LoadLevel, highest: LoadLevel) -> Cell:
+    def _sum(self, step: int, side: Side, lowest: LoadLevel, highest: LoadLevel) -> Cell:
         total = Cell()
         for key, cell in self.evidence.totals.items():
-            if key.step == self.step and key.side is side and lowest <= key.level <= highest:
+            if key.step == step and key.side is side and lowest <= key.level <= highest:
                 total = total.plus(cell)
         return total
 
     def _doubt(self, step: int) -> str:
         """Return which signal looks worse than a step allows, empty for none."""
         for signal in Signal:
-            for pair in self._pairs(signal):
-                if least_excess(pair) > good_margin(signal, step):
-                    return f"in doubt: {signal.name.lower()}, new {pair.new}, old {pair.old}"
+            excess = max(least_excess(pairs) for pairs in self._views(signal))
+            if excess > good_margin(signal, step):
+                return f"in doubt: {signal.name.lower()} higher by {excess:.3f} or more"
         return ""
 
+    def _views(self, signal: Signal) -> list[list[Pair]]:
+        """Return the pairs of all steps, of this step, and of this step beside the past."""
+        views = [self._pairs(signal, range(FIRST_STEP, self.step + 1))]
+        views.append(self._pairs(signal, [self.step]))
+        totals = self.evidence.totals
+        is_alone = self.step > CONTROLLED_STEP
+        if is_alone or not may_be_common(totals, self.step, signal):
+            views.append(self._pairs_beside_past(signal))
+        return views
+
+    def _pairs_beside_past(self, signal: Signal) -> list[Pair]:
+        pairs = []
+        for level in LoadLevel:
+            new = self._sum(self.step, Side.NEW, level, level).tally(signal)
+            old = Tally(0, 0)
+            for step in range(FIRST_STEP, self.step + 1):
+                old = old + self._sum(step, Side.OLD, level, level).tally(signal)
+            if new.trials and old.trials:
+                pairs.append(Pair(new, old))
+        return pairs
+
     def _missing_evidence(self, step: int) -> str:
         """Return which evidence a step before its latest time lacks, empty for none."""
         for signal in Signal:
-            pairs = self._pairs(signal)
+            pairs = self._pairs(signal, [self.step])
             if signal is not Signal.FAILED and not pairs:
                 continue
             evidence = good_log_evidence(pairs, good_margin(signal, step))
@@ -346,8 +372,8 @@
         """Return that the new version lacks outcomes under high load, empty if it has them."""
         if self.step < FIRST_LOADED_STEP:
             return ""
-        old = self._sum(Side.OLD, LoadLevel.HIGH, LoadLevel.FULL)
-        new = self._sum(Side.NEW, LoadLevel.HIGH, LoadLevel.FULL)
+        old = self._sum(self.step, Side.OLD, LoadLevel.HIGH, LoadLevel.FULL)
+        new = self._sum(self.step, Side.NEW, LoadLevel.HIGH, LoadLevel.FULL)
         if old.finished >= MIN_LEVEL_TRIALS > new.finished:
             return f"gathering evidence under high load, {new.finished} requests seen"
         return ""
--- a/tarragonwind/core/sequential_tests.py
+++ b/tarragonwind/core/sequential_tests.py
@@ -86,15 +86,24 @@
     return _log_likelihood(tally, tally.rate)
 
 
-def least_excess(pair: Pair) -> float:
-    """Return the observed excess of the new rate, less `DOUBT_ERRORS` standard errors."""
-    new = pair.new
-    old = pair.old
-    if not new.trials or not old.trials:
+def least_excess(pairs: Sequence[Pair]) -> float:
+    """Return the excess of the new rate within pairs, less `DOUBT_ERRORS` standard errors.
+
+    Pairs are weighted as by Mantel and Haenszel, so that a difference between pairs is no excess.
+    """
+    weights = 0.0
+    excess = 0.0
+    variance = 0.0
+    for pair in pairs:
+        trials = pair.new.trials + pair.old.trials
+        weight = pair.new.trials * pair.old.trials / trials
+        smoothed = (pair.new.hits + pair.old.hits + 0.5) / (trials + 1)
+        weights += weight
+        excess += weight * (pair.new.rate - pair.old.rate)
+        variance += weight * smoothed * (1.0 - smoothed)
+    if not weights:
         return 0.0
-    smoothed = (new.hits + old.hits + 1) / (new.trials + old.trials + 2)
-    error = math.sqrt(smoothed * (1.0 - smoothed) * (1.0 / new.trials + 1.0 / old.trials))
-    return new.rate - old.rate - DOUBT_ERRORS * error
+    return (excess - DOUBT_ERRORS * math.sqrt(variance)) / weights
 
 
 def chance_of_at_most(tally: Tally, rate: float) -> float:
