--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -16,13 +16,20 @@
 
 from bench.move_fleets import Fleet
 from tarragonwind.core.entries import MoveEntry, MoveState
-from tarragonwind.core.evidence import MergedEvidence, Side
+from tarragonwind.core.evidence import (
+    Cell,
+    CellKey,
+    LoadLevel,
+    MergedEvidence,
+    Side,
+    pack_cells,
+)
 from tarragonwind.core.host_moves import ShareCredit
 from tarragonwind.core.move_messages import MoveReport, MoveShare
 from tarragonwind.core.move_steps import COMPLETE_STEP, STEPS
 from tarragonwind.core.move_tables import REPORT_PERIOD_S
 from tarragonwind.core.move_trials import Outcome
-from tarragonwind.core.moves import FRESH_PERIODS, MoveAnswer
+from tarragonwind.core.moves import FRESH_PERIODS, MoveAnswer, MoveJudge
 
 POOL = "drafting"
 TAKEN_BACK_BOUND_S = 2.0
@@ -223,6 +230,24 @@
     assert site.fleet.now <= site.moves[0].done_by
 
 
+@pytest.mark.parametrize(("failed", "step"), [(4, 3), (0, 4)])
+def test_a_version_that_looks_worse_is_held_at_its_step(failed, step):
+    move = create_move()
+    judge = MoveJudge(move, move.starts_at)
+    late = move.done_by - 20.0
+    cells = [
+        (CellKey(3, Side.NEW, "chat", LoadLevel.LOW), Cell(40, failed)),
+        (CellKey(3, Side.OLD, "chat", LoadLevel.LOW), Cell(120, 1)),
+    ]
+    judge.receive("host-0", MoveReport("m", 1, 1, late, 3, 2.0, "", pack_cells(cells)))
+    judge.look(late)
+    assert not judge.taken_back
+    judge.receive("host-0", MoveReport("m", 1, 2, late, 3, 2.0, "", []))
+    judge.grow(late, ["host-0"], 1.0)
+    assert judge.step == step
+    assert ("in doubt" in judge.why) == bool(failed)
+
+
 def test_a_judge_that_starts_anew_gets_all_evidence_again():
     site = Site()
     site.run_until(lambda: site.has_step(3))
