--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -24,6 +24,8 @@
 LAST_PORT = 32_000
 PORT_STEP = 97
 """Distance between the first ports of two processes that start one after another."""
+PROXIED_ADDRESS = "127.0.0.2"
+"""Loopback address before which fault proxies stand."""
 HOST_LIST_LAG_S = "2"
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 10.0
@@ -158,6 +160,8 @@
     ----------
     directory : Path
         Settings, logs and journals are written here.
+    peer_address : str
+        Address at which hosts reach one another; `put_links_between_hosts` sets another one.
     """
 
     directory: Path
@@ -168,6 +172,7 @@
     host_list_port: int = 0
     weight_store_port: int = 0
     extra_settings: dict[str, Any] = field(default_factory=dict)
+    peer_address: str = LOOPBACK
 
     def __enter__(self) -> Fleet:
         return self
@@ -226,6 +231,19 @@
         (self.directory / "token.txt").write_text(f"{self.operator_token}\n")
         (self.directory / "secret.txt").write_text("fleet-secret\n")
 
+    def put_links_between_hosts(self) -> None:
+        """Lead everything between planned hosts through fault proxies, one before each host."""
+        self.peer_address = PROXIED_ADDRESS
+        for name, ports in self.hosts.items():
+            self.start_standin(
+                f"link-{name}",
+                "standins.fault_proxy",
+                "--listen",
+                f"{PROXIED_ADDRESS}:{ports.peers}",
+                "--target",
+                f"{LOOPBACK}:{ports.peers}",
+            )
+
     def start_host(self, name: str, data_centre: str = "etna") -> FleetProcess:
         """Start a planned entry host and wait until it listens."""
         path = self.directory / f"{name}.yaml"
@@ -242,7 +260,7 @@
             return
         doc = {
             "name": name,
-            "address": LOOPBACK,
+            "address": self.peer_address,
             "port": self.hosts[name].peers,
             "data_centre": data_centre,
         }
@@ -252,7 +270,7 @@
         """Return the settings of one entry host."""
         ports = self.hosts[name]
         seeds = [
-            {"name": other, "host": LOOPBACK, "port": self.hosts[other].peers}
+            {"name": other, "host": self.peer_address, "port": self.hosts[other].peers}
             for other in self.hosts
             if other != name
         ]
@@ -261,6 +279,7 @@
             "callers": {"listen_port": ports.callers},
             "peers": {
                 "listen_port": ports.peers,
+                "advertised_host": self.peer_address,
                 "secret_file": str(self.directory / "secret.txt"),
                 "seeds": seeds,
             },
--- a/tests/features/hosts_fail.feature
+++ b/tests/features/hosts_fail.feature
@@ -43,3 +43,12 @@
     And callers go on for 4 seconds
     Then the promises hold
     And some calls ran under a key
+
+  Scenario: The hosts lose one another and find one another again
+    Given a fleet of 3 hosts with links that can fail
+    And callers of every tier
+    When the hosts lose one another for 6 seconds
+    And callers go on for 5 seconds
+    Then every host sees 3 live hosts
+    And the promises hold
+    And every caller was answered since the failure
--- a/tests/scenario_worlds.py
+++ b/tests/scenario_worlds.py
@@ -31,12 +31,14 @@
         self.racers: list[subprocess.CompletedProcess[str]] = []
         self.cuts = 0
 
-    def start(self, host_count: int, planned: int = 0) -> None:
+    def start(self, host_count: int, planned: int = 0, linked: bool = False) -> None:
         """Start the platform, the upstreams and the hosts, and put the catalogue."""
         fleet = self.fleet
         fleet.start_platform()
         names = [f"entry-{number}" for number in range(1, host_count + planned + 1)]
         fleet.plan_hosts(names)
+        if linked:
+            fleet.put_links_between_hosts()
         entries = [
             self.organisation("officina"),
             entry("pool", "drafting", back_end="engine", version="v1"),
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -52,6 +52,11 @@
     world.start(count, planned)
 
 
+@given(parsers.parse("a fleet of {count:d} hosts with links that can fail"))
+def fleet_with_links(world, count):
+    world.start(count, linked=True)
+
+
 @given("callers of every tier")
 def callers_of_every_tier(world):
     world.call(GATE, STAMP, QUESTION, DOSSIER)
@@ -228,6 +233,18 @@
     world.note_failure()
 
 
+@when(parsers.parse("the hosts lose one another for {seconds:d} seconds"))
+def hosts_lose_one_another(world, seconds):
+    world.go_on(1.0)
+    links = [world.fleet.processes[f"link-{name}"].port for name in world.fleet.hosts]
+    for port in links:
+        control(port, half_open=True, black_hole=True)
+    world.go_on(seconds)
+    for port in links:
+        control(port, half_open=False, black_hole=False, cut=1)
+    world.note_failure()
+
+
 @when(parsers.parse("the links to {name} are cut {count:d} times"))
 def cut_links(world, name, count):
     for _ in range(count):
