--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 SOURCES := tarragonwind standins bench tests
 
-.PHONY: env check test demo up
+.PHONY: env check test demo up capacity
 
 env: $(VENV)/.installed
 
@@ -25,3 +25,13 @@
 
 up: env
 	$(PY) -m standins.demo --stay
+
+# Measures every slope that docs/CAPACITY.md uses, prints the table and draws the plots; some minutes.
+capacity: env
+	$(PY) -m bench.control --out docs/data/control.json
+	-$(PY) -m bench.relays measure --out docs/data/relays.json
+	$(PY) -m bench.catalogue --out docs/data
+	$(PY) -m bench.claims --out docs/data
+	$(PY) -m bench.permit_costs
+	$(PY) -m bench.peers --json_file docs/data/peers.json
+	$(PY) -m bench.capacity --plot
