Take the register of hosts and the description of requests out of larger modules

What an owner remembers of hosts is one job (host_registers.py), and what is asked for and given is data (permit_requests.py).

--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -14,8 +14,9 @@
 from bench.traces import Arrival
 from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.estimates import CostEstimator
-from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
+from tarragonwind.core.permit_clients import PermitClient
 from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.permits import PoolOwner
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 from tarragonwind.errors import ErrorKind
--- a/bench/permit_costs.py
+++ b/bench/permit_costs.py
@@ -15,7 +15,7 @@
 import fire
 
 from tarragonwind.core.entries import UpstreamEntry
-from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
+from tarragonwind.core.permit_clients import PermitClient
 from tarragonwind.core.permit_messages import (
     HeldPermit,
     Outcome,
@@ -28,6 +28,7 @@
     PermitSync,
     list_permit,
 )
+from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OwnerParts, create_owner
 from tarragonwind.messages import Message, build_message, new_unpacker, pack_message
 
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -6,7 +6,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
@@ -23,6 +23,7 @@
     list_ask,
     list_permit,
 )
+from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.permits import PoolOwner
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -59,58 +60,6 @@
     beats_to_resync: int = 2
 
 
-@dataclass(slots=True)
-class PermitRequest:
-    """Describe the request that a permit is wanted for.
-
-    Attributes
-    ----------
-    pool, route, organisation : str
-        Names in the catalogue.
-    tier : int
-        Importance, 0 the highest.
-    cost_tokens, prompt_tokens : int
-        Estimated work and prompt length.
-    deadline : float
-        Time by which the first byte is due, in seconds on this host's clock.
-    prefixes : list of int
-        32-bit hashes of prompt prefixes, the shortest first.
-    avoid : list of str
-        Upstreams that have failed this request.
-    """
-
-    pool: str
-    route: str
-    organisation: str
-    tier: int
-    cost_tokens: int
-    prompt_tokens: int
-    deadline: float
-    prefixes: list[int] = field(default_factory=list)
-    avoid: list[str] = field(default_factory=list)
-
-
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """Name the upstream that one request may be dispatched to.
-
-    Attributes
-    ----------
-    ask_id : int
-        Names the permit on this host.
-    pool, upstream, version : str
-        Where to dispatch.
-    granted_by : str
-        Host that granted it; empty for the local share.
-    """
-
-    ask_id: int
-    pool: str
-    upstream: str
-    version: str
-    granted_by: str
-
-
 OnGranted = Callable[[Permit], None]
 OnRefused = Callable[[ErrorKind, float], None]
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -8,6 +8,7 @@
 
 from tarragonwind.core.drain_rates import DrainRate
 from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
+from tarragonwind.core.host_registers import HostRegister
 from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
 from tarragonwind.core.permit_messages import (
@@ -89,9 +90,7 @@
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
         self._ledger = PermitLedger(self._load_settings)
-        self._hosts: set[str] = set()
-        self._lost: dict[str, float] = {}
-        self._stated_at: dict[str, float] = {}
+        self._hosts = HostRegister()
         self._active = False
         self._settled_at = 0.0
         self._epoch = rng.getrandbits(31)
@@ -134,13 +133,11 @@
             self._restart(now)
         elif was_owner and not is_owner:
             self._clear(now)
-        known = self._hosts | self._ledger.hosts()
+        known = self._hosts.stated() | self._ledger.hosts()
+        self._hosts.lose(now, known - live_hosts)
         for host in known - live_hosts:
-            self._lost.setdefault(host, now)
             self._drop_asks(host)
-        for host in [host for host in self._lost if host in live_hosts]:
-            del self._lost[host]
-            self._hosts.discard(host)
+        for host in self._hosts.take_back(live_hosts):
             self._send_beat(host)
         self._drain(now)
 
@@ -229,7 +226,7 @@
 
     def _add_ask(self, now: float, host: str, msg: PermitAsk) -> None:
         key = (host, msg.ask_id)
-        if host in self._lost or key in self._queue:
+        if self._hosts.is_lost(host) or key in self._queue:
             return
         permit = self._ledger.find(key)
         if permit is not None:
@@ -324,10 +321,8 @@
             return
         before = now - self._settings.query_after_s
         old = self._ledger.hosts(granted_before=before)
-        for host in sorted(old - set(self._lost)):
-            if self._stated_at.get(host, before) <= before:
-                self._stated_at[host] = now
-                self._send(host, PermitQuery(self.pool))
+        for host in self._hosts.take_silent(now, old, before):
+            self._send(host, PermitQuery(self.pool))
 
     def _drop_asks(self, host: str) -> None:
         for ask in self._queue:
@@ -412,22 +407,14 @@
             load.on_tokens(now, permit.token_s * (msg.output_tokens - 1), rest_s)
 
     def _free_lost_hosts(self, now: float) -> None:
-        ended = [
-            host
-            for host, lost_at in self._lost.items()
-            if now - lost_at >= self._settings.host_grace_s
-        ]
-        for host in ended:
-            del self._lost[host]
-            self._hosts.discard(host)
+        for host in self._hosts.take_ended(now - self._settings.host_grace_s):
             for key in self._ledger.keys_of(host):
                 self._ledger.release(now, key)
 
     # Hand-over.
 
     def _on_sync(self, now: float, host: str, msg: PermitSync) -> None:
-        self._hosts.add(host)
-        self._stated_at[host] = now
+        self._hosts.note_statement(now, host)
         asks = [_read_ask(values) for values in msg.asks]
         held = [_read_permit(values) for values in msg.permits]
         waiting_ids = {ask.ask_id for ask in asks}
@@ -466,7 +453,7 @@
         self._ledger.add(now, permit)
 
     def _restart(self, now: float) -> None:
-        hosts = self._hosts | self._ledger.hosts()
+        hosts = self._hosts.stated() | self._ledger.hosts()
         self._clear(now)
         self._settled_at = now + self._settings.settle_s
         for host in sorted(hosts):
@@ -477,8 +464,6 @@
         for ask in self._queue:
             self._queue.remove(ask.key)
         self._hosts.clear()
-        self._lost.clear()
-        self._stated_at.clear()
         self._epoch = self._rng.getrandbits(31)
 
     def _note_call(self, now: float) -> None:
@@ -489,9 +474,9 @@
 
     def _greet(self, host: str) -> bool:
         """Tell whether a host has stated what it holds in this epoch; if not, ask it to."""
-        if host not in self._hosts and host not in self._lost:
+        if not self._hosts.has_stated(host) and not self._hosts.is_lost(host):
             self._send_beat(host)
-        return host in self._hosts
+        return self._hosts.has_stated(host)
 
     def _send_beat(self, host: str) -> None:
         if not self._active:
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -5,8 +5,9 @@
 
 from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.owner_settings import PermitSettings
-from tarragonwind.core.permit_clients import PermitClient, PermitRequest
+from tarragonwind.core.permit_clients import PermitClient
 from tarragonwind.core.permit_messages import PermitSync
+from tarragonwind.core.permit_requests import PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 
 POOL = "drafting"
