--- a/tests/test_badness_tests.py
+++ b/tests/test_badness_tests.py
@@ -60,9 +60,11 @@
 def test_every_judge_starts_the_comparison_anew_at_the_same_times():
     new, old = cell_key(4, Side.NEW), cell_key(4, Side.OLD)
     findings = []
-    for first_look in (40.1, 41.9):
+    for looks in ((40.1,), (40.1, 40.9, 41.9)):
         detector = LateDetector(starts_at=0.0, period_s=2.0, expected=40)
-        detector.find(first_look, {new: Cell(500, 1), old: Cell(500, 1)}, 4)
+        for look in looks:
+            detector.find(look, {new: Cell(500, 1), old: Cell(500, 1)}, 4)
         cells = {new: Cell(540, 9), old: Cell(540, 1)}
         findings.append(detector.find(42.5, cells, 4))
     assert findings[0] == findings[1]
+    assert findings[0].why
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -248,6 +248,18 @@
     assert ("in doubt" in judge.why) == bool(failed)
 
 
+def test_taking_back_wins_over_a_share_that_grows():
+    site = Site()
+    site.run_until(lambda: site.has_step(2))
+    site.judge("host-1").take_back("badness seen")
+    table = site.fleet.tables["host-1"]
+    share = MoveShare(site.state("host-1").move_id, 1, 5, site.fleet.now, 0, "", False)
+    table.on_share(site.fleet.now, site.owner(), share)
+    assert site.judge("host-1").taken_back == "badness seen"
+    assert table.share(site.fleet.now, POOL) == 0.0
+    site.run_until(site.is_withdrawn, TAKEN_BACK_BOUND_S)
+
+
 def test_a_judge_that_starts_anew_gets_all_evidence_again():
     site = Site()
     site.run_until(lambda: site.has_step(3))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,6 +11,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.orders import (
     CLAIM_TTL_S,
+    LOOK_PERIOD_S,
     ORDER_TIMEOUT_S,
     OrderRunner,
     claim_key,
@@ -18,6 +19,7 @@
 from tarragonwind.core.entries import MoveEntry, MoveState, UpstreamEntry, UpstreamState
 from tarragonwind.core.orders import (
     LEASE_MARGIN_S,
+    REPEAT_S,
     Claim,
     OrderBook,
     OrderKind,
@@ -228,6 +230,8 @@
     desk.run_until(desk.is_settled)
     runner = desk.runners["host-a"]
     fencing = runner.claim.fencing
+    desk.timers.advance(REPEAT_S)
+    desk.run_until(lambda: desk.timers.now() - runner._renewed_at < LOOK_PERIOD_S)
     desk.caller.versions[100] = "v0"
     runner.book.note_report("engine-0", "v0")
     lease_id = desk.store.inner.get(claim_key("drafting")).result().lease_id
