--- /dev/null
+++ b/tarragonwind/daemon_settings.py
@@ -0,0 +1,60 @@
+"""Turn checked settings into what each part of a daemon is built with."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from pathlib import Path
+
+from tarragonwind.adapters.http_requests import HttpLimits
+from tarragonwind.adapters.peers import PeerSettings
+from tarragonwind.adapters.request_runs import DispatchTimes, HostLimits
+from tarragonwind.adapters.stores import StoreSettings
+from tarragonwind.ports import Address
+from tarragonwind.settings import CallerSettings, LimitSettings, Settings, UpstreamSettings
+
+TOKEN_BYTES = 32
+"""Length of the secret that a single host makes for itself."""
+
+
+def store_settings(cfg: Settings) -> StoreSettings:
+    """Return what the store's adapter needs."""
+    endpoints = [endpoint.address() for endpoint in cfg.store.endpoints]
+    return StoreSettings(cfg.store.backend.value, endpoints, cfg.store.timeout_s)
+
+
+def peer_settings(cfg: Settings, rng: random.Random) -> PeerSettings:
+    """Return what the transport between hosts needs; read the shared secret."""
+    token = b""
+    if cfg.peers.secret_file:
+        token = Path(cfg.peers.secret_file).read_bytes().strip()
+    return PeerSettings(
+        name=cfg.host.name,
+        data_centre=cfg.host.data_centre,
+        listen=Address(cfg.peers.listen_host, cfg.peers.listen_port),
+        token=token or secrets.token_bytes(TOKEN_BYTES),
+        start_id=rng.getrandbits(63),
+        advertise=cfg.peers.advertised(),
+    )
+
+
+def http_limits(cfg: CallerSettings) -> HttpLimits:
+    """Return the bounds for callers."""
+    return HttpLimits(
+        max_head_bytes=cfg.max_header_bytes,
+        max_body_bytes=cfg.max_body_bytes,
+        head_timeout_s=cfg.header_timeout_s,
+        body_timeout_s=cfg.body_timeout_s,
+        idle_timeout_s=cfg.idle_timeout_s,
+        max_connections=cfg.max_connections,
+    )
+
+
+def host_limits(cfg: LimitSettings) -> HostLimits:
+    """Return the bounds for this host."""
+    return HostLimits(cfg.max_waiting_requests, cfg.max_waiting_bytes, cfg.max_in_progress)
+
+
+def dispatch_times(cfg: UpstreamSettings) -> DispatchTimes:
+    """Return the bounds of a dispatch."""
+    return DispatchTimes(cfg.first_byte_timeout_s, cfg.idle_timeout_s)
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-from pathlib import Path
 from types import FrameType
 
 from loguru import logger
@@ -14,23 +13,29 @@
 from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.host_lists import HostListReader, create_host_list_reader
 from tarragonwind.adapters.http_clients import HttpClient
-from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.adapters.memberships import MembershipSettings, create_membership
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
-from tarragonwind.adapters.peers import PeerSettings, Traffic, create_peers
-from tarragonwind.adapters.request_runs import DispatchTimes, GatewayParts, HostLimits
-from tarragonwind.adapters.stores import StoreSettings, create_store
+from tarragonwind.adapters.peers import Traffic, create_peers
+from tarragonwind.adapters.request_runs import GatewayParts
+from tarragonwind.adapters.stores import create_store
 from tarragonwind.catalogue_services import create_catalogue_service
 from tarragonwind.claims import create_claims
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.daemon_operators import DaemonOperatorService
+from tarragonwind.daemon_settings import (
+    dispatch_times,
+    host_limits,
+    http_limits,
+    peer_settings,
+    store_settings,
+)
 from tarragonwind.logs import configure_logs
 from tarragonwind.move_runners import MoveRunner
 from tarragonwind.pool_orders import PoolOrders
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
-from tarragonwind.settings import CallerSettings, LimitSettings, Settings
+from tarragonwind.settings import Settings
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.upstream_reports import UpstreamReports
 
@@ -75,33 +80,14 @@
         self.membership = create_membership(self.peers, loop.timers, MembershipSettings(seeds), rng)
         root = cfg.store.prefix.rstrip("/")
         self.catalogue = create_catalogue_service(
-            self.store,
-            self.membership,
-            self.peers,
-            loop.timers,
-            rng,
-            root,
+            self.store, self.membership, self.peers, loop.timers, rng, root
         )
         self.moves = MoveRunner(
             self.membership, self.peers, loop.timers, rng, self.catalogue.writer, incarnation
         )
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
         self.claims = create_claims(self.store, self.membership, self.peers, loop.timers, rng, root)
-        self.gateway = Gateway(
-            Address(cfg.callers.listen_host, cfg.callers.listen_port),
-            http_limits(cfg.callers),
-            GatewayParts(
-                loop,
-                self.client,
-                self._catalogue_in_force,
-                self.scheduler,
-                self.claims,
-                self.telemetry,
-                DispatchTimes(cfg.upstreams.first_byte_timeout_s, cfg.upstreams.idle_timeout_s),
-                host_limits(cfg.limits),
-                f"{cfg.host.name}-{incarnation:x}",
-            ),
-        )
+        self.gateway = self._create_gateway(f"{cfg.host.name}-{incarnation:x}")
         self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
         self.orders = self._create_orders()
         self.host_list = self._create_host_list(rng)
@@ -109,6 +95,22 @@
         self.catalogue.state.subscribe(self._on_catalogue)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
+    def _create_gateway(self, id_prefix: str) -> Gateway:
+        cfg = self._cfg
+        parts = GatewayParts(
+            self._loop,
+            self.client,
+            self._catalogue_in_force,
+            self.scheduler,
+            self.claims,
+            self.telemetry,
+            dispatch_times(cfg.upstreams),
+            host_limits(cfg.limits),
+            id_prefix,
+        )
+        address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
+        return Gateway(address, http_limits(cfg.callers), parts)
+
     def _create_orders(self) -> PoolOrders | None:
         address = self._cfg.weights.address()
         if address is None:
@@ -263,44 +265,6 @@
             self.orders.set_catalogue(catalogue)
 
 
-def store_settings(cfg: Settings) -> StoreSettings:
-    """Return what the store's adapter needs."""
-    endpoints = [endpoint.address() for endpoint in cfg.store.endpoints]
-    return StoreSettings(cfg.store.backend.value, endpoints, cfg.store.timeout_s)
-
-
-def peer_settings(cfg: Settings, rng: random.Random) -> PeerSettings:
-    """Return what the transport between hosts needs; read the shared secret."""
-    token = b""
-    if cfg.peers.secret_file:
-        token = Path(cfg.peers.secret_file).read_bytes().strip()
-    return PeerSettings(
-        name=cfg.host.name,
-        data_centre=cfg.host.data_centre,
-        listen=Address(cfg.peers.listen_host, cfg.peers.listen_port),
-        token=token or secrets.token_bytes(32),
-        start_id=rng.getrandbits(63),
-        advertise=cfg.peers.advertised(),
-    )
-
-
-def http_limits(cfg: CallerSettings) -> HttpLimits:
-    """Return the bounds for callers."""
-    return HttpLimits(
-        max_head_bytes=cfg.max_header_bytes,
-        max_body_bytes=cfg.max_body_bytes,
-        head_timeout_s=cfg.header_timeout_s,
-        body_timeout_s=cfg.body_timeout_s,
-        idle_timeout_s=cfg.idle_timeout_s,
-        max_connections=cfg.max_connections,
-    )
-
-
-def host_limits(cfg: LimitSettings) -> HostLimits:
-    """Return the bounds for this host."""
-    return HostLimits(cfg.max_waiting_requests, cfg.max_waiting_bytes, cfg.max_in_progress)
-
-
 def run_daemon(cfg: Settings) -> None:
     """Build a daemon from checked settings and run it to its planned stop."""
     configure_logs(cfg.log, cfg.host.name)
