Test the claim's comparison, the repetition of orders and refusals of the weight store

Seen red with the mechanism off in a scratch copy: claim not compared (test_a_claim_that_another_host_makes_in_between_is_left_alone), order repeated at once (test_an_order_without_effect_is_repeated_slowly), refusals ignored (test_upstreams_are_brought_to_their_version_at_the_pace_of_the_weight_store); lease and pause not looked at, no wait after a claim, rate not kept (test_when_an_order_may_be_issued and others). Green all the same: restarts on a grid of each judge's own; the totals' past comparison off; a claim not read first, which the comparison also carries.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -28,7 +28,7 @@
     plan_wanted,
 )
 from tarragonwind.futures import Future
-from tarragonwind.ports import Address, HttpCaller, HttpError, HttpRequest, HttpResponse
+from tarragonwind.ports import Address, HttpCaller, HttpError, HttpRequest, HttpResponse, Put
 from tests.store_fakes import BlockingHttp, FaultyStore
 
 WEIGHTS = Address("127.0.0.1", 1)
@@ -71,6 +71,7 @@
         self.loads = []
         self.busy_until = 0.0
         self.lose_answers = 0
+        self.ignores_orders = False
         self.answer_delay_s = 0.0
 
     def fetch(self, address, req, timeout_s):
@@ -88,7 +89,8 @@
             return
         if req.target == "/orders":
             self.orders.append((self.timers.now(), address.port, doc))
-            self.versions[address.port] = doc["version"]
+            if not self.ignores_orders:
+                self.versions[address.port] = doc["version"]
             if self.lose_answers:
                 self.lose_answers -= 1
                 fut.set_exception(HttpError("lost", sent=True))
@@ -175,11 +177,12 @@
 
 
 def test_upstreams_are_brought_to_their_version_at_the_pace_of_the_weight_store():
-    desk = Desk(rate=0.5)
+    desk = Desk(rate=0.5, checks_fencing=True)
     desk.caller.busy_until = 8.0
     desk.run_until(desk.is_settled)
     starts = [at for at, _ in desk.caller.loads]
     assert starts[0] >= 8.0
+    assert min(at for at, *_ in desk.caller.orders) >= 8.0
     assert all(later - earlier >= 2.0 for earlier, later in zip(starts, starts[1:], strict=False))
     assert {doc["generation"] for *_, doc in desk.caller.orders} == {7}
 
@@ -200,6 +203,25 @@
     assert desk.runners["host-a"].claim.fencing == item.mod_revision
 
 
+def test_a_claim_that_another_host_makes_in_between_is_left_alone():
+    desk = Desk(count=1)
+    key = claim_key("drafting")
+    claim = Put(key, b"host-z")
+    desk.store.before_commit.append(lambda: desk.store.inner.commit([], [claim]))
+    desk.timers.advance(10.0)
+    assert desk.runners["host-a"].claim is None
+    assert desk.store.inner.get(key).result().value == b"host-z"
+
+
+def test_an_order_without_effect_is_repeated_slowly():
+    desk = Desk(count=1, rate=10.0)
+    desk.caller.ignores_orders = True
+    desk.timers.advance(4 * REPEAT_S)
+    times = [at for at, *_ in desk.caller.orders]
+    assert len(times) >= 3
+    assert all(b - a >= REPEAT_S for a, b in zip(times, times[1:], strict=False))
+
+
 def test_only_one_of_two_hosts_gives_orders_and_the_next_has_a_larger_number():
     desk = Desk(count=1, hosts=("host-a", "host-b"))
     desk.run_until(desk.is_settled)
