--- a/tarragonwind/daemon_operators.py
+++ b/tarragonwind/daemon_operators.py
@@ -154,6 +154,7 @@
 
     def hosts(self) -> list[HostReport]:
         """Tell how each known host stands."""
+        self._catalogue.follower.ask_numbers()
         numbers = {one.host: one.number for one in self._catalogue.follower.numbers()}
         numbers[self._membership.name] = self._catalogue.state.number
         return [
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -105,6 +105,16 @@
         """Choose a request's version; moves count on the wall clock that hosts share."""
         return self.table.choose_version(self._timers.wall(), rng, pool, route)
 
+    def concentrates(self, pool: str, version: str) -> bool:
+        """Tell whether a version's few requests should fill one upstream before the next.
+
+        A small share then shows how the new version behaves under load.
+        """
+        move = self._catalogue.move_of(pool)
+        if move is None or move.to_version != version:
+            return False
+        return self.table.concentrates(pool)
+
     def count_by_state(self) -> dict[str, int]:
         """Return the number of moves in each state, ``not_settled`` for those without answer."""
         counts = {"not_settled": 0, "done": 0, "taken_back": 0}
