--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -302,7 +302,7 @@
         """Dispatch under a permit; return False when nothing was sent and another may be tried."""
         scheduler = self._parts.scheduler
         upstream = self._find_upstream(permit)
-        if upstream is None:
+        if upstream is None or not scheduler.may_dispatch(permit):
             scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
             return False
         try:
--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -14,6 +14,10 @@
 SLOW_QUANTILE = 0.9
 """Quantile of the old version's concurrent times above which a request counts as slow."""
 
+SLOW_RATIO = 1.1
+SLOW_SLACK_S = 0.002
+"""Least difference from that quantile that matters to callers, in seconds."""
+
 BUCKET_GROWTH = 1.1
 """Ratio between the limits of neighbouring histogram buckets."""
 
@@ -291,6 +295,7 @@
             return None
         if self._limit_s is None or self._stale * 16 >= total:
             merged = self._current.merge(self._previous)
-            self._limit_s = merged.quantile(SLOW_QUANTILE)
+            slow_s = merged.quantile(SLOW_QUANTILE)
+            self._limit_s = max(slow_s * SLOW_RATIO, slow_s + SLOW_SLACK_S)
             self._stale = 0
         return self._limit_s
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -123,6 +123,16 @@
         _, move = self._serving(pool)
         return move.share(now, self.report_period_s) if move else 0.0
 
+    def is_withheld(self, pool: str, version: str) -> bool:
+        """Tell whether a version gets no requests because a move to it was taken back."""
+        serving, active = self._serving(pool)
+        if version == serving or (active is not None and version == active.entry.to_version):
+            return False
+        return any(
+            move.entry.pool == pool and move.entry.to_version == version and move.judge.taken_back
+            for move in self._moves.values()
+        )
+
     def concentrates(self, pool: str) -> bool:
         """Tell whether new-version requests should fill one upstream before they use the next.
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -45,6 +45,19 @@
 """Time between two sweeps over idle state, in seconds."""
 
 
+def spread_always(pool: str, version: str) -> bool:
+    """Concentrate no version."""
+    return False
+
+
+def choose_fullest(now: float, loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
+    """Return the upstream with room that has the most in flight, or all when none has room."""
+    with_room = [load for load in loads if load.has_room(now)]
+    if not with_room:
+        return loads
+    return [max(with_room, key=lambda load: load.in_flight)]
+
+
 class PoolOwner:
     """Grant permits for one pool.
 
@@ -66,6 +79,8 @@
         How upstreams are loaded and judged.
     distance_s : dict of str to float
         Way to each data centre and back, in seconds.
+    concentrates : callable
+        Tells whether a version's requests should fill one upstream before the next.
     """
 
     def __init__(
@@ -78,8 +93,10 @@
         settings: PermitSettings | None = None,
         load_settings: LoadSettings | None = None,
         distance_s: dict[str, float] | None = None,
+        concentrates: Callable[[str, str], bool] = spread_always,
     ) -> None:
         self.pool = pool
+        self._concentrates = concentrates
         self.hints = PrefixHints()
         self._send = send
         self._rng = rng
@@ -345,6 +362,8 @@
 
     def _grant(self, now: float, ask: WaitingAsk) -> None:
         loads = self._ledger.loads_of(ask.version)
+        if self._concentrates(self.pool, ask.version):
+            loads = choose_fullest(now, loads)
         placement = self.placer.choose(now, self._rng, loads, ask)
         if placement is None:
             raise AssertionError("a popped ask has an upstream with room")
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -16,7 +16,7 @@
     PermitDone,
     PermitSync,
 )
-from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.permits import PoolOwner, spread_always
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.messages import Message
 
@@ -44,6 +44,8 @@
         How upstreams are loaded and judged.
     distance_s : dict of str to float
         Way to each data centre and back, in seconds.
+    concentrates : callable
+        Tells whether a version's requests in a pool should fill one upstream before the next.
     """
 
     send: Send
@@ -53,6 +55,7 @@
     settings: PermitSettings = dataclasses.field(default_factory=PermitSettings)
     load_settings: LoadSettings = dataclasses.field(default_factory=LoadSettings)
     distance_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    concentrates: Callable[[str, str], bool] = spread_always
 
 
 def create_owner(pool: str, parts: OwnerParts) -> PoolOwner:
@@ -66,6 +69,7 @@
         parts.settings,
         parts.load_settings,
         parts.distance_s,
+        parts.concentrates,
     )
 
 
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tarragonwind.core.permit_clients import Permit
 from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permit_requests import Permit
 from tarragonwind.errors import RequestError
 
 
@@ -86,6 +86,10 @@
     def cancel(self, ask_id: int) -> None:
         """Withdraw an ask whose caller has left."""
 
+    @abstractmethod
+    def may_dispatch(self, permit: Permit) -> bool:
+        """Tell whether a permit may still be used; it was granted a moment ago by another host."""
+
     @abstractmethod
     def dispatched(self, permit: Permit) -> None:
         """Note that a permit is being used."""
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -16,18 +16,10 @@
 from tarragonwind.core.estimates import SERVICE_COST, CostEstimator
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
-from tarragonwind.core.permit_clients import Permit, PermitClient, PermitRequest
-from tarragonwind.core.permit_messages import (
-    Outcome,
-    PermitAsk,
-    PermitBeat,
-    PermitCancel,
-    PermitDone,
-    PermitGrant,
-    PermitRefusal,
-    PermitSync,
-)
-from tarragonwind.core.pool_owners import OwnerParts, PoolOwners
+from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
+from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permit_requests import Permit, PermitRequest
+from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
@@ -93,14 +85,16 @@
         self._slots: dict[str, int] = {}
         self._held: dict[str, int] = {}
         self._failures: dict[str, int] = {}
-        parts = OwnerParts(peers.send, rng, moves.choose_version, self._weight_of)
+        parts = OwnerParts(
+            peers.send, rng, moves.choose_version, self._weight_of, concentrates=moves.concentrates
+        )
         self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
         self.client = PermitClient(
             members.name, peers.send, rng, members.owner_of, self.owners.create_local_owner
         )
-        for to_owner in (PermitAsk, PermitCancel, PermitDone, PermitSync):
+        for to_owner in OWNER_MESSAGES:
             peers.subscribe(to_owner, self._on_owner_message)
-        for to_client in (PermitGrant, PermitRefusal, PermitBeat):
+        for to_client in CLIENT_MESSAGES:
             peers.subscribe(to_client, self._on_client_message)
         members.subscribe(self._on_members_changed)
         moves.subscribe_version_change(self._on_versions_changed)
@@ -154,6 +148,13 @@
         """Withdraw an ask."""
         self.client.cancel(self._timers.now(), ask_id)
 
+    def may_dispatch(self, permit: Permit) -> bool:
+        """Tell whether a permit's version and upstream still take work."""
+        entry = self._catalogue.entry(f"upstream/{permit.upstream}")
+        if not isinstance(entry, UpstreamEntry) or entry.state is not UpstreamState.LIVE:
+            return False
+        return not self._moves.table.is_withheld(permit.pool, permit.version)
+
     def dispatched(self, permit: Permit) -> None:
         """Begin to follow a dispatch as evidence on its version."""
         known = self._dispatched.get(permit.ask_id)
--- a/tests/support.py
+++ b/tests/support.py
@@ -113,6 +113,9 @@
     def cancel(self, ask_id: int) -> None:
         self.cancelled.append(ask_id)
 
+    def may_dispatch(self, permit: Permit) -> bool:
+        return True
+
     def dispatched(self, permit: Permit) -> None:
         pass
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -13,6 +13,8 @@
     PermitGrant,
     PermitRefusal,
 )
+from tarragonwind.core.permits import choose_fullest
+from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 
 
@@ -326,3 +328,14 @@
     phases=[Phase.explicit, Phase.generate],
 )
 TestPermitMachine = PermitMachine.TestCase
+
+
+def test_a_concentrated_version_fills_one_upstream_before_the_next():
+    loads = [UpstreamLoad(create_upstream(name, slots=2), LoadSettings()) for name in ("u1", "u2")]
+    loads[1].add(0.0, 1)
+    assert [load.entry.name for load in choose_fullest(0.0, loads)] == ["u2"]
+    loads[1].add(0.0, 1)
+    assert [load.entry.name for load in choose_fullest(0.0, loads)] == ["u1"]
+    loads[0].add(0.0, 1)
+    loads[0].add(0.0, 1)
+    assert choose_fullest(0.0, loads) == loads
--- a/tests/test_sequential_tests.py
+++ b/tests/test_sequential_tests.py
@@ -8,6 +8,7 @@
 from tarragonwind.core.sequential_tests import (
     Pair,
     bad_log_evidence,
+    chance_of_at_most,
     good_log_evidence,
     log_threshold,
     restart_alpha,
@@ -82,3 +83,10 @@
 def test_restarts_spend_no_more_than_the_error_rate():
     spent = sum(restart_alpha(ALPHA, number, 40) for number in range(1, 10_000))
     assert 0.99 * ALPHA < spent <= ALPHA
+
+
+def test_the_chance_of_few_hits_holds_for_large_counts():
+    small = [chance_of_at_most(Tally(10, hits), 0.5) for hits in range(5)]
+    assert small == pytest.approx([1 / 1024, 11 / 1024, 56 / 1024, 176 / 1024, 386 / 1024])
+    assert 0.0 < chance_of_at_most(Tally(100_000, 49_800), 0.5) < 0.2
+    assert chance_of_at_most(Tally(100_000, 10_000), 0.5) == pytest.approx(0.0)
