--- a/bench/permit_costs.py
+++ b/bench/permit_costs.py
@@ -1,7 +1,7 @@
 """Measure what permits cost on the wire and in processor time, and work out the target.
 
 Run ``python -m bench.permit_costs``; it prints a table and writes
-``docs/bench/permit_costs.json``.
+``docs/data/permit_costs.json``.
 """
 
 from __future__ import annotations
@@ -174,7 +174,7 @@
     return build_message(next(iter(unpacker)))
 
 
-def main(out: str = "docs/bench") -> None:
+def main(out: str = "docs/data") -> None:
     """Measure and print everything."""
     sizes = {name: len(pack_message(msg)) for name, msg in sample_messages().items()}
     for name, size in sizes.items():
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,7 +1,7 @@
 """Compare ways to choose an upstream, with and without prefix routing and cancelling.
 
-Run ``python -m bench.placement``; it prints a table, writes ``docs/bench/placement.json`` and
-plots ``docs/bench/placement.png``.
+Run ``python -m bench.placement``; it prints a table, writes ``docs/data/placement.json`` and
+plots ``docs/data/placement.png``.
 """
 
 from __future__ import annotations
@@ -277,7 +277,7 @@
     figure.savefig(path, dpi=90)
 
 
-def main(seeds: int = 3, out: str = "docs/bench") -> None:
+def main(seeds: int = 3, out: str = "docs/data") -> None:
     """Run all ways and write the figures."""
     directory = pathlib.Path(out)
     directory.mkdir(parents=True, exist_ok=True)
--- a/bench/tiers.py
+++ b/bench/tiers.py
@@ -1,7 +1,7 @@
 """Compare ways to share a pool between entry hosts when capacity is short.
 
-Run ``python -m bench.tiers``; it prints tables, writes ``docs/bench/tiers.json`` and plots
-``docs/bench/tiers.png``.
+Run ``python -m bench.tiers``; it prints tables, writes ``docs/data/tiers.json`` and plots
+``docs/data/tiers.png``.
 """
 
 from __future__ import annotations
@@ -377,7 +377,7 @@
     figure.savefig(path, dpi=90)
 
 
-def main(seeds: int = 2, out: str = "docs/bench") -> None:
+def main(seeds: int = 2, out: str = "docs/data") -> None:
     """Run all policies and faults and write the figures."""
     directory = pathlib.Path(out)
     directory.mkdir(parents=True, exist_ok=True)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -148,6 +148,10 @@
     assert max(at for at, *_ in site.sent) <= withdrawn_at
     answers = {site.state(host).answer for host in site.running()}
     assert answers == ({MoveAnswer.TAKEN_BACK} if store_up else {None})
+    for host in site.running():
+        table = site.fleet.tables[host]
+        assert table.is_withheld(POOL, "v2")
+        assert not table.is_withheld(POOL, "v1")
 
 
 @pytest.mark.parametrize("fault", ["none", "owner paused", "owner lost", "messages lost"])
