--- a/tarragonwind/core/prompt_prefixes.py
+++ b/tarragonwind/core/prompt_prefixes.py
@@ -11,10 +11,10 @@
 
 
 def hash_prefixes(prompt: str) -> list[int]:
-    """Return 32-bit hashes of prefixes of a prompt, the shortest first.
+    """Return 32-bit hashes of evenly spaced prefixes of a prompt, the shortest first.
 
-    The prefixes double in length from one block on, so that a few hashes tell how much of a long
-    prompt is shared.
+    The distance between two prefixes is a power of two blocks, so that prompts of like lengths
+    that begin alike have prefixes in common.
 
     Parameters
     ----------
@@ -27,14 +27,13 @@
         At most `MAX_PREFIXES` hashes; empty when the prompt is shorter than one block.
     """
     blocks = len(prompt) // BLOCK_CHARACTERS
-    hashes: list[int] = []
+    stride = 1
+    while blocks // stride > MAX_PREFIXES:
+        stride *= 2
+    characters = stride * BLOCK_CHARACTERS
     state = xxhash.xxh64()
-    done = 0
-    count = 1
-    while count <= blocks and len(hashes) < MAX_PREFIXES:
-        end = count * BLOCK_CHARACTERS
-        state.update(prompt[done:end].encode())
+    hashes: list[int] = []
+    for number in range(blocks // stride):
+        state.update(prompt[number * characters : (number + 1) * characters].encode())
         hashes.append(state.intdigest() & HASH_MASK)
-        done = end
-        count *= 2
     return hashes
