--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -25,6 +25,7 @@
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled
 from tarragonwind.ports import Address, HttpRequest
+from tarragonwind.settings import LimitSettings, UpstreamSettings
 from tarragonwind.telemetry import Telemetry, create_silent_telemetry
 from tarragonwind.telemetry_traces import Hop
 
@@ -65,41 +66,6 @@
         """Return the entry of a key, ``kind/name``, or None."""
 
 
-@dataclass(slots=True)
-class DispatchTimes:
-    """Bound the waits of a dispatch.
-
-    Attributes
-    ----------
-    first_byte_timeout_s : float
-        Longest wait for the first byte of an answer, in seconds; a deadline may be shorter.
-    idle_timeout_s : float
-        Longest silence within an answer, in seconds.
-    """
-
-    first_byte_timeout_s: float = 120.0
-    idle_timeout_s: float = 60.0
-
-
-@dataclass(slots=True)
-class HostLimits:
-    """Bound what one host holds.
-
-    Attributes
-    ----------
-    max_waiting_requests : int
-        Requests that wait for a permit at one time.
-    max_waiting_bytes : int
-        Bytes of the bodies of waiting requests.
-    max_in_progress : int
-        Requests that are dispatched and not ended.
-    """
-
-    max_waiting_requests: int = 10_000
-    max_waiting_bytes: int = 64 * 1024 * 1024
-    max_in_progress: int = 10_000
-
-
 @dataclass(slots=True)
 class GatewayParts:
     """Hold what requests are seen through with.
@@ -118,9 +84,9 @@
         Claims of idempotency keys; without it a request with a key is refused.
     telemetry : Telemetry
         Instruments and traces.
-    times : DispatchTimes
-        Bounds for dispatches.
-    host_limits : HostLimits
+    times : UpstreamSettings
+        Bounds for exchanges with upstreams.
+    host_limits : LimitSettings
         Bounds for this host.
     id_prefix : str
         Begins the ids of requests whose callers name none; unique to this run of this host.
@@ -142,8 +108,8 @@
     scheduler: Scheduler
     claims: Claims | None = None
     telemetry: Telemetry = field(default_factory=create_silent_telemetry)
-    times: DispatchTimes = field(default_factory=DispatchTimes)
-    host_limits: HostLimits = field(default_factory=HostLimits)
+    times: UpstreamSettings = field(default_factory=UpstreamSettings)
+    host_limits: LimitSettings = field(default_factory=LimitSettings)
     id_prefix: str = "request"
     limits: OrganisationLimits = field(default_factory=OrganisationLimits)
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
--- a/tarragonwind/daemon_settings.py
+++ b/tarragonwind/daemon_settings.py
@@ -8,10 +8,9 @@
 
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.peers import PeerSettings
-from tarragonwind.adapters.request_runs import DispatchTimes, HostLimits
 from tarragonwind.adapters.stores import StoreSettings
 from tarragonwind.ports import Address
-from tarragonwind.settings import CallerSettings, LimitSettings, Settings, UpstreamSettings
+from tarragonwind.settings import CallerSettings, Settings
 
 TOKEN_BYTES = 32
 """Length of the secret that a single host makes for itself."""
@@ -48,13 +47,3 @@
         idle_timeout_s=cfg.idle_timeout_s,
         max_connections=cfg.max_connections,
     )
-
-
-def host_limits(cfg: LimitSettings) -> HostLimits:
-    """Return the bounds for this host."""
-    return HostLimits(cfg.max_waiting_requests, cfg.max_waiting_bytes, cfg.max_in_progress)
-
-
-def dispatch_times(cfg: UpstreamSettings) -> DispatchTimes:
-    """Return the bounds of a dispatch."""
-    return DispatchTimes(cfg.first_byte_timeout_s, cfg.idle_timeout_s)
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -24,8 +24,6 @@
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.daemon_operators import DaemonOperatorService
 from tarragonwind.daemon_settings import (
-    dispatch_times,
-    host_limits,
     http_limits,
     peer_settings,
     store_settings,
@@ -104,8 +102,8 @@
             self.scheduler,
             self.claims,
             self.telemetry,
-            dispatch_times(cfg.upstreams),
-            host_limits(cfg.limits),
+            cfg.upstreams,
+            cfg.limits,
             id_prefix,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
--- a/tests/catalogue_samples.py
+++ b/tests/catalogue_samples.py
@@ -19,7 +19,7 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def organisation(name="scaravilli", **fields):
+def organisation(name="officina", **fields):
     fields.setdefault("token_sha256", [sha(name)])
     return parse_entry("organisation", {"name": name, "owner": "ops", **fields})
 
--- a/tests/test_catalogue_writers.py
+++ b/tests/test_catalogue_writers.py
@@ -69,7 +69,7 @@
     overtake(organisation(weight=5))
     with pytest.raises(CatalogueConflict):
         settle(timers, first.writer.put(organisation(weight=6), "ana"))
-    assert first.state.in_force.entry("organisation/scaravilli").weight == 5
+    assert first.state.in_force.entry("organisation/officina").weight == 5
 
 
 @pytest.mark.parametrize("fault", ["drop_answers", "late_writes"])
@@ -80,7 +80,7 @@
     changes = settle(timers, first.writer.put(organisation(), "ana"))
     timers.advance(5)
     settle(timers, second.writer.put(organisation("third"), "ben"))
-    history = settle(timers, second.writer.history("organisation/scaravilli"))
+    history = settle(timers, second.writer.history("organisation/officina"))
     assert [change.write_id for change in history] == [changes[0].write_id]
     assert second.state.number == 3
 
@@ -96,7 +96,7 @@
     with pytest.raises(CatalogueConflict):
         settle(timers, first.writer.put(organisation(weight=2), "ana"))
     timers.advance(5)
-    assert second.state.in_force.entry("organisation/scaravilli").weight == 3
+    assert second.state.in_force.entry("organisation/officina").weight == 3
 
 
 def test_a_write_that_cannot_be_read_back_is_told_as_unsettled(store, timers, hosts):
@@ -105,7 +105,7 @@
     with pytest.raises(WriteUnsettled) as caught:
         settle(timers, hosts[0].writer.put(organisation(), "ana"))
     store.away = False
-    history = settle(timers, hosts[1].writer.history("organisation/scaravilli"))
+    history = settle(timers, hosts[1].writer.history("organisation/officina"))
     assert [change.write_id for change in history] == [caught.value.write_id]
 
 
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -32,7 +32,7 @@
     short = route("reg", pool="registry", path_prefix="/passports")
     longer = route("stamp", pool="registry", path_prefix="/passports/stamps/")
     catalogue = build(pool(), service, route(), short, longer, organisation(), upstream(), move())
-    assert catalogue.organisation_for(sha("scaravilli")).name == "scaravilli"
+    assert catalogue.organisation_for(sha("officina")).name == "officina"
     assert catalogue.organisation_for("") is None
     assert catalogue.route_for_model("draft-small").name == "trade"
     assert catalogue.route_for_path("/passports/12").name == "reg"
@@ -40,9 +40,9 @@
     assert catalogue.route_for_path("/passportsx") is None
     assert [item.name for item in catalogue.upstreams_of("drafting")] == ["engine-1"]
     assert catalogue.move_of("drafting").name == "to-v2"
-    after = catalogue.with_changes(chain_changes(catalogue, [("organisation/scaravilli", None)]))
-    assert after.organisation_for(sha("scaravilli")) is None
-    assert catalogue.organisation_for(sha("scaravilli")) is not None
+    after = catalogue.with_changes(chain_changes(catalogue, [("organisation/officina", None)]))
+    assert after.organisation_for(sha("officina")) is None
+    assert catalogue.organisation_for(sha("officina")) is not None
 
 
 def test_an_entry_of_a_later_version_is_kept_unread_and_counts_in_the_digest():
--- a/tests/test_claim_writers.py
+++ b/tests/test_claim_writers.py
@@ -34,7 +34,7 @@
         self.timers.advance(5.0)
 
     def take(self, index, key):
-        return self.claims[index].claim("andino", "redeem", key, TTL_S)
+        return self.claims[index].claim("cantiere", "redeem", key, TTL_S)
 
 
 @pytest.fixture
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -63,7 +63,7 @@
 
 
 def take(claims, key="k"):
-    return claims.claim("andino", "redeem", key, TTL_S)
+    return claims.claim("cantiere", "redeem", key, TTL_S)
 
 
 def refused(store, claims, key="k"):
@@ -201,7 +201,7 @@
 
 
 def test_a_wrong_value_under_a_key_is_refused_as_unavailable(store, hosts):
-    name = "t/claims/" + digest_key("andino", "redeem", "k")
+    name = "t/claims/" + digest_key("cantiere", "redeem", "k")
     settle(store.timers, take(hosts[0]))
     item = store.inner._items[name]
     store.inner._items[name] = type(item)(name, b"[]", item.mod_revision)
--- a/tests/test_schedulers.py
+++ b/tests/test_schedulers.py
@@ -67,7 +67,7 @@
 
     def ask(self, **fields):
         deadline = self.timers.now() + 5.0
-        work = Work("drafting", "trade", "scaravilli", 2, deadline, max_tokens=10, **fields)
+        work = Work("drafting", "trade", "officina", 2, deadline, max_tokens=10, **fields)
         ask_id = self.scheduler.ask(work, self.granted.append, self.refused.append)
         self.timers.advance(0.5)
         return ask_id
