Learn the length of answers only where it was counted

Cause: an answer that is not streamed has no events to count, so each taught the estimate that requests of its kind cost no output. Found by reading. Red first: the estimate fell from its start in test_an_answer_whose_tokens_were_not_counted_teaches_nothing; green now.

--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -77,7 +77,6 @@
         "_ended",
         "_head_bytes",
         "_headers",
-        "_heard",
         "_parser",
         "_req",
         "_sent",
@@ -99,7 +98,6 @@
         self._head_bytes = 0
         self._status = 0
         self._sent = False
-        self._heard = False
         self._complete = False
         self._until_close = False
         self._ended = False
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -115,7 +115,6 @@
         "_client",
         "_dispatched_at",
         "_exchange",
-        "_head",
         "_heard_at",
         "_life",
         "_partial",
--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -148,7 +148,6 @@
         self._well_answered = False
         self._started_at = parts.loop.timers.now()
         self._waited_s = 0.0
-        self.request_id = request_id
         given = exchange.request.header(REQUEST_ID_HEADER).decode("latin-1")
         usable = given.isascii() and given.isprintable() and len(given) <= MAX_REQUEST_ID_LENGTH
         self.name = given if given and usable else f"{parts.id_prefix}-{request_id}"
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -13,7 +13,7 @@
     UpstreamEntry,
     UpstreamState,
 )
-from tarragonwind.core.estimates import SERVICE_COST, CostEstimator
+from tarragonwind.core.estimates import SERVICE_COST, CostEstimate, CostEstimator
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
@@ -118,11 +118,7 @@
         on_refused: Callable[[RequestError], object],
     ) -> int:
         """Ask the pool's owner for a permit."""
-        cost = SERVICE_COST
-        if work.max_tokens is not None:
-            cost = self._estimator.estimate(
-                work.route, work.organisation, work.prompt_bytes, work.max_tokens
-            )
+        cost = self.estimate(work)
         request = PermitRequest(
             pool=work.pool,
             route=work.route,
@@ -144,6 +140,14 @@
 
         return self.client.ask(self._timers.now(), request, granted, refused)
 
+    def estimate(self, work: Work) -> CostEstimate:
+        """Estimate what a request costs its upstream."""
+        if work.max_tokens is None:
+            return SERVICE_COST
+        return self._estimator.estimate(
+            work.route, work.organisation, work.prompt_bytes, work.max_tokens
+        )
+
     def cancel(self, ask_id: int) -> None:
         """Withdraw an ask."""
         self.client.cancel(self._timers.now(), ask_id)
@@ -192,7 +196,8 @@
             self._failures[permit.upstream] = self._failures.get(permit.upstream, 0) + 1
         if report.outcome is not Outcome.UNUSED:
             self._held[permit.upstream] = max(0, self._held.get(permit.upstream, 0) - 1)
-        if report.outcome is Outcome.OK and known.work.max_tokens is not None:
+        # The tokens of an answer that isn't streamed are not counted.
+        if report.outcome is Outcome.OK and report.output_tokens:
             self._estimator.observe(
                 known.work.route,
                 known.work.organisation,
--- a/tests/test_schedulers.py
+++ b/tests/test_schedulers.py
@@ -108,3 +108,16 @@
     site.scheduler.finished(site.granted[0], DispatchReport(Outcome.UNUSED))
     site.timers.advance(0.5)
     assert len(site.granted) == 1
+
+
+def test_an_answer_whose_tokens_were_not_counted_teaches_nothing():
+    site = Site(pool(), upstream())
+    before = site.scheduler.estimate(Work("drafting", "trade", "officina", 2, 9.0, 400, 500))
+    for tokens in (0, 0, 0):
+        site.ask()
+        site.scheduler.finished(site.granted[-1], DispatchReport(Outcome.OK, 0.1, 0.2, tokens))
+    work = Work("drafting", "trade", "officina", 2, 9.0, 400, 500)
+    assert site.scheduler.estimate(work) == before
+    site.ask()
+    site.scheduler.finished(site.granted[-1], DispatchReport(Outcome.OK, 0.1, 0.2, 3))
+    assert site.scheduler.estimate(work).cost_tokens < before.cost_tokens
