End the exchange of a HEAD request at its head

Cause: the response parser waits for the body that Content-Length announces; HEAD has none, so the answer hung until the caller or the idle timeout ended it. Found by reading; red first: TimeoutError in test_an_answer_to_head_has_a_length_and_no_body. The connection is not kept, since the parser is not at an end.

--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -201,6 +201,10 @@
         self._status = status
         self._until_close = not has_framing(status, self._headers, self._req.method)
         self._sink.on_head(status, self._headers)
+        if self._req.method == "HEAD":
+            # The parser would wait for the body that the length announces and HEAD leaves out.
+            self._complete = True
+            self._until_close = True
 
     def on_body(self, data: bytes) -> None:
         """Collect body bytes of one read."""
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -303,3 +303,15 @@
         threading.Event().wait(0.005)
     bench.engine.faults.silent = False
     assert bench.post(chat())[0].status == 200
+
+
+def test_an_answer_to_head_has_a_length_and_no_body():
+    upstream = ScriptedUpstream(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", keep=True)
+    bench = Bench(upstream.port)
+    conn = http.client.HTTPConnection("127.0.0.1", bench.gateway.address.port, timeout=5)
+    for _ in range(2):
+        conn.request("HEAD", "/stamp/1", headers=AUTH)
+        got = conn.getresponse()
+        assert (got.status, got.getheader("Content-Length"), got.read()) == (200, "5", b"")
+    bench.close()
+    upstream.close()
