Send the last bytes of an answer before a connection or a host ends

Cause: the second that a closed connection still reads began before its last bytes had gone out, so a caller that read late lost the end of its answer; and a planned stop waited for requests but not for bytes that callers had not taken yet. Excluded: waiting in the relay, which would hold a permit for a slow caller. A closing connection is now given up after a minute without progress.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -19,6 +19,8 @@
 """Unsent bytes below which a writer may go on."""
 LINGER_S = 1.0
 """Longest time that a closed connection still reads, in seconds."""
+CLOSE_STALL_S = 60.0
+"""Longest time without progress while the last bytes of a connection go out, in seconds."""
 ACCEPT_BATCH = 64
 LISTEN_BACKLOG = 1024
 
@@ -45,6 +47,9 @@
     def on_closed(self, reason: str) -> None:
         """Handle the end of the connection; called once, not after `Connection.close`."""
 
+    def on_finished(self) -> None:
+        """Handle the end that `Connection.close_when_sent` asked for."""
+
 
 class Connection(SocketHandler):
     """Read and write one TCP socket without blocking.
@@ -155,6 +160,8 @@
         with contextlib.suppress(OSError):
             self.sock.close()
         self._out.clear()
+        if self._closing:
+            self.events.on_finished()
 
     def close_when_sent(self) -> None:
         """Close after the unsent bytes have gone out and the other side has had time to read.
@@ -165,12 +172,27 @@
         if self.closed or self._closing:
             return
         self._closing = True
-        self._timers.call_later(LINGER_S, self.close)
         self.resume_reading()
-        if not self._out:
+        if self._out:
+            self._watch_progress(self.sent_bytes)
+        else:
             self._shut_down_writing()
 
+    def _watch_progress(self, sent_bytes: int) -> None:
+        """Give up on the other side when it has taken no byte for a while."""
+
+        def look() -> None:
+            if self.closed or not self._out:
+                return
+            if self.sent_bytes == sent_bytes:
+                self.close()
+            else:
+                self._watch_progress(self.sent_bytes)
+
+        self._timers.call_later(CLOSE_STALL_S, look)
+
     def _shut_down_writing(self) -> None:
+        self._timers.call_later(LINGER_S, self.close)
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -50,6 +50,11 @@
         """Return the number of requests not yet answered."""
         return len(self._active)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that callers have not taken yet."""
+        return self._server.unsent_bytes
+
     def _on_request(self, exchange: CallerExchange) -> None:
         run = RequestRun(self.parts, exchange, next(self._ids))
         self._active.add(run)
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -250,6 +250,15 @@
         if current is not None:
             current.events.on_caller_gone()
 
+    def on_finished(self) -> None:
+        """Forget the connection after its last bytes."""
+        self._server.forget(self)
+
+    @property
+    def unsent(self) -> int:
+        """Return the bytes of answers that the caller has not taken yet."""
+        return self._conn.unsent
+
     def finish_exchange(self, exchange: CallerExchange) -> None:
         """Go on to the next request, or close."""
         if self._current is not exchange or self._conn.closed:
@@ -329,7 +338,6 @@
     def _close_when_sent(self) -> None:
         self._stop_timer()
         self._conn.close_when_sent()
-        self._server.forget(self)
 
 
 class HttpServer:
@@ -371,6 +379,11 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that callers have not taken yet."""
+        return sum(conn.unsent for conn in self._connections)
+
     def announce_close(self) -> None:
         """Tell callers with each answer from now on that their connection will be closed."""
         self.stopping = True
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -231,7 +231,8 @@
         self._wait_for_requests(deadline)
 
     def _wait_for_requests(self, deadline: float) -> None:
-        if self.in_progress and self._loop.timers.now() < deadline:
+        unfinished = self.in_progress or self.gateway.unsent_bytes
+        if unfinished and self._loop.timers.now() < deadline:
             self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
             return
         if self.in_progress:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -6,9 +6,10 @@
 import threading
 import time
 
+from standins.fleets import wait_until
 from tarragonwind.adapters.connections import HIGH_WATER_BYTES, READ_CHUNK_BYTES
 from tests.support import TOKEN
-from tests.test_gateways import AUTH, Bench, chat
+from tests.test_gateways import AUTH, Bench, ScriptedUpstream, chat
 
 CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 ENDLESS_CHUNKS = 4_000
@@ -85,3 +86,20 @@
         assert (answer.status, answer.read()) == (200, b"ok")
     assert upstream.requests == 20
     bench.close()
+
+
+def test_a_gateway_knows_of_answers_that_callers_have_not_taken():
+    body = b"y" * 20_000_000
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    upstream = ScriptedUpstream(answer, keep=True)
+    bench = Bench(upstream.port)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(("127.0.0.1", bench.gateway.address.port))
+    head = f"GET /stamp/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n\r\n"
+    sock.sendall(head.encode())
+    wait_until(lambda: bench.gateway.unsent_bytes > 0, "bytes wait for the caller")
+    sock.close()
+    wait_until(lambda: not bench.gateway.unsent_bytes, "the caller is forgotten")
+    bench.close()
+    upstream.close()
