Take an answer without a length for whole only at an orderly end

Cause: a reset of the upstream ended such an answer as though it were whole. Found by reading; red first: DID NOT RAISE IncompleteRead in test_an_answer_without_a_length_is_whole_only_at_an_orderly_end[True]. An upstream whose process dies closes in an orderly way; without a length or chunks nobody can tell that apart.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -21,6 +21,8 @@
 """Longest time that a closed connection still reads, in seconds."""
 CLOSE_STALL_S = 60.0
 """Longest time without progress while the last bytes of a connection go out, in seconds."""
+ORDERLY_END = "closed by the other side"
+"""Reason of an end without an error."""
 ACCEPT_BATCH = 64
 LISTEN_BACKLOG = 1024
 
@@ -231,7 +233,7 @@
         if events & POLL_GONE:
             self._end("connection reset")
         elif not self._mask & POLL_READ:
-            self._end("closed by the other side")
+            self._end(ORDERLY_END)
 
     def _finish_connect(self) -> None:
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -256,7 +258,7 @@
         if data:
             self.events.on_data(data)
         else:
-            self._end("closed by the other side")
+            self._end(ORDERLY_END)
 
     def _flush(self) -> None:
         try:
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -6,7 +6,12 @@
 
 import httptools
 
-from tarragonwind.adapters.connections import Connection, ConnectionEvents, open_connection
+from tarragonwind.adapters.connections import (
+    ORDERLY_END,
+    Connection,
+    ConnectionEvents,
+    open_connection,
+)
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpCaller, HttpError, HttpRequest, HttpResponse, Timer
@@ -173,7 +178,7 @@
 
     def on_closed(self, reason: str) -> None:
         """Tell the sink how the exchange ended."""
-        if self._until_close and self._status:
+        if self._until_close and self._status and reason == ORDERLY_END:
             self._pass_body()
             self._finish(reuse=False)
             return
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import socket
+import struct
 import threading
 
 import pytest
@@ -22,8 +23,9 @@
 class ScriptedUpstream:
     """Answer each accepted connection with given bytes after the request's end is seen."""
 
-    def __init__(self, answer: bytes, keep: bool = False) -> None:
+    def __init__(self, answer: bytes, keep: bool = False, reset: bool = False) -> None:
         self.requests: list[bytes] = []
+        self._reset = reset
         self._answer = answer
         self._keep = keep
         self._sock = socket.create_server(("127.0.0.1", 0))
@@ -38,6 +40,9 @@
                 return
             self.requests.append(conn.recv(65536))
             conn.sendall(self._answer)
+            if self._reset:
+                threading.Event().wait(0.2)
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             if not self._keep:
                 conn.close()
 
@@ -315,3 +320,17 @@
         assert (got.status, got.getheader("Content-Length"), got.read()) == (200, "5", b"")
     bench.close()
     upstream.close()
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_without_a_length_is_whole_only_at_an_orderly_end(reset):
+    upstream = ScriptedUpstream(b"HTTP/1.1 200 OK\r\n\r\nhello", reset=reset)
+    bench = Bench(upstream.port)
+    got, _ = bench.post(chat())
+    if reset:
+        with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+            got.read()
+    else:
+        assert got.read() == b"hello"
+    bench.close()
+    upstream.close()
