--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -1,5 +1,6 @@
 """Test the way of a request through the gateway, against upstreams on loopback."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -39,7 +40,8 @@
             except OSError:
                 return
             self.requests.append(conn.recv(65536))
-            conn.sendall(self._answer)
+            with contextlib.suppress(ConnectionResetError):
+                conn.sendall(self._answer)
             if self._reset:
                 threading.Event().wait(0.2)
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
