--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 
 env: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt pyproject.toml
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
-	$(VENV)/bin/pip install -q -r requirements.txt
+	$(VENV)/bin/pip install -q -r requirements-dev.txt
 	$(VENV)/bin/pip install -q --no-deps --no-build-isolation -e . || $(VENV)/bin/pip install -q --no-deps -e .
 	touch $@
 
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -8,7 +8,6 @@
 
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
-from tarragonwind.adapters.refusals import answer_refusal
 from tarragonwind.adapters.request_runs import GatewayParts, RequestRun
 from tarragonwind.core.request_lives import RequestLife
 from tarragonwind.errors import RequestError
@@ -65,10 +64,11 @@
         spawn(run.serve()).add_callback(forget)
 
     def _on_fault(self, exchange: CallerExchange, fault: RequestError) -> None:
-        status = answer_refusal(exchange, fault, RequestLife().not_run(fault.kind))
+        refusal = self.parts.dialect.refuse(fault, RequestLife().not_run(fault.kind))
+        exchange.answer(refusal.status, refusal.headers, refusal.body)
         logger.info(
             "event=malformed_request kind={} status={} peer={}",
             fault.kind.value,
-            status,
+            refusal.status,
             exchange.peer,
         )
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import httptools
+from loguru import logger
 
 from tarragonwind.adapters.connections import (
     ORDERLY_END,
@@ -21,6 +22,11 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_FETCH_BODY_BYTES = 64 * 1024 * 1024
 IDLE_CLOSE_S = 30.0
+"""Longest time that an idle connection is kept, in seconds."""
+KEEP_MARGIN_S = 0.5
+"""Time before the other side's own limit at which an idle connection is closed, in seconds."""
+IDLE_SWEEP_S = 2.0
+"""Time between two sweeps over idle connections, in seconds."""
 
 
 class ResponseSink:
@@ -31,6 +37,10 @@
     def on_sent(self) -> None:
         """Note that bytes of the request may have left; called once, before they do."""
 
+    def owns_answer(self, headers: list[tuple[bytes, bytes]]) -> bool:
+        """Tell whether an answer is for this exchange; one that isn't is read and dropped."""
+        return True
+
     def on_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Handle the final status line and the header fields."""
 
@@ -49,7 +59,8 @@
 
 def encode_request(address: Address, req: HttpRequest) -> bytes:
     """Return the bytes of a request with its Host and Content-Length fields."""
-    head = [f"{req.method} {req.target} HTTP/1.1\r\nHost: {address}\r\n".encode("latin-1")]
+    authority = req.authority or str(address)
+    head = [f"{req.method} {req.target} HTTP/1.1\r\nHost: {authority}\r\n".encode("latin-1")]
     for name, value in req.headers:
         head.append(name + b": " + value + b"\r\n")
     if req.body or req.method not in ("GET", "HEAD"):
@@ -86,6 +97,7 @@
         "_req",
         "_sent",
         "_sink",
+        "_skipping",
         "_status",
         "_until_close",
         "address",
@@ -104,6 +116,7 @@
         self._status = 0
         self._sent = False
         self._complete = False
+        self._skipping = False
         self._until_close = False
         self._ended = False
         self._parser = httptools.HttpResponseParser(self)
@@ -203,6 +216,9 @@
             return
         if self._status:
             raise ValueError("a second response on one exchange")
+        if not self._sink.owns_answer(self._headers):
+            self._skip_answer(status)
+            return
         self._status = status
         self._until_close = not has_framing(status, self._headers, self._req.method)
         self._sink.on_head(status, self._headers)
@@ -211,13 +227,25 @@
             self._complete = True
             self._until_close = True
 
+    def _skip_answer(self, status: int) -> None:
+        """Drop an answer to an earlier request; this one's comes behind it."""
+        if not has_framing(status, self._headers, self._req.method):
+            raise ValueError("an answer to another request runs to the end of the connection")
+        logger.warning("event=foreign_answer_dropped upstream={} status={}", self.address, status)
+        self._skipping = True
+
     def on_body(self, data: bytes) -> None:
         """Collect body bytes of one read."""
-        self._body_parts.append(data)
+        if not self._skipping:
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """Note the end of the response."""
-        if self._status:
+        if self._skipping:
+            self._skipping = False
+            self._headers = []
+            self._head_bytes = 0
+        elif self._status:
             self._complete = True
 
     def _pass_body(self) -> None:
@@ -247,7 +275,8 @@
         self._ended = True
         assert self._conn is not None
         if reuse and not self._conn.closed and not self._conn.unsent:
-            self._client.keep_idle(self.address, self._conn)
+            kept_s = read_keep_alive(self._headers)
+            self._client.keep_idle(self.address, self._conn, kept_s)
         else:
             self._conn.close()
         self._sink.on_complete()
@@ -270,16 +299,36 @@
     return b"content-length" in names or b"transfer-encoding" in names
 
 
+def read_keep_alive(headers: list[tuple[bytes, bytes]]) -> float | None:
+    """Return the time in seconds for which the other side keeps an idle connection, if it says."""
+    for name, value in headers:
+        if name.lower() != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.isdigit():
+                return float(number)
+    return None
+
+
 class IdleConnection(ConnectionEvents):
-    """Watch one kept connection and forget it when it ends."""
+    """Watch one kept connection and forget it when it ends.
+
+    Attributes
+    ----------
+    until : float
+        Time at which it is closed, in seconds.
+    """
 
-    __slots__ = ("address", "client", "conn", "since")
+    __slots__ = ("address", "client", "conn", "until")
 
-    def __init__(self, client: HttpClient, address: Address, conn: Connection) -> None:
+    def __init__(
+        self, client: HttpClient, address: Address, conn: Connection, until: float
+    ) -> None:
         self.client = client
         self.address = address
         self.conn = conn
-        self.since = client.loop.timers.now()
+        self.until = until
 
     def on_data(self, data: bytes) -> None:
         """Close: bytes that nobody asked for must not answer the next request."""
@@ -314,7 +363,7 @@
         self.connect_timeout_s = connect_timeout_s
         self._max_idle = max_idle
         self._idle: dict[Address, list[IdleConnection]] = {}
-        loop.timers.call_every(IDLE_CLOSE_S / 2, self._close_old)
+        loop.timers.call_every(IDLE_SWEEP_S, self._close_old)
 
     def exchange(self, address: Address, req: HttpRequest, sink: ResponseSink) -> ClientExchange:
         """Start one exchange; it is never repeated."""
@@ -343,20 +392,33 @@
     def take_idle(self, address: Address) -> Connection | None:
         """Return a kept connection that still stands, or None."""
         kept = self._idle.get(address, [])
+        now = self.loop.timers.now()
         while kept:
-            conn = kept.pop().conn
-            if not conn.closed and not conn.is_stale():
+            idle = kept.pop()
+            conn = idle.conn
+            if not conn.closed and idle.until > now and not conn.is_stale():
                 return conn
             conn.close()
         return None
 
-    def keep_idle(self, address: Address, conn: Connection) -> None:
-        """Keep a connection for the next exchange."""
+    def keep_idle(self, address: Address, conn: Connection, kept_s: float | None = None) -> None:
+        """Keep a connection for the next exchange.
+
+        Parameters
+        ----------
+        address : Address
+            Other side.
+        conn : Connection
+            Connection without an exchange.
+        kept_s : float, optional
+            Time for which the other side keeps it, in seconds.
+        """
         kept = self._idle.setdefault(address, [])
         if len(kept) >= self._max_idle:
             conn.close()
             return
-        idle = IdleConnection(self, address, conn)
+        idle_s = IDLE_CLOSE_S if kept_s is None else min(IDLE_CLOSE_S, kept_s - KEEP_MARGIN_S)
+        idle = IdleConnection(self, address, conn, self.loop.timers.now() + idle_s)
         conn.events = idle
         conn.resume_reading()
         kept.append(idle)
@@ -375,10 +437,10 @@
         self._idle.clear()
 
     def _close_old(self) -> None:
-        before = self.loop.timers.now() - IDLE_CLOSE_S
+        now = self.loop.timers.now()
         for address in list(self._idle):
             kept = self._idle[address]
-            for idle in [one for one in kept if one.since < before]:
+            for idle in [one for one in kept if one.until < now]:
                 idle.conn.close()
                 kept.remove(idle)
             if not kept:
--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -88,6 +88,15 @@
         self._seed_timer = self._timers.call_every(SEED_PERIOD_S, self._greet_seeds)
         self._settle()
 
+    def set_seeds(self, seeds: list[Address]) -> None:
+        """Look for the others at further addresses too."""
+        known = {member.address for member in self.members()}
+        fresh = [seed for seed in seeds if seed not in known and seed not in self._seeds]
+        self._seeds += fresh
+        self._seeds_left.update(fresh)
+        if fresh:
+            self._seed_timer = self._timers.call_every(SEED_PERIOD_S, self._greet_seeds)
+
     def stop(self) -> None:
         """Tell the neighbours that the process ends, and stop."""
         self._core.depart()
--- a/tarragonwind/adapters/refusals.py
+++ b/tarragonwind/adapters/refusals.py
@@ -4,8 +4,8 @@
 
 import json
 import math
+from dataclasses import dataclass
 
-from tarragonwind.adapters.http_servers import CallerExchange
 from tarragonwind.errors import ERROR_ANSWERS, NotRun, RequestError
 
 NOT_RUN_VALUES: dict[NotRun, bool | str] = {
@@ -15,22 +15,24 @@
 }
 
 
-def answer_refusal(exchange: CallerExchange, exc: RequestError, not_run: NotRun) -> int:
-    """Answer an exchange with a refusal.
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Hold a whole answer that refuses a request."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+def describe_refusal(exc: RequestError, not_run: NotRun) -> Refusal:
+    """Return a refusal as a JSON object, with whole seconds to come back.
 
     Parameters
     ----------
-    exchange : CallerExchange
-        Exchange whose answer has not begun.
     exc : RequestError
         Kind and message of the refusal.
     not_run : NotRun
         What is known of the work.
-
-    Returns
-    -------
-    int
-        HTTP status code that was sent.
     """
     rule = ERROR_ANSWERS[exc.kind]
     doc = {
@@ -42,5 +44,4 @@
     if rule.retry:
         seconds = max(1, math.ceil(exc.retry_after_s))
         headers.append((b"Retry-After", b"%d" % seconds))
-    exchange.answer(rule.status, headers, json.dumps(doc).encode() + b"\n")
-    return rule.status
+    return Refusal(rule.status, headers, json.dumps(doc).encode() + b"\n")
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable
 
+from tarragonwind.adapters.caller_dialects import Headers, HeadVerdict
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient, ResponseSink
 from tarragonwind.adapters.http_servers import AnswerEvents, CallerExchange
+from tarragonwind.core.dispatches import DispatchEnd
 from tarragonwind.core.request_lives import LifeState, Outcome, RequestLife
+from tarragonwind.core.stream_cursors import EVENT_END, StreamCursor
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, Timer, Timers
 
@@ -19,45 +21,65 @@
 RESUME_DELAY_S = 0.1
 CANCEL_TIMEOUT_S = 2.0
 MAX_STREAM_ID_LENGTH = 128
-REFUSAL_STATUSES = frozenset([429, 503])
-EVENT_END = b"\n\n"
+FIRST_FAILURE_STATUS = 500
 
 
 def _ignore() -> None:
     """Do nothing."""
 
 
-class RelayEnd(enum.Enum):
-    """Name how a relay ended."""
-
-    WHOLE = "whole"
-    NOT_SENT = "not_sent"
-    REFUSED = "refused"
-    FAILED_BEFORE_ANSWER = "failed_before_answer"
-    CUT = "cut"
-    CALLER_LEFT = "caller_left"
-    DEADLINE_PASSED = "deadline_passed"
-
-
 class RelayRules:
     """Hold what one relay needs to know of its upstream and its times.
 
     Attributes
     ----------
-    refusal_not_run : bool
-        Whether the upstream's refusal proves that the work was not performed.
+    judge_head : callable
+        Tells what the status and the fields of the upstream's answer mean.
+    owns_answer : callable
+        Tells by its fields whether an answer is for this request.
     first_byte_timeout_s, idle_timeout_s : float
         Longest wait for the head of the answer, and between two parts of it.
+    bounds_whole_answer : bool
+        Whether the first timeout is one for the whole answer.
+    holds_failures : bool
+        Whether an answer with a failure's status is kept back, so that it can be tried elsewhere.
     """
 
-    __slots__ = ("first_byte_timeout_s", "idle_timeout_s", "refusal_not_run")
+    __slots__ = (
+        "bounds_whole_answer",
+        "first_byte_timeout_s",
+        "holds_failures",
+        "idle_timeout_s",
+        "judge_head",
+        "owns_answer",
+    )
 
     def __init__(
-        self, refusal_not_run: bool, first_byte_timeout_s: float, idle_timeout_s: float
+        self,
+        judge_head: Callable[[int, Headers], HeadVerdict],
+        owns_answer: Callable[[Headers], bool],
+        first_byte_timeout_s: float,
+        idle_timeout_s: float,
+        bounds_whole_answer: bool = False,
+        holds_failures: bool = False,
     ) -> None:
-        self.refusal_not_run = refusal_not_run
+        self.judge_head = judge_head
+        self.owns_answer = owns_answer
         self.first_byte_timeout_s = first_byte_timeout_s
         self.idle_timeout_s = idle_timeout_s
+        self.bounds_whole_answer = bounds_whole_answer
+        self.holds_failures = holds_failures
+
+
+class HeldAnswer:
+    """Hold an upstream's whole answer that the caller has not been given."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = bytearray()
 
 
 class ResumedStream(ResponseSink):
@@ -95,7 +117,7 @@
 
     Attributes
     ----------
-    end : Future of RelayEnd
+    end : Future of DispatchEnd
         Done when the relay has ended, whichever side ended it.
     status : int
         Status of the upstream's answer, 0 before it.
@@ -105,19 +127,34 @@
         Times since the dispatch, in seconds.
     event_count : int
         Server-sent events seen in the answer.
+    held : HeldAnswer or None
+        A failure's answer that was kept back.
     on_first_byte : callable
         Called once, when the first byte of the answer's body has come.
+
+    Parameters
+    ----------
+    caller : CallerExchange
+        Exchange that the answer goes to; where its answer has begun, this relay goes on with it.
+    life : RequestLife
+        State of the request.
+    rules : RelayRules
+        What is known of the upstream and the times.
+    timers : Timers
+        Clock and timer subscriptions.
+    cursor : StreamCursor, optional
+        Follows a stream that may go on at another upstream when it breaks off.
     """
 
     __slots__ = (
         "_address",
         "_caller",
         "_client",
+        "_cursor",
         "_dispatched_at",
         "_exchange",
         "_heard_at",
         "_life",
-        "_partial",
         "_paused",
         "_resumes",
         "_rules",
@@ -128,21 +165,29 @@
         "end",
         "event_count",
         "first_byte_s",
+        "held",
         "on_first_byte",
         "reason",
         "status",
     )
 
     def __init__(
-        self, caller: CallerExchange, life: RequestLife, rules: RelayRules, timers: Timers
+        self,
+        caller: CallerExchange,
+        life: RequestLife,
+        rules: RelayRules,
+        timers: Timers,
+        cursor: StreamCursor | None = None,
     ) -> None:
-        self.end: Future[RelayEnd] = Future()
+        self.end: Future[DispatchEnd] = Future()
         self.status = 0
         self.reason = ""
         self.first_byte_s = 0.0
         self.duration_s = 0.0
         self.event_count = 0
+        self.held: HeldAnswer | None = None
         self._caller = caller
+        self._cursor = cursor
         self._life = life
         self._rules = rules
         self._timers = timers
@@ -151,7 +196,6 @@
         self._heard_at = 0.0
         self._paused = False
         self._stream_id = ""
-        self._partial = b""
         self._resumes = 0
         self._client: HttpClient | None = None
         self._address: Address | None = None
@@ -179,22 +223,45 @@
         self._life.advance(LifeState.DISPATCHED)
         self._dispatched_at = self._timers.now()
 
-    def on_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    def owns_answer(self, headers: Headers) -> bool:
+        """Tell whether an answer is for this request."""
+        return self._rules.owns_answer(headers)
+
+    def on_head(self, status: int, headers: Headers) -> None:
         """Begin the caller's answer, unless the upstream refused."""
         self.status = status
         self._heard_at = self._timers.now()
-        if status in REFUSAL_STATUSES and self._rules.refusal_not_run:
+        verdict = self._rules.judge_head(status, headers)
+        if verdict is not HeadVerdict.ANSWER:
             self._life.refusal_proven = True
-            self._finish(RelayEnd.REFUSED)
+            misdirected = verdict is HeadVerdict.MISDIRECTED
+            self._finish(DispatchEnd.MISDIRECTED if misdirected else DispatchEnd.REFUSED)
             self._cancel_exchange()
             return
+        if self._caller.started:
+            self._go_on(status)
+            return
+        if self._rules.holds_failures and status >= FIRST_FAILURE_STATUS:
+            self.held = HeldAnswer(status, headers)
+            return
         self._life.advance(LifeState.STREAMING)
         length = content_length(headers)
-        if length is None:
+        if length is None and self._cursor is None:
             self._stream_id = find_stream_id(headers)
+            if self._stream_id:
+                self._cursor = StreamCursor()
         self._caller.start(status, headers, length)
         self._restart_timer()
 
+    def _go_on(self, status: int) -> None:
+        """Continue the answer of an earlier upstream, if this one has accepted to."""
+        if status == 200:
+            self._life.advance(LifeState.STREAMING)
+            return
+        self.reason = f"the upstream refused to go on with the stream: status {status}"
+        self._finish(DispatchEnd.BROKEN)
+        self._cancel_exchange()
+
     def on_body(self, data: bytes) -> None:
         """Pass a part of the answer on; stop reading while the caller is behind."""
         if self.end.done():
@@ -204,8 +271,11 @@
             self.first_byte_s = now - self._dispatched_at
             self.on_first_byte()
         self._heard_at = now
-        if self._stream_id:
-            data = self._take_whole_events(data)
+        if self.held is not None:
+            self.held.body += data
+            return
+        if self._cursor is not None:
+            data = self._cursor.feed(data)
         if not data:
             return
         self.event_count += data.count(EVENT_END)
@@ -219,24 +289,19 @@
             self._paused = True
             self._exchange.pause()
 
-    def _take_whole_events(self, data: bytes) -> bytes:
-        """Return the whole events so far and keep the rest, so that a resume begins at an event."""
-        data = self._partial + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            end = 0
-        self._partial = data[end:]
-        return data[:end]
-
     def on_complete(self) -> None:
         """End the caller's answer."""
         if self.end.done():
             return
-        if self._partial:
-            self._caller.write(self._partial)
+        if self.held is not None:
+            self._finish(DispatchEnd.FAILURE_ANSWER)
+            return
+        rest = self._cursor.take_rest() if self._cursor is not None else b""
+        if rest:
+            self._caller.write(rest)
         self._life.end(Outcome.ANSWERED)
         self._caller.finish()
-        self._finish(RelayEnd.WHOLE)
+        self._finish(DispatchEnd.WHOLE)
 
     def on_failed(self, exc: HttpError) -> None:
         """Tell apart what failed before a byte was sent, before the answer and within it."""
@@ -244,22 +309,26 @@
             return
         self.reason = str(exc)
         if not exc.sent:
-            self._finish(RelayEnd.NOT_SENT)
+            self._finish(DispatchEnd.NOT_SENT)
         elif self._life.state is LifeState.STREAMING:
             self.on_stream_broken(self.reason)
         else:
-            self._finish(RelayEnd.FAILED_BEFORE_ANSWER)
+            self._finish(DispatchEnd.FAILED_BEFORE_ANSWER)
 
     def on_stream_broken(self, reason: str) -> None:
         """Resume a stream that broke off, where the engine can; else cut the answer."""
         if self.end.done():
             return
         self.reason = reason
+        if self._cursor is not None:
+            self._cursor.drop_partial()
+        if self._cursor is not None and not self._stream_id:
+            self._finish(DispatchEnd.BROKEN)
+            return
         if not self._stream_id or self._resumes >= MAX_RESUMES:
             self._cut()
             return
         self._resumes += 1
-        self._partial = b""
         delay_s = RESUME_DELAY_S * (self._resumes - 1)
         self._timers.call_later(delay_s, self._resume)
 
@@ -289,12 +358,12 @@
         if self.end.done():
             return
         self._life.end(Outcome.CALLER_LEFT)
-        self._finish(RelayEnd.CALLER_LEFT)
+        self._finish(DispatchEnd.CALLER_LEFT)
         self._cancel_exchange()
 
     def _cut(self) -> None:
         self._life.end(Outcome.CUT)
-        self._finish(RelayEnd.CUT)
+        self._finish(DispatchEnd.CUT)
         self._cancel_exchange()
         self._caller.abort()
 
@@ -304,17 +373,20 @@
             return
         if self._life.state is not LifeState.STREAMING:
             self.reason = "no answer in time"
-            self._finish(RelayEnd.DEADLINE_PASSED)
+            self._finish(DispatchEnd.DEADLINE_PASSED)
             self._cancel_exchange()
             return
         quiet_s = self._timers.now() - self._heard_at
-        if self._paused or quiet_s < self._rules.idle_timeout_s:
+        bounded = self._rules.bounds_whole_answer
+        if not bounded and (self._paused or quiet_s < self._rules.idle_timeout_s):
             self._restart_timer()
             return
-        self.reason = "the answer stalled"
+        self.reason = "the answer took too long" if bounded else "the answer stalled"
         self._cut()
 
     def _restart_timer(self) -> None:
+        if self._rules.bounds_whole_answer:
+            return
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._timers.call_later(self._rules.idle_timeout_s, self._late)
@@ -326,7 +398,7 @@
             req = HttpRequest("DELETE", STREAM_TARGET.format(self._stream_id))
             self._client.fetch(self._address, req, CANCEL_TIMEOUT_S)
 
-    def _finish(self, end: RelayEnd) -> None:
+    def _finish(self, end: DispatchEnd) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self.duration_s = self._timers.now() - self._dispatched_at
@@ -334,7 +406,7 @@
         self.end.set_result(end)
 
 
-def content_length(headers: list[tuple[bytes, bytes]]) -> int | None:
+def content_length(headers: Headers) -> int | None:
     """Return the announced length of a body in bytes, or None."""
     for name, value in headers:
         if name.lower() == b"content-length":
@@ -342,7 +414,7 @@
     return None
 
 
-def find_stream_id(headers: list[tuple[bytes, bytes]]) -> str:
+def find_stream_id(headers: Headers) -> str:
     """Return the name of a stream that can be resumed, empty when it can't."""
     for name, value in headers:
         if name.lower() == STREAM_ID_HEADER:
--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -8,20 +8,29 @@
 
 from loguru import logger
 
+from tarragonwind.adapters.caller_dialects import (
+    CallerDialect,
+    Forwarding,
+    Headers,
+    HeadVerdict,
+    NativeDialect,
+)
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.http_servers import AnswerEvents, CallerExchange
 from tarragonwind.adapters.loops import Loop
-from tarragonwind.adapters.refusals import answer_refusal
-from tarragonwind.adapters.relays import Relay, RelayEnd, RelayRules
+from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, HeldAnswer, Relay, RelayRules
 from tarragonwind.claims import Claim, Claims
-from tarragonwind.core.classifications import CatalogueView, RequestClass, classify_request
-from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
+from tarragonwind.core.classifications import CatalogueView, RequestClass
+from tarragonwind.core.dispatches import PERMIT_OUTCOMES, AttemptRules, DispatchEnd
+from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry, UpstreamEntry
 from tarragonwind.core.organisation_limits import Admission, OrganisationLimits
 from tarragonwind.core.permit_clients import Permit
 from tarragonwind.core.permit_messages import Outcome as PermitOutcome
 from tarragonwind.core.prompt_prefixes import hash_prefixes
 from tarragonwind.core.request_lives import LifeState, Outcome, RequestLife
+from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+from tarragonwind.core.stream_cursors import StreamCursor
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled
 from tarragonwind.ports import Address, HttpRequest
@@ -29,34 +38,19 @@
 from tarragonwind.telemetry import Telemetry, create_silent_telemetry
 from tarragonwind.telemetry_traces import Hop
 
-MAX_CONNECT_ATTEMPTS = 3
-REQUEST_ID_HEADER = b"x-request-id"
-MAX_REQUEST_ID_LENGTH = 128
 CLAIM_TTL_S = 3_600
 """Time for which an idempotency key stays taken, in seconds."""
 SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
-DROPPED_REQUEST_HEADERS = frozenset(
-    [
-        b"authorization",
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"tarragonwind-tier",
-        b"tarragonwind-timeout-ms",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"traceparent",
-        b"tracestate",
-        REQUEST_ID_HEADER,
-    ]
-)
-"""Fields of a caller's request that stay on this side."""
+
+
+class Allotments(Protocol):
+    """Admit what organisations ask within their allotments over all hosts."""
+
+    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
+        """Count a request's tokens, or refuse it."""
+
+    def give_back(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
+        """Take back the tokens of a request that was not dispatched."""
 
 
 class GatewayCatalogue(CatalogueView, Protocol):
@@ -90,8 +84,14 @@
         Bounds for this host.
     id_prefix : str
         Begins the ids of requests whose callers name none; unique to this run of this host.
+    dialect : CallerDialect
+        How callers and upstreams are spoken to.
     limits : OrganisationLimits
         Requests in progress on this host.
+    retries : RetryBudget
+        Bound on repeated dispatches.
+    allotments : Allotments or None
+        Token allotments of organisations over all hosts; None where there are none.
     sheds : list of int
         Requests shed since the start, by tier.
     stopping : bool
@@ -111,7 +111,10 @@
     times: UpstreamSettings = field(default_factory=UpstreamSettings)
     host_limits: LimitSettings = field(default_factory=LimitSettings)
     id_prefix: str = "request"
+    dialect: CallerDialect = field(default_factory=NativeDialect)
     limits: OrganisationLimits = field(default_factory=OrganisationLimits)
+    retries: RetryBudget = field(default_factory=lambda: RetryBudget(BudgetSettings()))
+    allotments: Allotments | None = None
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     stopping: bool = False
     waiting_requests: int = 0
@@ -148,9 +151,12 @@
         self._well_answered = False
         self._started_at = parts.loop.timers.now()
         self._waited_s = 0.0
-        given = exchange.request.header(REQUEST_ID_HEADER).decode("latin-1")
-        usable = given.isascii() and given.isprintable() and len(given) <= MAX_REQUEST_ID_LENGTH
-        self.name = given if given and usable else f"{parts.id_prefix}-{request_id}"
+        given = parts.dialect.request_id(exchange.request)
+        self.name = given or f"{parts.id_prefix}-{request_id}"
+        self._attempts = AttemptRules(1, False)
+        self._cursor: StreamCursor | None = None
+        self._held: HeldAnswer | None = None
+        self._counted = False
         self._trace = parts.telemetry.start_request(exchange.request.headers)
         self._refusal = ""
         exchange.events = self
@@ -168,6 +174,7 @@
             self._refuse(RequestError(ErrorKind.INTERNAL, "an internal error ended the request"))
         finally:
             self._settle_claim()
+            self._settle_allotment()
             if self._admission is not None:
                 self._parts.limits.end(self._parts.loop.timers.now(), self._admission)
             self._measure()
@@ -179,20 +186,75 @@
         catalogue = self._parts.catalogue()
         if catalogue is None:
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
-        cls = classify_request(self._exchange.request, catalogue)
+        cls = self._parts.dialect.classify(self._exchange.request, catalogue)
         self._class = cls
         self._trace.begin(Hop.WAIT)
         now = self._parts.loop.timers.now()
         self._parts.require_room(len(self._exchange.request.body))
         self._admission = self._parts.limits.admit(now, cls.organisation, cls.route)
+        if self._parts.allotments is not None:
+            self._parts.allotments.take(now, cls.organisation, cls.allotment_tokens)
+            self._counted = True
         await self._claim_key(cls)
         work = self._describe_work(cls)
-        for _ in range(MAX_CONNECT_ATTEMPTS):
+        self._parts.retries.note_request(now, work.pool)
+        self._attempts = AttemptRules(cls.route.max_attempts, cls.route.repeatable)
+        if cls.stream and cls.route.resumable:
+            self._cursor = StreamCursor(cls.after_event)
+        await self._dispatch_until_ended(cls, work)
+
+    async def _dispatch_until_ended(self, cls: RequestClass, work: Work) -> None:
+        """Dispatch, and once more where the first dispatch has failed and rules allow it."""
+        while True:
             permit = await self._obtain_permit(work)
-            if await self._dispatch(cls, permit):
+            end, reason = await self._dispatch(cls, permit)
+            if end in (DispatchEnd.WHOLE, DispatchEnd.CALLER_LEFT, DispatchEnd.CUT):
+                return
+            self._attempts.note(end)
+            if not self._may_go_on(end, work):
+                self._end_failed(end, reason)
                 return
+            logger.info(
+                "event=dispatched_again request={} upstream={} end={} reason={!r} sent={} "
+                "unsent={}",
+                self.name,
+                permit.upstream,
+                end.value,
+                reason,
+                self._attempts.sent,
+                self._attempts.unsent,
+            )
             work.avoid.append(permit.upstream)
-        raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
+            self._held = None
+            self._life.wait_again(cls.route.repeatable)
+
+    def _may_go_on(self, end: DispatchEnd, work: Work) -> bool:
+        """Tell whether the request is dispatched again after an end, and count it."""
+        if self._exchange.gone or not self._attempts.allows_another(end):
+            return False
+        now = self._parts.loop.timers.now()
+        return end is DispatchEnd.NOT_SENT or self._parts.retries.take(now, work.pool)
+
+    def _end_failed(self, end: DispatchEnd, reason: str) -> None:
+        """Answer for a dispatch that was the last one."""
+        if end is DispatchEnd.FAILURE_ANSWER and self._held is not None:
+            self._deliver(self._held)
+            return
+        if end in (DispatchEnd.NOT_SENT, DispatchEnd.MISDIRECTED):
+            raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
+        if end is DispatchEnd.REFUSED:
+            raise RequestError(ErrorKind.UPSTREAM_REFUSED, "the upstream refused the request")
+        if end is DispatchEnd.DEADLINE_PASSED:
+            raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
+        raise RequestError(
+            ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no whole answer: {reason}"
+        )
+
+    def _deliver(self, held: HeldAnswer) -> None:
+        """Give the caller a failure's answer that was kept back."""
+        self._life.end(Outcome.ANSWERED)
+        self._answered = True
+        self._exchange.answer(held.status, held.headers, bytes(held.body))
 
     async def _claim_key(self, cls: RequestClass) -> None:
         """Claim the request's key, so that no other host dispatches work under it."""
@@ -217,6 +279,14 @@
         elif not self._sent or self._life.refusal_proven:
             claims.release(self._claim)
 
+    def _settle_allotment(self) -> None:
+        """Give back the tokens of a request that no upstream was sent."""
+        allotments = self._parts.allotments
+        if allotments is None or self._class is None or not self._counted or self._sent:
+            return
+        now = self._parts.loop.timers.now()
+        allotments.give_back(now, self._class.organisation, self._class.allotment_tokens)
+
     def _require_claim(self) -> None:
         """Refuse to dispatch when the claim may have lapsed while the request waited."""
         claims = self._parts.claims
@@ -227,13 +297,17 @@
 
     def _describe_work(self, cls: RequestClass) -> Work:
         work = Work(
-            pool=cls.route.pool,
+            pool=cls.pool or cls.route.pool,
             route=cls.route.name,
             organisation=cls.organisation.name,
             tier=cls.tier,
             deadline=self._started_at + cls.timeout_s,
         )
-        if cls.route.model:
+        if cls.stream and cls.prompt_tokens:
+            work.prompt_tokens = cls.prompt_tokens
+            work.max_tokens = cls.max_tokens
+            work.expected_tokens = cls.expected_tokens
+        elif cls.route.model:
             work.prompt_bytes = len(cls.prompt)
             work.max_tokens = cls.max_tokens
             work.prefixes = hash_prefixes(cls.prompt)
@@ -263,13 +337,13 @@
             self._parts.waiting_requests -= 1
             self._parts.waiting_bytes -= size
 
-    async def _dispatch(self, cls: RequestClass, permit: Permit) -> bool:
-        """Dispatch under a permit; return False when nothing was sent and another may be tried."""
+    async def _dispatch(self, cls: RequestClass, permit: Permit) -> tuple[DispatchEnd, str]:
+        """Dispatch under a permit and return how it ended, with what was seen of a failure."""
         scheduler = self._parts.scheduler
         upstream = self._find_upstream(permit)
         if upstream is None or not scheduler.may_dispatch(permit):
             scheduler.finished(permit, DispatchReport(PermitOutcome.UNUSED))
-            return False
+            return DispatchEnd.NOT_SENT, "the upstream takes no work any more"
         try:
             left_s = self._require_time(cls)
             self._require_claim()
@@ -281,14 +355,12 @@
         end = await relay.end
         self._parts.dispatched_requests -= 1
         self._exchange.events = self
+        self._held = relay.held
         self._sent = self._sent or relay.sent
-        self._answered = end is RelayEnd.WHOLE
+        self._answered = end is DispatchEnd.WHOLE
         self._well_answered = relay.status < FIRST_FAILURE_STATUS
         scheduler.finished(permit, describe_dispatch(end, relay))
-        if end is RelayEnd.NOT_SENT:
-            return False
-        self._raise_for(end, relay)
-        return True
+        return end, relay.reason
 
     def _find_upstream(self, permit: Permit) -> UpstreamEntry | None:
         catalogue = self._parts.catalogue()
@@ -305,14 +377,32 @@
     def _start_relay(self, permit: Permit, upstream: UpstreamEntry, left_s: float) -> Relay:
         times = self._parts.times
         wait_s = min(left_s, times.first_byte_timeout_s)
-        rules = RelayRules(upstream.refusal_not_run, wait_s, times.idle_timeout_s)
-        relay = Relay(self._exchange, self._life, rules, self._parts.loop.timers)
+        dialect = self._parts.dialect
+
+        def judge_head(status: int, headers: Headers) -> HeadVerdict:
+            return dialect.judge_head(upstream, status, headers)
+
+        def owns_answer(headers: Headers) -> bool:
+            return dialect.owns_answer(self.name, headers)
+
+        bounds_whole = self._class is not None and self._class.bounds_whole_answer
+        rules = RelayRules(
+            judge_head,
+            owns_answer,
+            left_s if bounds_whole else wait_s,
+            times.idle_timeout_s,
+            bounds_whole,
+            self._attempts.may_repeat_failures,
+        )
+        timers = self._parts.loop.timers
+        relay = Relay(self._exchange, self._life, rules, timers, self._cursor)
         relay.on_first_byte = lambda: self._note_first_byte(permit)
         self._parts.scheduler.dispatched(permit)
         self._trace.note("upstream", permit.upstream)
         self._trace.begin(Hop.DISPATCH)
         self._trace.begin(Hop.FIRST_TOKEN)
-        relay.start(self._parts.client, Address(upstream.host, upstream.port), self._forward())
+        address = Address(upstream.host, upstream.port)
+        relay.start(self._parts.client, address, self._forward(upstream, left_s))
         return relay
 
     def _note_first_byte(self, permit: Permit) -> None:
@@ -321,25 +411,19 @@
         self._trace.end(Hop.FIRST_TOKEN)
         self._trace.begin(Hop.STREAM)
 
-    def _raise_for(self, end: RelayEnd, relay: Relay) -> None:
-        if end is RelayEnd.REFUSED:
-            raise RequestError(ErrorKind.UPSTREAM_REFUSED, "the upstream refused the request")
-        if end is RelayEnd.FAILED_BEFORE_ANSWER:
-            raise RequestError(
-                ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no answer: {relay.reason}"
-            )
-        if end is RelayEnd.DEADLINE_PASSED:
-            raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
-
-    def _forward(self) -> HttpRequest:
-        req = self._exchange.request
-        named = {name.strip().lower() for name in req.header(b"connection").split(b",")}
-        headers = [(REQUEST_ID_HEADER, self.name.encode("latin-1")), *self._trace.headers()]
-        for name, value in req.headers:
-            lowered = name.lower()
-            if lowered not in DROPPED_REQUEST_HEADERS and lowered not in named:
-                headers.append((name, value))
-        return HttpRequest(req.method, req.target, headers, req.body)
+    def _forward(self, upstream: UpstreamEntry, left_s: float) -> HttpRequest:
+        assert self._class is not None
+        after_event = self._cursor.last_id if self._cursor is not None else None
+        facts = Forwarding(
+            self._exchange.request,
+            self.name,
+            self._class,
+            upstream,
+            left_s,
+            after_event,
+            self._trace.headers(),
+        )
+        return self._parts.dialect.forward(facts)
 
     def on_caller_gone(self) -> None:
         """Withdraw the ask of a caller that left while it waited."""
@@ -353,13 +437,14 @@
         if exc.kind in SHED_KINDS and self._class is not None:
             self._parts.sheds[self._class.tier] += 1
             self._parts.telemetry.sheds.add(1, self._class.tier)
-        self._life.end(Outcome.REFUSED)
+        self._life.end(Outcome.CUT if self._exchange.started else Outcome.REFUSED)
         if self._exchange.gone:
             return
         if self._exchange.started:
             self._exchange.abort()
             return
-        answer_refusal(self._exchange, exc, not_run)
+        refusal = self._parts.dialect.refuse(exc, not_run)
+        self._exchange.answer(refusal.status, refusal.headers, refusal.body)
         logger.info(
             "event=refused request={} kind={} not_run={}",
             self.name,
@@ -399,21 +484,9 @@
         )
 
 
-RELAY_OUTCOMES: dict[RelayEnd, PermitOutcome] = {
-    RelayEnd.WHOLE: PermitOutcome.OK,
-    RelayEnd.NOT_SENT: PermitOutcome.CONNECT_FAILED,
-    RelayEnd.REFUSED: PermitOutcome.REFUSED,
-    RelayEnd.FAILED_BEFORE_ANSWER: PermitOutcome.FAILED,
-    RelayEnd.CUT: PermitOutcome.FAILED,
-    RelayEnd.CALLER_LEFT: PermitOutcome.CANCELLED,
-    RelayEnd.DEADLINE_PASSED: PermitOutcome.TIMED_OUT,
-}
-FIRST_FAILURE_STATUS = 500
-
-
-def describe_dispatch(end: RelayEnd, relay: Relay) -> DispatchReport:
+def describe_dispatch(end: DispatchEnd, relay: Relay) -> DispatchReport:
     """Return what the scheduler learns of a dispatch."""
-    outcome = RELAY_OUTCOMES[end]
+    outcome = PERMIT_OUTCOMES[end]
     if outcome is PermitOutcome.OK and relay.status >= FIRST_FAILURE_STATUS:
         outcome = PermitOutcome.FAILED
     return DispatchReport(outcome, relay.first_byte_s, relay.duration_s, relay.event_count)
--- /dev/null
+++ b/tarragonwind/adapters/status_pages.py
@@ -0,0 +1,54 @@
+"""Answer balancers and monitoring on addresses of their own: short pages by path."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tarragonwind.adapters.http_requests import HttpLimits
+from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
+from tarragonwind.adapters.loops import Loop
+from tarragonwind.errors import RequestError
+from tarragonwind.ports import Address
+
+LIMITS = HttpLimits(max_head_bytes=8_192, max_body_bytes=1_024, max_connections=64)
+TEXT = [(b"Content-Type", b"text/plain; charset=utf-8")]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold one answer."""
+
+    status: int
+    body: bytes
+
+
+class StatusPages:
+    """Serve pages by path.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that polls the sockets.
+    address : Address
+        Where to listen.
+    pages : dict of str to callable
+        Makes the page of each path.
+    """
+
+    def __init__(self, loop: Loop, address: Address, pages: dict[str, Callable[[], Page]]) -> None:
+        self._pages = pages
+        self._server = HttpServer(loop, address, LIMITS, self._on_request, self._on_fault)
+        self.address = self._server.address
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _on_request(self, exchange: CallerExchange) -> None:
+        make = self._pages.get(exchange.request.target.partition("?")[0])
+        page = make() if make is not None else Page(404, b"not found\n")
+        exchange.answer(page.status, TEXT, page.body)
+
+    def _on_fault(self, exchange: CallerExchange, fault: RequestError) -> None:
+        exchange.answer(400, TEXT, f"{fault.message}\n".encode())
--- /dev/null
+++ b/tarragonwind/allotments.py
@@ -0,0 +1,59 @@
+"""Run the allotments of a host: their reports between hosts."""
+
+from __future__ import annotations
+
+from tarragonwind.core.allotments import AllotmentLedger, UsageReport, UsageTotals
+from tarragonwind.core.entries import OrganisationEntry
+from tarragonwind.ports import Members, Peers, Timers
+
+REPORT_PERIOD_S = 0.2
+"""Time between two reports: what a burst admits meanwhile stays within the allotments' slack."""
+
+
+class AllotmentRunner:
+    """Carry the ledger's messages.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts.
+    peers : Peers
+        Messages between hosts.
+    timers : Timers
+        Clock and timer subscriptions.
+    window_s : float
+        Time over which tokens are counted, in seconds.
+    """
+
+    def __init__(self, members: Members, peers: Peers, timers: Timers, window_s: float) -> None:
+        self._members = members
+        self._peers = peers
+        self._timers = timers
+        self.ledger = AllotmentLedger(members.name, window_s, timers.now(), members.owner_of)
+        members.subscribe(self._on_members)
+        peers.subscribe(UsageReport, self._on_report)
+        peers.subscribe(UsageTotals, self._on_totals)
+        timers.call_every(REPORT_PERIOD_S, self._report)
+
+    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
+        """Count a request's tokens, or refuse it."""
+        self.ledger.take(now, organisation, tokens)
+
+    def give_back(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
+        """Take back the tokens of a request that was not dispatched."""
+        self.ledger.give_back(now, organisation, tokens)
+
+    def _on_members(self) -> None:
+        self.ledger.set_live(self._timers.now(), self._members.live())
+
+    def _report(self) -> None:
+        now = self._timers.now()
+        self.ledger.set_live(now, self._members.live())
+        for host, msg in self.ledger.reports(now).items():
+            self._peers.send(host, msg)
+
+    def _on_report(self, sender: str, msg: UsageReport) -> None:
+        self._peers.send(sender, self.ledger.on_report(self._timers.now(), sender, msg))
+
+    def _on_totals(self, sender: str, msg: UsageTotals) -> None:
+        self.ledger.on_totals(self._timers.now(), msg)
--- /dev/null
+++ b/tarragonwind/configuration_followers.py
@@ -0,0 +1,135 @@
+"""Make the catalogue in force from mirrors of the configuration and of the register of upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.configurations import Configuration, join_catalogue
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.mirror_states import MirrorItem
+from tarragonwind.core.upstream_registers import UpstreamRegister
+from tarragonwind.ports import Timer, Timers
+from tarragonwind.store_mirrors import StoreMirror
+
+
+class ConfigurationFollower:
+    """Hold the newest configuration with the registered upstreams; versions only grow.
+
+    Parameters
+    ----------
+    operator, register : StoreMirror
+        Mirrors of what the operator writes and of what upstreams write of themselves.
+    key : str
+        Key of the configuration.
+    decode_configuration, decode_upstream : callable
+        Read the values; they raise for what can't be read.
+    timers : Timers
+        Clock and timer subscriptions.
+
+    Attributes
+    ----------
+    catalogue : Catalogue or None
+        What is in force, None before the first configuration.
+    """
+
+    def __init__(
+        self,
+        operator: StoreMirror,
+        register: StoreMirror,
+        key: str,
+        decode_configuration: Callable[[bytes], Configuration],
+        decode_upstream: Callable[[str, bytes], UpstreamEntry],
+        timers: Timers,
+    ) -> None:
+        self.catalogue: Catalogue | None = None
+        self._register_mirror = register
+        self._key = key
+        self._decode_configuration = decode_configuration
+        self._decode_upstream = decode_upstream
+        self._timers = timers
+        self._configuration: Configuration | None = None
+        self._register = UpstreamRegister()
+        self._listeners: list[Callable[[Catalogue], None]] = []
+        self._expiry: Timer | None = None
+        operator.subscribe(self._on_operator)
+        register.subscribe(self._on_register)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force and the upstreams are known."""
+        return self.catalogue is not None and self._register_mirror.state.loaded
+
+    def subscribe(self, listener: Callable[[Catalogue], None]) -> None:
+        """Call `listener` with each catalogue that comes into force."""
+        self._listeners.append(listener)
+
+    def _on_operator(self, changes: list[MirrorItem]) -> None:
+        for item in changes:
+            if item.key == self._key and item.value is not None:
+                self._take_configuration(item)
+
+    def _take_configuration(self, item: MirrorItem) -> None:
+        assert item.value is not None
+        try:
+            cfg = self._decode_configuration(item.value)
+        except Exception as exc:
+            logger.error("event=configuration_unreadable revision={} why={!r}", item.revision, exc)
+            return
+        in_force = self._configuration
+        if in_force is not None and cfg.version <= in_force.version:
+            return
+        self._configuration = cfg
+        logger.info(
+            "event=configuration_in_force version={} revision={} entries={}",
+            cfg.version,
+            item.revision,
+            len(cfg.entries),
+        )
+        self._join()
+
+    def _on_register(self, changes: list[MirrorItem]) -> None:
+        now = self._timers.now()
+        for item in changes:
+            self._take_upstream(now, item)
+        self._join()
+
+    def _take_upstream(self, now: float, item: MirrorItem) -> None:
+        name = item.key.rpartition("/")[2]
+        if item.value is None:
+            logger.info("event=upstream_gone upstream={} revision={}", name, item.revision)
+            self._register.remove(now, name, self._register_mirror.back_at)
+            return
+        try:
+            entry = self._decode_upstream(item.key, item.value)
+        except Exception as exc:
+            logger.warning("event=upstream_unreadable key={!r} why={!r}", item.key, exc)
+            self._register.remove(now, name, self._register_mirror.back_at)
+            return
+        logger.info(
+            "event=upstream_registered upstream={} pool={} state={} version={} revision={}",
+            entry.name,
+            entry.pool,
+            entry.state.value,
+            entry.version,
+            item.revision,
+        )
+        self._register.put(entry)
+
+    def _expire(self) -> None:
+        self._expiry = None
+        for name in self._register.expire(self._timers.now()):
+            logger.info("event=upstream_expired upstream={}", name)
+        self._join()
+
+    def _join(self) -> None:
+        next_end = self._register.next_end()
+        if next_end is not None and self._expiry is None:
+            self._expiry = self._timers.call_later(next_end - self._timers.now(), self._expire)
+        if self._configuration is None:
+            return
+        self.catalogue = join_catalogue(self._configuration, self._register.entries())
+        for listener in self._listeners:
+            listener(self.catalogue)
--- a/tarragonwind/core/catalogues.py
+++ b/tarragonwind/core/catalogues.py
@@ -73,6 +73,7 @@
         "_organisation_by_token",
         "_route_by_model",
         "_route_by_prefix",
+        "_route_by_target",
         "_upstreams_by_pool",
         "digest",
         "number",
@@ -87,6 +88,7 @@
         self._organisation_by_token: dict[str, OrganisationEntry] = {}
         self._route_by_model: dict[str, RouteEntry] = {}
         self._route_by_prefix: dict[str, RouteEntry] = {}
+        self._route_by_target: dict[tuple[str, str], RouteEntry] = {}
         self._upstreams_by_pool: dict[str, tuple[UpstreamEntry, ...]] = {}
         self._moves_by_pool: dict[str, MoveEntry] = {}
 
@@ -107,6 +109,18 @@
             path = path.rstrip("/").rpartition("/")[0]
         return self._route_by_prefix.get("")
 
+    def route_for_target(self, authority: str, path: str) -> RouteEntry | None:
+        """Return the route of an authority with the longest prefix that begins a path.
+
+        These prefixes begin and end with a slash.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._route_by_target.get((authority, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
     def pool(self, name: str) -> PoolEntry | None:
         """Return a pool by name."""
         entry = self._by_kind.get("pool", {}).get(name)
@@ -200,11 +214,14 @@
     def _index_routes(self) -> None:
         self._route_by_model = {}
         self._route_by_prefix = {}
+        self._route_by_target = {}
         for entry in self.contents("route").values():
             assert isinstance(entry, RouteEntry)
             if entry.model:
                 self._route_by_model[entry.model] = entry
-            if entry.path_prefix:
+            if entry.authority:
+                self._route_by_target[entry.authority, entry.path_prefix] = entry
+            elif entry.path_prefix:
                 self._route_by_prefix[entry.path_prefix.rstrip("/")] = entry
 
     def _index_upstreams(self) -> None:
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -66,7 +66,17 @@
     prompt : str
         Text of the prompt, empty for services.
     prompt_tokens, max_tokens : int
-        Estimated tokens of the prompt, and most tokens of the answer.
+        Tokens of the prompt, and most tokens of the answer.
+    pool : str
+        Pool that serves the request, empty for the route's own.
+    expected_tokens : int or None
+        The caller's estimate of the answer's tokens.
+    allotment_tokens : int
+        Tokens that the request takes of its organisation's allotment.
+    bounds_whole_answer : bool
+        Whether `timeout_s` bounds the whole answer instead of its first byte.
+    after_event : int or None
+        Event after which the caller wants its stream to go on.
     """
 
     organisation: OrganisationEntry
@@ -78,6 +88,11 @@
     prompt: str = ""
     prompt_tokens: int = 0
     max_tokens: int = 0
+    pool: str = ""
+    expected_tokens: int | None = None
+    allotment_tokens: int = 0
+    bounds_whole_answer: bool = False
+    after_event: int | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tarragonwind/core/dispatches.py
@@ -0,0 +1,96 @@
+"""Name how a dispatch ended, and decide whether the request may go to another upstream."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from tarragonwind.core.permit_messages import Outcome as PermitOutcome
+
+MAX_UNSENT_TRIES = 3
+"""Dispatches without a byte sent, or to an address that another upstream has, for one request."""
+
+
+class DispatchEnd(enum.Enum):
+    """Name how a dispatch ended."""
+
+    WHOLE = "whole"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    """The upstream said that it has not performed the work."""
+    MISDIRECTED = "misdirected"
+    """Another upstream than the wanted one has the address; it has not performed the work."""
+    FAILURE_ANSWER = "failure_answer"
+    """A whole answer with a failure's status, held back from the caller."""
+    FAILED_BEFORE_ANSWER = "failed_before_answer"
+    BROKEN = "broken"
+    """The answer broke off and the caller's answer is still open."""
+    CUT = "cut"
+    CALLER_LEFT = "caller_left"
+    DEADLINE_PASSED = "deadline_passed"
+
+
+PERMIT_OUTCOMES: dict[DispatchEnd, PermitOutcome] = {
+    DispatchEnd.WHOLE: PermitOutcome.OK,
+    DispatchEnd.NOT_SENT: PermitOutcome.CONNECT_FAILED,
+    DispatchEnd.REFUSED: PermitOutcome.REFUSED,
+    DispatchEnd.MISDIRECTED: PermitOutcome.CONNECT_FAILED,
+    DispatchEnd.FAILURE_ANSWER: PermitOutcome.FAILED,
+    DispatchEnd.FAILED_BEFORE_ANSWER: PermitOutcome.FAILED,
+    DispatchEnd.BROKEN: PermitOutcome.FAILED,
+    DispatchEnd.CUT: PermitOutcome.FAILED,
+    DispatchEnd.CALLER_LEFT: PermitOutcome.CANCELLED,
+    DispatchEnd.DEADLINE_PASSED: PermitOutcome.TIMED_OUT,
+}
+"""What the scheduler is told of each end."""
+
+UNSENT_ENDS = frozenset([DispatchEnd.NOT_SENT, DispatchEnd.MISDIRECTED])
+"""Ends after which the wanted upstream has received nothing."""
+REPEATABLE_ENDS = frozenset(
+    [DispatchEnd.FAILURE_ANSWER, DispatchEnd.FAILED_BEFORE_ANSWER, DispatchEnd.BROKEN]
+)
+"""Ends after which the work may have been performed."""
+
+
+@dataclass(slots=True)
+class AttemptRules:
+    """Count the dispatches of one request and tell whether there may be one more.
+
+    Attributes
+    ----------
+    max_attempts : int
+        Most upstreams that the request may be sent to.
+    repeatable : bool
+        Whether the request may run again after a run whose outcome is unknown.
+    sent : int
+        Upstreams that it was sent to.
+    unsent : int
+        Dispatches that reached no wanted upstream.
+    """
+
+    max_attempts: int
+    repeatable: bool
+    sent: int = 0
+    unsent: int = 0
+
+    def note(self, end: DispatchEnd) -> None:
+        """Count a dispatch that has ended."""
+        if end in UNSENT_ENDS:
+            self.unsent += 1
+        else:
+            self.sent += 1
+
+    def allows_another(self, end: DispatchEnd) -> bool:
+        """Tell whether the request may be dispatched again after an end that was counted."""
+        if end in UNSENT_ENDS:
+            return self.unsent < MAX_UNSENT_TRIES
+        if self.sent >= self.max_attempts:
+            return False
+        if end is DispatchEnd.REFUSED:
+            return True
+        return self.repeatable and end in REPEATABLE_ENDS
+
+    @property
+    def may_repeat_failures(self) -> bool:
+        """Tell whether a failure's answer is worth holding back for one more attempt."""
+        return self.repeatable and self.sent + 1 < self.max_attempts
--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -89,12 +89,39 @@
         Sustained rate that is admitted, on one host.
     weight : float
         Share among organisations of the same tier when capacity is short.
+    tier : int or None
+        Tier of all its requests, whatever their route says; None leaves it to the route.
+    tokens_per_s, token_burst : float
+        Allotment of tokens over all hosts: sustained rate, and what may come at once; a rate of 0
+        sets no limit.
+    plain_tokens : int
+        Tokens that a request without token counts is taken for.
     """
 
     token_sha256: list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]]
     max_in_progress: Annotated[int, Field(ge=1, le=100_000)] = 1_000
     requests_per_s: Annotated[float, Field(gt=0, le=100_000)] = 1_000.0
     weight: Annotated[float, Field(gt=0, le=1_000)] = 1.0
+    tier: Tier | None = None
+    tokens_per_s: Annotated[float, Field(ge=0)] = 0.0
+    token_burst: Annotated[float, Field(ge=0)] = 0.0
+    plain_tokens: Annotated[int, Field(ge=0)] = 0
+
+
+@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+class PoolShare:
+    """Give a pool a part of a route's requests.
+
+    Attributes
+    ----------
+    pool : str
+        Name of the pool.
+    weight : float
+        Part, relative to the other pools of the route.
+    """
+
+    pool: EntryName
+    weight: Annotated[float, Field(ge=0)]
 
 
 @entry_kind("pool")
@@ -141,6 +168,25 @@
         Time for the first byte when the caller names none, in seconds.
     organisations : list of str
         Organisations that may use the route; empty for all.
+    authority : str
+        Value of the Host field that the route is for; empty for any.
+    shares : list of PoolShare
+        Pools that share the requests by weight; empty when all go to `pool`.
+    public : bool
+        Whether the route takes requests without a token.
+    streams : bool
+        Whether its answers are streams of events.
+    resumable : bool
+        Whether a broken stream may go on at another upstream.
+    max_attempts : int
+        Most upstreams that one request may be sent to.
+    answer_timeout_s : float
+        Time for the whole answer, in seconds; 0 sets no limit.
+    target_latency_s : float
+        Time within which an answer, or the first event of a stream, is on time, in seconds; 0
+        for none.
+    event_gap_s : float
+        Longest pause between two events of a stream that is on time, in seconds; 0 for none.
     """
 
     pool: EntryName
@@ -152,6 +198,20 @@
     max_in_progress: Annotated[int, Field(ge=1, le=1_000_000)] = 10_000
     deadline_s: Annotated[float, Field(gt=0, le=3_600)] = 30.0
     organisations: list[EntryName] = Field(default_factory=list)
+    authority: str = ""
+    shares: list[PoolShare] = Field(default_factory=list)
+    public: bool = False
+    streams: bool = False
+    resumable: bool = False
+    max_attempts: Annotated[int, Field(ge=1, le=100)] = 1
+    answer_timeout_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
+    target_latency_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
+    event_gap_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run again after a run whose outcome is unknown."""
+        return self.resumable if self.streams else self.idempotent
 
 
 @entry_kind("upstream")
@@ -181,6 +241,8 @@
         Whether its refusal (429 or 503) proves that the work was not performed.
     state : UpstreamState
         Whether it takes new work.
+    incarnation : int
+        Changes when the upstream has started anew under its name.
     """
 
     pool: EntryName
@@ -193,6 +255,7 @@
     checks_fencing: bool = False
     refusal_not_run: bool = False
     state: UpstreamState = UpstreamState.LIVE
+    incarnation: int = 0
 
 
 class MoveState(enum.Enum):
--- a/tarragonwind/core/estimates.py
+++ b/tarragonwind/core/estimates.py
@@ -130,6 +130,24 @@
         return round(prompt_bytes / max(0.1, bytes_per_token))
 
 
+def estimate_counted(
+    prompt_tokens: int, max_tokens: int, expected_tokens: int | None
+) -> CostEstimate:
+    """Estimate a request whose prompt the caller has counted.
+
+    Parameters
+    ----------
+    prompt_tokens, max_tokens : int
+        Tokens of the prompt, and most tokens of the answer.
+    expected_tokens : int or None
+        The caller's estimate of the answer's tokens.
+    """
+    output_tokens = min(max_tokens, expected_tokens or max_tokens)
+    return CostEstimate(
+        max(1, round(prompt_tokens / PREFILL_SPEEDUP + output_tokens)), prompt_tokens
+    )
+
+
 def _output_keys(route: str, organisation: str, prompt_bytes: int) -> tuple[_MeanKey, ...]:
     """Return the groups that a request belongs to, the narrowest first."""
     size_class = prompt_bytes.bit_length() // 2
--- a/tarragonwind/core/request_lives.py
+++ b/tarragonwind/core/request_lives.py
@@ -54,14 +54,17 @@
         How it ended.
     refusal_proven : bool
         Whether the upstream that it was dispatched to has proved that it did not run.
+    may_have_run : bool
+        Whether an earlier dispatch may have run; only repeatable requests get there.
     """
 
-    __slots__ = ("outcome", "refusal_proven", "state")
+    __slots__ = ("may_have_run", "outcome", "refusal_proven", "state")
 
     def __init__(self) -> None:
         self.state = LifeState.RECEIVED
         self.outcome: Outcome | None = None
         self.refusal_proven = False
+        self.may_have_run = False
 
     def advance(self, state: LifeState) -> None:
         """Go to the next state.
@@ -75,6 +78,21 @@
             raise LifeError(f"a request can't go from {self.state.value} to {state.value}")
         self.state = state
 
+    def wait_again(self, repeatable: bool) -> None:
+        """Go back to waiting after a dispatch that has ended, for a dispatch elsewhere.
+
+        Raises
+        ------
+        LifeError
+            When the request may have run and must not run twice.
+        """
+        if self.dispatched and not self.refusal_proven:
+            if not repeatable:
+                raise LifeError("a request that may have run must not be dispatched again")
+            self.may_have_run = True
+        self.refusal_proven = False
+        self.state = LifeState.RECEIVED
+
     def end(self, outcome: Outcome) -> None:
         """End the request; a second end is ignored."""
         if self.state is LifeState.ENDED:
@@ -106,6 +124,7 @@
             The kind's word, but never ``TRUE`` once the request was dispatched without a proof.
         """
         said = ERROR_ANSWERS[kind].not_run
-        if said is NotRun.TRUE and self.dispatched and not self.refusal_proven:
+        unproven = self.dispatched and not self.refusal_proven
+        if said is NotRun.TRUE and (unproven or self.may_have_run):
             return NotRun.UNKNOWN
         return said
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -25,8 +25,12 @@
         Time for the first byte, on the monotonic clock.
     prompt_bytes : int
         Length of the prompt's text, 0 for services.
+    prompt_tokens : int or None
+        Tokens of the prompt where the caller has counted them.
     max_tokens : int or None
         Most tokens of the answer, None for services.
+    expected_tokens : int or None
+        The caller's estimate of the answer's tokens.
     prefixes : list of int
         Hashes of growing prefixes of the prompt, the shortest first.
     avoid : list of str
@@ -39,7 +43,9 @@
     tier: int
     deadline: float
     prompt_bytes: int = 0
+    prompt_tokens: int | None = None
     max_tokens: int | None = None
+    expected_tokens: int | None = None
     prefixes: list[int] = field(default_factory=list)
     avoid: list[str] = field(default_factory=list)
 
--- a/tarragonwind/daemon_settings.py
+++ b/tarragonwind/daemon_settings.py
@@ -12,6 +12,8 @@
 from tarragonwind.ports import Address
 from tarragonwind.settings import CallerSettings, Settings
 
+OPEN_TOKEN = b"trusted network"
+"""Stands for the secret of hosts that need none."""
 TOKEN_BYTES = 32
 """Length of the secret that a single host makes for itself."""
 
@@ -27,6 +29,8 @@
     token = b""
     if cfg.peers.secret_file:
         token = Path(cfg.peers.secret_file).read_bytes().strip()
+    elif cfg.peers.trusted_network:
+        token = OPEN_TOKEN
     return PeerSettings(
         name=cfg.host.name,
         data_centre=cfg.host.data_centre,
--- a/tarragonwind/errors.py
+++ b/tarragonwind/errors.py
@@ -29,9 +29,11 @@
     BODY_TOO_LARGE = "body_too_large"
     REQUEST_TOO_SLOW = "request_too_slow"
     OVER_LIMIT = "over_limit"
+    OVER_ALLOTMENT = "over_allotment"
     SHED = "shed"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     DEADLINE_PASSED = "deadline_passed"
+    ROUTE_TIMEOUT = "route_timeout"
     NO_UPSTREAM = "no_upstream"
     NO_CATALOGUE = "no_catalogue"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -71,9 +73,11 @@
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, NotRun.TRUE),
     ErrorKind.REQUEST_TOO_SLOW: ErrorAnswer(408, NotRun.TRUE),
     ErrorKind.OVER_LIMIT: ErrorAnswer(429, NotRun.TRUE, retry=True),
+    ErrorKind.OVER_ALLOTMENT: ErrorAnswer(429, NotRun.TRUE, retry=True),
     ErrorKind.SHED: ErrorAnswer(503, NotRun.TRUE, retry=True),
     ErrorKind.DEADLINE_UNMEETABLE: ErrorAnswer(503, NotRun.TRUE, retry=True),
     ErrorKind.DEADLINE_PASSED: ErrorAnswer(504, NotRun.TRUE, retry=True),
+    ErrorKind.ROUTE_TIMEOUT: ErrorAnswer(503, NotRun.TRUE, retry=True),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, NotRun.TRUE, retry=True),
     ErrorKind.NO_CATALOGUE: ErrorAnswer(503, NotRun.TRUE, retry=True),
     ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, NotRun.TRUE, retry=True),
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -14,8 +14,10 @@
 from tarragonwind.core.entries import MoveEntry, PoolEntry
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
 from tarragonwind.core.move_tables import TICK_PERIOD_S, MoveTable, Outgoing
+from tarragonwind.core.move_trials import Outcome, Trial
 from tarragonwind.core.moves import MoveAnswer, VerdictRecorder, move_identity
 from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict
+from tarragonwind.core.versions import Versions
 from tarragonwind.errors import EntryError, StoreError
 from tarragonwind.futures import spawn
 from tarragonwind.ports import Members, Peers, Timers
@@ -35,7 +37,7 @@
     shared: bool
 
 
-class MoveRunner(VerdictRecorder):
+class MoveRunner(VerdictRecorder, Versions):
     """Carry a move table's messages and record its answers in the store.
 
     Parameters
@@ -115,6 +117,22 @@
             return False
         return self.table.concentrates(pool)
 
+    def is_withheld(self, pool: str, version: str) -> bool:
+        """Tell whether a version was taken back or gets no requests yet."""
+        return self.table.is_withheld(pool, version)
+
+    def start(self, pool: str, route: str, version: str, load: float) -> Trial | None:
+        """Begin to follow one request as evidence on its version."""
+        return self.table.start(self._timers.wall(), pool, route, version, load)
+
+    def first_byte(self, trial: Trial) -> None:
+        """Note the first byte of an answer."""
+        self.table.first_byte(self._timers.wall(), trial)
+
+    def finish(self, trial: Trial, outcome: Outcome, tokens: int) -> None:
+        """Note the end of an answer."""
+        self.table.finish(self._timers.wall(), trial, outcome, tokens)
+
     def count_by_state(self) -> dict[str, int]:
         """Return the number of moves in each state, ``not_settled`` for those without answer."""
         counts = {"not_settled": 0, "done": 0, "taken_back": 0}
--- /dev/null
+++ b/tarragonwind/platform/configurations.py
@@ -0,0 +1,139 @@
+"""Decode the operator's configuration into the entries of a catalogue."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from loguru import logger
+from pydantic import ValidationError
+
+from tarragonwind.core.configurations import CallerLimits, Configuration
+from tarragonwind.core.entries import (
+    BackEndKind,
+    Entry,
+    OrganisationEntry,
+    PoolEntry,
+    PoolShare,
+    RouteEntry,
+    describe_validation,
+)
+from tarragonwind.platform.fields import (
+    WireError,
+    read_document,
+    read_field,
+    read_list,
+    read_number,
+)
+
+CONFIGURATION_KEY = "op/config"
+"""Key of the store that holds the newest configuration."""
+OPERATOR_PREFIX = "op/"
+OWNER = "operator"
+"""Owner of all entries: the configuration names none."""
+LOWEST_TIER = 3
+MAX_REQUESTS = 100_000
+"""Stands for no limit on requests, which the configuration doesn't set."""
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return a configuration; an entry that can't be read is left out with a log line.
+
+    Raises
+    ------
+    WireError
+        When the document as a whole can't be read.
+    """
+    doc = read_document(data)
+    version = read_field(doc, "version", int)
+    entries: list[Entry] = []
+    for name, decode in (
+        ("services", decode_pool),
+        ("routes", decode_route),
+        ("tenants", decode_organisation),
+    ):
+        for part in read_list(doc, name):
+            try:
+                entries.append(decode(part))
+            except (WireError, ValidationError) as exc:
+                why = describe_validation(exc) if isinstance(exc, ValidationError) else str(exc)
+                logger.error(
+                    "event=entry_unreadable version={} list={} why={!r}", version, name, why
+                )
+    if "tenants" not in doc:
+        # Without organisations no request carries a token.
+        for entry in entries:
+            if isinstance(entry, RouteEntry):
+                entry.public = True
+    return Configuration(version, entries, decode_limits(doc.get("limits") or {}))
+
+
+def decode_pool(doc: dict[str, Any]) -> PoolEntry:
+    """Return a pool; only services of model engines describe an engine."""
+    engine = isinstance(doc.get("engine"), dict)
+    return PoolEntry(
+        name=read_field(doc, "name", str),
+        owner=OWNER,
+        back_end=BackEndKind.ENGINE if engine else BackEndKind.SERVICE,
+        version="any",
+    )
+
+
+def decode_route(doc: dict[str, Any]) -> RouteEntry:
+    """Return a route; a split route has no service of its own."""
+    kind = read_field(doc, "kind", str)
+    shares = [
+        PoolShare(pool=read_field(part, "service", str), weight=read_number(part, "weight"))
+        for part in read_list(doc, "trafficSplit")
+    ]
+    pool = shares[0].pool if shares else read_field(doc, "service", str)
+    return RouteEntry(
+        name=read_field(doc, "name", str),
+        owner=OWNER,
+        pool=pool,
+        shares=shares,
+        tier=min(LOWEST_TIER, int(read_number(doc, "priority", LOWEST_TIER))),
+        authority=read_field(doc, "host", str).lower(),
+        path_prefix=read_field(doc, "pathPrefix", str),
+        idempotent=kind == "safe",
+        streams=kind == "stream",
+        resumable=bool(doc.get("streamResume", False)),
+        public=bool(doc.get("public", False)),
+        max_attempts=max(1, int(read_number(doc, "maxAttempts", 1))),
+        max_in_progress=MAX_REQUESTS,
+        answer_timeout_s=read_number(doc, "timeoutMs", 0) / 1_000,
+        target_latency_s=read_number(doc, "targetLatencyMs", 0) / 1_000,
+        event_gap_s=read_number(doc, "gapTargetMs", 0) / 1_000,
+    )
+
+
+def decode_organisation(doc: dict[str, Any]) -> OrganisationEntry:
+    """Return an organisation; its rate counts tokens where the unit says so, else requests."""
+    keys = doc.get("apiKeys") or []
+    counts_tokens = doc.get("unit") == "token_stream"
+    rate = read_number(doc, "ratePerS", 0)
+    burst = read_number(doc, "burst", 0)
+    plain_tokens = int(read_number(doc, "plainTokens", 0)) if counts_tokens else 1
+    tier = doc.get("priority")
+    return OrganisationEntry(
+        name=read_field(doc, "name", str),
+        owner=OWNER,
+        token_sha256=[hashlib.sha256(str(key).encode()).hexdigest() for key in keys],
+        tier=min(LOWEST_TIER, tier) if isinstance(tier, int) else None,
+        max_in_progress=MAX_REQUESTS,
+        requests_per_s=float(MAX_REQUESTS),
+        tokens_per_s=rate,
+        token_burst=burst,
+        plain_tokens=plain_tokens,
+    )
+
+
+def decode_limits(doc: dict[str, Any]) -> CallerLimits:
+    """Return the bounds on what callers may send."""
+    defaults = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(read_number(doc, "maxHeaderBytes", defaults.max_header_bytes)),
+        max_body_bytes=int(read_number(doc, "maxBodyBytes", defaults.max_body_bytes)),
+        header_timeout_s=read_number(doc, "headerTimeoutMs", defaults.header_timeout_s * 1e3) / 1e3,
+        idle_timeout_s=read_number(doc, "idleTimeoutMs", defaults.idle_timeout_s * 1e3) / 1e3,
+    )
--- /dev/null
+++ b/tarragonwind/platform/settings.py
@@ -0,0 +1,141 @@
+"""Read the platform's settings file into the project's settings."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+from tarragonwind.platform.fields import WireError, read_document, read_field, read_number
+from tarragonwind.ports import Address
+from tarragonwind.settings import (
+    AllotmentSettings,
+    CallerSettings,
+    EndpointSettings,
+    HostSettings,
+    LogSettings,
+    OperatorSettings,
+    PeerSettings,
+    RetrySettings,
+    SeedSettings,
+    Settings,
+    StatusSettings,
+    StopSettings,
+    StoreBackend,
+    StoreSettings,
+    UpstreamSettings,
+)
+
+SETTINGS_PATH_VARIABLE = "TARRAGONWIND_CONFIG"
+"""Environment variable with the path of the settings file."""
+STOP_RESERVE_S = 1.0
+"""Part of the time before a kill that is left for closing, in seconds."""
+STOP_NOTICE_S = 3.0
+"""Time until the balancer has taken a host out: two looks a second apart, and one more."""
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file."""
+    path = os.environ.get(SETTINGS_PATH_VARIABLE)
+    if not path:
+        raise WireError(f"the environment variable {SETTINGS_PATH_VARIABLE} is not set")
+    return Path(path)
+
+
+def read_platform_settings(path: Path) -> Settings:
+    """Return the settings of a file.
+
+    Raises
+    ------
+    WireError
+        When the file can't be read or lacks a field.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        raise WireError(f"{path}: {exc.strerror}") from exc
+    return decode_settings(read_document(data))
+
+
+def decode_settings(doc: dict[str, Any]) -> Settings:
+    """Return the settings that a document holds."""
+    listen = read_field(doc, "listen", dict)
+    ports = read_field(doc, "internalPorts", list)
+    bounds = read_field(doc, "bounds", dict)
+    limits = read_field(doc, "limits", dict)
+    ip = read_field(doc, "ip", str)
+    callers = parse_address(read_field(listen, "front", str))
+    ready = parse_address(read_field(listen, "ready", str))
+    grace_s = read_number(bounds, "graceS")
+    settings = Settings(
+        host=HostSettings(
+            name=read_field(doc, "node", str), data_centre=read_field(doc, "zone", str)
+        ),
+        callers=CallerSettings(
+            listen_host=callers.host,
+            listen_port=callers.port,
+            max_connections=int(read_number(limits, "maxFds")) // 2,
+        ),
+        peers=PeerSettings(
+            listen_host=ip,
+            listen_port=ports[0],
+            trusted_network=True,
+            seeds=decode_seeds(doc, ip, ports[0]),
+        ),
+        operators=decode_operators(listen, ip, ports[0]),
+        status=StatusSettings(
+            ready_host=ready.host,
+            ready_port=ready.port,
+            metrics_host=ip,
+            metrics_port=ports[0] + 1,
+        ),
+        store=decode_store(doc),
+        stop=StopSettings(
+            notice_s=min(STOP_NOTICE_S, grace_s / 2),
+            grace_s=max(0.5, grace_s - min(STOP_NOTICE_S, grace_s / 2) - STOP_RESERVE_S),
+        ),
+        upstreams=UpstreamSettings(kept_connections=64),
+        retries=RetrySettings(
+            ratio=read_number(bounds, "retryBudgetRatio"),
+            window_s=read_number(bounds, "budgetWindowS"),
+            allowance=read_number(bounds, "budgetSlack"),
+        ),
+        allotments=AllotmentSettings(window_s=read_number(bounds, "quotaWindowS")),
+        log=LogSettings(),
+    )
+    return settings
+
+
+def decode_seeds(doc: dict[str, Any], own_ip: str, peer_port: int) -> list[SeedSettings]:
+    """Return the seeds: they are given by their operator address, and ports are the same on all."""
+    seeds = []
+    for text in doc.get("seeds") or []:
+        host = parse_address(text).host
+        if host != own_ip:
+            seeds.append(SeedSettings(name=f"seed-{host}", host=host, port=peer_port))
+    return seeds
+
+
+def decode_operators(listen: dict[str, Any], ip: str, peer_port: int) -> OperatorSettings:
+    """Return where the operator surface listens."""
+    text = listen.get("control")
+    address = parse_address(text) if isinstance(text, str) else Address(ip, peer_port + 2)
+    return OperatorSettings(listen_host=address.host, listen_port=address.port)
+
+
+def decode_store(doc: dict[str, Any]) -> StoreSettings:
+    """Return where the platform's store is."""
+    address = parse_address(read_field(read_field(doc, "platform", dict), "address", str))
+    return StoreSettings(
+        backend=StoreBackend.PLATFORM,
+        endpoints=[EndpointSettings(host=address.host, port=address.port)],
+        timeout_s=1.0,
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in a text of the form IP:PORT."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise WireError(f"{text!r} is no address of the form IP:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/tarragonwind/platform/stores.py
@@ -0,0 +1,276 @@
+"""Reach the platform's key-value service as one more backend of the store port."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from tarragonwind.adapters.store_backends import StoreParts, StoreSettings, store_backend
+from tarragonwind.errors import StoreError
+from tarragonwind.futures import Future, spawn
+from tarragonwind.platform.fields import WireError, read_document, read_field, read_list
+from tarragonwind.ports import (
+    Address,
+    Compare,
+    Delete,
+    HttpCaller,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    KeyValue,
+    Put,
+    RangeResult,
+    Store,
+    TxnResult,
+    Watch,
+    WatchEvent,
+)
+
+WATCH_WAIT_MS = 2_000
+"""Time that one watch call waits for changes: a silent connection is noticed within it."""
+WATCH_MARGIN_S = 0.5
+"""Time that the answer to a watch call may take beyond its wait, in seconds."""
+UNTOUCHED_STATUSES = frozenset([429, 503])
+"""Statuses of calls that have done nothing."""
+JSON_HEADERS = [(b"Content-Type", b"application/json")]
+
+
+class PlatformStore(Store):
+    """Implement the store port; no call is ever repeated by itself.
+
+    Parameters
+    ----------
+    http : HttpCaller
+        Client that never repeats a request by itself.
+    address : Address
+        Address of the service.
+    timeout_s : float
+        Time for one call, in seconds.
+    on_call : callable
+        Called with the kind of each call.
+    """
+
+    def __init__(
+        self,
+        http: HttpCaller,
+        address: Address,
+        timeout_s: float,
+        on_call: Callable[[str], None],
+    ) -> None:
+        self._http = http
+        self._address = address
+        self._timeout_s = timeout_s
+        self._on_call = on_call
+
+    def get(self, key: str) -> Future[KeyValue | None]:
+        """Read one key."""
+        return spawn(self._get(key))
+
+    async def _get(self, key: str) -> KeyValue | None:
+        response = await self._call("get", "GET", f"/kv-key?key={quote(key, safe='/')}")
+        if response.status == 404:
+            return None
+        return decode_item(decode_answer(response))
+
+    def read_range(self, prefix: str) -> Future[RangeResult]:
+        """Read all keys that begin with `prefix`; the revision is that of the first page."""
+        return spawn(self._read_range(prefix))
+
+    async def _read_range(self, prefix: str) -> RangeResult:
+        items: list[KeyValue] = []
+        revision = None
+        after = ""
+        while True:
+            target = f"/kv-range?pathPrefix={quote(prefix, safe='/')}"
+            if after:
+                target += f"&after={quote(after, safe='/')}"
+            doc = decode_answer(await self._call("range", "GET", target))
+            page = [decode_item(item) for item in decode_list(doc, "items")]
+            items += page
+            if revision is None:
+                revision = decode_field(doc, "at", int)
+            if not doc.get("hasMore") or not page:
+                return RangeResult(items, revision)
+            after = page[-1].key
+
+    def commit(self, compares: list[Compare], ops: list[Put | Delete]) -> Future[TxnResult]:
+        """Apply `ops` in one transaction if all `compares` hold."""
+        return spawn(self._commit(compares, ops))
+
+    async def _commit(self, compares: list[Compare], ops: list[Put | Delete]) -> TxnResult:
+        body = {
+            "expectedRev": [{"key": one.key, "revision": one.mod_revision} for one in compares],
+            "writes": [encode_put(op) for op in ops if isinstance(op, Put)],
+            "remove": [op.key for op in ops if isinstance(op, Delete)],
+        }
+        response = await self._call("txn", "POST", "/kv-txn", body)
+        if response.status == 412:
+            return TxnResult(False, 0)
+        doc = decode_answer(response, maybe_applied=True)
+        return TxnResult(True, decode_field(doc, "revision", int))
+
+    def grant_lease(self, ttl_s: int) -> Future[int]:
+        """Create a lease and return its id."""
+        return spawn(self._grant_lease(ttl_s))
+
+    async def _grant_lease(self, ttl_s: int) -> int:
+        response = await self._call("lease", "POST", "/kv-lease", {"ttlMs": ttl_s * 1_000})
+        return decode_field(decode_answer(response, maybe_applied=True), "lease", int)
+
+    def keep_lease(self, lease_id: int) -> Future[float]:
+        """Renew a lease and return the seconds that it now has; 0 when it has lapsed."""
+        return spawn(self._keep_lease(lease_id))
+
+    async def _keep_lease(self, lease_id: int) -> float:
+        response = await self._call("keep", "POST", f"/kv-keep/{lease_id}", {})
+        if response.status == 404:
+            return 0.0
+        return decode_field(decode_answer(response), "ttlMs", int) / 1_000
+
+    def revoke_lease(self, lease_id: int) -> Future[None]:
+        """End a lease and remove its keys."""
+        return spawn(self._revoke_lease(lease_id))
+
+    async def _revoke_lease(self, lease_id: int) -> None:
+        response = await self._call("lease_end", "DELETE", f"/kv-lease-end/{lease_id}")
+        if response.status != 404:
+            require_success(response, maybe_applied=True)
+
+    def watch(
+        self,
+        prefix: str,
+        from_revision: int,
+        on_events: Callable[[list[WatchEvent]], None],
+        on_end: Callable[[str], None],
+    ) -> Watch:
+        """Follow changes under `prefix` by calls that wait for them."""
+        watch = Watch()
+        ended = [False]
+
+        def cancel() -> None:
+            ended[0] = True
+
+        async def run() -> None:
+            revision = from_revision - 1
+            while not ended[0]:
+                try:
+                    doc = await self._wait_for_changes(prefix, revision)
+                    events = [decode_event(event) for event in decode_list(doc, "events")]
+                    revision = decode_field(doc, "at", int)
+                except StoreError as exc:
+                    if not ended[0]:
+                        on_end(str(exc))
+                    return
+                if events and not ended[0]:
+                    on_events(events)
+
+        watch.cancel = cancel
+        spawn(run())
+        return watch
+
+    async def _wait_for_changes(self, prefix: str, revision: int) -> dict[str, Any]:
+        target = (
+            f"/kv-watch?pathPrefix={quote(prefix, safe='/')}&after={revision}"
+            f"&waitMs={WATCH_WAIT_MS}"
+        )
+        timeout_s = WATCH_WAIT_MS / 1_000 + WATCH_MARGIN_S
+        return decode_answer(await self._call("watch", "GET", target, timeout_s=timeout_s))
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None = None,
+        timeout_s: float | None = None,
+    ) -> HttpResponse:
+        self._on_call(kind)
+        data = b"" if body is None else json.dumps(body).encode()
+        headers = list(JSON_HEADERS) if data else []
+        req = HttpRequest(method, target, headers, data)
+        try:
+            return await self._http.fetch(self._address, req, timeout_s or self._timeout_s)
+        except HttpError as exc:
+            message = f"store {self._address}: {kind}: {exc}"
+            raise StoreError(message, maybe_applied=exc.sent and method != "GET") from exc
+
+
+def require_success(response: HttpResponse, maybe_applied: bool = False) -> None:
+    """Raise for an answer that is no success."""
+    if response.status == 200:
+        return
+    untouched = response.status in UNTOUCHED_STATUSES
+    text = response.body[:200].decode("utf-8", "replace")
+    raise StoreError(
+        f"the store answered with status {response.status}: {text!r}",
+        maybe_applied=maybe_applied and not untouched,
+    )
+
+
+def decode_answer(response: HttpResponse, maybe_applied: bool = False) -> dict[str, Any]:
+    """Return the object in a successful answer."""
+    require_success(response, maybe_applied)
+    try:
+        return read_document(response.body)
+    except WireError as exc:
+        raise StoreError(f"the store's answer: {exc}", maybe_applied) from exc
+
+
+def decode_list(doc: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    """Return a list of objects in an answer of the store."""
+    try:
+        return read_list(doc, name)
+    except WireError as exc:
+        raise StoreError(f"the store's answer: {exc}") from exc
+
+
+def decode_field(doc: dict[str, Any], name: str, cls: type[Any]) -> Any:
+    """Return a field in an answer of the store."""
+    try:
+        return read_field(doc, name, cls)
+    except WireError as exc:
+        raise StoreError(f"the store's answer: {exc}") from exc
+
+
+def decode_item(doc: dict[str, Any]) -> KeyValue:
+    """Return one item of the store."""
+    lease_id = doc.get("lease") or 0
+    return KeyValue(
+        key=decode_field(doc, "key", str),
+        value=decode_value(doc),
+        mod_revision=decode_field(doc, "revision", int),
+        lease_id=lease_id if isinstance(lease_id, int) else 0,
+    )
+
+
+def decode_event(doc: dict[str, Any]) -> WatchEvent:
+    """Return one change."""
+    value = None if doc.get("deleted") else decode_value(doc)
+    return WatchEvent(decode_field(doc, "key", str), value, decode_field(doc, "revision", int))
+
+
+def decode_value(doc: dict[str, Any]) -> bytes:
+    """Return the bytes of an item."""
+    try:
+        return base64.b64decode(decode_field(doc, "value", str), validate=True)
+    except ValueError as exc:
+        raise StoreError("the store's answer: a value is no base64 text") from exc
+
+
+def encode_put(op: Put) -> dict[str, Any]:
+    """Return one write of a transaction."""
+    doc: dict[str, Any] = {"key": op.key, "value": base64.b64encode(op.value).decode("ascii")}
+    if op.lease_id:
+        doc["lease"] = op.lease_id
+    return doc
+
+
+@store_backend("platform")
+def create_platform_store(cfg: StoreSettings, parts: StoreParts) -> PlatformStore:
+    """Return the store at the endpoint of the settings."""
+    if not cfg.endpoints or parts.http is None:
+        raise ValueError("store.endpoints: the platform backend needs one address and a client")
+    return PlatformStore(parts.http, cfg.endpoints[0], cfg.timeout_s, parts.on_call)
--- /dev/null
+++ b/tarragonwind/platform/upstreams.py
@@ -0,0 +1,46 @@
+"""Decode the entries that engines keep of themselves in the platform's store."""
+
+from __future__ import annotations
+
+from pydantic import ValidationError
+
+from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.platform.fields import WireError, read_document, read_field, read_number
+from tarragonwind.platform.settings import parse_address
+
+UPSTREAM_PREFIX = "servers/"
+"""Prefix of the keys under which upstreams register, each under its id."""
+OWNER = "platform"
+STATES = {"ready": UpstreamState.LIVE, "draining": UpstreamState.LEAVING}
+
+
+def decode_upstream(key: str, data: bytes) -> UpstreamEntry:
+    """Return an upstream's entry.
+
+    Raises
+    ------
+    WireError
+        When the bytes are no entry of an upstream.
+    """
+    doc = read_document(data)
+    state = STATES.get(read_field(doc, "state", str))
+    if state is None:
+        raise WireError("the state is not known")
+    address = parse_address(read_field(doc, "address", str))
+    try:
+        return UpstreamEntry(
+            name=key.removeprefix(UPSTREAM_PREFIX),
+            owner=OWNER,
+            pool=read_field(doc, "service", str),
+            version=read_field(doc, "version", str),
+            host=address.host,
+            port=address.port,
+            data_centre=read_field(doc, "zone", str),
+            slots=int(read_number(doc, "slots")),
+            refusal_not_run=True,
+            state=state,
+            # The wire's name says birth; it is the time of the upstream's start.
+            incarnation=int(read_number(doc, "born", 0)),
+        )
+    except ValidationError as exc:
+        raise WireError(f"{exc.error_count()} fields are out of range") from exc
--- /dev/null
+++ b/tarragonwind/platform_daemons.py
@@ -0,0 +1,231 @@
+"""Build and run a daemon on the users' platform, whose store holds configuration and upstreams."""
+
+from __future__ import annotations
+
+import gc
+import random
+import secrets
+import signal
+from collections.abc import Callable
+from types import FrameType
+
+from loguru import logger
+
+from tarragonwind.adapters.gateways import Gateway
+from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.loops import Loop, create_loop
+from tarragonwind.adapters.memberships import MembershipSettings, create_membership
+from tarragonwind.adapters.peers import create_peers
+from tarragonwind.adapters.request_runs import GatewayParts
+from tarragonwind.adapters.status_pages import Page, StatusPages
+from tarragonwind.adapters.stores import create_store
+from tarragonwind.allotments import AllotmentRunner
+from tarragonwind.configuration_followers import ConfigurationFollower
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
+from tarragonwind.core.versions import SteadyVersions
+from tarragonwind.daemon_settings import http_limits, peer_settings, store_settings
+from tarragonwind.logs import configure_logs
+from tarragonwind.platform import stores as platform_stores
+from tarragonwind.platform.callers import PlatformDialect
+from tarragonwind.platform.configurations import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    decode_configuration,
+)
+from tarragonwind.platform.settings import read_platform_settings, settings_path
+from tarragonwind.platform.upstreams import UPSTREAM_PREFIX, decode_upstream
+from tarragonwind.ports import Address
+from tarragonwind.schedulers import PermitScheduler
+from tarragonwind.settings import Settings
+from tarragonwind.store_mirrors import MirrorSharing, StoreMirror
+from tarragonwind.telemetry import create_telemetry
+
+__all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
+
+SIGNAL_POLL_S = 0.1
+"""Time between two looks for a signal, in seconds."""
+STOP_POLL_S = 0.05
+"""Time between two looks at whether all requests have ended, in seconds."""
+FAREWELL_S = 0.2
+"""Time that last messages to other hosts have to go out, in seconds."""
+
+
+class PlatformDaemon:
+    """Run one host on the platform.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings that the platform gave.
+    loop : Loop
+        Loop that everything runs on.
+    reread : callable
+        Reads the settings anew.
+    """
+
+    def __init__(self, cfg: Settings, loop: Loop, reread: Callable[[], Settings]) -> None:
+        self.stopping = False
+        self._cfg = cfg
+        self._loop = loop
+        self._reread = reread
+        self._stops = 0
+        self._reloads = 0
+        self._reloaded = 0
+        rng = random.Random(secrets.randbits(64))
+        timers = loop.timers
+        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, timers.now)
+        self.client = HttpClient(
+            loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
+        )
+        self.store = create_store(store_settings(cfg), timers, self.client, self._count_store_call)
+        self.peers = create_peers(loop, peer_settings(cfg, rng))
+        seeds = [seed.address() for seed in cfg.peers.seeds]
+        self.membership = create_membership(self.peers, timers, MembershipSettings(seeds), rng)
+        self.mirrors = [
+            StoreMirror(prefix, self.store, timers, rng)
+            for prefix in (OPERATOR_PREFIX, UPSTREAM_PREFIX)
+        ]
+        self.sharing = [
+            MirrorSharing(mirror, self.membership, self.membership, self.peers, timers)
+            for mirror in self.mirrors
+        ]
+        self.scheduler = PermitScheduler(self.membership, self.peers, timers, rng, SteadyVersions())
+        self.allotments = AllotmentRunner(
+            self.membership, self.peers, timers, cfg.allotments.window_s
+        )
+        operator, register = self.mirrors
+        self.configuration = ConfigurationFollower(
+            operator, register, CONFIGURATION_KEY, decode_configuration, decode_upstream, timers
+        )
+        self.configuration.subscribe(self._on_catalogue)
+        self.gateway = self._create_gateway(rng)
+        self.pages = self._create_pages()
+        self.membership.subscribe(self._on_members)
+        self.membership.subscribe_resumed(self.scheduler.resume)
+
+    def _create_gateway(self, rng: random.Random) -> Gateway:
+        cfg = self._cfg
+        retries = cfg.retries
+        parts = GatewayParts(
+            self._loop,
+            self.client,
+            self._catalogue_in_force,
+            self.scheduler,
+            None,
+            self.telemetry,
+            cfg.upstreams,
+            cfg.limits,
+            cfg.host.name,
+            dialect=PlatformDialect(rng),
+            retries=RetryBudget(BudgetSettings(retries.ratio, retries.window_s, retries.allowance)),
+            allotments=self.allotments,
+        )
+        address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
+        return Gateway(address, http_limits(cfg.callers), parts)
+
+    def _create_pages(self) -> list[StatusPages]:
+        status = self._cfg.status
+        ready = Address(status.ready_host, status.ready_port)
+        metrics = Address(status.metrics_host, status.metrics_port)
+        return [
+            StatusPages(self._loop, ready, {"/readyz": self._ready_page}),
+            StatusPages(self._loop, metrics, {"/metrics": self._metrics_page}),
+        ]
+
+    def run(self) -> None:
+        """Run until a planned stop has ended."""
+        self._loop.timers.call_later(0.0, self._start)
+        self._loop.run()
+        self.telemetry.close()
+
+    def _start(self) -> None:
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_signal)
+        self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
+        self.membership.start()
+        for mirror in self.mirrors:
+            mirror.start()
+        logger.info("event=started callers={} peers={}", self.gateway.address, self.peers.address)
+
+    def _ready_page(self) -> Page:
+        ready = not self.stopping and self.configuration.ready
+        return Page(200, b"ready\n") if ready else Page(503, b"not ready\n")
+
+    def _metrics_page(self) -> Page:
+        return Page(200, b"")
+
+    def _count_store_call(self, kind: str) -> None:
+        self.telemetry.store_calls.add(1, kind)
+
+    def _catalogue_in_force(self) -> Catalogue | None:
+        return self.configuration.catalogue
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self.scheduler.set_catalogue(catalogue)
+
+    def _on_members(self) -> None:
+        self.gateway.parts.retries.host_count = len(self.membership.live())
+
+    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+        if number == signal.SIGHUP:
+            self._reloads += 1
+        else:
+            self._stops += 1
+
+    def _look_for_signal(self) -> None:
+        if self._reloads != self._reloaded:
+            self._reloaded = self._reloads
+            self._reload()
+        if self._stops and not self.stopping:
+            self.begin_stop()
+
+    def _reload(self) -> None:
+        """Take over what a running daemon can change: the seeds."""
+        try:
+            cfg = self._reread()
+        except Exception as exc:
+            logger.error("event=reload_failed reason={!r} hint=the_settings_in_force_stay", exc)
+            return
+        self.membership.set_seeds([seed.address() for seed in cfg.peers.seeds])
+        logger.info("event=reloaded seeds={}", len(cfg.peers.seeds))
+
+    def begin_stop(self) -> None:
+        """Begin the planned stop: not ready, hand over, let every request end."""
+        self.stopping = True
+        logger.info("event=stopping in_progress={}", self.gateway.in_progress)
+        self.gateway.announce_close()
+        self.membership.leave()
+        deadline = self._loop.timers.now() + self._cfg.stop.notice_s + self._cfg.stop.grace_s
+        self._loop.timers.call_later(
+            self._cfg.stop.notice_s, lambda: self._wait_for_requests(deadline)
+        )
+
+    def _wait_for_requests(self, deadline: float) -> None:
+        unfinished = self.gateway.in_progress or self.gateway.unsent_bytes
+        if unfinished and self._loop.timers.now() < deadline:
+            self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
+            return
+        self.gateway.stop()
+        self._loop.timers.call_later(FAREWELL_S, self._end)
+
+    def _end(self) -> None:
+        logger.info("event=stopped in_progress={}", self.gateway.in_progress)
+        for mirror in self.mirrors:
+            mirror.stop()
+        self.membership.stop()
+        self.peers.stop()
+        self.client.close()
+        self._loop.stop()
+
+
+def run_platform_daemon() -> None:
+    """Run a daemon with the platform's settings file to its planned stop."""
+    path = settings_path()
+    cfg = read_platform_settings(path)
+    configure_logs(cfg.log, cfg.host.name)
+    daemon = PlatformDaemon(cfg, create_loop(), lambda: read_platform_settings(path))
+    # What is built so far lives as long as the process; collecting it again would hold up the loop.
+    gc.freeze()
+    daemon.run()
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -196,12 +196,15 @@
         Header fields without Host and Content-Length, which the client adds.
     body : bytes
         Whole body.
+    authority : str
+        Value of the Host field; empty for the address that the request goes to.
     """
 
     method: str
     target: str
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
+    authority: str = ""
 
 
 @dataclass(slots=True)
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -13,7 +13,12 @@
     UpstreamEntry,
     UpstreamState,
 )
-from tarragonwind.core.estimates import SERVICE_COST, CostEstimate, CostEstimator
+from tarragonwind.core.estimates import (
+    SERVICE_COST,
+    CostEstimate,
+    CostEstimator,
+    estimate_counted,
+)
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
@@ -21,9 +26,9 @@
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+from tarragonwind.core.versions import Versions
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
-from tarragonwind.move_runners import MoveRunner
 from tarragonwind.operator_services import UpstreamReport
 from tarragonwind.ports import Members, Peers, Timers
 
@@ -64,8 +69,8 @@
         Clock and timer subscriptions.
     rng : random.Random
         Source of randomness.
-    moves : MoveRunner
-        Moves between versions.
+    versions : Versions
+        Which versions serve.
     """
 
     def __init__(
@@ -74,11 +79,11 @@
         peers: Peers,
         timers: Timers,
         rng: random.Random,
-        moves: MoveRunner,
+        versions: Versions,
     ) -> None:
         self._members = members
         self._timers = timers
-        self._moves = moves
+        self._versions = versions
         self._estimator = CostEstimator()
         self._dispatched: dict[int, Dispatched] = {}
         self._catalogue = Catalogue()
@@ -86,7 +91,11 @@
         self._held: dict[str, int] = {}
         self._failures: dict[str, int] = {}
         parts = OwnerParts(
-            peers.send, rng, moves.choose_version, self._weight_of, concentrates=moves.concentrates
+            peers.send,
+            rng,
+            versions.choose_version,
+            self._weight_of,
+            concentrates=versions.concentrates,
         )
         self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
         self.client = PermitClient(
@@ -97,7 +106,7 @@
         for to_client in CLIENT_MESSAGES:
             peers.subscribe(to_client, self._on_client_message)
         members.subscribe(self._on_members_changed)
-        moves.subscribe_version_change(self._on_versions_changed)
+        versions.subscribe_version_change(self._on_versions_changed)
         timers.call_every(TICK_PERIOD_S, self._tick)
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
@@ -144,6 +153,8 @@
         """Estimate what a request costs its upstream."""
         if work.max_tokens is None:
             return SERVICE_COST
+        if work.prompt_tokens is not None:
+            return estimate_counted(work.prompt_tokens, work.max_tokens, work.expected_tokens)
         return self._estimator.estimate(
             work.route, work.organisation, work.prompt_bytes, work.max_tokens
         )
@@ -157,7 +168,7 @@
         entry = self._catalogue.entry(f"upstream/{permit.upstream}")
         if not isinstance(entry, UpstreamEntry) or entry.state is not UpstreamState.LIVE:
             return False
-        return not self._moves.table.is_withheld(permit.pool, permit.version)
+        return not self._versions.is_withheld(permit.pool, permit.version)
 
     def dispatched(self, permit: Permit) -> None:
         """Begin to follow a dispatch as evidence on its version."""
@@ -165,8 +176,7 @@
         if known is None:
             return
         self._held[permit.upstream] = self._held.get(permit.upstream, 0) + 1
-        known.trial = self._moves.table.start(
-            self._timers.wall(),
+        known.trial = self._versions.start(
             permit.pool,
             known.work.route,
             permit.version,
@@ -177,7 +187,7 @@
         """Note the first byte of the answer as evidence."""
         known = self._dispatched.get(permit.ask_id)
         if known is not None and known.trial is not None:
-            self._moves.table.first_byte(self._timers.wall(), known.trial)
+            self._versions.first_byte(known.trial)
 
     def finished(self, permit: Permit, report: DispatchReport) -> None:
         """Give the permit back and learn from the dispatch."""
@@ -206,8 +216,7 @@
             )
         if known.trial is not None:
             outcome = trial_outcome(report.outcome)
-            now = self._timers.wall()
-            self._moves.table.finish(now, known.trial, outcome, report.output_tokens)
+            self._versions.finish(known.trial, outcome, report.output_tokens)
 
     def resume(self) -> None:
         """Start anew with owners and clients after a pause of this process."""
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -48,6 +48,7 @@
 
     MEMORY = "memory"
     ETCD = "etcd"
+    PLATFORM = "platform"
 
 
 class LogLevel(enum.Enum):
@@ -143,6 +144,8 @@
         IP address that other hosts are told; empty for `listen_host`.
     secret_file : str
         File with the secret that hosts prove to one another; empty for a single host.
+    trusted_network : bool
+        Whether hosts take each other without a secret, on a network that only they reach.
     seeds : list of SeedSettings
         Hosts that are asked for the fleet at start.
     """
@@ -151,6 +154,7 @@
     listen_port: Port = 7400
     advertised_host: OptionalIp = ""
     secret_file: Text = ""
+    trusted_network: Flag = False
     seeds: list[SeedSettings] = field(default_factory=list)
 
     def advertised(self) -> Address:
@@ -184,6 +188,56 @@
     request_timeout_s: ShortS = 5.0
 
 
+@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
+class StatusSettings:
+    """Tell where a balancer asks whether the host is ready, and where metrics are read as text.
+
+    Attributes
+    ----------
+    ready_host, ready_port : str, int
+        Address of the question ``GET /readyz``; empty and 0 when only operators ask.
+    metrics_host, metrics_port : str, int
+        Address of ``GET /metrics``; empty and 0 for none.
+    """
+
+    ready_host: OptionalIp = ""
+    ready_port: OptionalPort = 0
+    metrics_host: OptionalIp = ""
+    metrics_port: OptionalPort = 0
+
+
+@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
+class RetrySettings:
+    """Bound repeated dispatches to a pool, over all hosts.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats for each request.
+    window_s : float
+        Time over which both are counted, in seconds.
+    allowance : float
+        Repeats in each window beyond the ratio.
+    """
+
+    ratio: Fraction = 0.2
+    window_s: LongS = 10.0
+    allowance: Annotated[float, Field(ge=0, le=1_000_000)] = 10.0
+
+
+@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
+class AllotmentSettings:
+    """Tell how organisations' allotments of tokens are counted.
+
+    Attributes
+    ----------
+    window_s : float
+        Time over which they are counted, in seconds.
+    """
+
+    window_s: LongS = 8.0
+
+
 @dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
 class EndpointSettings:
     """Name one endpoint of the key-value service.
@@ -209,7 +263,7 @@
     Attributes
     ----------
     backend : StoreBackend
-        ``memory`` for a single host, ``etcd`` for the platform's key-value service.
+        ``memory`` for a single host, ``etcd`` or ``platform`` for a key-value service.
     endpoints : list of EndpointSettings
         Endpoints of the service, tried in order.
     timeout_s : float
@@ -382,8 +436,12 @@
         Name and place of the host; the only section without defaults.
     callers, peers, operators : CallerSettings, PeerSettings, OperatorSettings
         The three listening sides.
+    status : StatusSettings
+        What balancers and monitoring ask.
     store, host_list, weights, upstreams : object
         The outside systems.
+    retries, allotments : RetrySettings, AllotmentSettings
+        What hosts keep to together.
     stop, telemetry, log, limits : object
         The daemon itself.
     """
@@ -392,10 +450,13 @@
     callers: CallerSettings = field(default_factory=CallerSettings)
     peers: PeerSettings = field(default_factory=PeerSettings)
     operators: OperatorSettings = field(default_factory=OperatorSettings)
+    status: StatusSettings = field(default_factory=StatusSettings)
     store: StoreSettings = field(default_factory=StoreSettings)
     host_list: HostListSettings = field(default_factory=HostListSettings)
     weights: WeightSettings = field(default_factory=WeightSettings)
     upstreams: UpstreamSettings = field(default_factory=UpstreamSettings)
+    retries: RetrySettings = field(default_factory=RetrySettings)
+    allotments: AllotmentSettings = field(default_factory=AllotmentSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
     log: LogSettings = field(default_factory=LogSettings)
--- a/tarragonwind/settings_files.py
+++ b/tarragonwind/settings_files.py
@@ -89,7 +89,7 @@
     if _is_unspecified(peers.advertised().host):
         yield "peers.advertised_host: needed, since peers.listen_host names no single address"
     others = [seed for seed in peers.seeds if seed.name != cfg.host.name]
-    if others and not peers.secret_file:
+    if others and not peers.secret_file and not peers.trusted_network:
         yield "peers.secret_file: needed, since peers.seeds names other hosts"
     names = [seed.name for seed in peers.seeds]
     for index, seed in enumerate(peers.seeds):
@@ -103,8 +103,9 @@
 
 
 def _find_store_clashes(cfg: Settings) -> Iterator[str]:
-    if cfg.store.backend is StoreBackend.ETCD and not cfg.store.endpoints:
-        yield "store.endpoints: at least one is needed, since store.backend is etcd"
+    backend = cfg.store.backend
+    if backend is not StoreBackend.MEMORY and not cfg.store.endpoints:
+        yield f"store.endpoints: at least one is needed, since store.backend is {backend.value}"
     if cfg.store.backend is StoreBackend.MEMORY:
         if cfg.store.endpoints:
             yield "store.endpoints: must be empty, since store.backend is memory"
@@ -113,9 +114,14 @@
 
 
 def _find_half_addresses(cfg: Settings) -> Iterator[str]:
-    for name, section in (("host_list", cfg.host_list), ("weights", cfg.weights)):
-        if bool(section.host) != bool(section.port):
-            yield f"{name}.host: give both {name}.host and {name}.port, or neither"
+    for name, host, port in (
+        ("host_list.", cfg.host_list.host, cfg.host_list.port),
+        ("weights.", cfg.weights.host, cfg.weights.port),
+        ("status.ready_", cfg.status.ready_host, cfg.status.ready_port),
+        ("status.metrics_", cfg.status.metrics_host, cfg.status.metrics_port),
+    ):
+        if bool(host) != bool(port):
+            yield f"{name}host: give both {name}host and {name}port, or neither"
 
 
 def _describe_faults(doc: Document, exc: ValidationError) -> str:
