--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -44,6 +44,10 @@
         self.parts.stopping = True
         self._server.stop()
 
+    def close_idle(self) -> None:
+        """Close the callers' connections that have no request in progress."""
+        self._server.close_idle()
+
     @property
     def in_progress(self) -> int:
         """Return the number of requests not yet answered."""
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -93,6 +93,7 @@
         "_ended",
         "_head_bytes",
         "_headers",
+        "_keeps",
         "_parser",
         "_req",
         "_sent",
@@ -117,6 +118,7 @@
         self._sent = False
         self._complete = False
         self._skipping = False
+        self._keeps = False
         self._until_close = False
         self._ended = False
         self._parser = httptools.HttpResponseParser(self)
@@ -186,7 +188,7 @@
             return
         self._pass_body()
         if self._complete and not self._ended:
-            keep = not fault and not self._until_close and self._parser.should_keep_alive()
+            keep = not fault and not self._until_close and self._keeps
             self._finish(reuse=keep)
 
     def on_closed(self, reason: str) -> None:
@@ -246,6 +248,8 @@
             self._headers = []
             self._head_bytes = 0
         elif self._status:
+            # The parser forgets this once it has passed the end of the message.
+            self._keeps = self._parser.should_keep_alive()
             self._complete = True
 
     def _pass_body(self) -> None:
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -274,6 +274,12 @@
         else:
             self._expect(self._server.limits.idle_timeout_s)
 
+    def close(self) -> None:
+        """Close at once; what is not read yet is not read any more."""
+        self._stop_timer()
+        self._conn.close()
+        self._server.forget(self)
+
     def abort(self) -> None:
         """Cut the connection."""
         self._stop_timer()
@@ -396,6 +402,14 @@
         self.stopping = True
         self._listener.close()
 
+    def close_idle(self) -> None:
+        """Close the connections without a request.
+
+        A request that crosses the close is not read, so its caller can tell that it has not run.
+        """
+        for conn in [conn for conn in self._connections if conn.idle]:
+            conn.close()
+
     def forget(self, conn: CallerConnection) -> None:
         """Drop a connection that has ended."""
         self._connections.discard(conn)
--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -109,6 +109,10 @@
         """Return the sorted names of live daemons that take part."""
         return self._core.live()
 
+    def leaving_hosts(self) -> tuple[str, ...]:
+        """Return the names of daemons that have announced their planned stop."""
+        return tuple(member.name for member in self.members() if member.leaving)
+
     def owner_of(self, key: str) -> str:
         """Return the live daemon that a key belongs to; this one when nobody takes part."""
         owner = self._owners.get(key)
--- a/tarragonwind/allotments.py
+++ b/tarragonwind/allotments.py
@@ -44,11 +44,12 @@
         self.ledger.give_back(now, organisation, tokens)
 
     def _on_members(self) -> None:
-        self.ledger.set_live(self._timers.now(), self._members.live())
+        members = self._members
+        self.ledger.set_live(self._timers.now(), members.live(), members.leaving_hosts())
 
     def _report(self) -> None:
+        self._on_members()
         now = self._timers.now()
-        self.ledger.set_live(now, self._members.live())
         for host, msg in self.ledger.reports(now).items():
             self._peers.send(host, msg)
 
--- a/tarragonwind/configuration_followers.py
+++ b/tarragonwind/configuration_followers.py
@@ -1,4 +1,4 @@
-"""Make the catalogue in force from mirrors of the configuration and of the register of upstreams."""
+"""Make the catalogue in force from mirrors of the configuration and the upstreams' register."""
 
 from __future__ import annotations
 
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -139,9 +139,11 @@
         self._live: tuple[str, ...] = (name,)
         self._known_at: dict[str, float] = {name: now}
 
-    def set_live(self, now: float, live: Iterable[str]) -> None:
-        """Take in which hosts live."""
+    def set_live(self, now: float, live: Iterable[str], leaving: Iterable[str] = ()) -> None:
+        """Take in which hosts live and which have announced their planned stop."""
         self._live = tuple(live) or (self._name,)
+        for host in leaving:
+            self._known_at.pop(host, None)
         for host in self._live:
             self._known_at[host] = now
 
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -198,16 +198,18 @@
         self.gateway.announce_close()
         self.membership.leave()
         deadline = self._loop.timers.now() + self._cfg.stop.notice_s + self._cfg.stop.grace_s
-        self._loop.timers.call_later(
-            self._cfg.stop.notice_s, lambda: self._wait_for_requests(deadline)
-        )
+        self._loop.timers.call_later(self._cfg.stop.notice_s, lambda: self._close_door(deadline))
+
+    def _close_door(self, deadline: float) -> None:
+        self.gateway.stop()
+        self.gateway.close_idle()
+        self._wait_for_requests(deadline)
 
     def _wait_for_requests(self, deadline: float) -> None:
         unfinished = self.gateway.in_progress or self.gateway.unsent_bytes
         if unfinished and self._loop.timers.now() < deadline:
             self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
             return
-        self.gateway.stop()
         self._loop.timers.call_later(FAREWELL_S, self._end)
 
     def _end(self) -> None:
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -269,6 +269,10 @@
     def live(self) -> tuple[str, ...]:
         """Return the sorted names of live daemons that take part, this one included."""
 
+    def leaving_hosts(self) -> tuple[str, ...]:
+        """Return the names of daemons that have announced their planned stop."""
+        return ()
+
     @abstractmethod
     def owner_of(self, key: str) -> str:
         """Return the live daemon that a key belongs to, by rendezvous hashing."""
--- /dev/null
+++ b/tests/test_http_clients.py
@@ -0,0 +1,128 @@
+"""Test the client's exchanges: kept connections, and answers that belong to other requests."""
+
+import socket
+import threading
+
+import pytest
+
+from tarragonwind.adapters.http_clients import HttpClient, ResponseSink
+from tarragonwind.adapters.loops import create_loop
+from tarragonwind.futures import Future
+from tarragonwind.ports import Address, HttpRequest
+from tests.support import run_until
+
+
+class CountingServer:
+    """Answer every request of a connection with given bytes and count connections."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self.connections = 0
+        self.requests = 0
+        self._answers = answers
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._sock.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            conn, _ = self._sock.accept()
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        while conn.recv(65536):
+            answer = self._answers[min(self.requests, len(self._answers) - 1)]
+            self.requests += 1
+            conn.sendall(answer)
+
+
+def fetch_all(server: CountingServer, count: int) -> list[bytes]:
+    loop = create_loop()
+    client = HttpClient(loop)
+    bodies: list[bytes] = []
+
+    def ask() -> None:
+        fut = client.fetch(server.address, HttpRequest("GET", "/"), 5.0)
+        fut.add_callback(take)
+
+    def take(fut: Future) -> None:
+        bodies.append(fut.result().body)
+        if len(bodies) < count:
+            ask()
+
+    loop.timers.call_later(0.0, ask)
+    run_until(loop, lambda: len(bodies) == count)
+    return bodies
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nab",
+    ],
+)
+def test_a_connection_is_used_again(answer):
+    server = CountingServer([answer])
+    assert fetch_all(server, 3) == [b"ab"] * 3
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "field", [b"Connection: close", b"Keep-Alive: timeout=0", b"Keep-Alive: timeout=1, max=0"]
+)
+def test_a_connection_that_the_other_side_ends_is_not_used_again(field):
+    server = CountingServer([b"HTTP/1.1 200 OK\r\n%b\r\nContent-Length: 2\r\n\r\nab" % field])
+    expected = 1 if b"timeout=1" in field else 2
+    fetch_all(server, 2)
+    assert server.connections == expected
+
+
+class NamedSink(ResponseSink):
+    """Take only answers of one name, and keep what came."""
+
+    def __init__(self, name: bytes) -> None:
+        self.name = name
+        self.status = 0
+        self.body = b""
+        self.ended = ""
+
+    def owns_answer(self, headers):
+        return dict(headers).get(b"Name") == self.name
+
+    def on_head(self, status, headers):
+        self.status = status
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_complete(self):
+        self.ended = "complete"
+
+    def on_failed(self, exc):
+        self.ended = f"failed: {exc}"
+
+
+def exchange(answer: bytes, name: bytes) -> NamedSink:
+    loop = create_loop()
+    client = HttpClient(loop)
+    sink = NamedSink(name)
+    server = CountingServer([answer])
+    loop.timers.call_later(
+        0.0, lambda: client.exchange(server.address, HttpRequest("GET", "/"), sink)
+    )
+    run_until(loop, lambda: bool(sink.ended))
+    return sink
+
+
+def test_an_answer_to_another_request_is_dropped_and_the_own_one_taken():
+    foreign = b"HTTP/1.1 200 OK\r\nName: a\r\nContent-Length: 3\r\n\r\nxyz"
+    own = b"HTTP/1.1 201 Created\r\nName: b\r\nContent-Length: 2\r\n\r\nab"
+    sink = exchange(foreign + own, b"b")
+    assert (sink.status, sink.body, sink.ended) == (201, b"ab", "complete")
+
+
+def test_a_foreign_answer_without_an_end_fails_the_exchange():
+    sink = exchange(b"HTTP/1.1 200 OK\r\nName: a\r\n\r\nxyz", b"b")
+    assert sink.status == 0 and sink.body == b"" and sink.ended.startswith("failed")
--- a/tests/test_http_servers.py
+++ b/tests/test_http_servers.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from standins.fleets import wait_until
 from tarragonwind.adapters.http_requests import HttpLimits, RequestReader
 from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.errors import ErrorKind
@@ -137,3 +138,54 @@
         while not got.endswith(b"ok"):
             got += sock.recv(4_096)
         assert got.startswith(b"HTTP/1.1 200")
+
+
+class LateAnswers:
+    """Keep each exchange until the test answers it."""
+
+    def __init__(self) -> None:
+        self.exchanges = []
+
+    def take(self, exchange) -> None:
+        self.exchanges.append(exchange)
+
+
+def test_idle_connections_close_unread_and_those_with_a_request_stay():
+    runner = LoopRunner()
+    held = LateAnswers()
+    address = Address("127.0.0.1", 0)
+    server = HttpServer(runner.loop, address, LIMITS, held.take, lambda *_: None)
+    runner.start()
+    idle = socket.create_connection(("127.0.0.1", server.address.port))
+    busy = socket.create_connection(("127.0.0.1", server.address.port))
+    busy.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    wait_until(lambda: held.exchanges and server.connection_count == 2, "both are open")
+    runner.call(server.close_idle)
+    idle.settimeout(5)
+    assert idle.recv(100) == b""
+    runner.call(lambda: held.exchanges[0].answer(200, [], b"ok"))
+    busy.settimeout(5)
+    assert busy.recv(1000).endswith(b"ok")
+    runner.stop()
+
+
+def test_a_request_that_crosses_the_close_of_its_idle_connection_is_not_read():
+    runner = LoopRunner()
+    held = LateAnswers()
+    address = Address("127.0.0.1", 0)
+    server = HttpServer(runner.loop, address, LIMITS, held.take, lambda *_: None)
+    runner.start()
+    caller = socket.create_connection(("127.0.0.1", server.address.port))
+    wait_until(lambda: server.connection_count == 1, "it is open")
+
+    def cross() -> None:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        server.close_idle()
+
+    runner.call(cross)
+    caller.settimeout(5)
+    with pytest.raises(ConnectionResetError):
+        if caller.recv(100) == b"":
+            raise ConnectionResetError
+    assert not held.exchanges
+    runner.stop()
