Let late requests wait behind those that can be on time, and choose engines by the deadline

Ruled out: short capacity alone, as the load there was below it again. Also: an engine that is full is no longer taken for a failing one.

--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -302,7 +302,11 @@
             organisation=cls.organisation.name,
             tier=cls.tier,
             deadline=self._started_at + cls.timeout_s,
+            rank=cls.route.tier,
+            bounds_whole=cls.bounds_whole_answer,
         )
+        if cls.route.target_latency_s:
+            work.target = self._started_at + cls.route.target_latency_s
         if cls.stream and cls.prompt_tokens:
             work.prompt_tokens = cls.prompt_tokens
             work.max_tokens = cls.max_tokens
--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -135,10 +135,13 @@
         Model engines or plain services.
     version : str
         Version that serves when no move is under way.
+    tokens_per_event : int
+        Tokens that one event of a stream holds.
     """
 
     back_end: BackEndKind
     version: Annotated[str, Field(min_length=1, max_length=100)]
+    tokens_per_event: Annotated[int, Field(ge=1, le=10_000)] = 1
 
 
 @entry_kind("route")
--- a/tarragonwind/core/estimates.py
+++ b/tarragonwind/core/estimates.py
@@ -14,6 +14,10 @@
 PREFILL_SPEEDUP = 10.0
 """Prompt tokens that an engine reads in the time of generating one."""
 
+COUNTED_PREFILL_SPEEDUP = 65.0
+"""Prompt tokens that cost a batching engine as much as one token of an answer, where the caller
+counts both: reading them holds up all streams of a batch, a token takes part of one step."""
+
 MIN_WEIGHT = 0.05
 """Least weight of one observation in a running mean."""
 
@@ -31,10 +35,13 @@
         Whole work, in output tokens.
     prompt_tokens : int
         Length of the prompt.
+    output_tokens : int
+        Length of the answer.
     """
 
     cost_tokens: int
     prompt_tokens: int
+    output_tokens: int = 0
 
 
 SERVICE_COST = CostEstimate(cost_tokens=1, prompt_tokens=0)
@@ -96,7 +103,7 @@
         if max_tokens is not None:
             output_tokens = min(output_tokens, float(max_tokens))
         cost_tokens = prompt_tokens / PREFILL_SPEEDUP + output_tokens
-        return CostEstimate(max(1, round(cost_tokens)), prompt_tokens)
+        return CostEstimate(max(1, round(cost_tokens)), prompt_tokens, round(output_tokens))
 
     def observe(
         self,
@@ -143,9 +150,8 @@
         The caller's estimate of the answer's tokens.
     """
     output_tokens = min(max_tokens, expected_tokens or max_tokens)
-    return CostEstimate(
-        max(1, round(prompt_tokens / PREFILL_SPEEDUP + output_tokens)), prompt_tokens
-    )
+    cost_tokens = max(1, round(prompt_tokens / COUNTED_PREFILL_SPEEDUP + output_tokens))
+    return CostEstimate(cost_tokens, prompt_tokens, output_tokens)
 
 
 def _output_keys(route: str, organisation: str, prompt_bytes: int) -> tuple[_MeanKey, ...]:
--- a/tarragonwind/core/owner_settings.py
+++ b/tarragonwind/core/owner_settings.py
@@ -44,10 +44,10 @@
         Longest time to come back that is given.
     """
 
-    settle_s: float = 0.4
+    settle_s: float = 0.1
     pause_limit_s: float = 1.5
     host_grace_s: float = 5.0
-    beat_period_s: float = 0.3
+    beat_period_s: float = 0.2
     resend_after_s: float = 0.4
     query_after_s: float = 15.0
     max_waiting: int = 2_000
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -31,6 +31,9 @@
 CLIENT_MESSAGES = (PermitGrant, PermitRefusal, PermitBeat, PermitQuery)
 """Classes of the messages that go to clients."""
 
+NO_TARGET_MS = -1
+"""Stands for no time by which a first byte is on time."""
+
 LOCAL = ""
 """Stands for the local share where a host's name is expected."""
 
@@ -53,8 +56,8 @@
         Signs of life in a row with a wrong number of asks that lead to a full statement.
     """
 
-    owner_doubt_s: float = 0.5
-    owner_silence_s: float = 1.0
+    owner_doubt_s: float = 0.3
+    owner_silence_s: float = 0.6
     resend_period_s: float = 0.25
     sync_period_s: float = 10.0
     beats_to_resync: int = 2
@@ -416,6 +419,9 @@
         return PermitSync(state.pool, asks, permits)
 
     def _ask_message(self, now: float, ask_id: int, request: PermitRequest) -> PermitAsk:
+        target_ms = NO_TARGET_MS
+        if request.target is not None:
+            target_ms = max(0, int(1_000 * (request.target - now)))
         return PermitAsk(
             ask_id=ask_id,
             pool=request.pool,
@@ -427,6 +433,10 @@
             deadline_ms=max(0, int(1_000 * (request.deadline - now))),
             prefixes=request.prefixes,
             avoid=request.avoid,
+            target_ms=target_ms,
+            rank=request.rank,
+            output_tokens=request.output_tokens,
+            bounds_whole=request.bounds_whole,
         )
 
     def _send_to_owner(self, state: _PoolState, msg: Message) -> None:
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -53,6 +53,14 @@
         32-bit hashes of prompt prefixes, the shortest first.
     avoid : list of str
         Upstreams that have failed this request.
+    target_ms : int
+        Time left for a first byte on time, in milliseconds; -1 when none is named.
+    rank : int
+        Importance among the requests of its tier and organisation, 0 the highest.
+    output_tokens : int
+        Expected tokens of the answer.
+    bounds_whole : bool
+        Whether `deadline_ms` is for the whole answer.
     """
 
     ask_id: int
@@ -65,6 +73,10 @@
     deadline_ms: int
     prefixes: list[int] = field(default_factory=list)
     avoid: list[str] = field(default_factory=list)
+    target_ms: int = -1
+    rank: int = 0
+    output_tokens: int = 0
+    bounds_whole: bool = False
 
 
 @message(31)
@@ -211,6 +223,10 @@
         ask.deadline_ms,
         ask.prefixes,
         ask.avoid,
+        ask.target_ms,
+        ask.rank,
+        ask.output_tokens,
+        ask.bounds_whole,
     ]
 
 
--- a/tarragonwind/core/permit_requests.py
+++ b/tarragonwind/core/permit_requests.py
@@ -23,6 +23,14 @@
         32-bit hashes of prompt prefixes, the shortest first.
     avoid : list of str
         Upstreams that have failed this request.
+    target : float or None
+        Time by which a first byte is on time, in seconds on this host's clock.
+    rank : int
+        Importance among the requests of its tier and organisation, 0 the highest.
+    output_tokens : int
+        Expected tokens of the answer.
+    bounds_whole : bool
+        Whether `deadline` is for the whole answer.
     """
 
     pool: str
@@ -34,6 +42,10 @@
     deadline: float
     prefixes: list[int] = field(default_factory=list)
     avoid: list[str] = field(default_factory=list)
+    target: float | None = None
+    rank: int = 0
+    output_tokens: int = 0
+    bounds_whole: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonwind.core.drain_rates import DrainRate
-from tarragonwind.core.entries import TIER_COUNT, UpstreamEntry
+from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.host_registers import HostRegister
 from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
@@ -26,7 +26,7 @@
 )
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
-from tarragonwind.core.queues import TierQueue, WaitingAsk
+from tarragonwind.core.queues import LEVEL_COUNT, TierQueue, WaitingAsk
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -38,6 +38,9 @@
 """Draws of a version for one ask; each draw past the first raises the share of a small version
 that alone can serve."""
 
+URGENT_PART = 0.4
+"""Last part of a late ask's time in which it goes before lower tiers again."""
+
 SWEEP_PERIOD_S = 0.2
 """Time between two sweeps over waiting asks, in seconds."""
 
@@ -180,6 +183,7 @@
         self._note_call(now)
         self._free_lost_hosts(now)
         self._rate.observe(now, len(self._queue) > 0)
+        self._queue.review(now)
         if now - self._swept_at >= SWEEP_PERIOD_S:
             self._swept_at = now
             self._draw_for_stranded(now)
@@ -261,7 +265,11 @@
             version=self._version_for(now, msg.route),
             prefixes=tuple(msg.prefixes),
             avoid=frozenset(msg.avoid),
+            rank=msg.rank,
+            output_tokens=msg.output_tokens,
+            bounds_whole=msg.bounds_whole,
         )
+        self._set_times(now, ask, msg)
         if self._active and ask.version not in self._ledger.live_versions():
             self._refuse(ask, ErrorKind.NO_UPSTREAM)
             return
@@ -272,6 +280,15 @@
         if shed is not None:
             self._refuse(shed, ErrorKind.SHED)
 
+    def _set_times(self, now: float, ask: WaitingAsk, msg: PermitAsk) -> None:
+        """Set until when an ask can be on time, and from when it is urgent."""
+        if msg.target_ms < 0:
+            return
+        loads = self._ledger.loads_of(ask.version)
+        times_s = [load.first_byte_s(now, ask.prompt_tokens) for load in loads if load.takes_work()]
+        ask.on_time_until = now + msg.target_ms / 1_000 - min(times_s, default=0.0)
+        ask.urgent_from = ask.deadline - URGENT_PART * (ask.deadline - now)
+
     def _version_for(self, now: float, route: str) -> str:
         """Draw a version; draw again, a bounded number of times, when it can't serve now."""
         version = ""
@@ -305,7 +322,7 @@
         return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
     def _refuse_unmeetable(self, now: float) -> None:
-        waits_s = self._waits_by_tier_s()
+        waits_s = self._waits_by_level_s()
         live = self._ledger.live_versions()
         for ask in self._queue.lowest_first():
             kind = None
@@ -313,18 +330,18 @@
                 kind = ErrorKind.DEADLINE_PASSED
             elif self._active and ask.version not in live:
                 kind = ErrorKind.NO_UPSTREAM
-            elif waits_s[ask.tier] > _patience_s(now, ask):
+            elif waits_s[ask.level] > _patience_s(now, ask):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
             if kind is not None:
                 self._queue.remove(ask.key)
                 self._refuse(ask, kind)
 
-    def _waits_by_tier_s(self) -> list[float]:
-        """Return the time that the work of higher tiers takes, for each tier."""
+    def _waits_by_level_s(self) -> list[float]:
+        """Return the time that the work of the lines before each one takes."""
         waits_s = [0.0]
         if not self._active or not self._rate.measured:
-            return waits_s * TIER_COUNT
-        for work in self._queue.work_by_tier():
+            return waits_s * LEVEL_COUNT
+        for work in self._queue.work_by_level():
             waits_s.append(waits_s[-1] + work / self._rate.tokens_per_s)
         return waits_s
 
@@ -355,11 +372,18 @@
             open_versions = self._ledger.versions_with_room(now)
             if not open_versions:
                 return
-            ask = self._queue.pop(open_versions.__contains__)
+            ask = self._queue.pop(open_versions.__contains__, lambda one: self._fits(now, one))
             if ask is None:
                 return
             self._grant(now, ask)
 
+    def _fits(self, now: float, ask: WaitingAsk) -> bool:
+        """Tell whether an upstream with room suits an ask; it waits for a faster one if not."""
+        if not ask.bounds_whole or self._concentrates(self.pool, ask.version):
+            return True
+        suitable = self.placer.suitable(now, self._ledger.loads_of(ask.version), ask)
+        return any(one.load.has_room(now) for one in suitable)
+
     def _grant(self, now: float, ask: WaitingAsk) -> None:
         loads = self._ledger.loads_of(ask.version)
         if self._concentrates(self.pool, ask.version):
@@ -411,7 +435,9 @@
         elif msg.outcome == Outcome.CONNECT_FAILED:
             load.on_connect_failed(now, self._rng)
             self.hints.forget(permit.upstream)
-        elif msg.outcome in (Outcome.FAILED, Outcome.REFUSED, Outcome.TIMED_OUT):
+        elif msg.outcome == Outcome.REFUSED:
+            load.on_refused(now)
+        elif msg.outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
             load.on_failed(now, self._rng)
         if load.ejected:
             self._draw_for_stranded(now)
--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -10,6 +10,9 @@
 from tarragonwind.core.queues import WaitingAsk
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 
+FASTEST_FACTOR = 1.5
+"""How much longer than on the fastest upstream an answer may take that meets no deadline."""
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -77,6 +80,25 @@
             cached_share=cached,
         )
 
+    def meets_deadline(self, now: float, placement: Placement, ask: WaitingAsk) -> bool:
+        """Tell whether an ask's whole answer is expected by its deadline, if that bounds it."""
+        if not ask.bounds_whole:
+            return True
+        margin = self._settings.deadline_margin
+        tokens = ask.output_tokens * margin
+        return now + placement.first_byte_s + tokens * placement.token_s <= ask.deadline
+
+    def suitable(
+        self, now: float, loads: Iterable[UpstreamLoad], ask: WaitingAsk
+    ) -> list[Placement]:
+        """Return the placements that meet an ask's deadline, or the fastest when none does."""
+        placements = [self.expect(now, load, ask) for load in loads if load.takes_work()]
+        meeting = [one for one in placements if self.meets_deadline(now, one, ask)]
+        if meeting or not placements:
+            return meeting
+        best_s = min(one.expected_s for one in placements)
+        return [one for one in placements if one.expected_s <= FASTEST_FACTOR * best_s]
+
     def choose(
         self, now: float, rng: random.Random, loads: Iterable[UpstreamLoad], ask: WaitingAsk
     ) -> Placement | None:
@@ -89,6 +111,8 @@
         wanted = [load for load in loads if load.entry.name not in ask.avoid] or loads
         if not wanted:
             return None
+        suitable = {one.load.entry.name for one in self.suitable(now, wanted, ask)}
+        wanted = [load for load in wanted if load.entry.name in suitable] or wanted
         wanted = self._without_outliers(now, wanted)
         rng.shuffle(wanted)
         return self.choose_among(now, wanted, ask)
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -1,8 +1,15 @@
-"""Keep the one queue of a pool: strict between tiers, fair between organisations within one."""
+"""Keep the one queue of a pool: strict between tiers, fair between organisations within one.
+
+An ask that can no longer be served on time waits behind all that can, so that a backlog does not
+make every later request late. When its deadline comes near, it goes before lower tiers again: a
+higher tier is not shed before a lower one.
+"""
 
 from __future__ import annotations
 
 import heapq
+import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -12,6 +19,12 @@
 AskKey = tuple[str, int]
 """Host and ask id of a waiting ask."""
 
+GroupKey = tuple[int, str]
+"""Rank and version of asks that stand in one line."""
+
+MAX_PASSED = 4
+"""Asks of one line that are looked at for one that fits an upstream with room."""
+
 
 @dataclass(slots=True)
 class WaitingAsk:
@@ -39,6 +52,18 @@
         Upstreams that have failed this request.
     drawn_again : bool
         Whether its version was drawn anew because the first one could not serve.
+    rank : int
+        Importance among the asks of its tier and organisation, 0 the highest.
+    output_tokens : int
+        Expected tokens of the answer.
+    bounds_whole : bool
+        Whether the deadline is for the whole answer instead of its first byte.
+    on_time_until : float
+        Latest time of a grant that leads to an answer on time, in seconds.
+    urgent_from : float
+        Time from which it goes before lower tiers though it is late, in seconds.
+    level : int
+        Line of the queue that it waits in.
     """
 
     host: str
@@ -53,6 +78,12 @@
     prefixes: tuple[int, ...] = ()
     avoid: frozenset[str] = frozenset()
     drawn_again: bool = False
+    rank: int = 0
+    output_tokens: int = 0
+    bounds_whole: bool = False
+    on_time_until: float = math.inf
+    urgent_from: float = math.inf
+    level: int = 0
 
     @property
     def key(self) -> AskKey:
@@ -60,16 +91,34 @@
         return (self.host, self.ask_id)
 
 
+def any_fits(ask: WaitingAsk) -> bool:
+    """Let every ask go to any upstream."""
+    return True
+
+
+LEVEL_COUNT = 3 * TIER_COUNT
+"""Lines: of each tier the asks that can be on time and the urgent ones, then the late ones."""
+
+
+def level_at(now: float, ask: WaitingAsk) -> int:
+    """Return the line that an ask belongs to."""
+    if now <= ask.on_time_until:
+        return 2 * ask.tier
+    if now >= ask.urgent_from:
+        return 2 * ask.tier + 1
+    return 2 * TIER_COUNT + ask.tier
+
+
 @dataclass(slots=True)
 class _Line:
-    """Hold the asks of one organisation in one tier, apart by version."""
+    """Hold the asks of one organisation in one level, apart by rank and version."""
 
     organisation: str
     weight: float = 1.0
     virtual_time: float = 0.0
     work: int = 0
     queued: bool = False
-    by_version: dict[str, OrderedDict[AskKey, WaitingAsk]] = field(default_factory=dict)
+    groups: dict[GroupKey, OrderedDict[AskKey, WaitingAsk]] = field(default_factory=dict)
 
 
 class _TierLines:
@@ -91,20 +140,22 @@
             line = _Line(ask.organisation)
             self._lines[ask.organisation] = line
         line.weight = weight
-        line.by_version.setdefault(ask.version, OrderedDict())[ask.key] = ask
+        line.groups.setdefault((ask.rank, ask.version), OrderedDict())[ask.key] = ask
         line.work += ask.cost_tokens
         self.work += ask.cost_tokens
         self.asks[ask.key] = ask
         self._enqueue(line)
 
-    def pop(self, has_room: Callable[[str], bool]) -> WaitingAsk | None:
+    def pop(
+        self, has_room: Callable[[str], bool], fits: Callable[[WaitingAsk], bool]
+    ) -> WaitingAsk | None:
         passed_over: list[_Line] = []
         found: WaitingAsk | None = None
         while self._heap and found is None:
             _, _, line = heapq.heappop(self._heap)
             line.queued = False
-            found = self._take_from(line, has_room)
-            if line.by_version:
+            found = self._take_from(line, has_room, fits)
+            if line.groups:
                 passed_over.append(line)
         for line in passed_over:
             self._enqueue(line)
@@ -113,16 +164,17 @@
     def remove(self, ask: WaitingAsk) -> None:
         line = self._lines[ask.organisation]
         del self.asks[ask.key]
-        asks = line.by_version[ask.version]
+        group = (ask.rank, ask.version)
+        asks = line.groups[group]
         del asks[ask.key]
         line.work -= ask.cost_tokens
         self.work -= ask.cost_tokens
         if not asks:
-            del line.by_version[ask.version]
+            del line.groups[group]
 
     def newest_of_heaviest(self) -> WaitingAsk:
         heaviest = max(
-            (line for line in self._lines.values() if line.by_version),
+            (line for line in self._lines.values() if line.groups),
             key=lambda line: (line.work / line.weight, line.organisation),
         )
         for ask in reversed(self.asks.values()):
@@ -137,7 +189,7 @@
         weights = weight + sum(
             other.weight
             for other in self._lines.values()
-            if other.by_version and other.organisation != organisation
+            if other.groups and other.organisation != organisation
         )
         return min(float(self.work), own * weights / weight)
 
@@ -145,14 +197,21 @@
         line = self._lines.get(organisation)
         return line.work / line.weight if line is not None else 0.0
 
-    def _take_from(self, line: _Line, has_room: Callable[[str], bool]) -> WaitingAsk | None:
-        for version, asks in line.by_version.items():
-            if has_room(version):
-                ask = next(iter(asks.values()))
-                self.remove(ask)
-                self._virtual_time = max(self._virtual_time, line.virtual_time)
-                line.virtual_time += max(1, ask.cost_tokens) / line.weight
-                return ask
+    def _take_from(
+        self,
+        line: _Line,
+        has_room: Callable[[str], bool],
+        fits: Callable[[WaitingAsk], bool],
+    ) -> WaitingAsk | None:
+        for group in sorted(line.groups):
+            if not has_room(group[1]):
+                continue
+            for ask in itertools.islice(line.groups[group].values(), MAX_PASSED):
+                if fits(ask):
+                    self.remove(ask)
+                    self._virtual_time = max(self._virtual_time, line.virtual_time)
+                    line.virtual_time += max(1, ask.cost_tokens) / line.weight
+                    return ask
         return None
 
     def _enqueue(self, line: _Line) -> None:
@@ -168,7 +227,7 @@
         idle = [
             name
             for name, line in self._lines.items()
-            if not line.by_version and line.virtual_time <= self._virtual_time
+            if not line.groups and line.virtual_time <= self._virtual_time
         ]
         for name in idle:
             line = self._lines.pop(name)
@@ -188,12 +247,12 @@
         Gives an organisation's weight.
     """
 
-    __slots__ = ("_asks", "_max_waiting", "_tiers", "_weight_of")
+    __slots__ = ("_asks", "_levels", "_max_waiting", "_weight_of")
 
     def __init__(self, max_waiting: int, weight_of: Callable[[str], float]) -> None:
         self._max_waiting = max_waiting
         self._weight_of = weight_of
-        self._tiers = [_TierLines() for _ in range(TIER_COUNT)]
+        self._levels = [_TierLines() for _ in range(LEVEL_COUNT)]
         self._asks: dict[AskKey, WaitingAsk] = {}
 
     def __len__(self) -> int:
@@ -221,56 +280,89 @@
                 return ask
             self.remove(shed.key)
         self._asks[ask.key] = ask
-        self._tiers[ask.tier].push(ask, self._weight_of(ask.organisation))
+        self._place(ask, 2 * ask.tier)
         return shed
 
-    def pop(self, has_room: Callable[[str], bool]) -> WaitingAsk | None:
-        """Remove and return the next ask whose version has room, or None."""
-        for tier in self._tiers:
-            if not tier.asks:
+    def pop(
+        self,
+        has_room: Callable[[str], bool],
+        fits: Callable[[WaitingAsk], bool] = any_fits,
+    ) -> WaitingAsk | None:
+        """Remove and return the next ask whose version has room and that fits, or None."""
+        for lines in self._levels:
+            if not lines.asks:
                 continue
-            ask = tier.pop(has_room)
+            ask = lines.pop(has_room, fits)
             if ask is not None:
                 del self._asks[ask.key]
                 return ask
         return None
 
+    def review(self, now: float) -> None:
+        """Move each ask to the line that it belongs to by now."""
+        for ask in self._asks.values():
+            level = level_at(now, ask)
+            if level != ask.level:
+                self._levels[ask.level].remove(ask)
+                self._place(ask, level)
+
+    def _place(self, ask: WaitingAsk, level: int) -> None:
+        ask.level = level
+        self._levels[level].push(ask, self._weight_of(ask.organisation))
+
     def remove(self, key: AskKey) -> WaitingAsk | None:
         """Remove an ask by key and return it, or None when it isn't waiting."""
         ask = self._asks.pop(key, None)
         if ask is not None:
-            self._tiers[ask.tier].remove(ask)
+            self._levels[ask.level].remove(ask)
         return ask
 
     def work_before(self, tier: int, organisation: str) -> float:
-        """Return the estimated work in tokens served before a new ask."""
-        higher = sum(lines.work for lines in self._tiers[:tier])
+        """Return the estimated work in tokens served before a new ask that can be on time."""
+        level = 2 * tier
+        higher = sum(lines.work for lines in self._levels[:level])
         weight = self._weight_of(organisation)
-        return higher + self._tiers[tier].work_before(organisation, weight)
+        return higher + self._levels[level].work_before(organisation, weight)
 
     def waiting_by_tier(self) -> list[int]:
         """Return the number of waiting asks of each tier."""
-        return [len(lines.asks) for lines in self._tiers]
+        counts = [0] * TIER_COUNT
+        for ask in self._asks.values():
+            counts[ask.tier] += 1
+        return counts
 
     def work_by_tier(self) -> list[int]:
         """Return the estimated work in tokens that waits in each tier."""
-        return [lines.work for lines in self._tiers]
+        work = [0] * TIER_COUNT
+        for ask in self._asks.values():
+            work[ask.tier] += ask.cost_tokens
+        return work
+
+    def work_by_level(self) -> list[int]:
+        """Return the estimated work in tokens that waits in each line."""
+        return [lines.work for lines in self._levels]
 
     def lowest_first(self) -> Iterator[WaitingAsk]:
         """Iterate over waiting asks, the lowest tier first and the newest first within it."""
-        for lines in reversed(self._tiers):
-            yield from list(reversed(lines.asks.values()))
+        for tier in reversed(range(TIER_COUNT)):
+            for level in (2 * TIER_COUNT + tier, 2 * tier + 1, 2 * tier):
+                yield from list(reversed(self._levels[level].asks.values()))
 
     def forget_idle(self) -> None:
         """Drop state of organisations that have nothing waiting."""
-        for lines in self._tiers:
+        for lines in self._levels:
             lines.forget_idle()
 
     def _choose_shed(self, ask: WaitingAsk) -> WaitingAsk:
-        lowest = max(tier for tier, lines in enumerate(self._tiers) if lines.asks)
+        lowest = max(waiting.tier for waiting in self._asks.values())
         if lowest < ask.tier:
             return ask
-        lines = self._tiers[lowest]
+        late = self._levels[2 * TIER_COUNT + lowest]
+        if late.asks:
+            return late.newest_of_heaviest()
+        lines = self._levels[2 * lowest] if self._levels[2 * lowest].asks else None
+        if lines is None:
+            return self._levels[2 * lowest + 1].newest_of_heaviest()
         candidate = lines.newest_of_heaviest()
         if lowest > ask.tier:
             return candidate
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -35,6 +35,12 @@
         Hashes of growing prefixes of the prompt, the shortest first.
     avoid : list of str
         Upstreams that could not be reached for this request.
+    target : float or None
+        Time by which a first byte is on time, on the monotonic clock.
+    rank : int
+        Importance among the requests of its tier and organisation, 0 the highest.
+    bounds_whole : bool
+        Whether `deadline` is for the whole answer.
     """
 
     pool: str
@@ -43,11 +49,14 @@
     tier: int
     deadline: float
     prompt_bytes: int = 0
-    prompt_tokens: int | None = None
     max_tokens: int | None = None
-    expected_tokens: int | None = None
     prefixes: list[int] = field(default_factory=list)
     avoid: list[str] = field(default_factory=list)
+    target: float | None = None
+    rank: int = 0
+    bounds_whole: bool = False
+    prompt_tokens: int | None = None
+    expected_tokens: int | None = None
 
 
 @dataclass(slots=True)
@@ -60,14 +69,14 @@
         How it ended.
     first_byte_s, duration_s : float
         Times since the dispatch, 0 when not seen.
-    output_tokens : int
-        Tokens seen in the answer.
+    event_count : int
+        Events of a stream seen in the answer.
     """
 
     outcome: Outcome
     first_byte_s: float = 0.0
     duration_s: float = 0.0
-    output_tokens: int = 0
+    event_count: int = 0
 
 
 class Scheduler(ABC):
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -38,6 +38,12 @@
         Failed answers in a row that eject an upstream.
     prefill_speedup : float
         Prompt tokens read in the time of generating one.
+    first_byte_steps : float
+        Tokens' time that an answer takes to begin, beside the reading of its prompt.
+    batch_slowdown : float
+        Part of a token's time at full batch that comes from the other requests of the batch.
+    deadline_margin : float
+        Factor on the expected length of an answer that has to be whole by a deadline.
     """
 
     work_ahead_s: float = 30.0
@@ -50,6 +56,9 @@
     retry_max_s: float = 15.0
     failures_to_eject: int = 5
     prefill_speedup: float = 10.0
+    first_byte_steps: float = 1.0
+    batch_slowdown: float = 0.5
+    deadline_margin: float = 2.0
 
 
 class UpstreamLoad:
@@ -147,6 +156,11 @@
         """Note that a connection was refused: no work until a probe later on."""
         self._eject(now, rng)
 
+    def on_refused(self, now: float) -> None:
+        """Note that the upstream had no room: what others have there is taken for its slots."""
+        self._report_extra = max(self._report_extra, float(self.entry.slots - self.in_flight))
+        self._report_at = now
+
     def on_failed(self, now: float, rng: random.Random) -> None:
         """Note a failed answer; several in a row eject the upstream."""
         self._failures += 1
@@ -183,13 +197,14 @@
 
     def first_byte_s(self, now: float, prompt_tokens: float) -> float:
         """Return the expected time to the first byte of one more request, in seconds."""
-        steps = 1.0 + prompt_tokens / self._settings.prefill_speedup
+        steps = self._settings.first_byte_steps + prompt_tokens / self._settings.prefill_speedup
         return steps * self._nominal_step_s(now) * self._first_byte_times.ratio(now)
 
     def least_first_byte_s(self, now: float, prompt_tokens: float) -> float:
         """Return the time to the first byte that a request takes at least, in seconds."""
-        steps = 1.0 + prompt_tokens / self._settings.prefill_speedup
-        least_step_s = 0.5 * self.entry.slots / self.entry.tokens_per_s
+        steps = self._settings.first_byte_steps + prompt_tokens / self._settings.prefill_speedup
+        alone = 1.0 - self._settings.batch_slowdown
+        least_step_s = alone * self.entry.slots / self.entry.tokens_per_s
         return steps * least_step_s * min(1.0, self._first_byte_times.ratio(now))
 
     def token_s(self, now: float) -> float:
@@ -201,7 +216,8 @@
         own = self.in_flight / self.share
         running = min(slots, own + 1 + self._foreign_in_flight(now))
         full_step_s = slots / self.entry.tokens_per_s
-        return full_step_s * (0.5 + 0.5 * running / slots)
+        shared = self._settings.batch_slowdown
+        return full_step_s * (1.0 - shared + shared * running / slots)
 
     def _in_flight_at(self, then: float) -> int:
         in_flight = self.in_flight
--- a/tarragonwind/platform/configurations.py
+++ b/tarragonwind/platform/configurations.py
@@ -70,12 +70,16 @@
 
 def decode_pool(doc: dict[str, Any]) -> PoolEntry:
     """Return a pool; only services of model engines describe an engine."""
-    engine = isinstance(doc.get("engine"), dict)
+    engine = doc.get("engine")
+    name = read_field(doc, "name", str)
+    if not isinstance(engine, dict):
+        return PoolEntry(name=name, owner=OWNER, back_end=BackEndKind.SERVICE, version="any")
     return PoolEntry(
-        name=read_field(doc, "name", str),
+        name=name,
         owner=OWNER,
-        back_end=BackEndKind.ENGINE if engine else BackEndKind.SERVICE,
+        back_end=BackEndKind.ENGINE,
         version="any",
+        tokens_per_event=max(1, int(read_number(engine, "stride", 1))),
     )
 
 
--- a/tarragonwind/platform/upstreams.py
+++ b/tarragonwind/platform/upstreams.py
@@ -11,6 +11,8 @@
 UPSTREAM_PREFIX = "servers/"
 """Prefix of the keys under which upstreams register, each under its id."""
 OWNER = "platform"
+NOMINAL_TOKENS_PER_S = 1_500.0
+"""Tokens a second with all slots busy until a speed is measured: entries don't name it."""
 STATES = {"ready": UpstreamState.LIVE, "draining": UpstreamState.LEAVING}
 
 
@@ -37,6 +39,7 @@
             port=address.port,
             data_centre=read_field(doc, "zone", str),
             slots=int(read_number(doc, "slots")),
+            tokens_per_s=NOMINAL_TOKENS_PER_S,
             refusal_not_run=True,
             state=state,
             # The wire's name says birth; it is the time of the upstream's start.
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -23,6 +23,7 @@
 from tarragonwind.configuration_followers import ConfigurationFollower
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
+from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.core.versions import SteadyVersions
 from tarragonwind.daemon_settings import http_limits, peer_settings, store_settings
 from tarragonwind.logs import configure_logs
@@ -50,6 +51,15 @@
 FAREWELL_S = 0.2
 """Time that last messages to other hosts have to go out, in seconds."""
 
+ENGINE_MODEL = LoadSettings(
+    prefill_speedup=400.0,
+    first_byte_steps=9.0,
+    batch_slowdown=0.15,
+    slowness_half_life_s=120.0,
+)
+"""Engines read a prompt far faster than they generate and slow down little with their batch; how
+fast each one is stays known over a quiet time."""
+
 
 class PlatformDaemon:
     """Run one host on the platform.
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -26,6 +26,7 @@
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.core.versions import Versions
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
@@ -71,6 +72,8 @@
         Source of randomness.
     versions : Versions
         Which versions serve.
+    load_settings : LoadSettings, optional
+        How upstreams are loaded and judged.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         timers: Timers,
         rng: random.Random,
         versions: Versions,
+        load_settings: LoadSettings | None = None,
     ) -> None:
         self._members = members
         self._timers = timers
@@ -95,6 +99,7 @@
             rng,
             versions.choose_version,
             self._weight_of,
+            load_settings=load_settings or LoadSettings(),
             concentrates=versions.concentrates,
         )
         self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
@@ -138,6 +143,10 @@
             deadline=work.deadline,
             prefixes=work.prefixes,
             avoid=work.avoid,
+            target=work.target,
+            rank=work.rank,
+            output_tokens=cost.output_tokens,
+            bounds_whole=work.bounds_whole,
         )
 
         def granted(permit: Permit) -> None:
@@ -191,13 +200,15 @@
 
     def finished(self, permit: Permit, report: DispatchReport) -> None:
         """Give the permit back and learn from the dispatch."""
+        pool = self._catalogue.pool(permit.pool)
+        tokens = report.event_count * (pool.tokens_per_event if pool is not None else 1)
         self.client.done(
             self._timers.now(),
             permit.ask_id,
             report.outcome,
             round(report.first_byte_s * 1000),
             round(report.duration_s * 1000),
-            report.output_tokens,
+            tokens,
         )
         known = self._dispatched.pop(permit.ask_id, None)
         if known is None:
@@ -207,16 +218,16 @@
         if report.outcome is not Outcome.UNUSED:
             self._held[permit.upstream] = max(0, self._held.get(permit.upstream, 0) - 1)
         # The tokens of an answer that isn't streamed are not counted.
-        if report.outcome is Outcome.OK and report.output_tokens:
+        if report.outcome is Outcome.OK and tokens:
             self._estimator.observe(
                 known.work.route,
                 known.work.organisation,
                 known.work.prompt_bytes,
-                report.output_tokens,
+                tokens,
             )
         if known.trial is not None:
             outcome = trial_outcome(report.outcome)
-            self._versions.finish(known.trial, outcome, report.output_tokens)
+            self._versions.finish(known.trial, outcome, tokens)
 
     def resume(self) -> None:
         """Start anew with owners and clients after a pause of this process."""
