--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -450,10 +450,12 @@
         refusal = self._parts.dialect.refuse(exc, not_run)
         self._exchange.answer(refusal.status, refusal.headers, refusal.body)
         logger.info(
-            "event=refused request={} kind={} not_run={}",
+            "event=refused request={} kind={} not_run={} retry_after_s={:.3f} why={!r}",
             self.name,
             exc.kind.value,
             not_run.value,
+            exc.retry_after_s,
+            exc.message,
         )
 
     def _measure(self) -> None:
--- a/tarragonwind/allotments.py
+++ b/tarragonwind/allotments.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from tarragonwind.core.allotments import AllotmentLedger, UsageReport, UsageTotals
+from tarragonwind.core.allotments import (
+    AllotmentLedger,
+    AllotmentSettings,
+    UsageReport,
+    UsageTotals,
+)
 from tarragonwind.core.entries import OrganisationEntry
 from tarragonwind.ports import Members, Peers, Timers
 
@@ -21,15 +26,17 @@
         Messages between hosts.
     timers : Timers
         Clock and timer subscriptions.
-    window_s : float
-        Time over which tokens are counted, in seconds.
+    settings : AllotmentSettings
+        How tokens are counted.
     """
 
-    def __init__(self, members: Members, peers: Peers, timers: Timers, window_s: float) -> None:
+    def __init__(
+        self, members: Members, peers: Peers, timers: Timers, settings: AllotmentSettings
+    ) -> None:
         self._members = members
         self._peers = peers
         self._timers = timers
-        self.ledger = AllotmentLedger(members.name, window_s, timers.now(), members.owner_of)
+        self.ledger = AllotmentLedger(members.name, settings, timers.now(), members.owner_of)
         members.subscribe(self._on_members)
         peers.subscribe(UsageReport, self._on_report)
         peers.subscribe(UsageTotals, self._on_totals)
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -26,10 +26,32 @@
 """Time for which a lost host still counts as a part of the fleet, in seconds."""
 START_BURST = 0.5
 """Part of the burst that is admitted at once while nothing is known of before the start."""
+TOLERANCE_PART = 0.4
+"""Part of the tolerance that is admitted, so that nobody below its limit is refused for a late
+count; the rest is for what other hosts admit until they hear of it."""
 MIN_RETRY_AFTER_S = 0.2
 """Shortest time to come back that is given, in seconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class AllotmentSettings:
+    """Set how allotments are counted.
+
+    Attributes
+    ----------
+    window_s : float
+        Time over which tokens are counted, in seconds.
+    overage : float
+        Part beyond an allotment that is tolerated.
+    slack_tokens : float
+        Tokens in each window that are tolerated beyond that.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    slack_tokens: float = 0.0
+
+
 @message(70)
 @dataclass(slots=True)
 class UsageReport(Message):
@@ -104,8 +126,8 @@
     ----------
     name : str
         Name of this host.
-    window_s : float
-        Time over which tokens are counted, in seconds.
+    settings : AllotmentSettings
+        How tokens are counted.
     now : float
         Time of the start, in seconds.
     owner_of : callable
@@ -120,16 +142,22 @@
         "_others",
         "_owner_of",
         "_reports",
+        "_settings",
         "_started_at",
         "_window_s",
         "_windows",
     )
 
     def __init__(
-        self, name: str, window_s: float, now: float, owner_of: Callable[[str], str]
+        self,
+        name: str,
+        settings: AllotmentSettings,
+        now: float,
+        owner_of: Callable[[str], str],
     ) -> None:
         self._name = name
-        self._window_s = window_s
+        self._settings = settings
+        self._window_s = settings.window_s
         self._started_at = now
         self._owner_of = owner_of
         self._windows: dict[str, UsageWindow] = {}
@@ -165,7 +193,8 @@
             wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
             raise RequestError(
                 ErrorKind.OVER_ALLOTMENT,
-                f"organisation {organisation.name} has used its allotment",
+                f"the request's {tokens} tokens exceed the allotment: own {window.total}, "
+                f"others {self._heard(now, organisation.name)}, limit {limit:.0f}",
                 wait_s,
             )
         window.add(now, tokens)
@@ -228,11 +257,13 @@
             burst *= START_BURST
         known = sum(1 for at in self._known_at.values() if now - at <= KNOWN_S)
         known = max(known, len(self._live))
-        return (organisation.tokens_per_s * seen_s + burst) * len(self._live) / known
+        whole = organisation.tokens_per_s * seen_s + burst
+        whole += TOLERANCE_PART * (whole * self._settings.overage + self._settings.slack_tokens)
+        return whole * len(self._live) / known
 
     def _sum_reports(self, now: float, name: str, without: str) -> int:
         counts = self._reports.get(name, {})
-        for host in [host for host, heard in counts.items() if now - heard.at > self._window_s]:
+        for host in [host for host, heard in counts.items() if now - heard.at > STALE_S]:
             del counts[host]
         return sum(heard.tokens for host, heard in counts.items() if host != without)
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -26,7 +26,7 @@
 )
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
-from tarragonwind.core.queues import LEVEL_COUNT, TierQueue, WaitingAsk
+from tarragonwind.core.queues import FIRST_LATE_LEVEL, LEVEL_COUNT, TierQueue, WaitingAsk
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -109,6 +109,7 @@
         self.placer = Placer(self._load_settings, self.hints, distance_s)
         self._queue = TierQueue(self._settings.max_waiting, weight_of)
         self._rate = DrainRate()
+        self._late_rate = DrainRate()
         self._ledger = PermitLedger(self._load_settings)
         self._hosts = HostRegister()
         self._active = False
@@ -183,6 +184,7 @@
         self._note_call(now)
         self._free_lost_hosts(now)
         self._rate.observe(now, len(self._queue) > 0)
+        self._late_rate.observe(now, self._queue.has_late())
         self._queue.review(now)
         if now - self._swept_at >= SWEEP_PERIOD_S:
             self._swept_at = now
@@ -321,8 +323,22 @@
         work = self._queue.work_before(ask.tier, ask.organisation)
         return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
+    def _least_times(self, now: float) -> Callable[[WaitingAsk], float]:
+        """Return what gives an ask's shortest time to its first byte or its whole answer."""
+        loads = [load for load in self._ledger.loads.values() if load.takes_work()]
+        fastest = min(loads, key=lambda load: load.token_s(now), default=None)
+
+        def least_s(ask: WaitingAsk) -> float:
+            if fastest is None:
+                return 0.0
+            answer_s = ask.output_tokens * fastest.token_s(now) if ask.bounds_whole else 0.0
+            return fastest.least_first_byte_s(now, ask.prompt_tokens) + answer_s
+
+        return least_s
+
     def _refuse_unmeetable(self, now: float) -> None:
         waits_s = self._waits_by_level_s()
+        least_s = self._least_times(now)
         live = self._ledger.live_versions()
         for ask in self._queue.lowest_first():
             kind = None
@@ -330,7 +346,9 @@
                 kind = ErrorKind.DEADLINE_PASSED
             elif self._active and ask.version not in live:
                 kind = ErrorKind.NO_UPSTREAM
-            elif waits_s[ask.level] > _patience_s(now, ask):
+            elif ask.bounds_whole and now + least_s(ask) > ask.deadline:
+                kind = ErrorKind.DEADLINE_UNMEETABLE
+            if kind is None and waits_s[ask.level] > _patience_s(now, ask):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
             if kind is not None:
                 self._queue.remove(ask.key)
@@ -341,8 +359,10 @@
         waits_s = [0.0]
         if not self._active or not self._rate.measured:
             return waits_s * LEVEL_COUNT
-        for work in self._queue.work_by_level():
-            waits_s.append(waits_s[-1] + work / self._rate.tokens_per_s)
+        for level, work in enumerate(self._queue.work_by_level()):
+            late = level >= FIRST_LATE_LEVEL and self._late_rate.measured
+            rate = self._late_rate if late else self._rate
+            waits_s.append(waits_s[-1] + work / rate.tokens_per_s)
         return waits_s
 
     def _refuse(self, ask: WaitingAsk, kind: ErrorKind) -> None:
@@ -409,6 +429,8 @@
         )
         self._ledger.add(now, permit)
         self._rate.add(permit.cost_tokens)
+        if ask.level >= FIRST_LATE_LEVEL:
+            self._late_rate.add(permit.cost_tokens)
         if ask.prefixes:
             self.hints.add(load.entry.name, ask.prefixes)
         self._send(ask.host, PermitGrant(self.pool, ask.ask_id, permit.upstream, permit.version))
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -96,6 +96,8 @@
     return True
 
 
+FIRST_LATE_LEVEL = 2 * TIER_COUNT
+"""First of the lines of late asks."""
 LEVEL_COUNT = 3 * TIER_COUNT
 """Lines: of each tier the asks that can be on time and the urgent ones, then the late ones."""
 
@@ -106,7 +108,7 @@
         return 2 * ask.tier
     if now >= ask.urgent_from:
         return 2 * ask.tier + 1
-    return 2 * TIER_COUNT + ask.tier
+    return FIRST_LATE_LEVEL + ask.tier
 
 
 @dataclass(slots=True)
@@ -298,6 +300,10 @@
                 return ask
         return None
 
+    def has_late(self) -> bool:
+        """Tell whether an ask waits that can no longer be on time."""
+        return any(lines.asks for lines in self._levels[FIRST_LATE_LEVEL:])
+
     def review(self, now: float) -> None:
         """Move each ask to the line that it belongs to by now."""
         for ask in self._asks.values():
@@ -345,7 +351,7 @@
     def lowest_first(self) -> Iterator[WaitingAsk]:
         """Iterate over waiting asks, the lowest tier first and the newest first within it."""
         for tier in reversed(range(TIER_COUNT)):
-            for level in (2 * TIER_COUNT + tier, 2 * tier + 1, 2 * tier):
+            for level in (FIRST_LATE_LEVEL + tier, 2 * tier + 1, 2 * tier):
                 yield from list(reversed(self._levels[level].asks.values()))
 
     def forget_idle(self) -> None:
@@ -357,7 +363,7 @@
         lowest = max(waiting.tier for waiting in self._asks.values())
         if lowest < ask.tier:
             return ask
-        late = self._levels[2 * TIER_COUNT + lowest]
+        late = self._levels[FIRST_LATE_LEVEL + lowest]
         if late.asks:
             return late.newest_of_heaviest()
         lines = self._levels[2 * lowest] if self._levels[2 * lowest].asks else None
--- a/tarragonwind/platform/callers.py
+++ b/tarragonwind/platform/callers.py
@@ -33,6 +33,8 @@
 NOT_RUN = b"not-executed"
 AUTHORIZATION = b"authorization"
 MISDIRECTED_STATUS = 421
+PROMISING_STATUSES = frozenset([408, 421, 429, 503])
+"""Statuses by which callers take a request for never run."""
 
 SYSTEM_FIELDS = frozenset(
     [
@@ -107,7 +109,7 @@
         if rule.retry and not_run is NotRun.TRUE:
             headers.append((b"Retry-After", b"%.3f" % max(0.001, exc.retry_after_s)))
         status = rule.status
-        if not_run is not NotRun.TRUE and rule.not_run is NotRun.TRUE:
+        if not_run is not NotRun.TRUE and status in PROMISING_STATUSES:
             status = ERROR_ANSWERS[ErrorKind.UPSTREAM_OUTCOME_UNKNOWN].status
         return Refusal(status, headers, f"{exc.kind.value}: {exc.message}\n".encode())
 
--- a/tarragonwind/platform/settings.py
+++ b/tarragonwind/platform/settings.py
@@ -100,7 +100,11 @@
             window_s=read_number(bounds, "budgetWindowS"),
             allowance=read_number(bounds, "budgetSlack"),
         ),
-        allotments=AllotmentSettings(window_s=read_number(bounds, "quotaWindowS")),
+        allotments=AllotmentSettings(
+            window_s=read_number(bounds, "quotaWindowS"),
+            overage=read_number(bounds, "quotaOverage"),
+            slack_tokens=read_number(bounds, "quotaSlack"),
+        ),
         log=LogSettings(),
     )
     return settings
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -21,6 +21,7 @@
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.allotments import AllotmentRunner
 from tarragonwind.configuration_followers import ConfigurationFollower
+from tarragonwind.core.allotments import AllotmentSettings
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
 from tarragonwind.core.upstream_loads import LoadSettings
@@ -102,7 +103,12 @@
         ]
         self.scheduler = PermitScheduler(self.membership, self.peers, timers, rng, SteadyVersions())
         self.allotments = AllotmentRunner(
-            self.membership, self.peers, timers, cfg.allotments.window_s
+            self.membership,
+            self.peers,
+            timers,
+            AllotmentSettings(
+                cfg.allotments.window_s, cfg.allotments.overage, cfg.allotments.slack_tokens
+            ),
         )
         operator, register = self.mirrors
         self.configuration = ConfigurationFollower(
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -233,9 +233,15 @@
     ----------
     window_s : float
         Time over which they are counted, in seconds.
+    overage : float
+        Part beyond an allotment that is tolerated.
+    slack_tokens : float
+        Tokens in each window that are tolerated beyond that.
     """
 
     window_s: LongS = 8.0
+    overage: Fraction = 0.0
+    slack_tokens: Annotated[float, Field(ge=0, le=1_000_000_000)] = 0.0
 
 
 @dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
