Serve metrics as text and bound the log on standard output

Cause: on-call engineers have only logs and metrics; the log went to standard error, could block and had no bound, and metrics went only to a collector. Lines of requests that ended well are dropped first. Ruled out: a page of our own, as the SDK's Prometheus reader does it for 41 ms of start; the OTLP exporters, 49 ms of it, are now imported only where a collector is named. Also: the product's own daemon keeps to allotments and the retry budget, too.

--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -43,6 +43,20 @@
 SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
 
 
+CALLER_FAULTS = frozenset(
+    [
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.UNAUTHORIZED,
+        ErrorKind.UNKNOWN_ROUTE,
+        ErrorKind.METHOD_REFUSED,
+        ErrorKind.OVER_ALLOTMENT,
+        ErrorKind.OVER_LIMIT,
+    ]
+)
+"""Kinds that are no failure of this side."""
+WELL_ENDED = frozenset([Outcome.ANSWERED, Outcome.CALLER_LEFT])
+
+
 class Allotments(Protocol):
     """Admit what organisations ask within their allotments over all hosts."""
 
@@ -56,6 +70,8 @@
 class GatewayCatalogue(CatalogueView, Protocol):
     """Answer what the gateway asks of the catalogue in force."""
 
+    number: int
+
     def entry(self, key: str) -> object:
         """Return the entry of a key, ``kind/name``, or None."""
 
@@ -148,6 +164,7 @@
         self._sent = False
         self._answered = False
         self._first_byte_seen = False
+        self._first_byte_at = 0.0
         self._well_answered = False
         self._started_at = parts.loop.timers.now()
         self._waited_s = 0.0
@@ -157,6 +174,9 @@
         self._cursor: StreamCursor | None = None
         self._held: HeldAnswer | None = None
         self._counted = False
+        self._permit: Permit | None = None
+        self._catalogue_number = 0
+        self._status = 0
         self._trace = parts.telemetry.start_request(exchange.request.headers)
         self._refusal = ""
         exchange.events = self
@@ -186,6 +206,7 @@
         catalogue = self._parts.catalogue()
         if catalogue is None:
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
+        self._catalogue_number = catalogue.number
         cls = self._parts.dialect.classify(self._exchange.request, catalogue)
         self._class = cls
         self._trace.begin(Hop.WAIT)
@@ -325,6 +346,7 @@
         self._ask_id = self._parts.scheduler.ask(work, wait.set_result, wait.set_exception)
         permit = await self._wait_counted(wait)
         self._wait = None
+        self._permit = permit
         self._trace.end(Hop.OWNER)
         self._trace.end(Hop.WAIT)
         self._waited_s = self._parts.loop.timers.now() - self._started_at
@@ -362,6 +384,7 @@
         self._held = relay.held
         self._sent = self._sent or relay.sent
         self._answered = end is DispatchEnd.WHOLE
+        self._status = relay.status
         self._well_answered = relay.status < FIRST_FAILURE_STATUS
         scheduler.finished(permit, describe_dispatch(end, relay))
         return end, relay.reason
@@ -412,6 +435,7 @@
     def _note_first_byte(self, permit: Permit) -> None:
         self._parts.scheduler.first_byte(permit)
         self._first_byte_seen = True
+        self._first_byte_at = self._first_byte_at or self._parts.loop.timers.now()
         self._trace.end(Hop.FIRST_TOKEN)
         self._trace.begin(Hop.STREAM)
 
@@ -449,7 +473,9 @@
             return
         refusal = self._parts.dialect.refuse(exc, not_run)
         self._exchange.answer(refusal.status, refusal.headers, refusal.body)
-        logger.info(
+        level = "INFO" if exc.kind in CALLER_FAULTS else "WARNING"
+        logger.log(
+            level,
             "event=refused request={} kind={} not_run={} retry_after_s={:.3f} why={!r}",
             self.name,
             exc.kind.value,
@@ -466,6 +492,10 @@
         if cls is None:
             return
         telemetry.requests.add(1, cls.tier, outcome, self._refusal)
+        took_s = self._parts.loop.timers.now() - self._started_at
+        telemetry.duration.record(took_s, cls.tier)
+        if self._first_byte_at:
+            telemetry.first_byte.record(self._first_byte_at - self._started_at, cls.tier)
         if self._waited_s:
             telemetry.wait.record(self._waited_s, cls.tier)
         if self._answered and self._well_answered:
@@ -476,15 +506,25 @@
     def _log(self) -> None:
         cls = self._class
         outcome = self._life.outcome
-        logger.info(
-            "event=request_ended request={} trace={} outcome={} organisation={} route={} tier={} "
+        permit = self._permit
+        logger.log(
+            "INFO" if outcome in WELL_ENDED else "WARNING",
+            "event=request_ended request={} trace={} outcome={} kind={} organisation={} route={} "
+            "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} "
             "waited_ms={:.1f} took_ms={:.1f}",
             self.name,
             self._trace.trace_id,
             outcome.value if outcome is not None else "none",
+            self._refusal or "-",
             cls.organisation.name if cls else "-",
             cls.route.name if cls else "-",
             cls.tier if cls else "-",
+            self._catalogue_number,
+            permit.upstream if permit else "-",
+            (permit.granted_by or "local") if permit else "-",
+            self._attempts.sent,
+            self._attempts.unsent,
+            self._status,
             self._waited_s * 1000,
             (self._parts.loop.timers.now() - self._started_at) * 1000,
         )
--- a/tarragonwind/adapters/status_pages.py
+++ b/tarragonwind/adapters/status_pages.py
@@ -10,8 +10,11 @@
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.errors import RequestError
 from tarragonwind.ports import Address
+from tarragonwind.settings import StatusSettings
 
 LIMITS = HttpLimits(max_head_bytes=8_192, max_body_bytes=1_024, max_connections=64)
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
 TEXT = [(b"Content-Type", b"text/plain; charset=utf-8")]
 
 
@@ -52,3 +55,36 @@
 
     def _on_fault(self, exchange: CallerExchange, fault: RequestError) -> None:
         exchange.answer(400, TEXT, f"{fault.message}\n".encode())
+
+
+def create_status_pages(
+    loop: Loop, cfg: StatusSettings, ready: Callable[[], bool], metrics: Callable[[], bytes]
+) -> list[StatusPages]:
+    """Return the pages that the settings ask for.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that polls the sockets.
+    cfg : StatusSettings
+        Where the pages are served.
+    ready : callable
+        Tells whether the host takes new callers.
+    metrics : callable
+        Renders the metrics.
+    """
+
+    def ready_page() -> Page:
+        return Page(200, b"ready\n") if ready() else Page(503, b"not ready\n")
+
+    def metrics_page() -> Page:
+        return Page(200, metrics())
+
+    pages = []
+    if cfg.ready_host:
+        address = Address(cfg.ready_host, cfg.ready_port)
+        pages.append(StatusPages(loop, address, {READY_PATH: ready_page}))
+    if cfg.metrics_host:
+        address = Address(cfg.metrics_host, cfg.metrics_port)
+        pages.append(StatusPages(loop, address, {METRICS_PATH: metrics_page}))
+    return pages
--- a/tarragonwind/configuration_followers.py
+++ b/tarragonwind/configuration_followers.py
@@ -62,6 +62,11 @@
         """Tell whether a configuration is in force and the upstreams are known."""
         return self.catalogue is not None and self._register_mirror.state.loaded
 
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self._configuration.version if self._configuration is not None else 0
+
     def subscribe(self, listener: Callable[[Catalogue], None]) -> None:
         """Call `listener` with each catalogue that comes into force."""
         self._listeners.append(listener)
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -127,6 +127,7 @@
         found.prompt = body.prompt
         found.prompt_tokens = max(1, len(body.prompt) // CHARACTERS_PER_TOKEN)
         found.max_tokens = body.max_tokens
+        found.allotment_tokens = found.prompt_tokens + found.max_tokens
         return found
     service = catalogue.route_for_path(path)
     if service is None:
--- a/tarragonwind/daemon_settings.py
+++ b/tarragonwind/daemon_settings.py
@@ -9,6 +9,8 @@
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.peers import PeerSettings
 from tarragonwind.adapters.stores import StoreSettings
+from tarragonwind.core.allotments import AllotmentSettings
+from tarragonwind.core.retry_budgets import BudgetSettings
 from tarragonwind.ports import Address
 from tarragonwind.settings import CallerSettings, Settings
 
@@ -41,6 +43,17 @@
     )
 
 
+def budget_settings(cfg: Settings) -> BudgetSettings:
+    """Return the bound on repeated dispatches."""
+    return BudgetSettings(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.allowance)
+
+
+def allotment_settings(cfg: Settings) -> AllotmentSettings:
+    """Return how allotments are counted."""
+    allotments = cfg.allotments
+    return AllotmentSettings(allotments.window_s, allotments.overage, allotments.slack_tokens)
+
+
 def http_limits(cfg: CallerSettings) -> HttpLimits:
     """Return the bounds for callers."""
     return HttpLimits(
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -18,12 +18,17 @@
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
 from tarragonwind.adapters.peers import Traffic, create_peers
 from tarragonwind.adapters.request_runs import GatewayParts
+from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
+from tarragonwind.allotments import AllotmentRunner
 from tarragonwind.catalogue_services import create_catalogue_service
 from tarragonwind.claims import create_claims
 from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.retry_budgets import RetryBudget
 from tarragonwind.daemon_operators import DaemonOperatorService
 from tarragonwind.daemon_settings import (
+    allotment_settings,
+    budget_settings,
     http_limits,
     peer_settings,
     store_settings,
@@ -35,12 +40,15 @@
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import Settings
 from tarragonwind.telemetry import create_telemetry
+from tarragonwind.telemetry_pages import MetricsPage
 from tarragonwind.upstream_reports import UpstreamReports
 
 SIGNAL_POLL_S = 0.1
 """Time between two looks for a signal, in seconds."""
 STOP_POLL_S = 0.05
 """Time between two looks at whether all requests have ended, in seconds."""
+LOG_FLUSH_S = 0.5
+"""Time between two looks at log lines that could not be written, in seconds."""
 FAREWELL_S = 0.3
 """Time that last messages to other hosts have to go out, in seconds."""
 
@@ -66,7 +74,10 @@
         self._signals_seen = 0
         rng = random.Random(secrets.randbits(64))
         incarnation = int(loop.timers.wall() * 1000)
-        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, loop.timers.now)
+        self.metrics = MetricsPage()
+        self.telemetry = create_telemetry(
+            cfg.telemetry, cfg.host, rng, loop.timers.now, [self.metrics.reader]
+        )
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
@@ -85,7 +96,11 @@
         )
         self.scheduler = PermitScheduler(self.membership, self.peers, loop.timers, rng, self.moves)
         self.claims = create_claims(self.store, self.membership, self.peers, loop.timers, rng, root)
+        self.allotments = AllotmentRunner(
+            self.membership, self.peers, loop.timers, allotment_settings(cfg)
+        )
         self.gateway = self._create_gateway(f"{cfg.host.name}-{incarnation:x}")
+        self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
         self.orders = self._create_orders()
         self.host_list = self._create_host_list(rng)
@@ -105,6 +120,8 @@
             cfg.upstreams,
             cfg.limits,
             id_prefix,
+            retries=RetryBudget(budget_settings(cfg)),
+            allotments=self.allotments,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
         return Gateway(address, http_limits(cfg.callers), parts)
@@ -190,9 +207,17 @@
         self.store_calls += 1
         self.telemetry.store_calls.add(1, kind)
 
+    def _is_ready(self) -> bool:
+        return not self.stopping and self._catalogue_in_force() is not None
+
+    def _render_metrics(self) -> bytes:
+        self._renew_gauges()
+        return self.metrics.render()
+
     def _renew_gauges(self) -> None:
         telemetry = self.telemetry
-        telemetry.wait.flush()
+        telemetry.flush()
+        self.gateway.parts.retries.host_count = len(self.membership.live())
         telemetry.catalogue_number.set(self.catalogue.state.number)
         telemetry.live_hosts.set(len(self.membership.live()))
         telemetry.permits.set(self.scheduler.client.held())
@@ -266,8 +291,11 @@
 
 def run_daemon(cfg: Settings) -> None:
     """Build a daemon from checked settings and run it to its planned stop."""
-    configure_logs(cfg.log, cfg.host.name)
-    daemon = Daemon(cfg, create_loop())
+    sink = configure_logs(cfg.log, cfg.host.name)
+    loop = create_loop()
+    if sink is not None:
+        loop.timers.call_every(LOG_FLUSH_S, sink.flush)
+    daemon = Daemon(cfg, loop)
     # What is built so far lives as long as the process; collecting it again would hold up the loop.
     gc.freeze()
     daemon.run()
--- a/tarragonwind/logs.py
+++ b/tarragonwind/logs.py
@@ -7,14 +7,16 @@
 import re
 import sys
 import traceback
-from typing import TYPE_CHECKING, Any, TextIO
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TextIO
 
 from loguru import logger
 
+from tarragonwind.log_sinks import BoundedSink
 from tarragonwind.settings import LogFormat, LogSettings
 
 if TYPE_CHECKING:
-    from loguru import Record
+    from loguru import Message, Record
 
 MAX_VALUE_CHARS = 500
 """Longest value in a line, in characters."""
@@ -129,7 +131,7 @@
     return "WARNING" if level >= logging.WARNING else "INFO"
 
 
-def configure_logs(cfg: LogSettings, host: str, sink: TextIO | Any = None) -> None:
+def configure_logs(cfg: LogSettings, host: str, sink: TextIO | None = None) -> BoundedSink | None:
     """Send the log to one place, and what libraries log with it.
 
     Parameters
@@ -139,13 +141,25 @@
     host : str
         Name of this host, which each line carries.
     sink : file, optional
-        Standard error by default.
+        Standard output by default, which is never waited for.
+
+    Returns
+    -------
+    BoundedSink or None
+        The sink on standard output; flush it now and then.
     """
     line_format = _format_timed if cfg.format is LogFormat.TIMED else _format_bare
+    bounded = None
+    target: TextIO | Callable[[Message], None]
+    if sink is None:
+        bounded = BoundedSink(sys.stdout.fileno())
+        target = bounded.write
+    else:
+        target = sink
     logger.remove()
     logger.configure(extra={"host": host})
     logger.add(
-        sink or sys.stderr,
+        target,
         level=cfg.level.value.upper(),
         format=line_format,
         backtrace=False,
@@ -154,3 +168,4 @@
         catch=True,
     )
     logging.basicConfig(handlers=[LibraryLogs()], level=logging.WARNING, force=True)
+    return bounded
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -17,16 +17,21 @@
 from tarragonwind.adapters.memberships import MembershipSettings, create_membership
 from tarragonwind.adapters.peers import create_peers
 from tarragonwind.adapters.request_runs import GatewayParts
-from tarragonwind.adapters.status_pages import Page, StatusPages
+from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.allotments import AllotmentRunner
 from tarragonwind.configuration_followers import ConfigurationFollower
-from tarragonwind.core.allotments import AllotmentSettings
 from tarragonwind.core.catalogues import Catalogue
-from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
+from tarragonwind.core.retry_budgets import RetryBudget
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.core.versions import SteadyVersions
-from tarragonwind.daemon_settings import http_limits, peer_settings, store_settings
+from tarragonwind.daemon_settings import (
+    allotment_settings,
+    budget_settings,
+    http_limits,
+    peer_settings,
+    store_settings,
+)
 from tarragonwind.logs import configure_logs
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
@@ -42,6 +47,7 @@
 from tarragonwind.settings import Settings
 from tarragonwind.store_mirrors import MirrorSharing, StoreMirror
 from tarragonwind.telemetry import create_telemetry
+from tarragonwind.telemetry_pages import MetricsPage
 
 __all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
 
@@ -49,6 +55,8 @@
 """Time between two looks for a signal, in seconds."""
 STOP_POLL_S = 0.05
 """Time between two looks at whether all requests have ended, in seconds."""
+LOG_FLUSH_S = 0.5
+"""Time between two looks at log lines that could not be written, in seconds."""
 FAREWELL_S = 0.2
 """Time that last messages to other hosts have to go out, in seconds."""
 
@@ -85,7 +93,10 @@
         self._reloaded = 0
         rng = random.Random(secrets.randbits(64))
         timers = loop.timers
-        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, timers.now)
+        self.metrics = MetricsPage()
+        self.telemetry = create_telemetry(
+            cfg.telemetry, cfg.host, rng, timers.now, [self.metrics.reader]
+        )
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
@@ -103,12 +114,7 @@
         ]
         self.scheduler = PermitScheduler(self.membership, self.peers, timers, rng, SteadyVersions())
         self.allotments = AllotmentRunner(
-            self.membership,
-            self.peers,
-            timers,
-            AllotmentSettings(
-                cfg.allotments.window_s, cfg.allotments.overage, cfg.allotments.slack_tokens
-            ),
+            self.membership, self.peers, timers, allotment_settings(cfg)
         )
         operator, register = self.mirrors
         self.configuration = ConfigurationFollower(
@@ -116,13 +122,12 @@
         )
         self.configuration.subscribe(self._on_catalogue)
         self.gateway = self._create_gateway(rng)
-        self.pages = self._create_pages()
+        self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.membership.subscribe(self._on_members)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
     def _create_gateway(self, rng: random.Random) -> Gateway:
         cfg = self._cfg
-        retries = cfg.retries
         parts = GatewayParts(
             self._loop,
             self.client,
@@ -134,21 +139,12 @@
             cfg.limits,
             cfg.host.name,
             dialect=PlatformDialect(rng),
-            retries=RetryBudget(BudgetSettings(retries.ratio, retries.window_s, retries.allowance)),
+            retries=RetryBudget(budget_settings(cfg)),
             allotments=self.allotments,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
         return Gateway(address, http_limits(cfg.callers), parts)
 
-    def _create_pages(self) -> list[StatusPages]:
-        status = self._cfg.status
-        ready = Address(status.ready_host, status.ready_port)
-        metrics = Address(status.metrics_host, status.metrics_port)
-        return [
-            StatusPages(self._loop, ready, {"/readyz": self._ready_page}),
-            StatusPages(self._loop, metrics, {"/metrics": self._metrics_page}),
-        ]
-
     def run(self) -> None:
         """Run until a planned stop has ended."""
         self._loop.timers.call_later(0.0, self._start)
@@ -165,12 +161,19 @@
             mirror.start()
         logger.info("event=started callers={} peers={}", self.gateway.address, self.peers.address)
 
-    def _ready_page(self) -> Page:
-        ready = not self.stopping and self.configuration.ready
-        return Page(200, b"ready\n") if ready else Page(503, b"not ready\n")
+    def _is_ready(self) -> bool:
+        return not self.stopping and self.configuration.ready
 
-    def _metrics_page(self) -> Page:
-        return Page(200, b"")
+    def _render_metrics(self) -> bytes:
+        telemetry = self.telemetry
+        telemetry.flush()
+        telemetry.live_hosts.set(len(self.membership.live()))
+        telemetry.permits.set(self.scheduler.client.held())
+        telemetry.catalogue_number.set(self.configuration.version)
+        for name, traffic in self.peers.traffic.items():
+            telemetry.control_sent.set(traffic.sent_bytes, name)
+            telemetry.control_received.set(traffic.received_bytes, name)
+        return self.metrics.render()
 
     def _count_store_call(self, kind: str) -> None:
         self.telemetry.store_calls.add(1, kind)
@@ -242,8 +245,11 @@
     """Run a daemon with the platform's settings file to its planned stop."""
     path = settings_path()
     cfg = read_platform_settings(path)
-    configure_logs(cfg.log, cfg.host.name)
-    daemon = PlatformDaemon(cfg, create_loop(), lambda: read_platform_settings(path))
+    sink = configure_logs(cfg.log, cfg.host.name)
+    loop = create_loop()
+    if sink is not None:
+        loop.timers.call_every(LOG_FLUSH_S, sink.flush)
+    daemon = PlatformDaemon(cfg, loop, lambda: read_platform_settings(path))
     # What is built so far lives as long as the process; collecting it again would hold up the loop.
     gc.freeze()
     daemon.run()
--- a/tarragonwind/telemetry.py
+++ b/tarragonwind/telemetry.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader, PeriodicExportingMetricReader
@@ -40,8 +40,8 @@
     ----------
     requests : CounterSeries
         Ended requests by tier, outcome and kind of error (empty when answered).
-    wait : TierHistogram
-        Seconds from arrival to permit, by tier.
+    wait, first_byte, duration : TierHistogram
+        Seconds from arrival to permit, to the first byte and to the end, by tier.
     goodput : CounterSeries
         Requests answered whole and in time, by tier.
     sheds : CounterSeries
@@ -70,7 +70,13 @@
         self.requests = table.create(
             counter, "requests", "{request}", "Ended requests", "tier", "outcome", "kind"
         )
-        self.wait = table.create_wait(TIER_COUNT)
+        self.wait = table.create_histogram("wait", "Time from arrival to permit", TIER_COUNT)
+        self.first_byte = table.create_histogram(
+            "first_byte", "Time from arrival to the first byte of the answer", TIER_COUNT
+        )
+        self.duration = table.create_histogram(
+            "duration", "Time from arrival to the end of the request", TIER_COUNT
+        )
         self.goodput = table.create(
             counter, "goodput", "{request}", "Requests answered whole and in time", "tier"
         )
@@ -100,22 +106,31 @@
         recorded = self._tracer is not None and self._chooser.choose(parent)
         return RequestTrace(self._tracer if recorded else None, parent)
 
+    def flush(self) -> None:
+        """Hand what the histograms hold to the SDK."""
+        for histogram in (self.wait, self.first_byte, self.duration):
+            histogram.flush()
+
     def close(self) -> None:
         """Export what is queued and end the SDK's threads; call it after the loop has ended."""
-        self.wait.flush()
+        self.flush()
         self._meters.shutdown()
         if self._tracers is not None:
             self._tracers.shutdown()
 
 
 def create_telemetry(
-    cfg: TelemetrySettings, host: HostSettings, rng: random.Random, now: Callable[[], float]
+    cfg: TelemetrySettings,
+    host: HostSettings,
+    rng: random.Random,
+    now: Callable[[], float],
+    readers: Sequence[MetricReader] = (),
 ) -> Telemetry:
     """Return the telemetry that the settings ask for.
 
     Without a destination, instruments count and nothing is exported or traced.
     """
-    return assemble_telemetry(cfg, host, create_exporters(cfg), [], rng, now)
+    return assemble_telemetry(cfg, host, create_exporters(cfg), list(readers), rng, now)
 
 
 def create_silent_telemetry() -> Telemetry:
--- a/tarragonwind/telemetry_exporters.py
+++ b/tarragonwind/telemetry_exporters.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.metrics.export import ConsoleMetricExporter, MetricExporter, MetricsData
 from opentelemetry.sdk.trace import ReadableSpan
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SpanExporter
@@ -47,10 +46,13 @@
     """Send to a collector by OTLP over HTTP."""
     if not cfg.otlp_endpoint:
         return None
+    # Imported here, as a host without a collector starts faster without these.
+    metrics = importlib.import_module("opentelemetry.exporter.otlp.proto.http.metric_exporter")
+    spans = importlib.import_module("opentelemetry.exporter.otlp.proto.http.trace_exporter")
     base = cfg.otlp_endpoint.rstrip("/")
     return ExporterPair(
-        OTLPSpanExporter(base + TRACE_PATH, timeout=cfg.export_timeout_s),
-        OTLPMetricExporter(base + METRIC_PATH, timeout=cfg.export_timeout_s),
+        spans.OTLPSpanExporter(base + TRACE_PATH, timeout=cfg.export_timeout_s),
+        metrics.OTLPMetricExporter(base + METRIC_PATH, timeout=cfg.export_timeout_s),
     )
 
 
--- a/tarragonwind/telemetry_instruments.py
+++ b/tarragonwind/telemetry_instruments.py
@@ -7,8 +7,8 @@
 
 from opentelemetry.metrics import CallbackOptions, Histogram, Meter, Observation
 
-WAIT_BOUNDS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
-"""Upper bounds of the histogram of waits, in seconds."""
+DURATION_BOUNDS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
+"""Upper bounds of the histograms of durations, in seconds."""
 
 RECORDS_PER_FLUSH = 32
 """Durations that are handed to the SDK's histogram together."""
@@ -117,12 +117,12 @@
             self._meter.create_observable_gauge(full_name, [series.observe], unit, description)
         return series
 
-    def create_wait(self, tier_count: int) -> TierHistogram:
-        """Return the histogram of waits."""
+    def create_histogram(self, name: str, description: str, tier_count: int) -> TierHistogram:
+        """Return a histogram of durations by tier."""
         histogram = self._meter.create_histogram(
-            "tarragonwind.wait",
+            f"tarragonwind.{name}",
             unit="s",
-            description="Time from arrival to permit",
-            explicit_bucket_boundaries_advisory=WAIT_BOUNDS_S,
+            description=description,
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
         )
         return TierHistogram(histogram, tier_count)
--- a/tests/support.py
+++ b/tests/support.py
@@ -76,6 +76,7 @@
     """Answer the gateway's questions from lists of entries."""
 
     def __init__(self, upstreams: list[UpstreamEntry], routes: list[RouteEntry]) -> None:
+        self.number = 1
         self.upstreams = upstreams
         self.routes = routes
         digest = hashlib.sha256(TOKEN.encode()).hexdigest()
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -86,7 +86,7 @@
     lines = capsys.readouterr().err.splitlines()
     assert f"{entries}:10: route/draft: tier: got 7; allowed: a whole number from 0 to 3" in lines
     unknown = f"{entries}:5: pool/chat: verison: unknown field; known: "
-    assert unknown + "back_end, name, owner, version" in lines
+    assert unknown + "back_end, name, owner, tokens_per_event, version" in lines
     assert f"{entries}:12: kind: 'rout' is not known" in "\n".join(lines)
     assert f"{entries}:17: pool/other: back_end: got 'cart'; allowed: engine or service" in lines
     assert running.service.changes == []
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -62,7 +62,7 @@
         ),
         (
             HOST + "store: {backend: disk}\n",
-            "line 2: store.backend: got 'disk'; allowed: memory or etcd",
+            "line 2: store.backend: got 'disk'; allowed: memory or etcd or platform",
         ),
         (HOST + "log: 3\n", "line 2: log: expected a map, got 3"),
         ("callers: {}\n", "line 1: host: required"),
