--- a/tarragonwind/platform/stores.py
+++ b/tarragonwind/platform/stores.py
@@ -13,6 +13,7 @@
 from tarragonwind.futures import Future, spawn
 from tarragonwind.platform.fields import WireError, read_document, read_field, read_list
 from tarragonwind.ports import (
+    CLOSE_WATCH_S,
     Address,
     Compare,
     Delete,
@@ -29,8 +30,6 @@
     WatchEvent,
 )
 
-WATCH_WAIT_MS = 2_000
-"""Time that one watch call waits for changes: a silent connection is noticed within it."""
 WATCH_MARGIN_S = 0.5
 """Time that the answer to a watch call may take beyond its wait, in seconds."""
 UNTOUCHED_STATUSES = frozenset([429, 503])
@@ -145,6 +144,7 @@
         from_revision: int,
         on_events: Callable[[list[WatchEvent]], None],
         on_end: Callable[[str], None],
+        quiet_s: float = CLOSE_WATCH_S,
     ) -> Watch:
         """Follow changes under `prefix` by calls that wait for them."""
         watch = Watch()
@@ -157,7 +157,7 @@
             revision = from_revision - 1
             while not ended[0]:
                 try:
-                    doc = await self._wait_for_changes(prefix, revision)
+                    doc = await self._wait_for_changes(prefix, revision, quiet_s)
                     events = [decode_event(event) for event in decode_list(doc, "events")]
                     revision = decode_field(doc, "at", int)
                 except StoreError as exc:
@@ -171,12 +171,12 @@
         spawn(run())
         return watch
 
-    async def _wait_for_changes(self, prefix: str, revision: int) -> dict[str, Any]:
+    async def _wait_for_changes(self, prefix: str, revision: int, quiet_s: float) -> dict[str, Any]:
         target = (
             f"/kv-watch?pathPrefix={quote(prefix, safe='/')}&after={revision}"
-            f"&waitMs={WATCH_WAIT_MS}"
+            f"&waitMs={round(quiet_s * 1_000)}"
         )
-        timeout_s = WATCH_WAIT_MS / 1_000 + WATCH_MARGIN_S
+        timeout_s = quiet_s + WATCH_MARGIN_S
         return decode_answer(await self._call("watch", "GET", target, timeout_s=timeout_s))
 
     async def _call(
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -45,7 +45,7 @@
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import Settings
-from tarragonwind.store_mirrors import MirrorSharing, StoreMirror
+from tarragonwind.store_mirrors import CloseWatchers, MirrorSharing, StoreMirror
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
 
@@ -105,7 +105,7 @@
         seeds = [seed.address() for seed in cfg.peers.seeds]
         self.membership = create_membership(self.peers, timers, MembershipSettings(seeds), rng)
         self.mirrors = [
-            StoreMirror(prefix, self.store, timers, rng)
+            StoreMirror(prefix, self.store, timers, rng, CloseWatchers(self.membership, prefix))
             for prefix in (OPERATOR_PREFIX, UPSTREAM_PREFIX)
         ]
         self.sharing = [
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -9,15 +9,30 @@
 
 from tarragonwind.core.mirror_messages import MirrorAsk, MirrorPart
 from tarragonwind.core.mirror_states import MirrorItem, MirrorState
+from tarragonwind.core.rendezvous import rank_names
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
 from tarragonwind.messages import MessageError
-from tarragonwind.ports import Gossip, Members, Peers, Store, Timers, Watch, WatchEvent
+from tarragonwind.ports import (
+    CLOSE_WATCH_S,
+    Gossip,
+    Members,
+    Peers,
+    Store,
+    Timers,
+    Watch,
+    WatchEvent,
+)
 
 RETRY_S = 0.4
 """Time between two tries to reach a store that is away, in seconds."""
 WATCH_PAUSE_S = 0.05
 """Time between the end of a watch and the read that follows it, in seconds."""
+FAR_WATCH_S = 10.0
+"""Time after which a host notices the store's silence that hears of changes from others, in
+seconds."""
+CLOSE_WATCHERS = 3
+"""Hosts of a fleet that watch the store closely; each look of theirs is a call."""
 ASK_PERIOD_S = 0.25
 """Least time between two questions for the same mirror, in seconds."""
 FACT_BYTES = 8
@@ -26,6 +41,24 @@
 OnItems = Callable[[list[MirrorItem]], None]
 
 
+def watch_closely() -> bool:
+    """Watch closely, as a host without others does."""
+    return True
+
+
+class CloseWatchers:
+    """Tell whether this host is one of the few that watch the store closely."""
+
+    def __init__(self, members: Members, key: str) -> None:
+        self._members = members
+        self._key = key
+
+    def __call__(self) -> bool:
+        """Tell whether this host's rank among the live ones is high enough."""
+        ranked = rank_names(self._key, self._members.live(), CLOSE_WATCHERS)
+        return self._members.name in ranked
+
+
 class StoreMirror:
     """Follow one prefix of the store.
 
@@ -39,6 +72,8 @@
         Clock and timer subscriptions.
     rng : random.Random
         Source of jitter.
+    is_close : callable
+        Tells whether this host is one of those that watch the store closely.
 
     Attributes
     ----------
@@ -50,7 +85,14 @@
         Time at which it last came back, in seconds.
     """
 
-    def __init__(self, prefix: str, store: Store, timers: Timers, rng: random.Random) -> None:
+    def __init__(
+        self,
+        prefix: str,
+        store: Store,
+        timers: Timers,
+        rng: random.Random,
+        is_close: Callable[[], bool] = watch_closely,
+    ) -> None:
         self.prefix = prefix
         self.state = MirrorState()
         self.away_since: float | None = timers.now()
@@ -58,8 +100,11 @@
         self._store = store
         self._timers = timers
         self._rng = rng
+        self._is_close = is_close
         self._listeners: list[OnItems] = []
         self._watch: Watch | None = None
+        self._end_watch: Callable[[str], None] | None = None
+        self._close = False
         self._stopped = False
 
     def subscribe(self, listener: OnItems) -> None:
@@ -76,6 +121,13 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    def review(self) -> None:
+        """Watch anew when other hosts live and this host's part in watching has changed."""
+        if self._watch is None or self._end_watch is None or self._close == self._is_close():
+            return
+        self._watch.cancel()
+        self._end_watch("this host's part in watching the store has changed")
+
     def take(self, changes: list[MirrorItem], source: str) -> None:
         """Tell the listeners of changes that came into the copy."""
         if not changes:
@@ -111,8 +163,13 @@
         def end(reason: str) -> None:
             ended.set_result(reason)
 
-        self._watch = self._store.watch(self.prefix, revision, self._on_events, end)
-        return await ended
+        self._close = self._is_close()
+        self._end_watch = end
+        quiet_s = CLOSE_WATCH_S if self._close else FAR_WATCH_S
+        self._watch = self._store.watch(self.prefix, revision, self._on_events, end, quiet_s)
+        reason = await ended
+        self._watch = None
+        return reason
 
     def _on_events(self, events: list[WatchEvent]) -> None:
         changes = [MirrorItem(one.key, one.value, one.mod_revision) for one in events]
@@ -187,7 +244,8 @@
             self._ask(sender)
 
     def _on_members(self) -> None:
-        """Ask the others at the start, as the store may turn this host away."""
+        """Review the watch, and ask the others at the start, as the store may refuse this host."""
+        self._mirror.review()
         others = [name for name in self._members.live() if name != self._members.name]
         if not self._mirror.state.loaded and others:
             self._ask(others[0])
