Notice silent upstreams by their requests and send repeatable ones elsewhere

A request now tells the pool's owner after two and a half times its route's target; a repeatable one is dispatched elsewhere within the budget.

--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -22,6 +22,8 @@
 CANCEL_TIMEOUT_S = 2.0
 MAX_STREAM_ID_LENGTH = 128
 FIRST_FAILURE_STATUS = 500
+STALL_ROUNDING_S = 0.002
+"""Time by which a timer may come early, in seconds."""
 
 
 def _ignore() -> None:
@@ -43,10 +45,15 @@
         Whether the first timeout is one for the whole answer.
     holds_failures : bool
         Whether an answer with a failure's status is kept back, so that it can be tried elsewhere.
+    first_byte_stall_s, event_stall_s : float
+        Silence before the answer, and between two parts of it, that `Relay.on_stalled` is told
+        of; 0 for none.
     """
 
     __slots__ = (
         "bounds_whole_answer",
+        "event_stall_s",
+        "first_byte_stall_s",
         "first_byte_timeout_s",
         "holds_failures",
         "idle_timeout_s",
@@ -62,6 +69,8 @@
         idle_timeout_s: float,
         bounds_whole_answer: bool = False,
         holds_failures: bool = False,
+        first_byte_stall_s: float = 0.0,
+        event_stall_s: float = 0.0,
     ) -> None:
         self.judge_head = judge_head
         self.owns_answer = owns_answer
@@ -69,6 +78,8 @@
         self.idle_timeout_s = idle_timeout_s
         self.bounds_whole_answer = bounds_whole_answer
         self.holds_failures = holds_failures
+        self.first_byte_stall_s = first_byte_stall_s
+        self.event_stall_s = event_stall_s
 
 
 class HeldAnswer:
@@ -131,6 +142,8 @@
         A failure's answer that was kept back.
     on_first_byte : callable
         Called once, when the first byte of the answer's body has come.
+    on_stalled : callable
+        Called once, when the upstream has been silent for too long.
 
     Parameters
     ----------
@@ -158,6 +171,7 @@
         "_paused",
         "_resumes",
         "_rules",
+        "_stall_timer",
         "_stream_id",
         "_timer",
         "_timers",
@@ -167,6 +181,7 @@
         "first_byte_s",
         "held",
         "on_first_byte",
+        "on_stalled",
         "reason",
         "status",
     )
@@ -200,7 +215,9 @@
         self._client: HttpClient | None = None
         self._address: Address | None = None
         self._timer: Timer | None = None
+        self._stall_timer: Timer | None = None
         self.on_first_byte: Callable[[], None] = _ignore
+        self.on_stalled: Callable[[], None] = _ignore
 
     @property
     def sent(self) -> bool:
@@ -213,6 +230,7 @@
         self._client = client
         self._address = address
         self._timer = self._timers.call_later(self._rules.first_byte_timeout_s, self._late)
+        self._watch_stall(self._rules.first_byte_stall_s)
         exchange = client.exchange(address, req, self)
         self._exchange = exchange
         if self.end.done():
@@ -361,6 +379,33 @@
         self._finish(DispatchEnd.CALLER_LEFT)
         self._cancel_exchange()
 
+    def abandon(self, reason: str) -> None:
+        """End the dispatch without its answer, so that the request can go elsewhere."""
+        if self.end.done():
+            return
+        self.reason = reason
+        streaming = self._life.state is LifeState.STREAMING
+        if self._cursor is not None:
+            self._cursor.drop_partial()
+        self._finish(DispatchEnd.BROKEN if streaming else DispatchEnd.FAILED_BEFORE_ANSWER)
+        self._cancel_exchange()
+
+    def _watch_stall(self, limit_s: float) -> None:
+        if limit_s:
+            self._stall_timer = self._timers.call_later(limit_s, self._check_stall)
+
+    def _check_stall(self) -> None:
+        """Look whether the upstream was silent; look again when it may be."""
+        self._stall_timer = None
+        if self.end.done():
+            return
+        quiet_s = self._timers.now() - (self._heard_at or self._dispatched_at)
+        limit_s = self._rules.event_stall_s if self._heard_at else self._rules.first_byte_stall_s
+        if self._paused or quiet_s < limit_s - STALL_ROUNDING_S:
+            self._watch_stall(limit_s if self._paused else limit_s - quiet_s)
+            return
+        self.on_stalled()
+
     def _cut(self) -> None:
         self._life.end(Outcome.CUT)
         self._finish(DispatchEnd.CUT)
@@ -399,8 +444,9 @@
             self._client.fetch(self._address, req, CANCEL_TIMEOUT_S)
 
     def _finish(self, end: DispatchEnd) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._stall_timer):
+            if timer is not None:
+                timer.cancel()
         self.duration_s = self._timers.now() - self._dispatched_at
         self._caller.events = AnswerEvents()
         self.end.set_result(end)
--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -43,6 +43,8 @@
 SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
 
 
+STALL_FACTOR = 2.5
+"""Silence of an upstream, in its route's target latency or longest pause, that is too long."""
 CALLER_FAULTS = frozenset(
     [
         ErrorKind.BAD_REQUEST,
@@ -174,6 +176,7 @@
         self._cursor: StreamCursor | None = None
         self._held: HeldAnswer | None = None
         self._counted = False
+        self._budget_taken = False
         self._permit: Permit | None = None
         self._catalogue_number = 0
         self._status = 0
@@ -246,6 +249,7 @@
                 self._attempts.unsent,
             )
             work.avoid.append(permit.upstream)
+            self._budget_taken = False
             self._held = None
             self._life.wait_again(cls.route.repeatable)
 
@@ -253,8 +257,13 @@
         """Tell whether the request is dispatched again after an end, and count it."""
         if self._exchange.gone or not self._attempts.allows_another(end):
             return False
-        now = self._parts.loop.timers.now()
-        return end is DispatchEnd.NOT_SENT or self._parts.retries.take(now, work.pool)
+        return end is DispatchEnd.NOT_SENT or self._take_budget(work.pool)
+
+    def _take_budget(self, pool: str) -> bool:
+        """Count one more dispatch in the pool's budget, once for each dispatch that has ended."""
+        if not self._budget_taken:
+            self._budget_taken = self._parts.retries.take(self._parts.loop.timers.now(), pool)
+        return self._budget_taken
 
     def _end_failed(self, end: DispatchEnd, reason: str) -> None:
         """Answer for a dispatch that was the last one."""
@@ -412,7 +421,9 @@
         def owns_answer(headers: Headers) -> bool:
             return dialect.owns_answer(self.name, headers)
 
-        bounds_whole = self._class is not None and self._class.bounds_whole_answer
+        cls = self._class
+        assert cls is not None
+        bounds_whole = cls.bounds_whole_answer
         rules = RelayRules(
             judge_head,
             owns_answer,
@@ -420,10 +431,13 @@
             times.idle_timeout_s,
             bounds_whole,
             self._attempts.may_repeat_failures,
+            STALL_FACTOR * cls.route.target_latency_s,
+            STALL_FACTOR * cls.route.event_gap_s,
         )
         timers = self._parts.loop.timers
         relay = Relay(self._exchange, self._life, rules, timers, self._cursor)
         relay.on_first_byte = lambda: self._note_first_byte(permit)
+        relay.on_stalled = lambda: self._on_stalled(permit, relay)
         self._parts.scheduler.dispatched(permit)
         self._trace.note("upstream", permit.upstream)
         self._trace.begin(Hop.DISPATCH)
@@ -432,6 +446,23 @@
         relay.start(self._parts.client, address, self._forward(upstream, left_s))
         return relay
 
+    def _on_stalled(self, permit: Permit, relay: Relay) -> None:
+        """Tell of a silent upstream, and go elsewhere where the request allows it."""
+        self._parts.scheduler.stalled(permit)
+        goes_on = (
+            self._attempts.may_repeat_failures
+            and not self._exchange.gone
+            and self._take_budget(permit.pool)
+        )
+        logger.warning(
+            "event=upstream_silent request={} upstream={} goes_elsewhere={}",
+            self.name,
+            permit.upstream,
+            goes_on,
+        )
+        if goes_on:
+            relay.abandon("the upstream was silent")
+
     def _note_first_byte(self, permit: Permit) -> None:
         self._parts.scheduler.first_byte(permit)
         self._first_byte_seen = True
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -19,6 +19,7 @@
     PermitGrant,
     PermitQuery,
     PermitRefusal,
+    PermitStalled,
     PermitSync,
     list_ask,
     list_permit,
@@ -214,6 +215,16 @@
             state.local.on_message(now, self._name, msg)
             self._deliver_local(now)
 
+    def stalled(self, now: float, ask_id: int) -> None:
+        """Tell the owner that the upstream of a permit in use is silent."""
+        state = self._find(ask_id)
+        if state is None or ask_id not in state.held:
+            return
+        msg = PermitStalled(state.pool, ask_id)
+        self._send(state.owner, msg)
+        if state.local is not None:
+            state.local.on_message(now, self._name, msg)
+
     # What the daemon tells.
 
     def on_message(self, now: float, host: str, msg: Message) -> None:
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -210,6 +210,15 @@
     pool: str
 
 
+@message(38)
+@dataclass(slots=True)
+class PermitStalled(Message):
+    """Tell the owner that an upstream has been silent for too long under a permit."""
+
+    pool: str
+    ask_id: int
+
+
 def list_ask(ask: PermitAsk) -> list[object]:
     """Return the field values of an ask for `PermitSync`."""
     return [
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -22,6 +22,7 @@
     PermitGrant,
     PermitQuery,
     PermitRefusal,
+    PermitStalled,
     PermitSync,
 )
 from tarragonwind.core.placements import Placer
@@ -212,6 +213,8 @@
         elif isinstance(msg, PermitDone):
             self._greet(host)
             self._on_done(now, host, msg)
+        elif isinstance(msg, PermitStalled):
+            self._on_stalled(now, host, msg)
         elif isinstance(msg, PermitCancel):
             self._greet(host)
             self._queue.remove((host, msg.ask_id))
@@ -464,6 +467,15 @@
         if load.ejected:
             self._draw_for_stranded(now)
 
+    def _on_stalled(self, now: float, host: str, msg: PermitStalled) -> None:
+        """Give a silent upstream no more work until a probe has succeeded."""
+        permit = self._ledger.find((host, msg.ask_id))
+        load = self._ledger.loads.get(permit.upstream) if permit is not None else None
+        if load is None:
+            return
+        load.on_connect_failed(now, self._rng)
+        self._draw_for_stranded(now)
+
     def _observe(
         self, now: float, load: UpstreamLoad, permit: GrantedPermit, msg: PermitDone
     ) -> None:
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -14,13 +14,14 @@
     PermitAsk,
     PermitCancel,
     PermitDone,
+    PermitStalled,
     PermitSync,
 )
 from tarragonwind.core.permits import PoolOwner, spread_always
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.messages import Message
 
-OWNER_MESSAGES = (PermitAsk, PermitCancel, PermitDone, PermitSync)
+OWNER_MESSAGES = (PermitAsk, PermitCancel, PermitDone, PermitStalled, PermitSync)
 """Classes of the messages that go to owners."""
 
 
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -113,6 +113,10 @@
     def first_byte(self, permit: Permit) -> None:
         """Note the first byte of the answer."""
 
+    @abstractmethod
+    def stalled(self, permit: Permit) -> None:
+        """Note that the upstream has been silent for too long."""
+
     @abstractmethod
     def finished(self, permit: Permit, report: DispatchReport) -> None:
         """Give a permit back and tell how its dispatch ended."""
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -58,7 +58,7 @@
     prefill_speedup: float = 10.0
     first_byte_steps: float = 1.0
     batch_slowdown: float = 0.5
-    deadline_margin: float = 2.0
+    deadline_margin: float = 3.0
 
 
 class UpstreamLoad:
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -198,6 +198,10 @@
         if known is not None and known.trial is not None:
             self._versions.first_byte(known.trial)
 
+    def stalled(self, permit: Permit) -> None:
+        """Tell the pool's owner that the upstream is silent."""
+        self.client.stalled(self._timers.now(), permit.ask_id)
+
     def finished(self, permit: Permit, report: DispatchReport) -> None:
         """Give the permit back and learn from the dispatch."""
         pool = self._catalogue.pool(permit.pool)
--- a/tests/support.py
+++ b/tests/support.py
@@ -104,6 +104,7 @@
         self.works: list[Work] = []
         self.reports: list[DispatchReport] = []
         self.cancelled: list[int] = []
+        self.stalls: list[str] = []
 
     def ask(self, work: Work, on_granted, on_refused) -> int:
         self.works.append(work)
@@ -123,5 +124,8 @@
     def first_byte(self, permit: Permit) -> None:
         pass
 
+    def stalled(self, permit: Permit) -> None:
+        self.stalls.append(permit.upstream)
+
     def finished(self, permit: Permit, report: DispatchReport) -> None:
         self.reports.append(report)
