--- a/tarragonwind/allotments.py
+++ b/tarragonwind/allotments.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from tarragonwind.core.allotments import (
     AllotmentLedger,
     AllotmentSettings,
     UsageReport,
     UsageTotals,
+    whole_fleet,
 )
 from tarragonwind.core.entries import OrganisationEntry
 from tarragonwind.ports import Members, Peers, Timers
@@ -28,15 +31,22 @@
         Clock and timer subscriptions.
     settings : AllotmentSettings
         How tokens are counted.
+    part : callable
+        Gives the part of the fleet that this host's side is.
     """
 
     def __init__(
-        self, members: Members, peers: Peers, timers: Timers, settings: AllotmentSettings
+        self,
+        members: Members,
+        peers: Peers,
+        timers: Timers,
+        settings: AllotmentSettings,
+        part: Callable[[float], float] = whole_fleet,
     ) -> None:
         self._members = members
         self._peers = peers
         self._timers = timers
-        self.ledger = AllotmentLedger(members.name, settings, timers.now(), members.owner_of)
+        self.ledger = AllotmentLedger(members.name, settings, timers.now(), members.owner_of, part)
         members.subscribe(self._on_members)
         peers.subscribe(UsageReport, self._on_report)
         peers.subscribe(UsageTotals, self._on_totals)
@@ -51,11 +61,9 @@
         self.ledger.give_back(now, organisation, tokens)
 
     def _on_members(self) -> None:
-        members = self._members
-        self.ledger.set_live(self._timers.now(), members.live(), members.leaving_hosts())
+        self.ledger.set_live(self._members.live())
 
     def _report(self) -> None:
-        self._on_members()
         now = self._timers.now()
         for host, msg in self.ledger.reports(now).items():
             self._peers.send(host, msg)
--- a/tarragonwind/configuration_followers.py
+++ b/tarragonwind/configuration_followers.py
@@ -20,10 +20,10 @@
 
     Parameters
     ----------
-    operator, register : StoreMirror
-        Mirrors of what the operator writes and of what upstreams write of themselves.
-    key : str
-        Key of the configuration.
+    mirror : StoreMirror
+        Mirror of what the operator writes and of what upstreams write of themselves.
+    key, upstream_prefix : str
+        Key of the configuration, and what the keys of upstreams begin with.
     decode_configuration, decode_upstream : callable
         Read the values; they raise for what can't be read.
     timers : Timers
@@ -37,16 +37,17 @@
 
     def __init__(
         self,
-        operator: StoreMirror,
-        register: StoreMirror,
+        mirror: StoreMirror,
         key: str,
+        upstream_prefix: str,
         decode_configuration: Callable[[bytes], Configuration],
         decode_upstream: Callable[[str, bytes], UpstreamEntry],
         timers: Timers,
     ) -> None:
         self.catalogue: Catalogue | None = None
-        self._register_mirror = register
+        self._mirror = mirror
         self._key = key
+        self._upstream_prefix = upstream_prefix
         self._decode_configuration = decode_configuration
         self._decode_upstream = decode_upstream
         self._timers = timers
@@ -54,13 +55,12 @@
         self._register = UpstreamRegister()
         self._listeners: list[Callable[[Catalogue], None]] = []
         self._expiry: Timer | None = None
-        operator.subscribe(self._on_operator)
-        register.subscribe(self._on_register)
+        mirror.subscribe(self._on_changes)
 
     @property
     def ready(self) -> bool:
         """Tell whether a configuration is in force and the upstreams are known."""
-        return self.catalogue is not None and self._register_mirror.state.loaded
+        return self.catalogue is not None and self._mirror.state.loaded
 
     @property
     def version(self) -> int:
@@ -71,21 +71,29 @@
         """Call `listener` with each catalogue that comes into force."""
         self._listeners.append(listener)
 
-    def _on_operator(self, changes: list[MirrorItem]) -> None:
+    def _on_changes(self, changes: list[MirrorItem]) -> None:
+        now = self._timers.now()
+        rejoin = False
         for item in changes:
             if item.key == self._key and item.value is not None:
-                self._take_configuration(item)
-
-    def _take_configuration(self, item: MirrorItem) -> None:
+                rejoin |= self._take_configuration(item)
+            elif item.key.startswith(self._upstream_prefix):
+                self._take_upstream(now, item)
+                rejoin = True
+        if rejoin:
+            self._join()
+
+    def _take_configuration(self, item: MirrorItem) -> bool:
+        """Put a newer configuration in force; return whether it was."""
         assert item.value is not None
         try:
             cfg = self._decode_configuration(item.value)
         except Exception as exc:
             logger.error("event=configuration_unreadable revision={} why={!r}", item.revision, exc)
-            return
+            return False
         in_force = self._configuration
         if in_force is not None and cfg.version <= in_force.version:
-            return
+            return False
         self._configuration = cfg
         logger.info(
             "event=configuration_in_force version={} revision={} entries={}",
@@ -93,25 +101,19 @@
             item.revision,
             len(cfg.entries),
         )
-        self._join()
-
-    def _on_register(self, changes: list[MirrorItem]) -> None:
-        now = self._timers.now()
-        for item in changes:
-            self._take_upstream(now, item)
-        self._join()
+        return True
 
     def _take_upstream(self, now: float, item: MirrorItem) -> None:
         name = item.key.rpartition("/")[2]
         if item.value is None:
             logger.info("event=upstream_gone upstream={} revision={}", name, item.revision)
-            self._register.remove(now, name, self._register_mirror.back_at)
+            self._register.remove(now, name, self._mirror.back_at)
             return
         try:
             entry = self._decode_upstream(item.key, item.value)
         except Exception as exc:
             logger.warning("event=upstream_unreadable key={!r} why={!r}", item.key, exc)
-            self._register.remove(now, name, self._register_mirror.back_at)
+            self._register.remove(now, name, self._mirror.back_at)
             return
         logger.info(
             "event=upstream_registered upstream={} pool={} state={} version={} revision={}",
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -22,8 +22,6 @@
 """Part of an equal share of the allotment below which a host reports nothing."""
 STALE_S = 1.0
 """Age above which a count of other hosts is no longer used, in seconds."""
-KNOWN_S = 30.0
-"""Time for which a lost host still counts as a part of the fleet, in seconds."""
 START_BURST = 0.5
 """Part of the burst that is admitted at once while nothing is known of before the start."""
 TOLERANCE_PART = 0.4
@@ -119,6 +117,11 @@
     at: float
 
 
+def whole_fleet(now: float) -> float:
+    """Tell that this host's side is the whole fleet."""
+    return 1.0
+
+
 class AllotmentLedger:
     """Count and admit on one host, and add up for the organisations that this host is chosen for.
 
@@ -132,15 +135,17 @@
         Time of the start, in seconds.
     owner_of : callable
         Gives the live host that adds up for an organisation.
+    part : callable
+        Gives the part of the fleet that this host's side is.
     """
 
     __slots__ = (
-        "_known_at",
         "_limits",
         "_live",
         "_name",
         "_others",
         "_owner_of",
+        "_part",
         "_reports",
         "_settings",
         "_started_at",
@@ -154,26 +159,23 @@
         settings: AllotmentSettings,
         now: float,
         owner_of: Callable[[str], str],
+        part: Callable[[float], float] = whole_fleet,
     ) -> None:
         self._name = name
         self._settings = settings
         self._window_s = settings.window_s
         self._started_at = now
         self._owner_of = owner_of
+        self._part = part
         self._windows: dict[str, UsageWindow] = {}
         self._limits: dict[str, float] = {}
         self._others: dict[str, _Heard] = {}
         self._reports: dict[str, dict[str, _Heard]] = {}
         self._live: tuple[str, ...] = (name,)
-        self._known_at: dict[str, float] = {name: now}
 
-    def set_live(self, now: float, live: Iterable[str], leaving: Iterable[str] = ()) -> None:
-        """Take in which hosts live and which have announced their planned stop."""
+    def set_live(self, live: Iterable[str]) -> None:
+        """Take in which hosts live."""
         self._live = tuple(live) or (self._name,)
-        for host in leaving:
-            self._known_at.pop(host, None)
-        for host in self._live:
-            self._known_at[host] = now
 
     def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Count a request's tokens.
@@ -255,11 +257,9 @@
         burst = organisation.token_burst
         if seen_s < self._window_s:
             burst *= START_BURST
-        known = sum(1 for at in self._known_at.values() if now - at <= KNOWN_S)
-        known = max(known, len(self._live))
         whole = organisation.tokens_per_s * seen_s + burst
         whole += TOLERANCE_PART * (whole * self._settings.overage + self._settings.slack_tokens)
-        return whole * len(self._live) / known
+        return whole * self._part(now)
 
     def _sum_reports(self, now: float, name: str, without: str) -> int:
         counts = self._reports.get(name, {})
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.fleet_parts import FleetParts
 from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
 from tarragonwind.core.permit_messages import (
     PermitAsk,
@@ -87,6 +88,8 @@
         Gives the live host that owns a pool.
     live : callable
         Gives the names of live hosts, this one included.
+    fleet : FleetParts, optional
+        Which part of the fleet this host's side is.
     """
 
     def __init__(
@@ -95,11 +98,14 @@
         parts: OwnerParts,
         owner_of: Callable[[str], str],
         live: Callable[[], Iterable[str]],
+        fleet: FleetParts | None = None,
     ) -> None:
         self._name = name
         self._parts = parts
         self._owner_of = owner_of
         self._live = live
+        self._fleet = fleet
+        self._part = 1.0
         self._owners: dict[str, PoolOwner] = {}
         self._upstreams: dict[str, list[UpstreamEntry]] = {}
         self._local: weakref.WeakValueDictionary[str, PoolOwner] = weakref.WeakValueDictionary()
@@ -115,6 +121,7 @@
             self._upstreams[pool] = [entry for entry in upstreams if entry.pool == pool]
             if pool not in self._owners:
                 self._owners[pool] = create_owner(pool, self._parts)
+                self._owners[pool].set_share(now, self._part)
             owner = self._owners[pool]
             owner.configure(now, self._upstreams[pool])
             owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
@@ -151,8 +158,23 @@
         for owner in self._owners.values():
             owner.on_load_report(now, upstream, in_flight, age_s)
 
+    def _own_share(self, now: float) -> float:
+        if self._fleet is not None:
+            return self._fleet.own_share(now)
+        return 1.0 / max(1, len(tuple(self._live())))
+
+    def _review_part(self, now: float) -> None:
+        """Let owners use what is this side's, so that sides that lost each other add up."""
+        part = self._fleet.part(now) if self._fleet is not None else 1.0
+        if part == self._part:
+            return
+        self._part = part
+        for owner in self._owners.values():
+            owner.set_share(now, part)
+
     def tick(self, now: float) -> None:
         """Let every owner do what is due."""
+        self._review_part(now)
         for owner in self._owners.values():
             owner.tick(now)
 
@@ -179,7 +201,7 @@
         settings = dataclasses.replace(self._parts.settings, settle_s=0.0, pause_limit_s=math.inf)
         owner = create_owner(pool, dataclasses.replace(self._parts, send=send, settings=settings))
         owner.configure(now, self._upstreams.get(pool, []))
-        owner.set_share(now, 1.0 / max(1, len(tuple(self._live()))))
+        owner.set_share(now, self._own_share(now))
         owner.on_members_changed(now, [self._name], True)
         self._local[pool] = owner
         return owner
--- a/tarragonwind/platform/configurations.py
+++ b/tarragonwind/platform/configurations.py
@@ -28,7 +28,6 @@
 
 CONFIGURATION_KEY = "op/config"
 """Key of the store that holds the newest configuration."""
-OPERATOR_PREFIX = "op/"
 OWNER = "operator"
 """Owner of all entries: the configuration names none."""
 LOWEST_TIER = 3
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -32,12 +32,12 @@
     peer_settings,
     store_settings,
 )
+from tarragonwind.host_leases import FleetWatch, HostLease
 from tarragonwind.logs import configure_logs
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
 from tarragonwind.platform.configurations import (
     CONFIGURATION_KEY,
-    OPERATOR_PREFIX,
     decode_configuration,
 )
 from tarragonwind.platform.settings import read_platform_settings, settings_path
@@ -45,7 +45,7 @@
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import Settings
-from tarragonwind.store_mirrors import CloseWatchers, MirrorSharing, StoreMirror
+from tarragonwind.store_mirrors import MirrorSharing, StoreMirror, WatchRanks
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
 
@@ -60,6 +60,10 @@
 FAREWELL_S = 0.2
 """Time that last messages to other hosts have to go out, in seconds."""
 
+HOST_PREFIX = "tarragonwind/hosts/"
+"""What the keys begin with under which hosts hold their leases."""
+WHOLE_STORE = ""
+"""Prefix of all keys: one watch follows the operator, the upstreams and the hosts."""
 ENGINE_MODEL = LoadSettings(
     prefill_speedup=400.0,
     first_byte_steps=9.0,
@@ -104,26 +108,40 @@
         self.peers = create_peers(loop, peer_settings(cfg, rng))
         seeds = [seed.address() for seed in cfg.peers.seeds]
         self.membership = create_membership(self.peers, timers, MembershipSettings(seeds), rng)
-        self.mirrors = [
-            StoreMirror(prefix, self.store, timers, rng, CloseWatchers(self.membership, prefix))
-            for prefix in (OPERATOR_PREFIX, UPSTREAM_PREFIX)
-        ]
-        self.sharing = [
-            MirrorSharing(mirror, self.membership, self.membership, self.peers, timers)
-            for mirror in self.mirrors
-        ]
-        self.scheduler = PermitScheduler(self.membership, self.peers, timers, rng, SteadyVersions())
+        ranks = WatchRanks(self.membership, WHOLE_STORE)
+        self.mirror = StoreMirror(WHOLE_STORE, self.store, timers, rng, ranks)
+        self.sharing = MirrorSharing(
+            self.mirror, self.membership, self.membership, self.peers, timers
+        )
+        self.lease = HostLease(HOST_PREFIX + cfg.host.name, b"", self.store, timers, rng)
+        self.fleet = FleetWatch(HOST_PREFIX, self.mirror, self.membership, timers, self._on_fleet)
+        self.scheduler = PermitScheduler(
+            self.membership,
+            self.peers,
+            timers,
+            rng,
+            SteadyVersions(),
+            ENGINE_MODEL,
+            self.fleet.parts,
+        )
         self.allotments = AllotmentRunner(
-            self.membership, self.peers, timers, allotment_settings(cfg)
+            self.membership,
+            self.peers,
+            timers,
+            allotment_settings(cfg),
+            self.fleet.parts.part,
         )
-        operator, register = self.mirrors
         self.configuration = ConfigurationFollower(
-            operator, register, CONFIGURATION_KEY, decode_configuration, decode_upstream, timers
+            self.mirror,
+            CONFIGURATION_KEY,
+            UPSTREAM_PREFIX,
+            decode_configuration,
+            decode_upstream,
+            timers,
         )
         self.configuration.subscribe(self._on_catalogue)
         self.gateway = self._create_gateway(rng)
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
-        self.membership.subscribe(self._on_members)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
     def _create_gateway(self, rng: random.Random) -> Gateway:
@@ -157,8 +175,8 @@
         signal.signal(signal.SIGHUP, self._on_signal)
         self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
         self.membership.start()
-        for mirror in self.mirrors:
-            mirror.start()
+        self.mirror.start()
+        self.lease.start()
         logger.info("event=started callers={} peers={}", self.gateway.address, self.peers.address)
 
     def _is_ready(self) -> bool:
@@ -184,8 +202,10 @@
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         self.scheduler.set_catalogue(catalogue)
 
-    def _on_members(self) -> None:
-        self.gateway.parts.retries.host_count = len(self.membership.live())
+    def _on_fleet(self) -> None:
+        """Divide what is shared by the size of the whole fleet."""
+        now = self._loop.timers.now()
+        self.gateway.parts.retries.host_count = self.fleet.parts.size(now)
 
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
         if number == signal.SIGHUP:
@@ -216,6 +236,7 @@
         logger.info("event=stopping in_progress={}", self.gateway.in_progress)
         self.gateway.announce_close()
         self.membership.leave()
+        self.lease.stop()
         deadline = self._loop.timers.now() + self._cfg.stop.notice_s + self._cfg.stop.grace_s
         self._loop.timers.call_later(self._cfg.stop.notice_s, lambda: self._close_door(deadline))
 
@@ -233,8 +254,7 @@
 
     def _end(self) -> None:
         logger.info("event=stopped in_progress={}", self.gateway.in_progress)
-        for mirror in self.mirrors:
-            mirror.stop()
+        self.mirror.stop()
         self.membership.stop()
         self.peers.stop()
         self.client.close()
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -277,6 +277,11 @@
     def live(self) -> tuple[str, ...]:
         """Return the sorted names of live daemons that take part, this one included."""
 
+    @property
+    def isolated(self) -> bool:
+        """Tell whether this daemon can't reach the larger part of the fleet."""
+        return False
+
     def leaving_hosts(self) -> tuple[str, ...]:
         """Return the names of daemons that have announced their planned stop."""
         return ()
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -19,6 +19,7 @@
     CostEstimator,
     estimate_counted,
 )
+from tarragonwind.core.fleet_parts import FleetParts
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
@@ -74,6 +75,8 @@
         Which versions serve.
     load_settings : LoadSettings, optional
         How upstreams are loaded and judged.
+    fleet : FleetParts, optional
+        Which part of the fleet this host's side is.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         rng: random.Random,
         versions: Versions,
         load_settings: LoadSettings | None = None,
+        fleet: FleetParts | None = None,
     ) -> None:
         self._members = members
         self._timers = timers
@@ -102,7 +106,7 @@
             load_settings=load_settings or LoadSettings(),
             concentrates=versions.concentrates,
         )
-        self.owners = PoolOwners(members.name, parts, members.owner_of, members.live)
+        self.owners = PoolOwners(members.name, parts, members.owner_of, members.live, fleet)
         self.client = PermitClient(
             members.name, peers.send, rng, members.owner_of, self.owners.create_local_owner
         )
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 from collections.abc import Callable
 
@@ -31,8 +32,12 @@
 FAR_WATCH_S = 10.0
 """Time after which a host notices the store's silence that hears of changes from others, in
 seconds."""
+POLL_S = 10.0
+"""Time between two reads of a host that hears of changes from others only, in seconds."""
 CLOSE_WATCHERS = 3
-"""Hosts of a fleet that watch the store closely; each look of theirs is a call."""
+"""Hosts of a fleet that watch the store closely."""
+FAR_WATCHERS = 9
+"""Hosts of a fleet that watch it with long waits; the store's calls don't grow with the others."""
 ASK_PERIOD_S = 0.25
 """Least time between two questions for the same mirror, in seconds."""
 FACT_BYTES = 8
@@ -41,22 +46,45 @@
 OnItems = Callable[[list[MirrorItem]], None]
 
 
-def watch_closely() -> bool:
-    """Watch closely, as a host without others does."""
-    return True
+class WatchMode(enum.Enum):
+    """Tell how a host follows the store; each sign of life and each change of a watch is a call."""
 
+    CLOSE = "close"
+    """A watch that notices a silent store soon."""
+    FAR = "far"
+    """A watch with long waits; changes come from other hosts, too."""
+    POLL = "poll"
+    """No watch: changes come from other hosts, and a read now and then finds what they missed."""
 
-class CloseWatchers:
-    """Tell whether this host is one of the few that watch the store closely."""
+
+def follow_closely() -> WatchMode:
+    """Follow closely, as a host without others does."""
+    return WatchMode.CLOSE
+
+
+class WatchRanks:
+    """Choose this host's mode by its rank among the live ones; a host that is alone is close.
+
+    Parameters
+    ----------
+    members : Members
+        Live hosts.
+    key : str
+        What ranks are drawn for.
+    """
 
     def __init__(self, members: Members, key: str) -> None:
         self._members = members
         self._key = key
 
-    def __call__(self) -> bool:
-        """Tell whether this host's rank among the live ones is high enough."""
-        ranked = rank_names(self._key, self._members.live(), CLOSE_WATCHERS)
-        return self._members.name in ranked
+    def __call__(self) -> WatchMode:
+        """Return the mode by the hosts that live now."""
+        if self._members.isolated:
+            return WatchMode.CLOSE
+        ranked = rank_names(self._key, self._members.live(), CLOSE_WATCHERS + FAR_WATCHERS)
+        if self._members.name in ranked[:CLOSE_WATCHERS]:
+            return WatchMode.CLOSE
+        return WatchMode.FAR if self._members.name in ranked else WatchMode.POLL
 
 
 class StoreMirror:
@@ -72,8 +100,8 @@
         Clock and timer subscriptions.
     rng : random.Random
         Source of jitter.
-    is_close : callable
-        Tells whether this host is one of those that watch the store closely.
+    choose_mode : callable
+        Tells how this host follows the store.
 
     Attributes
     ----------
@@ -91,7 +119,7 @@
         store: Store,
         timers: Timers,
         rng: random.Random,
-        is_close: Callable[[], bool] = watch_closely,
+        choose_mode: Callable[[], WatchMode] = follow_closely,
     ) -> None:
         self.prefix = prefix
         self.state = MirrorState()
@@ -100,11 +128,11 @@
         self._store = store
         self._timers = timers
         self._rng = rng
-        self._is_close = is_close
+        self._choose_mode = choose_mode
         self._listeners: list[OnItems] = []
         self._watch: Watch | None = None
         self._end_watch: Callable[[str], None] | None = None
-        self._close = False
+        self._mode = WatchMode.CLOSE
         self._stopped = False
 
     def subscribe(self, listener: OnItems) -> None:
@@ -122,11 +150,12 @@
             self._watch.cancel()
 
     def review(self) -> None:
-        """Watch anew when other hosts live and this host's part in watching has changed."""
-        if self._watch is None or self._end_watch is None or self._close == self._is_close():
+        """Follow the store in another way when other hosts live and this host's part is another."""
+        if self._end_watch is None or self._mode is self._choose_mode():
             return
-        self._watch.cancel()
-        self._end_watch("this host's part in watching the store has changed")
+        if self._watch is not None:
+            self._watch.cancel()
+        self._end_watch("this host's part in following the store has changed")
 
     def take(self, changes: list[MirrorItem], source: str) -> None:
         """Tell the listeners of changes that came into the copy."""
@@ -163,12 +192,18 @@
         def end(reason: str) -> None:
             ended.set_result(reason)
 
-        self._close = self._is_close()
+        self._mode = self._choose_mode()
         self._end_watch = end
-        quiet_s = CLOSE_WATCH_S if self._close else FAR_WATCH_S
-        self._watch = self._store.watch(self.prefix, revision, self._on_events, end, quiet_s)
+        if self._mode is WatchMode.POLL:
+            timer = self._timers.call_later(POLL_S, lambda: end("it is time to read again"))
+        else:
+            quiet_s = CLOSE_WATCH_S if self._mode is WatchMode.CLOSE else FAR_WATCH_S
+            self._watch = self._store.watch(self.prefix, revision, self._on_events, end, quiet_s)
         reason = await ended
+        if self._mode is WatchMode.POLL:
+            timer.cancel()
         self._watch = None
+        self._end_watch = None
         return reason
 
     def _on_events(self, events: list[WatchEvent]) -> None:
