--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -130,6 +130,7 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     timeout_s: float = 30.0,
+    host: str = LOOPBACK,
 ) -> Answer:
     """Send one HTTP request to loopback and read the whole answer.
 
@@ -138,7 +139,7 @@
     OSError, http.client.HTTPException
         When there is no whole answer.
     """
-    conn = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    conn = http.client.HTTPConnection(host, port, timeout=timeout_s)
     try:
         conn.request(method, path, body or None, headers or {})
         answer = conn.getresponse()
--- /dev/null
+++ b/standins/platform_fleets.py
@@ -0,0 +1,255 @@
+"""Start and end a small fleet on the platform's protocols: store, back ends and entry hosts."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.fleets import Fleet, FleetProcess, call, free_port, wait_until
+
+AUTHORITY = "fleet.example"
+KEYS = {"officina": "key-officina", "cantiere": "key-cantiere"}
+STREAM_PATH = "/draft/stream"
+LOOKUP_PATH = "/lookup/7"
+STAMP_PATH = "/stamp/7"
+GRACE_S = 6
+
+
+@dataclass(slots=True)
+class PlatformFleet:
+    """Run the stand-ins and entry hosts in one directory.
+
+    Parameters
+    ----------
+    directory : Path
+        Settings, logs and journals are written here.
+    """
+
+    directory: Path
+    fleet: Fleet = field(init=False)
+    ports: dict[str, int] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    store_port: int = 0
+    version: int = 0
+
+    def __post_init__(self) -> None:
+        self.fleet = Fleet(self.directory)
+
+    def __enter__(self) -> PlatformFleet:
+        return self
+
+    def __exit__(self, *_args: object) -> None:
+        self.fleet.stop()
+
+    def start(self, engines: int, services: int, hosts: int) -> None:
+        """Start everything and wait until every host is ready."""
+        self.store_port = self.fleet.start_standin("store", "standins.platform_store").port
+        self.configure()
+        for number in range(engines):
+            self.start_back_end(f"i-engine{number}", "drafting")
+        for number in range(services):
+            self.start_back_end(f"i-service{number}", "registry")
+        names = ("callers", "ready", "peers", "metrics", "operators")
+        self.ports = {name: free_port() for name in names}
+        self.ports["metrics"] = self.ports["peers"] + 1
+        for number in range(hosts):
+            self.addresses[f"front-{number}"] = f"127.0.0.{11 + number}"
+        for name in self.addresses:
+            self.start_host(name)
+        for name in self.addresses:
+            wait_until(lambda name=name: self.is_ready(name), f"{name} is ready")
+
+    def put(self, key: str, doc: dict[str, Any] | None) -> int:
+        """Write a key as the operator or a back end does; return the store's revision."""
+        value = None if doc is None else json.dumps(doc)
+        body = json.dumps({"key": key, "value": value}).encode()
+        return int(call(self.store_port, "POST", "/put", body).json()["revision"])
+
+    def configure(self, **changes: Any) -> None:
+        """Write the next configuration."""
+        self.version += 3
+        self.put("op/config", create_configuration(self.version, **changes))
+
+    def start_back_end(self, name: str, pool: str) -> FleetProcess:
+        """Start a back end and register it."""
+        journal = str(self.fleet.journal_path(name))
+        started = self.fleet.start_standin(
+            name, "standins.platform_engine", "--name", name, "--journal", journal
+        )
+        self.register(name, pool, started.port)
+        return started
+
+    def register(self, name: str, pool: str, port: int, state: str = "ready") -> None:
+        """Write a back end's entry."""
+        doc = {
+            "service": pool,
+            "address": f"127.0.0.1:{port}",
+            "zone": "etna",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldMs": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+        self.put(f"servers/{name}", doc)
+
+    def start_host(self, name: str) -> FleetProcess:
+        """Start an entry host with the platform's settings file."""
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(self.host_settings(name)))
+        environment = {**os.environ, "TARRAGONWIND_CONFIG": str(path)}
+        with open(self.fleet.log_path(name), "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "tarragonwind", "serve_platform"],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=environment,
+            )
+        started = FleetProcess(name, process, self.ports["callers"])
+        self.fleet.processes[name] = started
+        return started
+
+    def host_settings(self, name: str) -> dict[str, Any]:
+        """Return the settings document of a host."""
+        ip = self.addresses[name]
+        ports = self.ports
+        seeds = [f"{address}:{ports['operators']}" for address in self.addresses.values()]
+        return {
+            "node": name,
+            "role": "entry",
+            "ip": ip,
+            "zone": "etna",
+            "listen": {
+                "front": f"{ip}:{ports['callers']}",
+                "ready": f"{ip}:{ports['ready']}",
+                "control": f"{ip}:{ports['operators']}",
+            },
+            "internalPorts": [ports["peers"], ports["peers"] + 10],
+            "seeds": seeds[:3],
+            "limits": {"maxFds": 1000, "memoryMb": 300},
+            "bounds": {
+                "graceS": GRACE_S,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetSlack": 50,
+                "quotaWindowS": 8,
+                "quotaOverage": 0.1,
+                "quotaSlack": 1000,
+            },
+            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+        }
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a host says that it is ready."""
+        try:
+            return self.ask(name, "ready", "GET", "/readyz").status == 200
+        except OSError:
+            return False
+
+    def ask(
+        self,
+        name: str,
+        side: str,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Any:
+        """Send one request to a side of a host and return the whole answer."""
+        return call(self.ports[side], method, path, body, headers, host=self.addresses[name])
+
+    def send(
+        self, name: str, path: str, attempt: str, organisation: str = "officina", **more: str
+    ) -> Any:
+        """Send a caller's request."""
+        headers = {
+            "Host": AUTHORITY,
+            "Attempt-Id": attempt,
+            "Request-Deadline": "4000",
+            "Authorization": f"Bearer {KEYS.get(organisation, organisation)}",
+            **{key.replace("_", "-"): value for key, value in more.items()},
+        }
+        method = "GET" if path.startswith("/lookup") else "POST"
+        body = b"" if method == "GET" else b"text"
+        return self.ask(name, "callers", method, path, headers, body)
+
+    def journal(self, name: str) -> list[dict[str, Any]]:
+        """Return what a back end has written down."""
+        path = self.fleet.journal_path(name)
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def create_configuration(
+    version: int, keys: dict[str, str] | None = None, rate: int = 0, timeout_ms: int = 3_000
+) -> dict[str, Any]:
+    """Return the operator's configuration as the platform writes it."""
+    common = {"host": AUTHORITY, "public": False, "sessionAffinity": False}
+    routes = [
+        {
+            "name": "r-draft",
+            "pathPrefix": "/draft/",
+            "kind": "stream",
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 400,
+            "gapTargetMs": 300,
+            "priority": 0,
+            "service": "drafting",
+            "maxAttempts": 2,
+            "streamResume": True,
+        },
+        {
+            "name": "r-lookup",
+            "pathPrefix": "/lookup/",
+            "kind": "safe",
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "service": "registry",
+            "maxAttempts": 2,
+        },
+        {
+            "name": "r-stamp",
+            "pathPrefix": "/stamp/",
+            "kind": "unsafe",
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "service": "registry",
+            "maxAttempts": 1,
+        },
+    ]
+    engine = {"slots": 6, "stride": 5}
+    services = [
+        {"name": "drafting", "healthPath": "/healthz", "maxConns": 100, "engine": engine},
+        {"name": "registry", "healthPath": "/healthz", "maxConns": 100},
+    ]
+    tenants = [
+        {
+            "name": name,
+            "apiKeys": [key],
+            "unit": "token_stream",
+            "plainTokens": 200,
+            "ratePerS": rate,
+            "burst": rate,
+        }
+        for name, key in (keys or KEYS).items()
+    ]
+    return {
+        "version": version,
+        "routes": [{**common, **route} for route in routes],
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": tenants,
+    }
--- /dev/null
+++ b/tests/test_platform_daemons.py
@@ -0,0 +1,242 @@
+"""Run the daemon on the platform's protocols, against stand-ins as separate processes."""
+
+import http.client
+import signal
+import threading
+import time
+
+import pytest
+
+from standins.fleets import control, wait_until
+from standins.platform_engine import EVENTS
+from standins.platform_fleets import (
+    AUTHORITY,
+    KEYS,
+    LOOKUP_PATH,
+    STAMP_PATH,
+    STREAM_PATH,
+    PlatformFleet,
+)
+
+pytestmark = pytest.mark.process
+COUNTED = {"Token_Counts": "100,50", "Model": "m"}
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    with PlatformFleet(tmp_path_factory.mktemp("platform")) as fleet:
+        fleet.start(engines=2, services=2, hosts=2)
+        yield fleet
+
+
+def event_ids(body):
+    return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
+
+
+def runs_of(site, attempt):
+    names = [name for name in site.fleet.processes if name.startswith("i-")]
+    lines = [(name, line) for name in names for line in site.journal(name)]
+    return [
+        (name, line)
+        for name, line in lines
+        if line["event"] == "run" and line["attempt-id"] == attempt
+    ]
+
+
+def engine_ports(site):
+    return [
+        process.port
+        for name, process in site.fleet.processes.items()
+        if name.startswith("i-engine")
+    ]
+
+
+def service_ports(site):
+    return [
+        process.port
+        for name, process in site.fleet.processes.items()
+        if name.startswith("i-service")
+    ]
+
+
+def test_a_stream_comes_whole_with_its_seal(site):
+    answer = site.send("front-0", STREAM_PATH, "a-1", **COUNTED)
+    assert answer.status == 200
+    assert event_ids(answer.body) == list(range(1, EVENTS + 1))
+    assert answer.headers["Server-Seal"].startswith("seal-i-engine")
+
+
+def test_what_a_back_end_is_sent(site):
+    assert site.send("front-0", STAMP_PATH, "a-2", Hold="9").status == 200
+    ((_, line),) = runs_of(site, "a-2")
+    assert line["host"] == AUTHORITY
+    assert line["target"] == STAMP_PATH
+    assert (line["tenant"], line["key"], line["hold"]) == ("officina", "", "")
+    assert 2_500 < int(line["request-deadline"]) <= 3_000
+
+
+@pytest.mark.parametrize(
+    ("path", "organisation", "status"),
+    [("/nothing/", "officina", 404), (LOOKUP_PATH, "unknown-key", 401)],
+)
+def test_what_the_configuration_does_not_allow_is_refused(site, path, organisation, status):
+    assert site.send("front-0", path, "a-3", organisation).status == status
+
+
+def test_a_broken_stream_goes_on_at_the_other_engine_after_its_last_whole_event(site):
+    for port in engine_ports(site):
+        control(port, cut_after_events=4)
+    done = threading.Event()
+
+    def mend() -> None:
+        wait_until(lambda: len(runs_of(site, "a-4")) == 1, "the first run")
+        for port in engine_ports(site):
+            control(port, cut_after_events=0)
+        done.set()
+
+    first = engine_ports(site)
+    control(first[0], cut_after_events=4)
+    control(first[1], cut_after_events=4)
+    threading.Thread(target=mend, daemon=True).start()
+    answer = site.send("front-0", STREAM_PATH, "a-4", **COUNTED)
+    assert done.wait(10)
+    assert event_ids(answer.body) == list(range(1, EVENTS + 1))
+
+
+def test_a_failure_of_a_safe_request_is_tried_elsewhere_and_an_unsafe_one_is_not(site):
+    failing, sound = service_ports(site)
+    control(failing, fail=True)
+    lookups = [site.send("front-0", LOOKUP_PATH, f"a-5-{number}") for number in range(8)]
+    assert {answer.status for answer in lookups} == {200}
+    stamps = [site.send("front-0", STAMP_PATH, f"a-6-{number}") for number in range(8)]
+    control(failing, fail=False)
+    assert {answer.status for answer in stamps} <= {200, 500}
+    for number in range(8):
+        assert len(runs_of(site, f"a-6-{number}")) == 1
+
+
+def test_a_full_back_end_refuses_with_a_true_promise(site):
+    for port in service_ports(site):
+        control(port, full=True)
+    answer = site.send("front-0", STAMP_PATH, "a-7")
+    for port in service_ports(site):
+        control(port, full=False)
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert runs_of(site, "a-7") == []
+
+
+def test_a_silent_engine_costs_a_resumable_stream_no_answer(site):
+    silent, _ = engine_ports(site)
+    control(silent, silent=True)
+    answers = [site.send("front-0", STREAM_PATH, f"a-8-{n}", **COUNTED) for n in range(3)]
+    control(silent, silent=False)
+    for answer in answers:
+        assert event_ids(answer.body) == list(range(1, EVENTS + 1))
+
+
+def test_a_caller_that_leaves_ends_the_work(site):
+    conn = http.client.HTTPConnection(site.addresses["front-0"], site.ports["callers"], timeout=5)
+    headers = {
+        "Host": AUTHORITY,
+        "Attempt-Id": "a-9",
+        "Authorization": f"Bearer {KEYS['officina']}",
+    }
+    conn.request("POST", STREAM_PATH, b"text", headers)
+    answer = conn.getresponse()
+    answer.read(10)
+    conn.sock.shutdown(2)
+    conn.close()
+    answer.close()
+    names = [name for name in site.fleet.processes if name.startswith("i-engine")]
+
+    def was_left() -> bool:
+        lines = [line for name in names for line in site.journal(name)]
+        return any(line["event"] == "left" and line["attempt-id"] == "a-9" for line in lines)
+
+    wait_until(was_left, "the engine hears that the caller left", 3.0)
+
+
+def test_an_allotment_is_counted_over_all_hosts_and_a_key_is_taken_away(site):
+    site.configure(rate=500)
+    wait_until(lambda: catalogue_number(site, "front-1") == site.version, "the rate is in force")
+    statuses = [
+        site.send(f"front-{number % 2}", LOOKUP_PATH, f"a-10-{number}").status
+        for number in range(60)
+    ]
+    admitted = statuses.count(200) * 200
+    assert statuses.count(429) + statuses.count(200) == 60
+    # The limit is 500 a second for 8 s and 500 at once, with its tolerance of 10% and 1,000.
+    assert admitted <= (500 * 8 + 500) * 1.1 + 1_000
+    site.configure(keys={"cantiere": KEYS["cantiere"]})
+    wait_until(lambda: catalogue_number(site, "front-0") == site.version, "the key is gone")
+    assert site.send("front-0", LOOKUP_PATH, "a-11").status == 401
+    assert site.send("front-0", LOOKUP_PATH, "a-12", "cantiere").status == 200
+    site.configure()
+    wait_until(lambda: catalogue_number(site, "front-0") == site.version, "all are back")
+
+
+def catalogue_number(site, name):
+    page = site.ask(name, "metrics", "GET", "/metrics").body.decode()
+    rows = [line for line in page.splitlines() if line.startswith("tarragonwind_catalogue_number")]
+    return int(float(rows[0].rsplit(" ", 1)[1])) if rows else 0
+
+
+def test_a_host_that_the_store_turns_away_follows_the_others(site):
+    # Every host of the loopback reaches the store from one address, so the store is silenced for
+    # all, and the change comes only to the host that is told it by hand when it is back.
+    control(site.store_port, silent=True)
+    before = catalogue_number(site, "front-0")
+    assert site.send("front-0", LOOKUP_PATH, "a-13").status == 200
+    control(site.store_port, silent=False)
+    site.configure()
+    for name in site.addresses:
+        wait_until(lambda name=name: catalogue_number(site, name) > before, "in force again", 6.0)
+
+
+def test_a_leaving_back_end_gets_no_new_work_at_once(site):
+    leaving = next(name for name in site.fleet.processes if name.startswith("i-service"))
+    port = site.fleet.processes[leaving].port
+    site.register(leaving, "registry", port, state="draining")
+    time.sleep(0.3)
+    for number in range(10):
+        assert site.send("front-0", LOOKUP_PATH, f"a-14-{number}").status == 200
+        assert {name for name, _ in runs_of(site, f"a-14-{number}")} != {leaving}
+    site.register(leaving, "registry", port)
+
+
+def test_an_entry_that_can_not_be_read_names_no_back_end(site):
+    site.put("servers/i-odd", {"service": "registry", "address": 7, "state": "ready"})
+    time.sleep(0.2)
+    assert site.send("front-0", LOOKUP_PATH, "a-15").status == 200
+    site.put("servers/i-odd", None)
+
+
+def test_the_metrics_page_counts_and_measures(site):
+    page = site.ask("front-0", "metrics", "GET", "/metrics").body.decode()
+    assert "tarragonwind_requests" in page
+    assert "tarragonwind_duration_seconds_bucket" in page
+    assert "tarragonwind_store_calls" in page
+
+
+def test_a_planned_stop_cuts_nothing_and_ends_in_its_time(site):
+    answers = []
+    threads = [
+        threading.Thread(
+            target=lambda n=number: answers.append(
+                site.send("front-1", STREAM_PATH, f"a-16-{n}", **COUNTED)
+            )
+        )
+        for number in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.05)
+    process = site.fleet.processes["front-1"]
+    process.process.send_signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    assert [event_ids(answer.body) for answer in answers] == [list(range(1, EVENTS + 1))] * 4
+    assert process.process.wait(6) == 0
+    log = site.fleet.log_path("front-1").read_text()
+    assert "event=stopping" in log and "event=stopped" in log
