--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -1,6 +1,7 @@
 """Keep organisations within their allotments of tokens, summed over all hosts.
 
-Each host counts what it admits in a sliding window. One live host an organisation, found by
+Each host counts what it admits in sliding windows of several lengths, which together bound rate and
+burst. One live host an organisation, found by
 rendezvous hashing, adds the counts up and tells each host what the others have admitted. Reports
 state whole windows, so that a lost one or a new adder needs no repair. Hosts that lose one another
 keep to their side's part of the fleet: the parts add up to the whole, whichever hosts live.
@@ -18,6 +19,9 @@
 
 BUCKET_S = 0.1
 """Width of a window's buckets, in seconds."""
+WINDOW_PARTS = (1.0, 0.5, 0.25, 0.125)
+"""Lengths of the windows, as parts of the longest: the short ones keep a whole window's tokens from
+being taken at once."""
 QUIET_PART = 0.25
 """Part of an equal share of the allotment below which a host reports nothing."""
 STALE_S = 1.0
@@ -58,7 +62,7 @@
     Attributes
     ----------
     rows : list of list
-        Organisation and tokens.
+        Organisation and tokens in each window, the longest first.
     """
 
     rows: list[list]
@@ -72,19 +76,28 @@
     Attributes
     ----------
     rows : list of list
-        Organisation and tokens.
+        Organisation and tokens in each window, the longest first.
     """
 
     rows: list[list]
 
 
+Totals = tuple[int, ...]
+"""Tokens in each window, the longest first."""
+NOTHING: Totals = (0,) * len(WINDOW_PARTS)
+
+
+def add_totals(left: Totals, right: Totals) -> Totals:
+    """Return the sums window by window."""
+    return tuple(one + other for one, other in zip(left, right, strict=True))
+
+
 class UsageWindow:
-    """Sum tokens over a sliding window."""
+    """Sum tokens over sliding windows."""
 
-    __slots__ = ("_buckets", "_window_s", "total")
+    __slots__ = ("_buckets", "_window_s")
 
     def __init__(self, window_s: float) -> None:
-        self.total = 0
         self._window_s = window_s
         self._buckets: deque[list[float]] = deque()
 
@@ -93,27 +106,22 @@
         if not self._buckets or now - self._buckets[-1][0] >= BUCKET_S:
             self._buckets.append([now, 0.0])
         self._buckets[-1][1] += tokens
-        self.total += tokens
 
-    def forget(self, now: float) -> None:
-        """Leave out what the window has passed."""
+    def totals(self, now: float) -> Totals:
+        """Return the tokens in each window, and forget what the longest has passed."""
         while self._buckets and self._buckets[0][0] <= now - self._window_s - BUCKET_S:
-            self.total -= int(self._buckets.popleft()[1])
-
-    def room_after_s(self, now: float, tokens: float) -> float:
-        """Return the time until an amount has left the window, in seconds."""
-        for at, amount in self._buckets:
-            tokens -= amount
-            if tokens <= 0:
-                return max(0.0, at + self._window_s - now)
-        return self._window_s
+            self._buckets.popleft()
+        return tuple(
+            int(sum(amount for at, amount in self._buckets if at > now - part * self._window_s))
+            for part in WINDOW_PARTS
+        )
 
 
 @dataclass(slots=True)
 class _Heard:
-    """Hold a count and when it came."""
+    """Hold counts and when they came."""
 
-    tokens: int
+    totals: Totals
     at: float
 
 
@@ -168,7 +176,7 @@
         self._owner_of = owner_of
         self._part = part
         self._windows: dict[str, UsageWindow] = {}
-        self._limits: dict[str, float] = {}
+        self._limits: dict[str, tuple[float, ...]] = {}
         self._others: dict[str, _Heard] = {}
         self._reports: dict[str, dict[str, _Heard]] = {}
         self._live: tuple[str, ...] = (name,)
@@ -187,16 +195,19 @@
         """
         if not organisation.tokens_per_s:
             return
-        limit = self._limit(now, organisation)
-        self._limits[organisation.name] = limit
-        window = self._window(now, organisation.name)
-        excess = self._used(now, organisation.name, window, limit) + tokens - limit
-        if excess > 0 and window.total + self._heard(now, organisation.name) > 0:
+        name = organisation.name
+        limits = self._window_limits(now, organisation)
+        self._limits[name] = limits
+        window = self._window(name)
+        own = window.totals(now)
+        used = self._used(now, name, own, limits)
+        excess = max(have + tokens - limit for have, limit in zip(used, limits, strict=True))
+        if excess > 0 and any(used):
             wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
             raise RequestError(
                 ErrorKind.OVER_ALLOTMENT,
-                f"the request's {tokens} tokens exceed the allotment: own {window.total}, "
-                f"others {self._heard(now, organisation.name)}, limit {limit:.0f}",
+                f"the request's {tokens} tokens exceed the allotment: own {own[0]}, "
+                f"used {used[0]:.0f}, limit {limits[0]:.0f}",
                 wait_s,
             )
         window.add(now, tokens)
@@ -204,73 +215,86 @@
     def give_back(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Take back the tokens of a request that was not dispatched."""
         if organisation.tokens_per_s:
-            self._window(now, organisation.name).add(now, -tokens)
+            self._window(organisation.name).add(now, -tokens)
 
     def reports(self, now: float) -> dict[str, UsageReport]:
         """Return the reports that are due, by the host that they go to."""
         rows: dict[str, list[list]] = {}
         for name in list(self._windows):
-            window = self._window(now, name)
-            if not window.total:
+            totals = self._windows[name].totals(now)
+            if not any(totals):
                 del self._windows[name]
                 continue
-            quiet = QUIET_PART * self._limits.get(name, 0.0) / max(1, len(self._live))
             owner = self._owner_of(name)
-            if owner != self._name and window.total > quiet:
-                rows.setdefault(owner, []).append([name, window.total])
+            if owner != self._name and self._is_worth_telling(name, totals):
+                rows.setdefault(owner, []).append([name, *totals])
         return {host: UsageReport(part) for host, part in rows.items()}
 
     def on_report(self, now: float, host: str, msg: UsageReport) -> UsageTotals:
         """Add a host's counts up and return what the others have admitted."""
         rows: list[list] = []
-        for name, tokens in msg.rows:
+        for name, *totals in msg.rows:
             counts = self._reports.setdefault(name, {})
-            counts[host] = _Heard(int(tokens), now)
-            others = self._sum_reports(now, name, host) + self._window(now, name).total
-            rows.append([name, others])
+            counts[host] = _Heard(tuple(totals), now)
+            others = self._sum_reports(now, name, host)
+            own = self._windows[name].totals(now) if name in self._windows else NOTHING
+            rows.append([name, *add_totals(others, own)])
         return UsageTotals(rows)
 
     def on_totals(self, now: float, msg: UsageTotals) -> None:
         """Take in what the others have admitted."""
-        for name, tokens in msg.rows:
-            self._others[name] = _Heard(int(tokens), now)
-
-    def _used(self, now: float, name: str, window: UsageWindow, limit: float) -> float:
-        """Return what counts against an organisation's limit on this host."""
+        for name, *totals in msg.rows:
+            self._others[name] = _Heard(tuple(totals), now)
+
+    def _is_worth_telling(self, name: str, totals: Totals) -> bool:
+        limits = self._limits.get(name)
+        if limits is None:
+            return True
+        part = QUIET_PART / max(1, len(self._live))
+        return any(have > part * limit for have, limit in zip(totals, limits, strict=True))
+
+    def _used(
+        self, now: float, name: str, own: Totals, limits: tuple[float, ...]
+    ) -> tuple[float, ...]:
+        """Return what counts against an organisation's limits on this host."""
         if self._owner_of(name) == self._name:
-            return window.total + self._sum_reports(now, name, self._name)
+            return add_totals(own, self._sum_reports(now, name, self._name))
         heard = self._others.get(name)
         if heard is not None and now - heard.at <= STALE_S:
-            return window.total + heard.tokens
+            return add_totals(own, heard.totals)
+        if not self._is_worth_telling(name, own):
+            return own
         # Nobody has added up lately: this host keeps to an equal share.
-        share = limit / max(1, len(self._live))
-        small = window.total <= QUIET_PART * share
-        return window.total if small else window.total + limit - share
-
-    def _heard(self, now: float, name: str) -> int:
-        heard = self._others.get(name)
-        return heard.tokens if heard is not None and now - heard.at <= STALE_S else 0
+        others = 1.0 - 1.0 / max(1, len(self._live))
+        return tuple(have + others * limit for have, limit in zip(own, limits, strict=True))
 
-    def _limit(self, now: float, organisation: OrganisationEntry) -> float:
-        """Return the tokens that this host's side of the fleet may admit in a window."""
-        seen_s = min(self._window_s, now - self._started_at)
+    def _window_limits(self, now: float, organisation: OrganisationEntry) -> tuple[float, ...]:
+        """Return the tokens that this host's side of the fleet may admit in each window."""
+        age_s = now - self._started_at
         burst = organisation.token_burst
-        if seen_s < self._window_s:
+        if age_s < self._window_s:
             burst *= START_BURST
-        whole = organisation.tokens_per_s * seen_s + burst
-        whole += TOLERANCE_PART * (whole * self._settings.overage + self._settings.slack_tokens)
-        return whole * self._part(now)
-
-    def _sum_reports(self, now: float, name: str, without: str) -> int:
+        settings = self._settings
+        limits = []
+        for part in WINDOW_PARTS:
+            whole = organisation.tokens_per_s * min(part * self._window_s, age_s) + burst
+            whole += TOLERANCE_PART * (whole * settings.overage + settings.slack_tokens)
+            limits.append(whole * self._part(now))
+        return tuple(limits)
+
+    def _sum_reports(self, now: float, name: str, without: str) -> Totals:
         counts = self._reports.get(name, {})
         for host in [host for host, heard in counts.items() if now - heard.at > STALE_S]:
             del counts[host]
-        return sum(heard.tokens for host, heard in counts.items() if host != without)
+        total = NOTHING
+        for host, heard in counts.items():
+            if host != without:
+                total = add_totals(total, heard.totals)
+        return total
 
-    def _window(self, now: float, name: str) -> UsageWindow:
+    def _window(self, name: str) -> UsageWindow:
         window = self._windows.get(name)
         if window is None:
             window = UsageWindow(self._window_s)
             self._windows[name] = window
-        window.forget(now)
         return window
--- a/tarragonwind/core/mirror_states.py
+++ b/tarragonwind/core/mirror_states.py
@@ -45,7 +45,7 @@
         Whether the copy has been complete once.
     """
 
-    __slots__ = ("_forgotten", "_removed", "items", "loaded", "revision")
+    __slots__ = ("_complete_to", "_forgotten", "_removed", "items", "loaded", "revision")
 
     def __init__(self) -> None:
         self.items: dict[str, MirrorItem] = {}
@@ -53,6 +53,7 @@
         self.loaded = False
         self._removed: dict[str, MirrorItem] = {}
         self._forgotten = 0
+        self._complete_to = 0
 
     def take_changes(self, changes: Iterable[MirrorItem]) -> list[MirrorItem]:
         """Take changes in and return those that were new, in order."""
@@ -73,7 +74,9 @@
             if key not in snapshot and item.revision <= revision:
                 changes.append(MirrorItem(key, None, revision))
         self.loaded = True
-        return self.take_changes(changes)
+        taken = self.take_changes(changes)
+        self._complete_to = max(self._complete_to, revision)
+        return taken
 
     def changes_since(self, revision: int) -> list[MirrorItem] | None:
         """Return the changes after a revision; None when removals of then were forgotten."""
@@ -88,6 +91,9 @@
         known = self.items.get(item.key) or self._removed.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
+        if known is None and item.revision <= self._complete_to:
+            # A snapshot without the key is newer than this change.
+            return False
         self.revision = max(self.revision, item.revision)
         if item.value is None:
             self._remove(item)
--- /dev/null
+++ b/tests/test_allotments.py
@@ -0,0 +1,140 @@
+"""Play allotments on several hosts with lost and late reports, and hosts that lose each other."""
+
+import random
+
+import pytest
+
+from tarragonwind.core.allotments import AllotmentLedger, AllotmentSettings
+from tarragonwind.core.entries import OrganisationEntry
+from tarragonwind.errors import ErrorKind, RequestError
+
+WINDOW_S = 8.0
+SETTINGS = AllotmentSettings(WINDOW_S, 0.1, 190_000.0)
+RATE = 80_000
+ORGANISATION = OrganisationEntry(
+    name="officina", owner="o", token_sha256=[], tokens_per_s=RATE, token_burst=RATE
+)
+BOUND = (RATE * WINDOW_S + RATE) * 1.1 + 190_000
+LIMIT = RATE * WINDOW_S + RATE
+REPORT_S = 0.2
+HOSTS = [f"h{number}" for number in range(6)]
+
+
+class Fleet:
+    """Run one ledger a host; messages between hosts of one side arrive at the next report."""
+
+    def __init__(self, seed=1, loss=0.0):
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.sides = [list(HOSTS)]
+        self.now = 100.0
+        self.ledgers = {name: self.create(name, 0.0) for name in HOSTS}
+        self.admitted = []
+        self.refused = 0
+        self.reported_at = self.now
+
+    def create(self, name, started_at):
+        return AllotmentLedger(
+            name, SETTINGS, started_at, lambda _: self.side(name)[0], lambda _: self.part(name)
+        )
+
+    def side(self, name):
+        return next(side for side in self.sides if name in side)
+
+    def part(self, name):
+        return len(self.side(name)) / len(HOSTS)
+
+    def ask(self, name, tokens):
+        try:
+            self.ledgers[name].take(self.now, ORGANISATION, tokens)
+        except RequestError as exc:
+            assert exc.kind is ErrorKind.OVER_ALLOTMENT and exc.retry_after_s > 0
+            self.refused += 1
+        else:
+            self.admitted.append((self.now, tokens))
+
+    def step(self, dt):
+        self.now += dt
+        if self.now - self.reported_at < REPORT_S:
+            return
+        self.reported_at = self.now
+        for name, ledger in self.ledgers.items():
+            ledger.set_live(self.side(name))
+        for name, ledger in self.ledgers.items():
+            for owner, msg in ledger.reports(self.now).items():
+                if owner in self.side(name) and self.rng.random() >= self.loss:
+                    totals = self.ledgers[owner].on_report(self.now, name, msg)
+                    if self.rng.random() >= self.loss:
+                        ledger.on_totals(self.now, totals)
+
+    def load(self, seconds, tokens_per_s, size=4_000, names=None, weights=None):
+        end = self.now + seconds
+        names = names or HOSTS
+        while self.now < end:
+            self.ask(self.rng.choices(names, weights)[0], size)
+            self.step(size / tokens_per_s)
+
+    def largest_window(self):
+        largest = 0
+        for start, _ in self.admitted:
+            within = [tokens for at, tokens in self.admitted if start <= at < start + WINDOW_S]
+            largest = max(largest, sum(within))
+        return largest
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_a_tenant_that_presses_six_times_stays_within_the_bound(loss):
+    fleet = Fleet(loss=loss)
+    fleet.load(20, 6 * RATE)
+    assert fleet.largest_window() <= BOUND
+    assert sum(tokens for _, tokens in fleet.admitted) >= 0.95 * 20 * RATE
+
+
+@pytest.mark.parametrize("weights", [None, [20, 5, 1, 1, 1, 1]])
+def test_nothing_below_the_limit_is_refused_however_the_callers_are_spread(weights):
+    fleet = Fleet()
+    fleet.load(25, 0.95 * RATE, weights=weights)
+    assert fleet.refused == 0
+
+
+def test_sides_that_lose_each_other_keep_to_the_whole_limit():
+    fleet = Fleet()
+    fleet.load(9, 6 * RATE)
+    fleet.sides = [HOSTS[:4], HOSTS[4:]]
+    fleet.load(12, 6 * RATE)
+    fleet.sides = [list(HOSTS)]
+    fleet.load(9, 6 * RATE)
+    assert fleet.largest_window() <= BOUND
+
+
+def test_a_host_that_adds_up_may_die_and_another_takes_over():
+    fleet = Fleet()
+    fleet.load(9, 6 * RATE)
+    dead, *others = HOSTS
+    fleet.sides = [others, [dead]]
+    fleet.load(9, 6 * RATE, names=others)
+    assert fleet.largest_window() <= BOUND
+
+
+def test_a_fleet_that_starts_anew_admits_no_second_burst():
+    fleet = Fleet()
+    fleet.load(10, 6 * RATE)
+    fleet.step(2.0)
+    fleet.ledgers = {name: fleet.create(name, fleet.now) for name in HOSTS}
+    fleet.load(10, 6 * RATE)
+    assert fleet.largest_window() <= BOUND
+
+
+def test_tokens_of_a_request_that_was_not_dispatched_are_given_back():
+    fleet = Fleet()
+    ledger = fleet.ledgers["h0"]
+    ledger.take(fleet.now, ORGANISATION, LIMIT)
+    ledger.give_back(fleet.now, ORGANISATION, LIMIT)
+    ledger.take(fleet.now, ORGANISATION, LIMIT)
+
+
+def test_no_limit_admits_everything():
+    free = OrganisationEntry(name="free", owner="o", token_sha256=[])
+    ledger = Fleet().ledgers["h0"]
+    for _ in range(100):
+        ledger.take(100.0, free, 10_000_000)
--- /dev/null
+++ b/tests/test_caller_calls.py
@@ -0,0 +1,135 @@
+"""Test the classification of requests whose facts stand in header fields."""
+
+import hashlib
+import random
+
+import pytest
+
+from tarragonwind.adapters.http_requests import CallerRequest
+from tarragonwind.core.caller_calls import CallerCall, PromptPart, choose_pool, classify_call
+from tarragonwind.core.configurations import Configuration, join_catalogue
+from tarragonwind.core.entries import OrganisationEntry, PoolShare, RouteEntry
+from tarragonwind.errors import ErrorKind, RequestError
+from tarragonwind.platform.callers import PlatformDialect, decode_call
+
+KEY = b"key-a"
+
+
+def create_route(name, prefix, authority="a.example", **more):
+    fields = {"pool": "p", "tier": 2, "owner": "o", "answer_timeout_s": 5.0, **more}
+    return RouteEntry(name=name, authority=authority, path_prefix=prefix, **fields)
+
+
+def create_catalogue(**organisation):
+    digest = hashlib.sha256(KEY).hexdigest()
+    entries = [
+        create_route("short", "/x/"),
+        create_route("long", "/x/y/"),
+        create_route("open", "/open/", public=True),
+        create_route("other", "/x/", authority="b.example"),
+        OrganisationEntry(
+            name="org", owner="o", token_sha256=[digest], plain_tokens=200, **organisation
+        ),
+    ]
+    return join_catalogue(Configuration(7, entries), [])
+
+
+def classify(target="/x/1", authority="a.example", token=KEY, organisation=None, **more):
+    call = CallerCall(authority, target, token, **more)
+    return classify_call(call, create_catalogue(**(organisation or {})), random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("target", "route"),
+    [
+        ("/x/1", "short"),
+        ("/x/y", "short"),
+        ("/x/y/", "long"),
+        ("/x/y/z?q=/a/b/", "long"),
+        ("/open/1", "open"),
+    ],
+)
+def test_the_longest_prefix_that_begins_the_path_wins(target, route):
+    assert classify(target).route.name == route
+
+
+def test_routes_are_apart_by_host_field():
+    assert classify(authority="b.example").route.name == "other"
+
+
+@pytest.mark.parametrize(
+    ("more", "kind"),
+    [
+        ({"target": "/x"}, ErrorKind.UNKNOWN_ROUTE),
+        ({"target": "/z/1"}, ErrorKind.UNKNOWN_ROUTE),
+        ({"authority": "c.example"}, ErrorKind.UNKNOWN_ROUTE),
+        ({"token": b"wrong"}, ErrorKind.UNAUTHORIZED),
+        ({"token": b""}, ErrorKind.UNAUTHORIZED),
+    ],
+)
+def test_what_no_configuration_allows_is_refused(more, kind):
+    with pytest.raises(RequestError) as caught:
+        classify(**more)
+    assert caught.value.kind is kind
+
+
+def test_an_organisations_tier_goes_before_its_routes():
+    assert classify().tier == 2
+    assert classify(organisation={"tier": 0}).tier == 0
+
+
+def test_the_shorter_of_deadline_and_timeout_bounds_the_whole_answer():
+    assert classify(deadline_s=3.0).timeout_s == 3.0
+    assert classify(deadline_s=9.0).timeout_s == 5.0
+    assert classify().timeout_s == 5.0
+    assert classify().bounds_whole_answer
+
+
+def test_tokens_count_against_the_allotment():
+    assert classify(prompt_tokens=100, max_tokens=50).allotment_tokens == 150
+    assert classify().allotment_tokens == 200
+
+
+def test_a_split_route_follows_its_weights():
+    shares = [PoolShare(pool="a", weight=90), PoolShare(pool="b", weight=10)]
+    route = create_route("split", "/s/", shares=shares)
+    rng = random.Random(3)
+    chosen = [choose_pool(route, rng) for _ in range(2_000)]
+    assert 0.87 <= chosen.count("a") / 2_000 <= 0.93
+    none = create_route("none", "/n/", shares=[PoolShare(pool="a", weight=0)])
+    assert choose_pool(none, rng) == "p"
+
+
+def test_header_fields_are_decoded_and_odd_ones_count_as_absent():
+    request = CallerRequest(
+        "POST",
+        "/x/1",
+        [
+            (b"Host", b"A.Example"),
+            (b"Authorization", b"Bearer key-a"),
+            (b"Token-Counts", b"1460,80"),
+            (b"Prompt-Prefix", b"5c1e07a2:800,zz:1,91bd3f06:410,9:x"),
+            (b"Request-Deadline", b"8000"),
+            (b"Length-Hint", b"-5"),
+            (b"Last-Event-Id", b"12"),
+        ],
+    )
+    call = decode_call(request)
+    assert call == CallerCall(
+        "a.example",
+        "/x/1",
+        b"key-a",
+        8.0,
+        1460,
+        80,
+        None,
+        [PromptPart(0x5C1E07A2, 800), PromptPart(0x91BD3F06, 410)],
+        12,
+    )
+
+
+def test_an_answer_belongs_to_the_request_whose_id_it_repeats():
+    dialect = PlatformDialect(random.Random(1))
+    assert dialect.owns_answer("a1", [(b"attempt-ID", b"a1")])
+    assert not dialect.owns_answer("a1", [(b"Attempt-Id", b"a2")])
+    assert dialect.owns_answer("a1", [])
