--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -106,7 +106,7 @@
         environment = {**os.environ, "TARRAGONWIND_CONFIG": str(path)}
         with open(self.fleet.log_path(name), "ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", "tarragonwind", "serve_platform"],
+                [sys.executable, "-m", "tarragonwind.platform_start"],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -301,23 +301,34 @@
         Where to listen; port 0 takes a free one.
     on_accept : callable
         Called with each accepted non-blocking socket and the other side's address.
+    sock : socket.socket, optional
+        Socket that listens already; what connects to it waits until `start`.
     """
 
-    __slots__ = ("_on_accept", "_poller", "_sock", "address")
+    __slots__ = ("_on_accept", "_poller", "_sock", "_started", "address")
 
     def __init__(
         self,
         loop: Loop,
         address: Address,
         on_accept: Callable[[socket.socket, Address], None],
+        sock: socket.socket | None = None,
     ) -> None:
         self._on_accept = on_accept
         self._poller = loop.poller
-        self._sock = socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
+        self._started = False
+        self._sock = sock or listen(address)
         self._sock.setblocking(False)
         host, port = self._sock.getsockname()[:2]
         self.address = Address(host, port)
-        self._poller.add_handler(self._sock.fileno(), self, POLL_READ)
+        if sock is None:
+            self.start()
+
+    def start(self) -> None:
+        """Accept from now on; harmless when it does already."""
+        if not self._started:
+            self._started = True
+            self._poller.add_handler(self._sock.fileno(), self, POLL_READ)
 
     def on_ready(self, events: int) -> None:
         """Accept what waits, up to a bound for each pass of the loop."""
@@ -333,10 +344,16 @@
     def close(self) -> None:
         """Stop listening."""
         if self._sock.fileno() >= 0:
+            self._started = True
             self._poller.remove_handler(self._sock.fileno())
             self._sock.close()
 
 
+def listen(address: Address) -> socket.socket:
+    """Return a socket that listens on an address."""
+    return socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
+
+
 def open_connection(loop: Loop, address: Address, events: ConnectionEvents) -> Connection:
     """Start a connect and return the connection; `events` hears how it ends.
 
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 
 from loguru import logger
 
@@ -26,15 +27,29 @@
         Bounds for callers.
     parts : GatewayParts
         What requests are seen through with.
+    sock : socket.socket, optional
+        Socket that listens already; its callers wait until `start`.
     """
 
-    def __init__(self, address: Address, limits: HttpLimits, parts: GatewayParts) -> None:
+    def __init__(
+        self,
+        address: Address,
+        limits: HttpLimits,
+        parts: GatewayParts,
+        sock: socket.socket | None = None,
+    ) -> None:
         self.parts = parts
         self._active: set[RequestRun] = set()
         self._ids = itertools.count(1)
-        self._server = HttpServer(parts.loop, address, limits, self._on_request, self._on_fault)
+        self._server = HttpServer(
+            parts.loop, address, limits, self._on_request, self._on_fault, sock
+        )
         self.address = self._server.address
 
+    def start(self) -> None:
+        """Serve the callers that wait at a socket that was given."""
+        self._server.start()
+
     def announce_close(self) -> None:
         """Let callers turn to other hosts after their next answer."""
         self._server.announce_close()
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -361,6 +361,8 @@
         Called with each exchange to answer.
     on_fault : callable
         Called with an exchange and the fault to answer it with.
+    sock : socket.socket, optional
+        Socket that listens already; its callers wait until `start`.
     """
 
     def __init__(
@@ -370,6 +372,7 @@
         limits: HttpLimits,
         on_request: Callable[[CallerExchange], None],
         on_fault: Callable[[CallerExchange, RequestError], None],
+        sock: socket.socket | None = None,
     ) -> None:
         self.loop = loop
         self.limits = limits
@@ -377,9 +380,13 @@
         self.on_fault = on_fault
         self.stopping = False
         self._connections: set[CallerConnection] = set()
-        self._listener = Listener(loop, address, self._accept)
+        self._listener = Listener(loop, address, self._accept, sock)
         self.address = self._listener.address
 
+    def start(self) -> None:
+        """Serve the callers that wait at a socket that was given."""
+        self._listener.start()
+
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
--- /dev/null
+++ b/tarragonwind/platform/addresses.py
@@ -0,0 +1,34 @@
+"""Find the settings file and its addresses; importing this costs next to nothing."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from tarragonwind.platform.fields import WireError, read_document, read_field
+from tarragonwind.ports import Address
+
+SETTINGS_PATH_VARIABLE = "TARRAGONWIND_CONFIG"
+"""Environment variable with the path of the settings file."""
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file."""
+    path = os.environ.get(SETTINGS_PATH_VARIABLE)
+    if not path:
+        raise WireError(f"the environment variable {SETTINGS_PATH_VARIABLE} is not set")
+    return Path(path)
+
+
+def read_caller_address(path: Path) -> Address:
+    """Return the address that callers connect to."""
+    listen = read_field(read_document(path.read_bytes()), "listen", dict)
+    return parse_address(read_field(listen, "front", str))
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in a text of the form IP:PORT."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise WireError(f"{text!r} is no address of the form IP:PORT")
+    return Address(host, int(port))
--- a/tarragonwind/platform/settings.py
+++ b/tarragonwind/platform/settings.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 from typing import Any
 
+from tarragonwind.platform.addresses import parse_address
 from tarragonwind.platform.fields import WireError, read_document, read_field, read_number
 from tarragonwind.ports import Address
 from tarragonwind.settings import (
@@ -26,22 +26,12 @@
     UpstreamSettings,
 )
 
-SETTINGS_PATH_VARIABLE = "TARRAGONWIND_CONFIG"
-"""Environment variable with the path of the settings file."""
 STOP_RESERVE_S = 1.0
 """Part of the time before a kill that is left for closing, in seconds."""
 STOP_NOTICE_S = 3.0
 """Time until the balancer has taken a host out: two looks a second apart, and one more."""
 
 
-def settings_path() -> Path:
-    """Return the path of the settings file."""
-    path = os.environ.get(SETTINGS_PATH_VARIABLE)
-    if not path:
-        raise WireError(f"the environment variable {SETTINGS_PATH_VARIABLE} is not set")
-    return Path(path)
-
-
 def read_platform_settings(path: Path) -> Settings:
     """Return the settings of a file.
 
@@ -135,11 +125,3 @@
         endpoints=[EndpointSettings(host=address.host, port=address.port)],
         timeout_s=1.0,
     )
-
-
-def parse_address(text: str) -> Address:
-    """Return the address in a text of the form IP:PORT."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise WireError(f"{text!r} is no address of the form IP:PORT")
-    return Address(host, int(port))
--- a/tarragonwind/platform/upstreams.py
+++ b/tarragonwind/platform/upstreams.py
@@ -5,8 +5,8 @@
 from pydantic import ValidationError
 
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.platform.addresses import parse_address
 from tarragonwind.platform.fields import WireError, read_document, read_field, read_number
-from tarragonwind.platform.settings import parse_address
 
 UPSTREAM_PREFIX = "servers/"
 """Prefix of the keys under which upstreams register, each under its id."""
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -6,7 +6,9 @@
 import random
 import secrets
 import signal
+import socket
 from collections.abc import Callable
+from pathlib import Path
 from types import FrameType
 
 from loguru import logger
@@ -40,7 +42,7 @@
     CONFIGURATION_KEY,
     decode_configuration,
 )
-from tarragonwind.platform.settings import read_platform_settings, settings_path
+from tarragonwind.platform.settings import read_platform_settings
 from tarragonwind.platform.upstreams import UPSTREAM_PREFIX, decode_upstream
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
@@ -51,6 +53,9 @@
 
 __all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
 
+DOOR_LIMIT_S = 1.5
+"""Time after which callers are answered though nothing is known yet, in seconds: they are told to
+come back, within the time that they give a new connection."""
 SIGNAL_POLL_S = 0.1
 """Time between two looks for a signal, in seconds."""
 STOP_POLL_S = 0.05
@@ -85,9 +90,13 @@
         Loop that everything runs on.
     reread : callable
         Reads the settings anew.
+    sock : socket.socket
+        Socket that callers connect to already.
     """
 
-    def __init__(self, cfg: Settings, loop: Loop, reread: Callable[[], Settings]) -> None:
+    def __init__(
+        self, cfg: Settings, loop: Loop, reread: Callable[[], Settings], sock: socket.socket
+    ) -> None:
         self.stopping = False
         self._cfg = cfg
         self._loop = loop
@@ -140,11 +149,11 @@
             timers,
         )
         self.configuration.subscribe(self._on_catalogue)
-        self.gateway = self._create_gateway(rng)
+        self.gateway = self._create_gateway(rng, sock)
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
-    def _create_gateway(self, rng: random.Random) -> Gateway:
+    def _create_gateway(self, rng: random.Random, sock: socket.socket) -> Gateway:
         cfg = self._cfg
         parts = GatewayParts(
             self._loop,
@@ -161,7 +170,7 @@
             allotments=self.allotments,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
-        return Gateway(address, http_limits(cfg.callers), parts)
+        return Gateway(address, http_limits(cfg.callers), parts, sock)
 
     def run(self) -> None:
         """Run until a planned stop has ended."""
@@ -177,6 +186,7 @@
         self.membership.start()
         self.mirror.start()
         self.lease.start()
+        self._loop.timers.call_later(DOOR_LIMIT_S, self.gateway.start)
         logger.info("event=started callers={} peers={}", self.gateway.address, self.peers.address)
 
     def _is_ready(self) -> bool:
@@ -201,6 +211,8 @@
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         self.scheduler.set_catalogue(catalogue)
+        if self.configuration.ready:
+            self.gateway.start()
 
     def _on_fleet(self) -> None:
         """Divide what is shared by the size of the whole fleet."""
@@ -261,15 +273,22 @@
         self._loop.stop()
 
 
-def run_platform_daemon() -> None:
-    """Run a daemon with the platform's settings file to its planned stop."""
-    path = settings_path()
+def run_platform_daemon(path: Path, sock: socket.socket) -> None:
+    """Run a daemon with the platform's settings file to its planned stop.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file.
+    sock : socket.socket
+        Socket that callers connect to already.
+    """
     cfg = read_platform_settings(path)
     sink = configure_logs(cfg.log, cfg.host.name)
     loop = create_loop()
     if sink is not None:
         loop.timers.call_every(LOG_FLUSH_S, sink.flush)
-    daemon = PlatformDaemon(cfg, loop, lambda: read_platform_settings(path))
+    daemon = PlatformDaemon(cfg, loop, lambda: read_platform_settings(path), sock)
     # What is built so far lives as long as the process; collecting it again would hold up the loop.
     gc.freeze()
     daemon.run()
--- a/tarragonwind/tools/commands.py
+++ b/tarragonwind/tools/commands.py
@@ -85,10 +85,6 @@
         # Only this command needs the daemon's modules; the others start faster without them.
         importlib.import_module("tarragonwind.daemons").run_daemon(cfg)
 
-    def serve_platform(self) -> None:
-        """Run the daemon on the users' platform, with the settings file that it names."""
-        importlib.import_module("tarragonwind.platform_daemons").run_platform_daemon()
-
     def status(self) -> None:
         """Tell how the first answering host stands."""
         report = self._session.client.read("/v1/status", DaemonReport)
--- a/tests/test_platform_boundaries.py
+++ b/tests/test_platform_boundaries.py
@@ -53,7 +53,7 @@
         if FOLDER not in path.parents
         and any(name.startswith("tarragonwind.platform.") for name in imported(path))
     }
-    assert importers == {TOP}
+    assert importers == {TOP, PACKAGE / "platform_start.py"}
 
 
 def test_no_other_module_names_the_wire():
