--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -10,6 +10,7 @@
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
 from tarragonwind.adapters.request_runs import GatewayParts, RequestRun
+from tarragonwind.core.configurations import CallerLimits
 from tarragonwind.core.request_lives import RequestLife
 from tarragonwind.errors import RequestError
 from tarragonwind.futures import Future, spawn
@@ -50,6 +51,13 @@
         """Serve the callers that wait at a socket that was given."""
         self._server.start()
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Bound what callers send from now on."""
+        self._server.limits.max_head_bytes = limits.max_header_bytes
+        self._server.limits.max_body_bytes = limits.max_body_bytes
+        self._server.limits.head_timeout_s = limits.header_timeout_s
+        self._server.limits.idle_timeout_s = limits.idle_timeout_s
+
     def announce_close(self) -> None:
         """Let callers turn to other hosts after their next answer."""
         self._server.announce_close()
--- a/tarragonwind/configuration_followers.py
+++ b/tarragonwind/configuration_followers.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from tarragonwind.core.catalogues import Catalogue
-from tarragonwind.core.configurations import Configuration, join_catalogue
+from tarragonwind.core.configurations import CallerLimits, Configuration, join_catalogue
 from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.mirror_states import MirrorItem
 from tarragonwind.core.upstream_registers import UpstreamRegister
@@ -62,6 +62,11 @@
         """Tell whether a configuration is in force and the upstreams are known."""
         return self.catalogue is not None and self._mirror.state.loaded
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers in force."""
+        return self._configuration.limits if self._configuration is not None else CallerLimits()
+
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first."""
--- a/tarragonwind/core/permit_ledgers.py
+++ b/tarragonwind/core/permit_ledgers.py
@@ -69,8 +69,15 @@
         return len(self._permits)
 
     def configure(self, upstreams: Iterable[UpstreamEntry]) -> list[str]:
-        """Put upstreams in force and return the names of those that are gone."""
+        """Put upstreams in force and return the names of those that are gone or began anew."""
         entries = {entry.name: entry for entry in upstreams}
+        reborn = [
+            name
+            for name, load in self.loads.items()
+            if name in entries and entries[name].incarnation != load.entry.incarnation
+        ]
+        for name in reborn:
+            self._forget_upstream(name)
         for name, entry in entries.items():
             load = self.loads.get(name)
             if load is None:
@@ -81,7 +88,7 @@
         gone = [name for name in self.loads if name not in entries]
         for name in gone:
             self._forget_upstream(name)
-        return gone
+        return gone + reborn
 
     def set_share(self, share: float) -> None:
         """Use no more than a part of each upstream."""
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -42,6 +42,7 @@
     CONFIGURATION_KEY,
     decode_configuration,
 )
+from tarragonwind.platform.fields import WireError
 from tarragonwind.platform.settings import read_platform_settings
 from tarragonwind.platform.upstreams import UPSTREAM_PREFIX, decode_upstream
 from tarragonwind.ports import Address
@@ -58,6 +59,8 @@
 come back, within the time that they give a new connection."""
 SIGNAL_POLL_S = 0.1
 """Time between two looks for a signal, in seconds."""
+SETTINGS_POLL_S = 5.0
+"""Time between two looks at a settings file that may change without a signal, in seconds."""
 STOP_POLL_S = 0.05
 """Time between two looks at whether all requests have ended, in seconds."""
 LOG_FLUSH_S = 0.5
@@ -183,6 +186,7 @@
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_signal)
         self._loop.timers.call_every(SIGNAL_POLL_S, self._look_for_signal)
+        self._loop.timers.call_every(SETTINGS_POLL_S, self._look_at_settings)
         self.membership.start()
         self.mirror.start()
         self.lease.start()
@@ -211,6 +215,7 @@
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         self.scheduler.set_catalogue(catalogue)
+        self.gateway.set_limits(self.configuration.limits)
         if self.configuration.ready:
             self.gateway.start()
 
@@ -232,13 +237,24 @@
         if self._stops and not self.stopping:
             self.begin_stop()
 
+    def _look_at_settings(self) -> None:
+        """Take in a settings file that has changed without a signal."""
+        try:
+            cfg = self._reread()
+        except (OSError, WireError, ValueError):
+            # Told when the operator asks for a reload; a file may just be being written.
+            return
+        if cfg.peers.seeds != self._cfg.peers.seeds:
+            self._reload()
+
     def _reload(self) -> None:
         """Take over what a running daemon can change: the seeds."""
         try:
             cfg = self._reread()
-        except Exception as exc:
+        except (OSError, WireError, ValueError) as exc:
             logger.error("event=reload_failed reason={!r} hint=the_settings_in_force_stay", exc)
             return
+        self._cfg.peers.seeds = cfg.peers.seeds
         self.membership.set_seeds([seed.address() for seed in cfg.peers.seeds])
         logger.info("event=reloaded seeds={}", len(cfg.peers.seeds))
 
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -9,6 +9,7 @@
 from tarragonwind.core.permit_messages import PermitSync
 from tarragonwind.core.permit_requests import PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerParts, PoolOwners
+from tarragonwind.core.upstream_loads import LoadSettings
 
 POOL = "drafting"
 VERSION = "v1"
@@ -61,6 +62,7 @@
             fleet.choose_version,
             lambda organisation: fleet.weights.get(organisation, 1.0),
             fleet.settings,
+            fleet.load_settings,
         )
         self.owners = PoolOwners(name, parts, lambda pool: self.owner_name, lambda: self.live)
         self.client = PermitClient(
@@ -103,13 +105,14 @@
 class Fleet:
     """Hold hosts and the messages between them."""
 
-    def __init__(self, upstreams, host_count=3, seed=0, settings=None):
+    def __init__(self, upstreams, host_count=3, seed=0, settings=None, load_settings=None):
         self.seed = seed
         self.now = 100.0
         self.names = [f"h{number}" for number in range(host_count)]
         self.upstreams = list(upstreams)
         self.weights = {}
         self.settings = settings or PermitSettings()
+        self.load_settings = load_settings or LoadSettings()
         self.on_sent = lambda sender, receiver, msg: None
         self.version = VERSION
         self.draws = []
--- a/tests/test_operating_page.py
+++ b/tests/test_operating_page.py
@@ -12,12 +12,12 @@
 from tests.operator_fakes import TOKEN, FakeOperatorService, RunningServer, move_report
 
 ROOT = Path(__file__).parent.parent
-PAGE = (ROOT / "docs" / "OPERATING.md").read_text(encoding="utf-8")
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 COMMANDS = sorted(set(re.findall(r"(?:^|`)tarragonwind ([^`\n]+)", PAGE, re.MULTILINE)))
 NOT_RUN = ("serve", "--at", "--help")
 """Begin the commands that start a daemon or are parts of a sentence."""
 
-LOGGED = re.compile(r"logger\s*\.(\w+)\(\s*(?:\w+\([^)]*\), )?\"event=([a-z_]+)")
+LOGGED = re.compile(r"logger\s*\.(\w+)\((?:[^=]{0,90}?,)?\s*\"event=([a-z_]+)")
 OPTED = re.compile(r"logger\.opt\([^)]*\)\s*\.(\w+)\(\s*\"event=([a-z_]+)")
 ALARMING = {"warning", "error", "exception"}
 
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,144 @@
+"""Play loads of the users' busy days on the permit decisions alone, and check what callers get.
+
+The days: a burst of 1.7 to 1.9 times the usual traffic for some seconds, with a part of the engines
+lost, before unlike engines of which one in three is 4.4 times slower.
+"""
+
+import heapq
+import random
+
+from permit_fleets import Fleet, create_request, create_upstream
+
+from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.upstream_loads import LoadSettings
+
+FAST_TOKEN_S = 0.0027
+SLOW_TOKEN_S = 0.0119
+TARGET_S = 0.6
+DEADLINE_S = 8.0
+MODEL = LoadSettings(prefill_speedup=400.0, first_byte_steps=9.0, batch_slowdown=0.15)
+
+
+class Site:
+    """Run requests of one host over engines whose answers take a time by their speed."""
+
+    def __init__(self, seed=1):
+        names = ["f1", "f2", "f3", "f4", "s1", "s2"]
+        upstreams = [create_upstream(name, slots=6, tokens_per_s=1_500.0) for name in names]
+        self.fleet = Fleet(upstreams, load_settings=MODEL)
+        self.host = self.fleet.hosts["h1"]
+        self.rng = random.Random(seed)
+        self.ends = []
+        self.asked = {}
+        self.first_at = {}
+        self.whole = set()
+        self.on = {}
+        self.seen = set()
+
+    def ask(self, tokens, rank=0):
+        now = self.fleet.now
+        request = create_request(
+            tier=1,
+            cost=tokens,
+            deadline=now + DEADLINE_S,
+            target=now + TARGET_S,
+            rank=rank,
+            output_tokens=tokens,
+            prompt_tokens=3_000,
+            bounds_whole=True,
+        )
+        ask_id = self.host.ask(request)
+        self.asked[ask_id] = (now, tokens, rank)
+        self.fleet.settle_messages()
+        self.begin_granted()
+        return ask_id
+
+    def begin_granted(self):
+        for ask_id, permit in list(self.host.granted.items()):
+            if ask_id in self.seen or ask_id not in self.asked:
+                continue
+            self.seen.add(ask_id)
+            token_s = SLOW_TOKEN_S if permit.upstream.startswith("s") else FAST_TOKEN_S
+            first_s = token_s * (9 + 3_000 / 400)
+            tokens = self.asked[ask_id][1]
+            self.on[ask_id] = permit.upstream
+            self.first_at[ask_id] = self.fleet.now + first_s
+            end = self.fleet.now + first_s + tokens * token_s
+            heapq.heappush(self.ends, (end, ask_id, first_s, tokens))
+
+    def run_until(self, end):
+        while self.fleet.now < end:
+            step = min(0.01, end - self.fleet.now)
+            self.fleet.advance(step, step)
+            while self.ends and self.ends[0][0] <= self.fleet.now:
+                at, ask_id, first_s, tokens = heapq.heappop(self.ends)
+                asked_at = self.asked[ask_id][0]
+                if at <= asked_at + DEADLINE_S:
+                    self.whole.add(ask_id)
+                duration_ms = round(1_000 * (first_s + tokens * self.token_s(ask_id)))
+                self.host.client.done(
+                    self.fleet.now, ask_id, Outcome.OK, round(first_s * 1_000), duration_ms, tokens
+                )
+            self.fleet.settle_messages()
+            self.begin_granted()
+
+    def token_s(self, ask_id):
+        return SLOW_TOKEN_S if self.on[ask_id].startswith("s") else FAST_TOKEN_S
+
+    def load(self, seconds, per_s):
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            self.run_until(self.fleet.now + self.rng.expovariate(per_s))
+            self.ask(max(5, round(self.rng.lognormvariate(4.0, 0.9))))
+
+    def on_time(self, begin, end):
+        asked = [ask_id for ask_id, (at, _, _) in self.asked.items() if begin <= at < end]
+        good = [
+            ask_id
+            for ask_id in asked
+            if ask_id in self.whole and self.first_at[ask_id] <= self.asked[ask_id][0] + TARGET_S
+        ]
+        return len(good) / len(asked)
+
+
+def test_a_backlog_of_a_burst_makes_later_requests_no_later():
+    site = Site()
+    site.load(10, 60)
+    site.load(5, 200)
+    after = site.fleet.now + 0.5
+    site.load(6, 60)
+    site.run_until(site.fleet.now + 10)
+    assert site.on_time(after, after + 5) >= 0.95
+
+
+def test_late_requests_are_still_served_when_there_is_room():
+    site = Site(seed=2)
+    site.load(3, 60)
+    begin = site.fleet.now
+    site.load(3, 170)
+    end = site.fleet.now
+    site.load(6, 40)
+    site.run_until(site.fleet.now + 10)
+    asked = [ask_id for ask_id, (at, _, _) in site.asked.items() if begin <= at < end]
+    served = [ask_id for ask_id in asked if ask_id in site.whole]
+    assert len(served) >= 0.8 * len(asked)
+
+
+def test_a_long_answer_waits_for_a_fast_engine():
+    site = Site()
+    site.load(20, 60)
+    site.run_until(site.fleet.now + 10)
+    long_ones = [site.ask(600) for _ in range(20)]
+    site.run_until(site.fleet.now + 9)
+    assert all(site.on[ask_id].startswith("f") for ask_id in long_ones)
+    assert all(ask_id in site.whole for ask_id in long_ones)
+
+
+def test_what_is_refused_is_refused_before_its_deadline():
+    site = Site(seed=3)
+    site.load(12, 320)
+    site.run_until(site.fleet.now + 10)
+    for ask_id in site.host.refused:
+        assert ask_id not in site.first_at
+    undecided = set(site.asked) - set(site.host.refused) - set(site.first_at)
+    assert undecided == set()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -339,3 +339,34 @@
     loads[0].add(0.0, 1)
     loads[0].add(0.0, 1)
     assert choose_fullest(0.0, loads) == loads
+
+
+def test_an_upstream_that_began_anew_owes_nothing_of_before():
+    fleet = Fleet([create_upstream("u1", slots=2, incarnation=1)])
+    host = fleet.hosts["h1"]
+    ask_many(fleet, host, 3)
+    assert len(host.granted) == 2
+    fleet.configure([create_upstream("u1", slots=2, incarnation=2)])
+    fleet.settle_messages()
+    assert len(host.granted) == 3
+
+
+def test_a_silent_upstream_gets_nothing_until_a_probe_succeeds():
+    fleet = Fleet([create_upstream("u1", slots=4), create_upstream("u2", slots=1)])
+    host = fleet.hosts["h1"]
+    asks = ask_many(fleet, host, 2)
+    silent = next(ask for ask in asks if host.granted[ask].upstream == "u1")
+    host.client.stalled(fleet.now, silent)
+    fleet.settle_messages()
+    more = ask_many(fleet, host, 3)
+    assert not any(host.granted[ask].upstream == "u1" for ask in more if ask in host.granted)
+
+
+def test_a_full_upstream_is_not_taken_for_a_failing_one():
+    fleet = Fleet([create_upstream("u1", slots=8)])
+    host = fleet.hosts["h1"]
+    for _ in range(8):
+        ask_id = ask_many(fleet, host, 1)[0]
+        give_back(fleet, host, ask_id, Outcome.REFUSED)
+        fleet.advance(1.5)
+    assert len(host.granted) == 8
