--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 SOURCES := tarragonwind standins bench tests
 
-.PHONY: env check test demo up capacity
+.PHONY: env check test demo demo-platform up capacity
 
 env: $(VENV)/.installed
 
@@ -23,6 +23,9 @@
 demo: env
 	$(PY) -m standins.demo
 
+demo-platform: env
+	$(PY) -m standins.platform_demo
+
 up: env
 	$(PY) -m standins.demo --stay
 
--- /dev/null
+++ b/standins/platform_demo.py
@@ -0,0 +1,82 @@
+"""Show the daemon on the platform's protocols: ``python -m standins.platform_demo``.
+
+It starts stand-ins of the store and of back ends with two entry hosts, sends requests,
+takes a key away and stops a host, prints what was seen and exits non-zero when something was wrong.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import fire
+
+from standins.fleets import control, wait_until
+from standins.platform_engine import EVENTS
+from standins.platform_fleets import KEYS, LOOKUP_PATH, STAMP_PATH, STREAM_PATH, PlatformFleet
+
+REQUESTS = 20
+COUNTED = {"Model": "m", "Token_Counts": "200,50"}
+
+
+@dataclass(slots=True)
+class Table:
+    """Collect what was expected and seen."""
+
+    wrong: int = 0
+    lines: list[str] = field(default_factory=list)
+
+    def add(self, what: str, expected: object, seen: object) -> None:
+        """Add a line."""
+        mark = "ok" if expected == seen else "WRONG"
+        self.wrong += expected != seen
+        self.lines.append(f"{mark:6} {what}: {seen}")
+
+
+def show(site: PlatformFleet, table: Table) -> None:
+    """Send requests of each kind through both hosts and bring failures about."""
+    streams = [
+        site.send(f"front-{n % 2}", STREAM_PATH, f"d-{n}", **COUNTED) for n in range(REQUESTS)
+    ]
+    whole = sum(answer.body.count(b"id: ") == EVENTS for answer in streams)
+    table.add("whole streams", REQUESTS, whole)
+    stamps = [site.send(f"front-{n % 2}", STAMP_PATH, f"s-{n}").status for n in range(REQUESTS)]
+    table.add("stamps that ran once", REQUESTS, stamps.count(200))
+    failing = site.fleet.processes["i-service0"].port
+    control(failing, fail=True)
+    lookups = [site.send("front-0", LOOKUP_PATH, f"l-{n}").status for n in range(REQUESTS)]
+    control(failing, fail=False)
+    table.add("lookups beside a failing back end", REQUESTS, lookups.count(200))
+    site.configure(keys={"cantiere": KEYS["cantiere"]})
+    wait_until(
+        lambda: site.send("front-0", LOOKUP_PATH, "k-1").status == 401, "the key is taken away"
+    )
+    table.add("status without the key", 401, site.send("front-1", LOOKUP_PATH, "k-2").status)
+    control(site.store_port, away=True)
+    away = site.send("front-0", LOOKUP_PATH, "a-1", "cantiere").status
+    control(site.store_port, away=False)
+    table.add("status while the store is away", 200, away)
+    process = site.fleet.processes["front-1"].process
+    process.send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    code = process.wait(10)
+    table.add("exit code of a planned stop", 0, code)
+    print(f"the planned stop took {time.monotonic() - began:.1f} s")
+
+
+def main() -> None:
+    """Run the demonstration."""
+    table = Table()
+    with tempfile.TemporaryDirectory() as directory, PlatformFleet(Path(directory)) as site:
+        site.start(engines=2, services=2, hosts=2)
+        show(site, table)
+    print("\n".join(table.lines))
+    sys.exit(1 if table.wrong else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
