--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -7,9 +7,10 @@
 
 from loguru import logger
 
+from tarragonwind.adapters.gateway_parts import GatewayParts
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
-from tarragonwind.adapters.request_runs import GatewayParts, RequestRun
+from tarragonwind.adapters.request_runs import RequestRun
 from tarragonwind.core.configurations import CallerLimits
 from tarragonwind.core.request_lives import RequestLife
 from tarragonwind.errors import RequestError
--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -2,40 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
-
 from loguru import logger
 
 from tarragonwind.adapters.caller_dialects import (
-    CallerDialect,
     Forwarding,
     Headers,
     HeadVerdict,
-    NativeDialect,
 )
-from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.gateway_parts import GatewayParts
 from tarragonwind.adapters.http_servers import AnswerEvents, CallerExchange
-from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, HeldAnswer, Relay, RelayRules
-from tarragonwind.claims import Claim, Claims
-from tarragonwind.core.classifications import CatalogueView, RequestClass
+from tarragonwind.claims import Claim
+from tarragonwind.core.classifications import RequestClass
 from tarragonwind.core.dispatches import PERMIT_OUTCOMES, AttemptRules, DispatchEnd
-from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry, UpstreamEntry
-from tarragonwind.core.organisation_limits import Admission, OrganisationLimits
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.organisation_limits import Admission
 from tarragonwind.core.permit_clients import Permit
 from tarragonwind.core.permit_messages import Outcome as PermitOutcome
 from tarragonwind.core.prompt_prefixes import hash_prefixes
 from tarragonwind.core.request_lives import LifeState, Outcome, RequestLife
-from tarragonwind.core.retry_budgets import BudgetSettings, RetryBudget
-from tarragonwind.core.schedulers import DispatchReport, Scheduler, Work
+from tarragonwind.core.schedulers import DispatchReport, Work
 from tarragonwind.core.stream_cursors import StreamCursor
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled
 from tarragonwind.ports import Address, HttpRequest
-from tarragonwind.settings import LimitSettings, UpstreamSettings
-from tarragonwind.telemetry import Telemetry, create_silent_telemetry
 from tarragonwind.telemetry_traces import Hop
 
 CLAIM_TTL_S = 3_600
@@ -59,98 +49,6 @@
 WELL_ENDED = frozenset([Outcome.ANSWERED, Outcome.CALLER_LEFT])
 
 
-class Allotments(Protocol):
-    """Admit what organisations ask within their allotments over all hosts."""
-
-    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
-        """Count a request's tokens, or refuse it."""
-
-    def give_back(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
-        """Take back the tokens of a request that was not dispatched."""
-
-
-class GatewayCatalogue(CatalogueView, Protocol):
-    """Answer what the gateway asks of the catalogue in force."""
-
-    number: int
-
-    def entry(self, key: str) -> object:
-        """Return the entry of a key, ``kind/name``, or None."""
-
-
-@dataclass(slots=True)
-class GatewayParts:
-    """Hold what requests are seen through with.
-
-    Attributes
-    ----------
-    loop : Loop
-        Loop of the daemon.
-    client : HttpClient
-        Client towards upstreams.
-    catalogue : callable
-        Returns the catalogue in force, or None before there is one.
-    scheduler : Scheduler
-        Source of permits.
-    claims : Claims or None
-        Claims of idempotency keys; without it a request with a key is refused.
-    telemetry : Telemetry
-        Instruments and traces.
-    times : UpstreamSettings
-        Bounds for exchanges with upstreams.
-    host_limits : LimitSettings
-        Bounds for this host.
-    id_prefix : str
-        Begins the ids of requests whose callers name none; unique to this run of this host.
-    dialect : CallerDialect
-        How callers and upstreams are spoken to.
-    limits : OrganisationLimits
-        Requests in progress on this host.
-    retries : RetryBudget
-        Bound on repeated dispatches.
-    allotments : Allotments or None
-        Token allotments of organisations over all hosts; None where there are none.
-    sheds : list of int
-        Requests shed since the start, by tier.
-    stopping : bool
-        Whether new requests are refused.
-    waiting_requests, waiting_bytes : int
-        Requests that wait for a permit, and the bytes of their bodies.
-    dispatched_requests : int
-        Requests that are dispatched and not ended.
-    """
-
-    loop: Loop
-    client: HttpClient
-    catalogue: Callable[[], GatewayCatalogue | None]
-    scheduler: Scheduler
-    claims: Claims | None = None
-    telemetry: Telemetry = field(default_factory=create_silent_telemetry)
-    times: UpstreamSettings = field(default_factory=UpstreamSettings)
-    host_limits: LimitSettings = field(default_factory=LimitSettings)
-    id_prefix: str = "request"
-    dialect: CallerDialect = field(default_factory=NativeDialect)
-    limits: OrganisationLimits = field(default_factory=OrganisationLimits)
-    retries: RetryBudget = field(default_factory=lambda: RetryBudget(BudgetSettings()))
-    allotments: Allotments | None = None
-    sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
-    stopping: bool = False
-    waiting_requests: int = 0
-    waiting_bytes: int = 0
-    dispatched_requests: int = 0
-
-    def require_room(self, body_bytes: int) -> None:
-        """Refuse a request that this host has no room for."""
-        limits = self.host_limits
-        full = (
-            self.waiting_requests >= limits.max_waiting_requests
-            or self.waiting_bytes + body_bytes > limits.max_waiting_bytes
-            or self.dispatched_requests >= limits.max_in_progress
-        )
-        if full:
-            raise RequestError(ErrorKind.OVER_LIMIT, "this host holds as many requests as it may")
-
-
 class RequestRun(AnswerEvents):
     """See one request through: classify, wait, dispatch once, answer once."""
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -39,6 +39,9 @@
 """Draws of a version for one ask; each draw past the first raises the share of a small version
 that alone can serve."""
 
+MIN_RETRY_AFTER_S = 0.2
+"""Shortest time to come back that is given, in seconds."""
+
 URGENT_PART = 0.4
 """Last part of a late ask's time in which it goes before lower tiers again."""
 
@@ -244,9 +247,13 @@
         return self._ledger.count_by_tier()
 
     def retry_after_s(self, tier: int, organisation: str) -> float:
-        """Return the expected wait of a new ask, in seconds."""
-        wait_s = self._queue.work_before(tier, organisation) / self._rate.tokens_per_s
-        return min(self._settings.max_retry_after_s, max(0.1, wait_s))
+        """Return the time until a new ask is expected to be served, in seconds.
+
+        The late work counts too: who comes back sooner meets the same backlog.
+        """
+        work = self._queue.work_before(tier, organisation) + self._queue.late_work()
+        wait_s = work / self._rate.tokens_per_s
+        return min(self._settings.max_retry_after_s, max(MIN_RETRY_AFTER_S, wait_s))
 
     # Asks.
 
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -300,6 +300,10 @@
                 return ask
         return None
 
+    def late_work(self) -> int:
+        """Return the estimated work in tokens of asks that can no longer be on time."""
+        return sum(lines.work for lines in self._levels[FIRST_LATE_LEVEL:])
+
     def has_late(self) -> bool:
         """Tell whether an ask waits that can no longer be on time."""
         return any(lines.asks for lines in self._levels[FIRST_LATE_LEVEL:])
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from tarragonwind.adapters.gateway_parts import GatewayParts
 from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.host_lists import HostListReader, create_host_list_reader
 from tarragonwind.adapters.http_clients import HttpClient
@@ -17,7 +18,6 @@
 from tarragonwind.adapters.memberships import MembershipSettings, create_membership
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
 from tarragonwind.adapters.peers import Traffic, create_peers
-from tarragonwind.adapters.request_runs import GatewayParts
 from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.allotments import AllotmentRunner
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -9,6 +9,7 @@
 
 from tarragonwind.core.fleet_parts import FleetParts
 from tarragonwind.core.mirror_states import MirrorItem
+from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
 from tarragonwind.ports import Members, Put, Store, Timers
@@ -66,7 +67,7 @@
                 await self._renew()
             except StoreError as exc:
                 logger.debug("event=lease_not_renewed key={} why={!r}", self._key, str(exc))
-            await self._pause()
+            await delay(self._timers, KEEP_PERIOD_S * self._rng.uniform(0.8, 1.2))
 
     async def _renew(self) -> None:
         if self._lease_id and await self._store.keep_lease(self._lease_id) > 0:
@@ -76,15 +77,6 @@
         self._lease_id = lease_id
         logger.info("event=host_registered key={} lease={}", self._key, lease_id)
 
-    async def _pause(self) -> None:
-        over: Future[None] = Future()
-
-        def end() -> None:
-            over.set_result(None)
-
-        self._timers.call_later(KEEP_PERIOD_S * self._rng.uniform(0.8, 1.2), end)
-        await over
-
 
 def log_lost_revocation(fut: Future[None]) -> None:
     """Log that a lease could not be ended; it lapses by itself."""
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -11,6 +11,7 @@
 from tarragonwind.core.mirror_messages import MirrorAsk, MirrorPart
 from tarragonwind.core.mirror_states import MirrorItem, MirrorState
 from tarragonwind.core.rendezvous import rank_names
+from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
 from tarragonwind.messages import MessageError
@@ -177,14 +178,14 @@
                 result = await self._store.read_range(self.prefix)
             except StoreError as exc:
                 self._note_away(str(exc))
-                await self._pause(RETRY_S)
+                await delay(self._timers, RETRY_S * self._jitter())
                 continue
             self._note_back()
             items = [MirrorItem(one.key, one.value, one.mod_revision) for one in result.items]
             self.take(self.state.take_snapshot(items, result.revision), "store")
             reason = await self._watch_from(result.revision + 1)
             logger.info("event=watch_ended prefix={} reason={!r}", self.prefix, reason)
-            await self._pause(WATCH_PAUSE_S)
+            await delay(self._timers, WATCH_PAUSE_S * self._jitter())
 
     async def _watch_from(self, revision: int) -> str:
         ended: Future[str] = Future()
@@ -210,14 +211,8 @@
         changes = [MirrorItem(one.key, one.value, one.mod_revision) for one in events]
         self.take(self.state.take_changes(changes), "watch")
 
-    async def _pause(self, pause_s: float) -> None:
-        over: Future[None] = Future()
-
-        def end() -> None:
-            over.set_result(None)
-
-        self._timers.call_later(pause_s * self._rng.uniform(0.75, 1.25), end)
-        await over
+    def _jitter(self) -> float:
+        return self._rng.uniform(0.75, 1.25)
 
     def _note_away(self, reason: str) -> None:
         if self.away_since is None:
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -10,10 +10,10 @@
 import pytest
 
 from standins.engine import Engine
+from tarragonwind.adapters.gateway_parts import GatewayParts
 from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.http_requests import HttpLimits
-from tarragonwind.adapters.request_runs import GatewayParts
 from tarragonwind.core.entries import RouteEntry, UpstreamEntry
 from tarragonwind.ports import Address
 from tests.support import TOKEN, FakeCatalogue, LoopRunner, TurnScheduler
