--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
-SOURCES := tarragonwind standins bench tests
+SOURCES := tarragonwind standins bench soak tests
 
-.PHONY: env check test demo demo-platform up capacity
+.PHONY: env check test demo demo-platform soak up capacity
 
 env: $(VENV)/.installed
 
@@ -26,6 +26,10 @@
 demo-platform: env
 	$(PY) -m standins.platform_demo
 
+# Fresh seeds, some minutes; give SEED and SEEDS to choose.
+soak: env
+	$(PY) -m soak.runs --seed $(or $(SEED),0) --seeds $(or $(SEEDS),6)
+
 up: env
 	$(PY) -m standins.demo --stay
 
--- /dev/null
+++ b/soak/schedules.py
@@ -0,0 +1,98 @@
+"""Draw a run's faults from a seed: overlapping, in series, some of them twice."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+FIRST_AT_S = 1.0
+MEAN_GAP_S = 1.1
+LONGEST_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Hold one fault.
+
+    Attributes
+    ----------
+    at_s, for_s : float
+        When it begins after the start of the load, and how long it lasts, in seconds.
+    kind : str
+        A key of `FAULT_KINDS`.
+    target : str
+        Name of a process or link, empty for the store and the operator.
+    """
+
+    at_s: float
+    for_s: float
+    kind: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """Name what faults can be brought about on."""
+
+    hosts: tuple[str, ...]
+    back_ends: tuple[str, ...]
+    links: tuple[str, ...]
+
+
+Chooser = Callable[[random.Random, Targets], str]
+
+FAULT_KINDS: dict[str, Chooser] = {}
+"""What chooses a fault's target, by kind; filled by `fault_kind`."""
+
+
+def fault_kind(*kinds: str) -> Callable[[Chooser], Chooser]:
+    """Register what chooses the target of some kinds."""
+
+    def register(choose: Chooser) -> Chooser:
+        for kind in kinds:
+            FAULT_KINDS[kind] = choose
+        return choose
+
+    return register
+
+
+@fault_kind("kill_host", "stop_host", "pause_host")
+def choose_host(rng: random.Random, targets: Targets) -> str:
+    """Choose a host."""
+    return rng.choice(targets.hosts)
+
+
+@fault_kind("silent", "cut_streams", "fail", "full", "drain", "restart_back_end")
+def choose_back_end(rng: random.Random, targets: Targets) -> str:
+    """Choose a back end."""
+    return rng.choice(targets.back_ends)
+
+
+@fault_kind("link_reset", "link_black_hole", "link_frozen", "link_slow", "link_cut_answers")
+def choose_link(rng: random.Random, targets: Targets) -> str:
+    """Choose the link to a back end."""
+    return rng.choice(targets.links)
+
+
+@fault_kind("store_away", "store_silent", "store_loses_answers", "store_forgets", "configure")
+def choose_nothing(rng: random.Random, targets: Targets) -> str:
+    """Name no target: there is one store and one operator."""
+    return ""
+
+
+def draw_faults(seed: int, seconds: float, targets: Targets) -> list[Fault]:
+    """Return the faults of a run, in order of their beginning."""
+    rng = random.Random(seed)
+    kinds = sorted(FAULT_KINDS)
+    faults = []
+    at_s = FIRST_AT_S
+    while at_s < seconds - LONGEST_S:
+        kind = rng.choice(kinds)
+        target = FAULT_KINDS[kind](rng, targets)
+        faults.append(Fault(at_s, rng.uniform(0.3, LONGEST_S), kind, target))
+        if rng.random() < 0.2:
+            # The same again, soon after: the second one meets what the first one left.
+            faults.append(Fault(at_s + rng.uniform(0.1, 1.0), 1.0, kind, target))
+        at_s += rng.expovariate(1.0 / MEAN_GAP_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
