--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -130,9 +130,9 @@
         while True:
             permit = await self._obtain_permit(work)
             end, reason = await self._dispatch(cls, permit)
+            self._attempts.note(end)
             if end in (DispatchEnd.WHOLE, DispatchEnd.CALLER_LEFT, DispatchEnd.CUT):
                 return
-            self._attempts.note(end)
             if not self._may_go_on(end, work):
                 self._end_failed(end, reason)
                 return
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -462,7 +462,7 @@
         if load is None:
             return
         if msg.outcome == Outcome.OK:
-            load.on_success()
+            load.on_success(now)
             self._observe(now, load, permit, msg)
         elif msg.outcome == Outcome.CONNECT_FAILED:
             load.on_connect_failed(now, self._rng)
--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -118,9 +118,17 @@
         return self.choose_among(now, wanted, ask)
 
     def choose_among(self, now: float, loads: list[UpstreamLoad], ask: WaitingAsk) -> Placement:
-        """Choose the upstream with the least expected completion."""
+        """Choose the upstream with the least expected completion.
+
+        One that fails a part of its requests is the later choice: it is used when others are full.
+        """
         placements = [self.expect(now, load, ask) for load in loads]
-        return min(placements, key=lambda placement: placement.expected_s)
+        penalty = self._settings.failure_penalty
+
+        def cost_s(placement: Placement) -> float:
+            return placement.expected_s * (1.0 + penalty * placement.load.failed_share(now))
+
+        return min(placements, key=cost_s)
 
     def _without_outliers(self, now: float, loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
         slownesses = [load.slowness(now) for load in loads]
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -44,6 +44,12 @@
         Part of a token's time at full batch that comes from the other requests of the batch.
     deadline_margin : float
         Factor on the expected length of an answer that has to be whole by a deadline.
+    failure_weight : float
+        Weight of one answer in the running share of failures.
+    failure_half_life_s : float
+        Time in which that share halves without answers.
+    failure_penalty : float
+        Factor by which an upstream that fails every request is the later choice.
     """
 
     work_ahead_s: float = 30.0
@@ -59,6 +65,9 @@
     first_byte_steps: float = 1.0
     batch_slowdown: float = 0.5
     deadline_margin: float = 3.0
+    failure_weight: float = 0.1
+    failure_half_life_s: float = 5.0
+    failure_penalty: float = 20.0
 
 
 class UpstreamLoad:
@@ -77,6 +86,8 @@
     """
 
     __slots__ = (
+        "_failed_share",
+        "_failed_share_at",
         "_failures",
         "_first_byte_times",
         "_history",
@@ -100,6 +111,8 @@
         self.share = 1.0
         self._settings = settings
         self._failures = 0
+        self._failed_share = 0.0
+        self._failed_share_at = 0.0
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_LENGTH)
         self._retry_at = 0.0
         self._retry_s = 0.0
@@ -146,8 +159,19 @@
         if self.ejected and self.in_flight == 0:
             self._probing = False
 
-    def on_success(self) -> None:
+    def failed_share(self, now: float) -> float:
+        """Return the running share of requests that failed, 0 to 1."""
+        idle_s = max(0.0, now - self._failed_share_at)
+        return float(self._failed_share * 0.5 ** (idle_s / self._settings.failure_half_life_s))
+
+    def _note_answer(self, now: float, failed: bool) -> None:
+        share = self.failed_share(now)
+        self._failed_share = share + self._settings.failure_weight * (float(failed) - share)
+        self._failed_share_at = now
+
+    def on_success(self, now: float) -> None:
         """Note a whole answer."""
+        self._note_answer(now, failed=False)
         self._failures = 0
         self._retry_s = 0.0
         self._probing = False
@@ -163,6 +187,7 @@
 
     def on_failed(self, now: float, rng: random.Random) -> None:
         """Note a failed answer; several in a row eject the upstream."""
+        self._note_answer(now, failed=True)
         self._failures += 1
         if self.ejected or self._failures >= self._settings.failures_to_eject:
             self._eject(now, rng)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -370,3 +370,34 @@
         give_back(fleet, host, ask_id, Outcome.REFUSED)
         fleet.advance(1.5)
     assert len(host.granted) == 8
+
+
+def test_an_upstream_that_fails_a_part_of_its_requests_is_the_later_choice():
+    fleet = Fleet([create_upstream("grey", slots=6), create_upstream("sound", slots=6)])
+    host = fleet.hosts["h1"]
+    taken = {"grey": 0, "sound": 0}
+    for number in range(120):
+        ask_id = ask_many(fleet, host, 1)[0]
+        upstream = host.granted[ask_id].upstream
+        taken[upstream] += 1
+        fails = upstream == "grey" and number % 5 < 2
+        give_back(fleet, host, ask_id, Outcome.FAILED if fails else Outcome.OK)
+        fleet.advance(0.1)
+    assert taken["grey"] <= 0.25 * 120
+
+
+def test_failures_that_all_upstreams_share_move_no_work():
+    fleet = Fleet([create_upstream("a", slots=6), create_upstream("b", slots=6)])
+    host = fleet.hosts["h1"]
+    taken = {"a": 0, "b": 0}
+    for number in range(200):
+        ask_id = ask_many(fleet, host, 1)[0]
+        taken[host.granted[ask_id].upstream] += 1
+        fails = fleet_rng(number) < 0.14
+        give_back(fleet, host, ask_id, Outcome.FAILED if fails else Outcome.OK)
+        fleet.advance(0.1)
+    assert min(taken.values()) >= 60
+
+
+def fleet_rng(number):
+    return ((number * 7_919) % 1_000) / 1_000
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -118,7 +118,7 @@
     assert choose([load], now=1.0) == "u1"
     load.add(1.0, 100)
     assert choose([load], now=1.0) is None
-    load.on_success()
+    load.on_success(0.0)
     assert choose([load], now=1.0) == "u1"
 
 
