--- a/tarragonwind/platform_start.py
+++ b/tarragonwind/platform_start.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import importlib
+import signal
 import socket
 
 from tarragonwind.platform.addresses import read_caller_address, settings_path
@@ -17,6 +18,8 @@
 
 def main() -> None:
     """Listen for callers and run the daemon."""
+    # Until the daemon handles it, a reload has nothing to do; its default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = settings_path()
     address = read_caller_address(path)
     sock = socket.create_server((address.host, address.port), backlog=BACKLOG)
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -1,7 +1,9 @@
 """Run the daemon on the platform's protocols, against stand-ins as separate processes."""
 
+import contextlib
 import http.client
 import signal
+import socket
 import threading
 import time
 
@@ -219,6 +221,26 @@
     assert "tarragonwind_store_calls" in page
 
 
+def test_a_reload_during_the_start_ends_nothing(site):
+    running = site.fleet.processes["front-1"]
+    running.kill()
+    started = site.start_host("front-1")
+    deadline = time.monotonic() + 20
+    while not site.is_ready("front-1") and time.monotonic() < deadline:
+        time.sleep(0.05)
+        if is_listening(site, "front-1"):
+            started.process.send_signal(signal.SIGHUP)
+    assert site.is_ready("front-1")
+    assert started.process.poll() is None
+
+
+def is_listening(site, name):
+    address = (site.addresses[name], site.ports["callers"])
+    with contextlib.suppress(OSError), socket.create_connection(address, 1):
+        return True
+    return False
+
+
 def test_a_planned_stop_cuts_nothing_and_ends_in_its_time(site):
     answers = []
     threads = [
