--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -18,6 +18,7 @@
     Members,
     Peers,
     Store,
+    Timer,
     Timers,
     Watch,
     WatchEvent,
