--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -45,6 +45,9 @@
 URGENT_PART = 0.4
 """Last part of a late ask's time in which it goes before lower tiers again."""
 
+FASTEST_PERIOD_S = 0.1
+"""Time for which the fastest upstream is not looked up again, in seconds."""
+
 SWEEP_PERIOD_S = 0.2
 """Time between two sweeps over waiting asks, in seconds."""
 
@@ -119,6 +122,8 @@
         self._active = False
         self._settled_at = 0.0
         self._epoch = rng.getrandbits(31)
+        self._fastest_at = float("-inf")
+        self._fastest_load: UpstreamLoad | None = None
         self._called_at: float | None = None
         self._beat_at = 0.0
         self._swept_at = 0.0
@@ -296,9 +301,9 @@
         """Set until when an ask can be on time, and from when it is urgent."""
         if msg.target_ms < 0:
             return
-        loads = self._ledger.loads_of(ask.version)
-        times_s = [load.first_byte_s(now, ask.prompt_tokens) for load in loads if load.takes_work()]
-        ask.on_time_until = now + msg.target_ms / 1_000 - min(times_s, default=0.0)
+        fastest = self._fastest(now)
+        begin_s = fastest.first_byte_s(now, ask.prompt_tokens) if fastest is not None else 0.0
+        ask.on_time_until = now + msg.target_ms / 1_000 - begin_s
         ask.urgent_from = ask.deadline - URGENT_PART * (ask.deadline - now)
 
     def _version_for(self, now: float, route: str) -> str:
@@ -333,10 +338,17 @@
         work = self._queue.work_before(ask.tier, ask.organisation)
         return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
+    def _fastest(self, now: float) -> UpstreamLoad | None:
+        """Return the fastest upstream that takes work, looked up now and then."""
+        if now - self._fastest_at >= FASTEST_PERIOD_S:
+            self._fastest_at = now
+            loads = [load for load in self._ledger.loads.values() if load.takes_work()]
+            self._fastest_load = min(loads, key=lambda load: load.token_s(now), default=None)
+        return self._fastest_load
+
     def _least_times(self, now: float) -> Callable[[WaitingAsk], float]:
         """Return what gives an ask's shortest time to its first byte or its whole answer."""
-        loads = [load for load in self._ledger.loads.values() if load.takes_work()]
-        fastest = min(loads, key=lambda load: load.token_s(now), default=None)
+        fastest = self._fastest(now)
 
         def least_s(ask: WaitingAsk) -> float:
             if fastest is None:
@@ -411,8 +423,7 @@
         """Tell whether an upstream with room suits an ask; it waits for a faster one if not."""
         if not ask.bounds_whole or self._concentrates(self.pool, ask.version):
             return True
-        suitable = self.placer.suitable(now, self._ledger.loads_of(ask.version), ask)
-        return any(one.load.has_room(now) for one in suitable)
+        return self.placer.fits_now(now, self._ledger.loads_of(ask.version), ask)
 
     def _grant(self, now: float, ask: WaitingAsk) -> None:
         loads = self._ledger.loads_of(ask.version)
--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -10,6 +10,9 @@
 from tarragonwind.core.queues import WaitingAsk
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 
+MAX_COMPARED = 12
+"""Upstreams with room that are compared for one ask; of more, as many are drawn, so that an ask costs
+the owner of a large pool little more than that of a small one."""
 FASTEST_FACTOR = 1.5
 """How much longer than on the fastest upstream an answer may take that meets no deadline."""
 
@@ -99,6 +102,18 @@
         best_s = min(one.expected_s for one in placements)
         return [one for one in placements if one.expected_s <= FASTEST_FACTOR * best_s]
 
+    def fits_now(self, now: float, loads: list[UpstreamLoad], ask: WaitingAsk) -> bool:
+        """Tell whether an upstream with room suits an ask; it waits for a full one if not."""
+        full = []
+        for load in loads:
+            if not load.has_room(now):
+                full.append(load)
+            elif self.meets_deadline(now, self.expect(now, load, ask), ask):
+                return True
+        if any(self.meets_deadline(now, self.expect(now, load, ask), ask) for load in full):
+            return False
+        return any(one.load.has_room(now) for one in self.suitable(now, loads, ask))
+
     def choose(
         self, now: float, rng: random.Random, loads: Iterable[UpstreamLoad], ask: WaitingAsk
     ) -> Placement | None:
@@ -111,6 +126,8 @@
         wanted = [load for load in loads if load.entry.name not in ask.avoid] or loads
         if not wanted:
             return None
+        if len(wanted) > MAX_COMPARED:
+            wanted = rng.sample(wanted, MAX_COMPARED)
         suitable = {one.load.entry.name for one in self.suitable(now, wanted, ask)}
         wanted = [load for load in wanted if load.entry.name in suitable] or wanted
         wanted = self._without_outliers(now, wanted)
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -167,3 +167,32 @@
     assert hints.cached_share("u1", (1,)) == 0.0
     hints.forget("u1")
     assert hints.cached_share("u1", (3,)) == 0.0
+
+
+def test_an_ask_costs_the_owner_of_a_large_pool_a_bounded_number_of_comparisons():
+    loads = [create_load(f"u{number}") for number in range(70)]
+    compared = []
+    placer = Placer(SETTINGS, PrefixHints(), None)
+    expect = placer.expect
+
+    class Counting(Placer):
+        def expect(self, now, load, ask):
+            compared.append(load.entry.name)
+            return expect(now, load, ask)
+
+    counting = Counting(SETTINGS, PrefixHints(), None)
+    ask = create_ask(bounds_whole=True, output_tokens=10)
+    assert counting.fits_now(0.0, loads, ask)
+    assert counting.choose(0.0, random.Random(1), loads, ask) is not None
+    assert len(compared) <= 30
+
+
+def test_an_ask_waits_for_a_full_upstream_that_alone_meets_its_deadline():
+    fast = create_load("fast", slots=1, tokens_per_s=1_000.0)
+    slow = create_load("slow", slots=8, tokens_per_s=10.0)
+    placer = Placer(SETTINGS, PrefixHints(), None)
+    ask = create_ask(bounds_whole=True, output_tokens=100, deadline=8.0)
+    assert placer.fits_now(0.0, [slow, fast], ask)
+    fast.add(0.0, 10)
+    assert not placer.fits_now(0.0, [slow, fast], ask)
+    assert placer.fits_now(0.0, [slow], ask)
