--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -11,8 +11,8 @@
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 
 MAX_COMPARED = 12
-"""Upstreams with room that are compared for one ask; of more, as many are drawn, so that an ask costs
-the owner of a large pool little more than that of a small one."""
+"""Upstreams with room that are compared for one ask; of more, as many are drawn, so that an ask
+costs the owner of a large pool little more than that of a small one."""
 FASTEST_FACTOR = 1.5
 """How much longer than on the fastest upstream an answer may take that meets no deadline."""
 
