Grant permits to hosts in their planned stop, and leave lost hosts to their local share

Cause: an owner took every host that takes part no longer for lost, also one in its planned stop, which still accepts requests for seconds. It dropped that host's asks but answered its statements, so the host neither got a permit nor turned to its local share: its requests waited until their time had passed. Ruled out: load (nothing waited elsewhere), the closing of the door (the requests were accepted). Now: owners serve hosts that run, stopping ones included; a host that the owner takes for lost is not answered, so it uses its local share after 0.6 s. Tests of both failed first.

--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -110,9 +110,18 @@
         return self._core.live()
 
     def leaving_hosts(self) -> tuple[str, ...]:
-        """Return the names of daemons that have announced their planned stop."""
+        """Return the names of daemons that have announced their planned stop, ended ones too."""
         return tuple(member.name for member in self.members() if member.leaving)
 
+    def running(self) -> tuple[str, ...]:
+        """Return the names of daemons that may send: the live ones and those in a planned stop."""
+        stopping = (
+            member.name
+            for member in self.members()
+            if member.leaving and member.health is not Health.DEAD
+        )
+        return (*self.live(), *stopping)
+
     def owner_of(self, key: str) -> str:
         """Return the live daemon that a key belongs to; this one when nobody takes part."""
         owner = self._owners.get(key)
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -153,10 +153,10 @@
         self._rate.set_nominal(self._ledger.nominal_rate())
         self._drain(now)
 
-    def on_members_changed(self, now: float, live: Iterable[str], is_owner: bool) -> None:
-        """Take in which hosts are alive and whether this host owns the pool."""
+    def on_members_changed(self, now: float, running: Iterable[str], is_owner: bool) -> None:
+        """Take in which hosts run and whether this host owns the pool."""
         self._note_call(now)
-        live_hosts = set(live)
+        running_hosts = set(running)
         was_owner = self._active
         self._active = is_owner
         if is_owner and not was_owner:
@@ -164,10 +164,10 @@
         elif was_owner and not is_owner:
             self._clear(now)
         known = self._hosts.stated() | self._ledger.hosts()
-        self._hosts.lose(now, known - live_hosts)
-        for host in known - live_hosts:
+        self._hosts.lose(now, known - running_hosts)
+        for host in known - running_hosts:
             self._drop_asks(host)
-        for host in self._hosts.take_back(live_hosts):
+        for host in self._hosts.take_back(running_hosts):
             self._send_beat(host)
         self._drain(now)
 
@@ -576,7 +576,8 @@
         return self._hosts.has_stated(host)
 
     def _send_beat(self, host: str) -> None:
-        if not self._active:
+        """Show a host that this owner lives; a lost one is to turn to its local share."""
+        if not self._active or self._hosts.is_lost(host):
             return
         waiting = sum(1 for ask in self._queue if ask.host == host)
         self._send(host, PermitBeat(self.pool, self._epoch, waiting))
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -86,8 +86,9 @@
         What owners are made with.
     owner_of : callable
         Gives the live host that owns a pool.
-    live : callable
-        Gives the names of live hosts, this one included.
+    running : callable
+        Gives the names of hosts that may ask: live ones, this one included, and those in their
+        planned stop.
     fleet : FleetParts, optional
         Which part of the fleet this host's side is.
     """
@@ -97,13 +98,13 @@
         name: str,
         parts: OwnerParts,
         owner_of: Callable[[str], str],
-        live: Callable[[], Iterable[str]],
+        running: Callable[[], Iterable[str]],
         fleet: FleetParts | None = None,
     ) -> None:
         self._name = name
         self._parts = parts
         self._owner_of = owner_of
-        self._live = live
+        self._running = running
         self._fleet = fleet
         self._part = 1.0
         self._owners: dict[str, PoolOwner] = {}
@@ -116,7 +117,7 @@
         for pool in [pool for pool in self._owners if pool not in names]:
             del self._owners[pool]
             del self._upstreams[pool]
-        live = tuple(self._live())
+        running = tuple(self._running())
         for pool in sorted(names):
             self._upstreams[pool] = [entry for entry in upstreams if entry.pool == pool]
             if pool not in self._owners:
@@ -124,15 +125,15 @@
                 self._owners[pool].set_share(now, self._part)
             owner = self._owners[pool]
             owner.configure(now, self._upstreams[pool])
-            owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
+            owner.on_members_changed(now, running, self._owner_of(pool) == self._name)
         for pool, local in list(self._local.items()):
             local.configure(now, self._upstreams.get(pool, []))
 
     def on_members_changed(self, now: float) -> None:
-        """Take in a change of the live hosts."""
-        live = tuple(self._live())
+        """Take in a change of the running hosts."""
+        running = tuple(self._running())
         for pool, owner in self._owners.items():
-            owner.on_members_changed(now, live, self._owner_of(pool) == self._name)
+            owner.on_members_changed(now, running, self._owner_of(pool) == self._name)
 
     def on_resumed(self, now: float) -> None:
         """Take in that this process was paused."""
@@ -161,7 +162,7 @@
     def _own_share(self, now: float) -> float:
         if self._fleet is not None:
             return self._fleet.own_share(now)
-        return 1.0 / max(1, len(tuple(self._live())))
+        return 1.0 / max(1, len(tuple(self._running())))
 
     def _review_part(self, now: float) -> None:
         """Let owners use what is this side's, so that sides that lost each other add up."""
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -278,6 +278,10 @@
         """Return the names of daemons that have announced their planned stop."""
         return ()
 
+    def running(self) -> tuple[str, ...]:
+        """Return the names of daemons that may send: the live ones and those in a planned stop."""
+        return (*self.live(), *self.leaving_hosts())
+
     @abstractmethod
     def owner_of(self, key: str) -> str:
         """Return the live daemon that a key belongs to, by rendezvous hashing."""
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -106,7 +106,7 @@
             load_settings=load_settings or LoadSettings(),
             concentrates=versions.concentrates,
         )
-        self.owners = PoolOwners(members.name, parts, members.owner_of, members.live, fleet)
+        self.owners = PoolOwners(members.name, parts, members.owner_of, members.running, fleet)
         self.client = PermitClient(
             members.name, peers.send, rng, members.owner_of, self.owners.create_local_owner
         )
--- a/tests/test_membership_adapters.py
+++ b/tests/test_membership_adapters.py
@@ -104,3 +104,14 @@
             name for name in member.live() if not transport.send(name, Ping(1, 1, False, 0, [], []))
         ]
         assert unreachable == []
+
+
+def test_a_host_in_its_planned_stop_runs_until_it_has_ended(bench):
+    fleet = start_fleet(bench, 3)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    fleet[2].leave()
+    bench.wait(lambda: fleet[0].live() == ("host-0", "host-1"), "known to leave")
+    assert sorted(fleet[0].running()) == ["host-0", "host-1", "host-2"]
+    fleet[2].stop()
+    bench.wait(lambda: "host-2" not in fleet[0].running(), "known to have ended")
+    assert fleet[0].leaving_hosts() == ("host-2",)
--- a/tests/test_permit_clients.py
+++ b/tests/test_permit_clients.py
@@ -7,6 +7,14 @@
 from tarragonwind.errors import ErrorKind
 
 
+def test_a_host_that_the_owner_takes_for_lost_goes_on_with_its_local_share():
+    fleet = Fleet([create_upstream("u1", slots=6)])
+    fleet.hosts["h0"].set_view("h0", ["h0", "h2"])
+    ask_id = fleet.hosts["h1"].ask(create_request(deadline=fleet.now + 5.0))
+    fleet.advance(1.0)
+    assert ask_id in fleet.hosts["h1"].granted
+
+
 def test_a_request_is_granted_and_given_back():
     fleet = Fleet([create_upstream("u1")])
     host = fleet.hosts["h1"]
--- a/tests/test_schedulers.py
+++ b/tests/test_schedulers.py
@@ -5,7 +5,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.changes import pack_entry
-from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permit_messages import Outcome, PermitAsk, PermitGrant, PermitSync
 from tarragonwind.core.permit_requests import Permit
 from tarragonwind.core.schedulers import DispatchReport, Work
 from tarragonwind.errors import ErrorKind
@@ -30,14 +30,44 @@
         pass
 
 
+class LeavingNeighbour(OneMember):
+    """See one other host, which announces its planned stop in time."""
+
+    def __init__(self):
+        self.leaving = False
+        self.listeners = []
+
+    def live(self):
+        return (self.name,) if self.leaving else (self.name, "entry-2")
+
+    def leaving_hosts(self):
+        return ("entry-2",) if self.leaving else ()
+
+    def subscribe(self, callback):
+        self.listeners.append(callback)
+
+    def announce(self):
+        self.leaving = True
+        for callback in self.listeners:
+            callback()
+
+
 class SelfPeers(Peers):
-    """Deliver messages to this host on the next pass."""
+    """Deliver messages to this host on the next pass, and keep those for other hosts."""
 
     def __init__(self, timers):
         self.timers = timers
         self.subscribers = {}
+        self.sent = []
+
+    def receive(self, host, msg):
+        for callback in self.subscribers.get(type(msg), ()):
+            callback(host, msg)
 
     def send(self, host, msg):
+        if host != OneMember.name:
+            self.sent.append((host, msg))
+            return True
         for callback in self.subscribers.get(type(msg), ()):
             self.timers.call_later(0.0, lambda callback=callback: callback(host, msg))
         return True
@@ -49,12 +79,13 @@
 class Site:
     """Hold one host's scheduler over fakes."""
 
-    def __init__(self, *entries):
+    def __init__(self, *entries, members=None):
         self.timers = VirtualTimers()
-        peers = SelfPeers(self.timers)
+        self.peers = SelfPeers(self.timers)
+        members = members or OneMember()
         rng = random.Random(1)
-        moves = MoveRunner(OneMember(), peers, self.timers, rng, None, 1)
-        self.scheduler = PermitScheduler(OneMember(), peers, self.timers, rng, moves)
+        moves = MoveRunner(members, self.peers, self.timers, rng, None, 1)
+        self.scheduler = PermitScheduler(members, self.peers, self.timers, rng, moves)
         self.granted = []
         self.refused = []
         self.put(*entries)
@@ -84,6 +115,17 @@
     assert len(site.granted) == 2
 
 
+def test_a_host_in_its_planned_stop_still_gets_permits_for_its_requests():
+    members = LeavingNeighbour()
+    site = Site(pool(), upstream(slots=1), members=members)
+    site.peers.receive("entry-2", PermitSync("drafting"))
+    members.announce()
+    site.peers.receive("entry-2", PermitAsk(7, "drafting", "trade", 2, "officina", 10, 0, 900))
+    site.timers.advance(0.5)
+    grants = [msg for host, msg in site.peers.sent if isinstance(msg, PermitGrant)]
+    assert [grant.ask_id for grant in grants] == [7]
+
+
 def test_a_refusal_says_its_kind_and_when_to_come_back():
     site = Site(pool(), upstream(state="leaving"))
     site.ask()
