Refuse what has not run with a promise on the platform, also after its route's time

Cause: a request whose time passed while it waited was answered 504, which promises nothing there, so callers could not send an idempotent-unsafe request again, though it had not run.

--- a/tarragonwind/platform/callers.py
+++ b/tarragonwind/platform/callers.py
@@ -106,10 +106,12 @@
         """Answer by status: only those that promise it are sent for work that has not run."""
         rule = ERROR_ANSWERS[exc.kind]
         headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        status = rule.status
         if rule.retry and not_run is NotRun.TRUE:
             headers.append((b"Retry-After", b"%.3f" % max(0.001, exc.retry_after_s)))
-        status = rule.status
-        if not_run is not NotRun.TRUE and status in PROMISING_STATUSES:
+            if status not in PROMISING_STATUSES:
+                status = ERROR_ANSWERS[ErrorKind.SHED].status
+        elif not_run is not NotRun.TRUE and status in PROMISING_STATUSES:
             status = ERROR_ANSWERS[ErrorKind.UPSTREAM_OUTCOME_UNKNOWN].status
         return Refusal(status, headers, f"{exc.kind.value}: {exc.message}\n".encode())
 
