Let hosts find each other by the addresses in their leases

Cause: after all hosts lost power they were back after 1.9 s, but their views joined only 0.3 to 1.2 s later, over seeds that are greeted once a second; meanwhile each host granted alone, from a sixth or an eighth of each upstream. Ruled out: the store (each copy was whole 10 ms after its host's start); the seeds' addresses (right). Now: a host's key in the store holds where it listens for peers; a host turns at once to hosts with a lease that it doesn't know to run, at most 4 of a batch of changes.

--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -186,6 +186,14 @@
         self._core.set_listed(self._timers.now(), live, leaving)
         self._settle()
 
+    def introduce(self, name: str, address: Address) -> None:
+        """Turn at once to a host that may have started just now; harmless when it is known."""
+        member = self._core.view.get(name)
+        if member is None or member.health is Health.DEAD:
+            self._peers.set_address(name, address)
+        self._core.meet(self._timers.now(), name)
+        self._settle()
+
     def attach(
         self,
         name: str,
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -159,6 +159,15 @@
         if name != self.own.name:
             self._contacts.add(name)
 
+    def meet(self, now: float, name: str) -> None:
+        """Exchange views with a host that may have started just now, if it isn't known to run."""
+        member = self.view.get(name)
+        if name == self.own.name or (member is not None and member.health is not Health.DEAD):
+            return
+        self._contacts.add(name)
+        self._send(name, self._build.sync(self.joined and self._is_trusted(), answer=True))
+        self._plan(now)
+
     def set_listed(self, now: float, live: Iterable[str], leaving: Iterable[str]) -> None:
         """Take the platform's list: hosts that it calls live and leaving."""
         self._standing.set_listed(live, leaving)
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import msgpack
 from loguru import logger
 
 from tarragonwind.core.fleet_parts import FleetParts
@@ -12,7 +13,7 @@
 from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
-from tarragonwind.ports import Members, Put, Store, Timers
+from tarragonwind.ports import Address, Members, Put, Store, Timers
 from tarragonwind.store_mirrors import StoreMirror
 
 LEASE_TTL_S = 4
@@ -21,6 +22,30 @@
 """Time between two renewals, so that two may be lost, in seconds."""
 TICK_PERIOD_S = 0.25
 """Time between two looks at who lives, in seconds."""
+MAX_INTRODUCED = 4
+"""Hosts of one batch of changes that are turned to: enough to join, and few in a large fleet."""
+
+Introduce = Callable[[str, Address], None]
+"""Tells of a host that may have started just now."""
+
+
+def pack_address(address: Address) -> bytes:
+    """Return the value of a host's key: where it listens for the other hosts."""
+    return bytes(msgpack.packb([address.host, address.port]))
+
+
+def unpack_address(value: bytes) -> Address:
+    """Return the address in the value of a host's key.
+
+    Raises
+    ------
+    ValueError
+        When the value holds none.
+    """
+    fields = msgpack.unpackb(value)
+    if not isinstance(fields, list) or [type(one) for one in fields] != [str, int]:
+        raise ValueError("the value is no address")
+    return Address(*fields)
 
 
 class HostLease:
@@ -101,6 +126,10 @@
         Clock and timer subscriptions.
     on_tick : callable
         Called after each look.
+    introduce : callable
+        Tells the membership of a host that holds a lease and isn't known to run.
+    rng : random.Random
+        Source of randomness for the choice among many such hosts.
     """
 
     def __init__(
@@ -110,7 +139,11 @@
         members: Members,
         timers: Timers,
         on_tick: Callable[[], None],
+        introduce: Introduce,
+        rng: random.Random,
     ) -> None:
+        self._introduce = introduce
+        self._rng = rng
         self.parts = FleetParts(members.name)
         self._prefix = prefix
         self._mirror = mirror
@@ -122,14 +155,28 @@
         timers.call_every(TICK_PERIOD_S, self._look)
 
     def _on_changes(self, changes: list[MirrorItem]) -> None:
+        running = set(self._members.running())
+        strangers: dict[str, bytes] = {}
         for item in changes:
             if not item.key.startswith(self._prefix):
                 continue
             name = item.key.removeprefix(self._prefix)
             if item.value is None:
                 self._leased.discard(name)
-            else:
-                self._leased.add(name)
+                continue
+            self._leased.add(name)
+            if name not in running:
+                strangers[name] = item.value
+        for name in self._rng.sample(sorted(strangers), min(MAX_INTRODUCED, len(strangers))):
+            self._meet(name, strangers[name])
+
+    def _meet(self, name: str, value: bytes) -> None:
+        try:
+            address = unpack_address(value)
+        except ValueError as exc:
+            logger.warning("event=host_unreadable name={} why={!r}", name, str(exc))
+            return
+        self._introduce(name, address)
 
     def _look(self) -> None:
         members = self._members
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -34,7 +34,7 @@
     peer_settings,
     store_settings,
 )
-from tarragonwind.host_leases import FleetWatch, HostLease
+from tarragonwind.host_leases import FleetWatch, HostLease, pack_address
 from tarragonwind.logs import configure_logs
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
@@ -124,8 +124,17 @@
         self.sharing = MirrorSharing(
             self.mirror, self.membership, self.membership, self.peers, timers
         )
-        self.lease = HostLease(HOST_PREFIX + cfg.host.name, b"", self.store, timers, rng)
-        self.fleet = FleetWatch(HOST_PREFIX, self.mirror, self.membership, timers, self._on_fleet)
+        key = HOST_PREFIX + cfg.host.name
+        self.lease = HostLease(key, pack_address(self.peers.address), self.store, timers, rng)
+        self.fleet = FleetWatch(
+            HOST_PREFIX,
+            self.mirror,
+            self.membership,
+            timers,
+            self._on_fleet,
+            self.membership.introduce,
+            rng,
+        )
         self.scheduler = PermitScheduler(
             self.membership,
             self.peers,
--- a/tests/test_membership_adapters.py
+++ b/tests/test_membership_adapters.py
@@ -115,3 +115,15 @@
     fleet[2].stop()
     bench.wait(lambda: "host-2" not in fleet[0].running(), "known to have ended")
     assert fleet[0].leaving_hosts() == ("host-2",)
+
+
+def test_hosts_without_seeds_find_each_other_when_they_are_introduced(bench):
+    fleet = [bench.membership(bench.peers(f"host-{n}", start_id=n), [], seed=n) for n in range(4)]
+    for member in fleet:
+        member.start()
+    first, second, third, fourth = fleet
+    second.introduce(first.name, first.members()[0].address)
+    fourth.introduce(third.name, third.members()[0].address)
+    bench.wait(lambda: len(first.live()) == len(third.live()) == 2, "two pairs")
+    third.introduce(first.name, first.members()[0].address)
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
