Serve the higher rank of a tier first, whoever asks

Cause: the users' organisations all have one tier of their own, so all requests wait in one tier; within it organisations were served by turns and the route's rank counted only inside one. Drafts of a large organisation waited behind questions of small ones. Ruled out: missing capacity for drafts alone (12 of 36 places, by arithmetic). Now: lines are kept for each tier and rank, and organisations share each line. Where the tier comes from the route itself nothing changes: the rank is 0 there. TierQueue.work_by_tier served only a test and goes; the test adds up the lines instead.

--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -230,7 +230,7 @@
             organisation=cls.organisation.name,
             tier=cls.tier,
             deadline=self._started_at + cls.timeout_s,
-            rank=cls.route.tier,
+            rank=cls.rank,
             bounds_whole=cls.bounds_whole_answer,
         )
         if cls.route.target_latency_s:
--- a/tarragonwind/core/caller_calls.py
+++ b/tarragonwind/core/caller_calls.py
@@ -106,6 +106,7 @@
         allotment_tokens=count_tokens(call, organisation),
         bounds_whole_answer=True,
         after_event=call.last_event_id,
+        rank=0 if organisation.tier is None else route.tier,
     )
 
 
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -77,6 +77,8 @@
         Whether `timeout_s` bounds the whole answer instead of its first byte.
     after_event : int or None
         Event after which the caller wants its stream to go on.
+    rank : int
+        Importance among the requests of its tier, 0 the highest.
     """
 
     organisation: OrganisationEntry
@@ -93,6 +95,7 @@
     allotment_tokens: int = 0
     bounds_whole_answer: bool = False
     after_event: int | None = None
+    rank: int = 0
 
 
 @dataclass(slots=True)
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -56,7 +56,7 @@
     target_ms : int
         Time left for a first byte on time, in milliseconds; -1 when none is named.
     rank : int
-        Importance among the requests of its tier and organisation, 0 the highest.
+        Importance among the requests of its tier, 0 the highest.
     output_tokens : int
         Expected tokens of the answer.
     bounds_whole : bool
--- a/tarragonwind/core/permit_requests.py
+++ b/tarragonwind/core/permit_requests.py
@@ -26,7 +26,7 @@
     target : float or None
         Time by which a first byte is on time, in seconds on this host's clock.
     rank : int
-        Importance among the requests of its tier and organisation, 0 the highest.
+        Importance among the requests of its tier, 0 the highest.
     output_tokens : int
         Expected tokens of the answer.
     bounds_whole : bool
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -251,12 +251,12 @@
         """Return the number of permits out of each tier."""
         return self._ledger.count_by_tier()
 
-    def retry_after_s(self, tier: int, organisation: str) -> float:
+    def retry_after_s(self, tier: int, rank: int, organisation: str) -> float:
         """Return the time until a new ask is expected to be served, in seconds.
 
         The late work counts too: who comes back sooner meets the same backlog.
         """
-        work = self._queue.work_before(tier, organisation) + self._queue.late_work()
+        work = self._queue.work_before(tier, rank, organisation) + self._queue.late_work()
         wait_s = work / self._rate.tokens_per_s
         return min(self._settings.max_retry_after_s, max(MIN_RETRY_AFTER_S, wait_s))
 
@@ -335,7 +335,7 @@
     def _is_unmeetable(self, now: float, ask: WaitingAsk) -> bool:
         if len(self._queue) == 0:
             return False
-        work = self._queue.work_before(ask.tier, ask.organisation)
+        work = self._queue.work_before(ask.tier, ask.rank, ask.organisation)
         return work / self._rate.tokens_per_s > _patience_s(now, ask)
 
     def _fastest(self, now: float) -> UpstreamLoad | None:
@@ -388,7 +388,7 @@
         return waits_s
 
     def _refuse(self, ask: WaitingAsk, kind: ErrorKind) -> None:
-        wait_ms = int(1_000 * self.retry_after_s(ask.tier, ask.organisation))
+        wait_ms = int(1_000 * self.retry_after_s(ask.tier, ask.rank, ask.organisation))
         refusal = PermitRefusal(self.pool, ask.ask_id, REFUSAL_KINDS.index(kind), wait_ms)
         self._send(ask.host, refusal)
 
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -1,4 +1,4 @@
-"""Keep the one queue of a pool: strict between tiers, fair between organisations within one.
+"""Keep the one queue of a pool: strict between tiers and ranks, fair between organisations.
 
 An ask that can no longer be served on time waits behind all that can, so that a backlog does not
 make every later request late. When its deadline comes near, it goes before lower tiers again: a
@@ -19,9 +19,6 @@
 AskKey = tuple[str, int]
 """Host and ask id of a waiting ask."""
 
-GroupKey = tuple[int, str]
-"""Rank and version of asks that stand in one line."""
-
 MAX_PASSED = 4
 """Asks of one line that are looked at for one that fits an upstream with room."""
 
@@ -53,7 +50,7 @@
     drawn_again : bool
         Whether its version was drawn anew because the first one could not serve.
     rank : int
-        Importance among the asks of its tier and organisation, 0 the highest.
+        Importance among the asks of its tier, 0 the highest.
     output_tokens : int
         Expected tokens of the answer.
     bounds_whole : bool
@@ -96,35 +93,49 @@
     return True
 
 
-FIRST_LATE_LEVEL = 2 * TIER_COUNT
+RANK_COUNT = TIER_COUNT
+"""Number of ranks in a tier: a rank is the tier of a route where organisations name the tier."""
+GRADE_COUNT = TIER_COUNT * RANK_COUNT
+FIRST_LATE_LEVEL = 2 * GRADE_COUNT
 """First of the lines of late asks."""
-LEVEL_COUNT = 3 * TIER_COUNT
-"""Lines: of each tier the asks that can be on time and the urgent ones, then the late ones."""
+LEVEL_COUNT = 3 * GRADE_COUNT
+"""Lines: of each grade the asks that can be on time and the urgent ones, then the late ones."""
+
+
+def grade_of(tier: int, rank: int) -> int:
+    """Return the place of a tier and a rank in the order of importance, 0 the highest."""
+    return tier * RANK_COUNT + min(rank, RANK_COUNT - 1)
+
+
+def levels_of(grade: int) -> tuple[int, int, int]:
+    """Return the lines of a grade's late, urgent and timely asks."""
+    return FIRST_LATE_LEVEL + grade, 2 * grade + 1, 2 * grade
 
 
 def level_at(now: float, ask: WaitingAsk) -> int:
     """Return the line that an ask belongs to."""
+    grade = grade_of(ask.tier, ask.rank)
     if now <= ask.on_time_until:
-        return 2 * ask.tier
+        return 2 * grade
     if now >= ask.urgent_from:
-        return 2 * ask.tier + 1
-    return FIRST_LATE_LEVEL + ask.tier
+        return 2 * grade + 1
+    return FIRST_LATE_LEVEL + grade
 
 
 @dataclass(slots=True)
 class _Line:
-    """Hold the asks of one organisation in one level, apart by rank and version."""
+    """Hold the asks of one organisation in one level, apart by version."""
 
     organisation: str
     weight: float = 1.0
     virtual_time: float = 0.0
     work: int = 0
     queued: bool = False
-    groups: dict[GroupKey, OrderedDict[AskKey, WaitingAsk]] = field(default_factory=dict)
+    groups: dict[str, OrderedDict[AskKey, WaitingAsk]] = field(default_factory=dict)
 
 
-class _TierLines:
-    """Share one tier between organisations by weight and cost (start-time fair queueing)."""
+class _LevelLines:
+    """Share one level between organisations by weight and cost (start-time fair queueing)."""
 
     __slots__ = ("_heap", "_lines", "_sequence", "_virtual_time", "asks", "work")
 
@@ -142,7 +153,7 @@
             line = _Line(ask.organisation)
             self._lines[ask.organisation] = line
         line.weight = weight
-        line.groups.setdefault((ask.rank, ask.version), OrderedDict())[ask.key] = ask
+        line.groups.setdefault(ask.version, OrderedDict())[ask.key] = ask
         line.work += ask.cost_tokens
         self.work += ask.cost_tokens
         self.asks[ask.key] = ask
@@ -166,13 +177,12 @@
     def remove(self, ask: WaitingAsk) -> None:
         line = self._lines[ask.organisation]
         del self.asks[ask.key]
-        group = (ask.rank, ask.version)
-        asks = line.groups[group]
+        asks = line.groups[ask.version]
         del asks[ask.key]
         line.work -= ask.cost_tokens
         self.work -= ask.cost_tokens
         if not asks:
-            del line.groups[group]
+            del line.groups[ask.version]
 
     def newest_of_heaviest(self) -> WaitingAsk:
         heaviest = max(
@@ -205,10 +215,10 @@
         has_room: Callable[[str], bool],
         fits: Callable[[WaitingAsk], bool],
     ) -> WaitingAsk | None:
-        for group in sorted(line.groups):
-            if not has_room(group[1]):
+        for version in sorted(line.groups):
+            if not has_room(version):
                 continue
-            for ask in itertools.islice(line.groups[group].values(), MAX_PASSED):
+            for ask in itertools.islice(line.groups[version].values(), MAX_PASSED):
                 if fits(ask):
                     self.remove(ask)
                     self._virtual_time = max(self._virtual_time, line.virtual_time)
@@ -254,7 +264,7 @@
     def __init__(self, max_waiting: int, weight_of: Callable[[str], float]) -> None:
         self._max_waiting = max_waiting
         self._weight_of = weight_of
-        self._levels = [_TierLines() for _ in range(LEVEL_COUNT)]
+        self._levels = [_LevelLines() for _ in range(LEVEL_COUNT)]
         self._asks: dict[AskKey, WaitingAsk] = {}
 
     def __len__(self) -> int:
@@ -269,9 +279,9 @@
     def push(self, ask: WaitingAsk) -> WaitingAsk | None:
         """Add an ask and return the one that is shed for it, if the queue is full.
 
-        The shed ask is the newest of the lowest waiting tier, of the organisation with the most
-        waiting work for its weight. It is `ask` itself unless it is of a higher tier than that, or
-        of the same tier and an organisation with less work.
+        The shed ask is the newest of the lowest waiting grade, of the organisation with the most
+        waiting work for its weight. It is `ask` itself unless it is of a higher grade than that,
+        or of the same grade and an organisation with less work.
         """
         if ask.key in self._asks:
             return None
@@ -282,7 +292,7 @@
                 return ask
             self.remove(shed.key)
         self._asks[ask.key] = ask
-        self._place(ask, 2 * ask.tier)
+        self._place(ask, 2 * grade_of(ask.tier, ask.rank))
         return shed
 
     def pop(
@@ -327,9 +337,9 @@
             self._levels[ask.level].remove(ask)
         return ask
 
-    def work_before(self, tier: int, organisation: str) -> float:
+    def work_before(self, tier: int, rank: int, organisation: str) -> float:
         """Return the estimated work in tokens served before a new ask that can be on time."""
-        level = 2 * tier
+        level = 2 * grade_of(tier, rank)
         higher = sum(lines.work for lines in self._levels[:level])
         weight = self._weight_of(organisation)
         return higher + self._levels[level].work_before(organisation, weight)
@@ -341,21 +351,14 @@
             counts[ask.tier] += 1
         return counts
 
-    def work_by_tier(self) -> list[int]:
-        """Return the estimated work in tokens that waits in each tier."""
-        work = [0] * TIER_COUNT
-        for ask in self._asks.values():
-            work[ask.tier] += ask.cost_tokens
-        return work
-
     def work_by_level(self) -> list[int]:
         """Return the estimated work in tokens that waits in each line."""
         return [lines.work for lines in self._levels]
 
     def lowest_first(self) -> Iterator[WaitingAsk]:
-        """Iterate over waiting asks, the lowest tier first and the newest first within it."""
-        for tier in reversed(range(TIER_COUNT)):
-            for level in (FIRST_LATE_LEVEL + tier, 2 * tier + 1, 2 * tier):
+        """Iterate over waiting asks, the lowest grade first and the newest first within it."""
+        for grade in reversed(range(GRADE_COUNT)):
+            for level in levels_of(grade):
                 yield from list(reversed(self._levels[level].asks.values()))
 
     def forget_idle(self) -> None:
@@ -364,21 +367,21 @@
             lines.forget_idle()
 
     def _choose_shed(self, ask: WaitingAsk) -> WaitingAsk:
-        lowest = max(waiting.tier for waiting in self._asks.values())
-        if lowest < ask.tier:
+        grade = grade_of(ask.tier, ask.rank)
+        lowest = max(grade_of(waiting.tier, waiting.rank) for waiting in self._asks.values())
+        if lowest < grade:
             return ask
-        late = self._levels[FIRST_LATE_LEVEL + lowest]
+        late, urgent, timely = (self._levels[level] for level in levels_of(lowest))
         if late.asks:
             return late.newest_of_heaviest()
-        lines = self._levels[2 * lowest] if self._levels[2 * lowest].asks else None
-        if lines is None:
-            return self._levels[2 * lowest + 1].newest_of_heaviest()
-        candidate = lines.newest_of_heaviest()
-        if lowest > ask.tier:
+        if not timely.asks:
+            return urgent.newest_of_heaviest()
+        candidate = timely.newest_of_heaviest()
+        if lowest > grade:
             return candidate
-        own_load = lines.load_of(ask.organisation) + ask.cost_tokens / self._weight_of(
+        own_load = timely.load_of(ask.organisation) + ask.cost_tokens / self._weight_of(
             ask.organisation
         )
-        if lines.load_of(candidate.organisation) > own_load:
+        if timely.load_of(candidate.organisation) > own_load:
             return candidate
         return ask
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -38,7 +38,7 @@
     target : float or None
         Time by which a first byte is on time, on the monotonic clock.
     rank : int
-        Importance among the requests of its tier and organisation, 0 the highest.
+        Importance among the requests of its tier, 0 the highest.
     bounds_whole : bool
         Whether `deadline` is for the whole answer.
     """
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+from dataclasses import dataclass
 
 from permit_fleets import Fleet, create_request, create_upstream
 
@@ -16,6 +17,19 @@
 SLOW_TOKEN_S = 0.0119
 TARGET_S = 0.6
 DEADLINE_S = 8.0
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Describe a kind of request: its rank, its part of all, and the middle of its length."""
+
+    rank: int
+    share: float
+    log_tokens: float
+
+
+KINDS = (Kind(0, 0.35, 4.4), Kind(1, 0.27, 3.5), Kind(2, 0.38, 4.7))
+"""Drafts, summaries and questions, as on the users' sheets."""
 MODEL = LoadSettings(prefill_speedup=400.0, first_byte_steps=9.0, batch_slowdown=0.15)
 
 
@@ -35,10 +49,11 @@
         self.on = {}
         self.seen = set()
 
-    def ask(self, tokens, rank=0):
+    def ask(self, tokens, rank=0, organisation="a"):
         now = self.fleet.now
         request = create_request(
             tier=1,
+            organisation=organisation,
             cost=tokens,
             deadline=now + DEADLINE_S,
             target=now + TARGET_S,
@@ -91,8 +106,22 @@
             self.run_until(self.fleet.now + self.rng.expovariate(per_s))
             self.ask(max(5, round(self.rng.lognormvariate(4.0, 0.9))))
 
-    def on_time(self, begin, end):
-        asked = [ask_id for ask_id, (at, _, _) in self.asked.items() if begin <= at < end]
+    def load_kinds(self, seconds, per_s):
+        """Let organisations of unlike size send each kind of the users' sheets, by rank."""
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            self.run_until(self.fleet.now + self.rng.expovariate(per_s))
+            (kind,) = self.rng.choices(KINDS, [kind.share for kind in KINDS])
+            (organisation,) = self.rng.choices("abcde", [12, 3, 2, 2, 1])
+            tokens = max(5, round(self.rng.lognormvariate(kind.log_tokens, 0.9)))
+            self.ask(tokens, kind.rank, organisation)
+
+    def on_time(self, begin, end, rank=None):
+        asked = [
+            ask_id
+            for ask_id, (at, _, of_rank) in self.asked.items()
+            if begin <= at < end and rank in (None, of_rank)
+        ]
         good = [
             ask_id
             for ask_id in asked
@@ -111,6 +140,18 @@
     assert site.on_time(after, after + 5) >= 0.95
 
 
+def test_on_a_busy_day_the_important_kinds_are_on_time_whoever_asks():
+    site = Site(seed=4)
+    site.load_kinds(6, 45)
+    begin = site.fleet.now
+    site.load_kinds(5, 120)
+    end = site.fleet.now
+    site.load_kinds(4, 45)
+    site.run_until(site.fleet.now + 10)
+    assert site.on_time(begin, end, rank=0) >= 0.95
+    assert site.on_time(begin, end, rank=1) >= 0.9
+
+
 def test_late_requests_are_still_served_when_there_is_room():
     site = Site(seed=2)
     site.load(3, 60)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -11,7 +11,7 @@
     return TierQueue(max_waiting, lambda organisation: weights.get(organisation, 1.0))
 
 
-def create_ask(number, tier=0, organisation="a", cost=10, version=""):
+def create_ask(number, tier=0, organisation="a", cost=10, version="", rank=0):
     return WaitingAsk(
         host="h1",
         ask_id=number,
@@ -22,6 +22,7 @@
         prompt_tokens=0,
         deadline=100.0,
         version=version,
+        rank=rank,
     )
 
 
@@ -39,6 +40,22 @@
     assert [ask.tier for ask in pop_all(queue)] == [0, 0, 1, 2, 3]
 
 
+def test_the_higher_rank_of_a_tier_goes_first_whoever_asks():
+    queue = create_queue()
+    for number, (rank, organisation) in enumerate([(2, "a"), (0, "b"), (1, "b")] * 3):
+        queue.push(create_ask(number, 1, organisation, rank=rank))
+    queue.push(create_ask(99, 0, "c", rank=3))
+    ranks = [(ask.tier, ask.rank) for ask in pop_all(queue)]
+    assert ranks == sorted(ranks)
+
+
+def test_the_work_before_an_ask_is_that_of_higher_ranks_and_of_its_own():
+    queue = create_queue()
+    for number, rank in enumerate([0, 0, 1, 2, 2, 2]):
+        queue.push(create_ask(number, 1, "a", cost=10, rank=rank))
+    assert [queue.work_before(1, rank, "a") for rank in (0, 1, 2)] == [20, 30, 60]
+
+
 def test_organisations_share_a_tier_by_weight_and_cost():
     queue = create_queue(weights={"heavy": 3.0})
     for number in range(400):
@@ -129,5 +146,5 @@
         else:
             queue.forget_idle()
         assert len(queue) == len(waiting) <= 12
-        assert sum(queue.work_by_tier()) == sum(ask.cost_tokens for ask in waiting.values())
+        assert sum(queue.work_by_level()) == sum(ask.cost_tokens for ask in waiting.values())
     assert {ask.key for ask in pop_all(queue)} == set(waiting)
