Answer callers before they leave, with a time to come back

Cause: callers of a stream leave after a silence (the longest of 2 s, four target latencies and eight longest pauses) though their deadline is later. Requests waited on for the deadline and were lost when the callers left, without a word; a caller that is told in time may come back once. Ruled out: asks that a grant could still have served; the fastest upstream's least time decides. Without an owner's word the asking host ends the wait itself. Tests failed first: refused before the caller leaves, on an owner and without one; nobody of an overload is left waiting until it leaves.

--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -30,6 +30,8 @@
 
 CLAIM_TTL_S = 3_600
 """Time for which an idempotency key stays taken, in seconds."""
+PATIENCE_MARGIN_S = 0.15
+"""Time before callers leave by which they are answered: the ways to the owner and to them."""
 SHED_KINDS = frozenset([ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE])
 
 
@@ -147,6 +149,10 @@
                 self._attempts.unsent,
             )
             work.avoid.append(permit.upstream)
+            if self._exchange.started and cls.route.patience_s:
+                # The caller has seen events: its patience begins anew with the last one.
+                now = self._parts.loop.timers.now()
+                work.begin_by = now + cls.route.patience_s - PATIENCE_MARGIN_S
             self._budget_taken = False
             self._held = None
             self._life.wait_again(cls.route.repeatable)
@@ -235,6 +241,8 @@
         )
         if cls.route.target_latency_s:
             work.target = self._started_at + cls.route.target_latency_s
+        if cls.route.patience_s:
+            work.begin_by = self._started_at + cls.route.patience_s - PATIENCE_MARGIN_S
         if cls.stream and cls.prompt_tokens:
             work.prompt_tokens = cls.prompt_tokens
             work.max_tokens = cls.max_tokens
--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -190,6 +190,8 @@
         for none.
     event_gap_s : float
         Longest pause between two events of a stream that is on time, in seconds; 0 for none.
+    patience_s : float
+        Silence after which callers leave, in seconds; 0 where they wait to their deadline.
     """
 
     pool: EntryName
@@ -210,6 +212,7 @@
     answer_timeout_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
     target_latency_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
     event_gap_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
+    patience_s: Annotated[float, Field(ge=0, le=36_000)] = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -32,8 +33,8 @@
 CLIENT_MESSAGES = (PermitGrant, PermitRefusal, PermitBeat, PermitQuery)
 """Classes of the messages that go to clients."""
 
-NO_TARGET_MS = -1
-"""Stands for no time by which a first byte is on time."""
+NO_TIME_MS = -1
+"""Stands for no limit in a field of milliseconds."""
 
 LOCAL = ""
 """Stands for the local share where a host's name is expected."""
@@ -174,7 +175,7 @@
             state.heard_at = max(state.heard_at, now)
         state.waits[ask_id] = _Wait(request, on_granted, on_refused)
         self._pool_of[ask_id] = request.pool
-        heapq.heappush(self._deadlines, (request.deadline, ask_id))
+        heapq.heappush(self._deadlines, (request.waits_until, ask_id))
         msg = self._ask_message(now, ask_id, request)
         if state.local is not None:
             state.local.on_message(now, self._name, msg)
@@ -298,7 +299,7 @@
         if wait is None:
             self._return(host, msg)
             return
-        if wait.request.deadline <= now:
+        if wait.request.waits_until <= now:
             self._return(host, msg)
             self._refuse(msg.ask_id, wait, ErrorKind.DEADLINE_PASSED, 1.0)
             return
@@ -430,9 +431,7 @@
         return PermitSync(state.pool, asks, permits)
 
     def _ask_message(self, now: float, ask_id: int, request: PermitRequest) -> PermitAsk:
-        target_ms = NO_TARGET_MS
-        if request.target is not None:
-            target_ms = max(0, int(1_000 * (request.target - now)))
+        target = math.inf if request.target is None else request.target
         return PermitAsk(
             ask_id=ask_id,
             pool=request.pool,
@@ -441,13 +440,14 @@
             organisation=request.organisation,
             cost_tokens=request.cost_tokens,
             prompt_tokens=request.prompt_tokens,
-            deadline_ms=max(0, int(1_000 * (request.deadline - now))),
+            deadline_ms=time_left_ms(now, request.deadline),
             prefixes=request.prefixes,
             avoid=request.avoid,
-            target_ms=target_ms,
+            target_ms=time_left_ms(now, target),
             rank=request.rank,
             output_tokens=request.output_tokens,
             bounds_whole=request.bounds_whole,
+            begin_ms=time_left_ms(now, request.begin_by),
         )
 
     def _send_to_owner(self, state: _PoolState, msg: Message) -> None:
@@ -476,3 +476,8 @@
                 continue
             self._withdraw(now, state, ask_id)
             self._refuse(ask_id, wait, ErrorKind.DEADLINE_PASSED, 1.0)
+
+
+def time_left_ms(now: float, until: float) -> int:
+    """Return the whole milliseconds left until a time, or `NO_TIME_MS` for an infinite one."""
+    return NO_TIME_MS if math.isinf(until) else max(0, int(1_000 * (until - now)))
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -61,6 +61,8 @@
         Expected tokens of the answer.
     bounds_whole : bool
         Whether `deadline_ms` is for the whole answer.
+    begin_ms : int
+        Time left for the first byte until the caller leaves, in milliseconds; -1 for no limit.
     """
 
     ask_id: int
@@ -77,6 +79,7 @@
     rank: int = 0
     output_tokens: int = 0
     bounds_whole: bool = False
+    begin_ms: int = -1
 
 
 @message(31)
@@ -236,6 +239,7 @@
         ask.rank,
         ask.output_tokens,
         ask.bounds_whole,
+        ask.begin_ms,
     ]
 
 
--- a/tarragonwind/core/permit_requests.py
+++ b/tarragonwind/core/permit_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 
@@ -31,6 +32,8 @@
         Expected tokens of the answer.
     bounds_whole : bool
         Whether `deadline` is for the whole answer.
+    begin_by : float
+        Time by which the first byte must come, since the caller leaves then, in seconds.
     """
 
     pool: str
@@ -46,6 +49,12 @@
     rank: int = 0
     output_tokens: int = 0
     bounds_whole: bool = False
+    begin_by: float = math.inf
+
+    @property
+    def waits_until(self) -> float:
+        """Return the time at which waiting for a permit ends, in seconds."""
+        return min(self.deadline, self.begin_by)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -285,6 +286,7 @@
             rank=msg.rank,
             output_tokens=msg.output_tokens,
             bounds_whole=msg.bounds_whole,
+            begin_by=math.inf if msg.begin_ms < 0 else now + msg.begin_ms / 1_000,
         )
         self._set_times(now, ask, msg)
         if self._active and ask.version not in self._ledger.live_versions():
@@ -304,7 +306,7 @@
         fastest = self._fastest(now)
         begin_s = fastest.first_byte_s(now, ask.prompt_tokens) if fastest is not None else 0.0
         ask.on_time_until = now + msg.target_ms / 1_000 - begin_s
-        ask.urgent_from = ask.deadline - URGENT_PART * (ask.deadline - now)
+        ask.urgent_from = ask.first_byte_by - URGENT_PART * (ask.first_byte_by - now)
 
     def _version_for(self, now: float, route: str) -> str:
         """Draw a version; draw again, a bounded number of times, when it can't serve now."""
@@ -346,21 +348,23 @@
             self._fastest_load = min(loads, key=lambda load: load.token_s(now), default=None)
         return self._fastest_load
 
-    def _least_times(self, now: float) -> Callable[[WaitingAsk], float]:
-        """Return what gives an ask's shortest time to its first byte or its whole answer."""
-        fastest = self._fastest(now)
-
-        def least_s(ask: WaitingAsk) -> float:
-            if fastest is None:
-                return 0.0
-            answer_s = ask.output_tokens * fastest.token_s(now) if ask.bounds_whole else 0.0
-            return fastest.least_first_byte_s(now, ask.prompt_tokens) + answer_s
+    def _can_be_met(self, now: float, ask: WaitingAsk) -> bool:
+        """Tell whether the fastest upstream could still serve an ask in its time.
 
-        return least_s
+        An ask whose caller leaves before the next sweep counts as one that can't be met: it has to
+        be answered while the caller is there.
+        """
+        fastest = self._fastest(now)
+        if fastest is None:
+            return now + SWEEP_PERIOD_S <= ask.begin_by
+        first_byte_at = now + fastest.least_first_byte_s(now, ask.prompt_tokens)
+        if first_byte_at + SWEEP_PERIOD_S > ask.begin_by:
+            return False
+        whole_at = first_byte_at + ask.output_tokens * fastest.token_s(now)
+        return not ask.bounds_whole or whole_at <= ask.deadline
 
     def _refuse_unmeetable(self, now: float) -> None:
         waits_s = self._waits_by_level_s()
-        least_s = self._least_times(now)
         live = self._ledger.live_versions()
         for ask in self._queue.lowest_first():
             kind = None
@@ -368,7 +372,7 @@
                 kind = ErrorKind.DEADLINE_PASSED
             elif self._active and ask.version not in live:
                 kind = ErrorKind.NO_UPSTREAM
-            elif ask.bounds_whole and now + least_s(ask) > ask.deadline:
+            elif not self._can_be_met(now, ask):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
             if kind is None and waits_s[ask.level] > _patience_s(now, ask):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
@@ -434,7 +438,7 @@
             raise AssertionError("a popped ask has an upstream with room")
         load = placement.load
         unread_tokens = ask.prompt_tokens * (1.0 - placement.cached_share)
-        if now + load.least_first_byte_s(now, unread_tokens) > ask.deadline:
+        if now + load.least_first_byte_s(now, unread_tokens) > ask.first_byte_by:
             self._refuse(ask, ErrorKind.DEADLINE_UNMEETABLE)
             return
         permit = GrantedPermit(
@@ -593,7 +597,7 @@
 
 
 def _patience_s(now: float, ask: WaitingAsk) -> float:
-    return (ask.deadline - now) * WAIT_MARGINS[ask.tier]
+    return (ask.first_byte_by - now) * WAIT_MARGINS[ask.tier]
 
 
 def _read_ask(values: list[Any]) -> PermitAsk:
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -55,6 +55,8 @@
         Expected tokens of the answer.
     bounds_whole : bool
         Whether the deadline is for the whole answer instead of its first byte.
+    begin_by : float
+        Time by which the first byte must come, since the caller leaves then, in seconds.
     on_time_until : float
         Latest time of a grant that leads to an answer on time, in seconds.
     urgent_from : float
@@ -78,6 +80,7 @@
     rank: int = 0
     output_tokens: int = 0
     bounds_whole: bool = False
+    begin_by: float = math.inf
     on_time_until: float = math.inf
     urgent_from: float = math.inf
     level: int = 0
@@ -87,6 +90,11 @@
         """Return what names the ask in the pool."""
         return (self.host, self.ask_id)
 
+    @property
+    def first_byte_by(self) -> float:
+        """Return the time after which a first byte is of no use, in seconds."""
+        return min(self.deadline, self.begin_by)
+
 
 def any_fits(ask: WaitingAsk) -> bool:
     """Let every ask go to any upstream."""
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -41,6 +42,9 @@
         Importance among the requests of its tier, 0 the highest.
     bounds_whole : bool
         Whether `deadline` is for the whole answer.
+    begin_by : float
+        Time by which the first byte must come, since the caller leaves then, on the monotonic
+        clock.
     """
 
     pool: str
@@ -55,6 +59,7 @@
     target: float | None = None
     rank: int = 0
     bounds_whole: bool = False
+    begin_by: float = math.inf
     prompt_tokens: int | None = None
     expected_tokens: int | None = None
 
--- a/tarragonwind/platform/configurations.py
+++ b/tarragonwind/platform/configurations.py
@@ -31,6 +31,12 @@
 OWNER = "operator"
 """Owner of all entries: the configuration names none."""
 LOWEST_TIER = 3
+MIN_PATIENCE_S = 2.0
+"""Silence of a stream that callers bear at least, in seconds."""
+PATIENCE_TARGETS = 4.0
+"""Silence that they bear, in target latencies."""
+PATIENCE_GAPS = 8.0
+"""Silence that they bear, in longest pauses between events."""
 MAX_REQUESTS = 100_000
 """Stands for no limit on requests, which the configuration doesn't set."""
 
@@ -107,9 +113,17 @@
         answer_timeout_s=read_number(doc, "timeoutMs", 0) / 1_000,
         target_latency_s=read_number(doc, "targetLatencyMs", 0) / 1_000,
         event_gap_s=read_number(doc, "gapTargetMs", 0) / 1_000,
+        patience_s=decode_patience(doc) if kind == "stream" else 0.0,
     )
 
 
+def decode_patience(doc: dict[str, Any]) -> float:
+    """Return the silence in seconds after which callers of a stream leave."""
+    target_s = read_number(doc, "targetLatencyMs", 0) / 1_000
+    gap_s = read_number(doc, "gapTargetMs", 0) / 1_000
+    return max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s, PATIENCE_GAPS * gap_s)
+
+
 def decode_organisation(doc: dict[str, Any]) -> OrganisationEntry:
     """Return an organisation; its rate counts tokens where the unit says so, else requests."""
     keys = doc.get("apiKeys") or []
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -151,6 +151,7 @@
             rank=work.rank,
             output_tokens=cost.output_tokens,
             bounds_whole=work.bounds_whole,
+            begin_by=work.begin_by,
         )
 
         def granted(permit: Permit) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -17,6 +17,10 @@
 SLOW_TOKEN_S = 0.0119
 TARGET_S = 0.6
 DEADLINE_S = 8.0
+FIRST_BYTE_LATENESS_S = 0.2
+"""Time by which a first byte may come later than an owner expects, in seconds."""
+PATIENCE_S = 2.9
+"""Silence after which callers leave, less the way to them."""
 
 
 @dataclass(frozen=True)
@@ -61,6 +65,7 @@
             output_tokens=tokens,
             prompt_tokens=3_000,
             bounds_whole=True,
+            begin_by=now + PATIENCE_S,
         )
         ask_id = self.host.ask(request)
         self.asked[ask_id] = (now, tokens, rank)
@@ -183,3 +188,15 @@
         assert ask_id not in site.first_at
     undecided = set(site.asked) - set(site.host.refused) - set(site.first_at)
     assert undecided == set()
+
+
+def test_nobody_is_left_waiting_until_it_leaves():
+    site = Site(seed=5)
+    site.load_kinds(6, 45)
+    site.load_kinds(6, 150)
+    site.load_kinds(4, 45)
+    site.run_until(site.fleet.now + 10)
+    for ask_id, (asked_at, _, _) in site.asked.items():
+        if ask_id not in site.host.refused:
+            assert site.first_at[ask_id] <= asked_at + PATIENCE_S + FIRST_BYTE_LATENESS_S
+    assert site.host.refused
--- a/tests/test_permit_clients.py
+++ b/tests/test_permit_clients.py
@@ -15,6 +15,15 @@
     assert ask_id in fleet.hosts["h1"].granted
 
 
+def test_an_ask_that_no_owner_answers_ends_before_its_caller_leaves():
+    fleet = Fleet([])
+    fleet.dead.add("h0")
+    host = fleet.hosts["h1"]
+    ask_id = host.ask(create_request(deadline=fleet.now + 8.0, begin_by=fleet.now + 0.5))
+    fleet.advance(0.6)
+    assert ask_id in host.refused
+
+
 def test_a_request_is_granted_and_given_back():
     fleet = Fleet([create_upstream("u1")])
     host = fleet.hosts["h1"]
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -40,6 +40,20 @@
     assert set(host.granted) < set(asks)
 
 
+def test_an_ask_is_refused_before_its_caller_leaves():
+    fleet = Fleet([create_upstream("u1", slots=1)])
+    host = fleet.hosts["h1"]
+    ask_many(fleet, host, 1)
+    begin_by = fleet.now + 2.0
+    (waiting,) = ask_many(fleet, host, 1, begin_by=begin_by)
+    while fleet.now < begin_by - 0.5:
+        fleet.advance(0.1)
+        assert waiting not in host.refused
+    fleet.advance(0.4)
+    kind, retry_after_s = host.refused[waiting]
+    assert kind is ErrorKind.DEADLINE_UNMEETABLE and retry_after_s > 0
+
+
 def test_in_flight_work_is_held_by_estimated_cost():
     fleet = Fleet([create_upstream("u1", slots=16, tokens_per_s=100.0)])
     host = fleet.hosts["h1"]
