--- a/tarragonwind/adapters/gateway_parts.py
+++ b/tarragonwind/adapters/gateway_parts.py
@@ -10,7 +10,6 @@
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.claims import Claims
-from tarragonwind.core.caller_times import CallerTimes
 from tarragonwind.core.classifications import CatalogueView
 from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry
 from tarragonwind.core.organisation_limits import OrganisationLimits
@@ -72,8 +71,6 @@
         Bound on repeated dispatches.
     allotments : Allotments or None
         Token allotments of organisations over all hosts; None where there are none.
-    caller_times : CallerTimes
-        What callers have spent of their time in earlier tries.
     sheds : list of int
         Requests shed since the start, by tier.
     stopping : bool
@@ -97,7 +94,6 @@
     limits: OrganisationLimits = field(default_factory=OrganisationLimits)
     retries: RetryBudget = field(default_factory=lambda: RetryBudget(BudgetSettings()))
     allotments: Allotments | None = None
-    caller_times: CallerTimes = field(default_factory=CallerTimes)
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     stopping: bool = False
     waiting_requests: int = 0
--- a/tarragonwind/adapters/request_runs.py
+++ b/tarragonwind/adapters/request_runs.py
@@ -74,7 +74,6 @@
         self.name = given or f"{parts.id_prefix}-{request_id}"
         self._attempts = AttemptRules(1, False)
         self._cursor: StreamCursor | None = None
-        self._spent_s = 0.0
         self._held: HeldAnswer | None = None
         self._counted = False
         self._budget_taken = False
@@ -121,8 +120,6 @@
             self._parts.allotments.take(now, cls.organisation, cls.allotment_tokens)
             self._counted = True
         await self._claim_key(cls)
-        if cls.left_s is not None:
-            self._spent_s = self._parts.caller_times.note(now, cls.route.name, cls.left_s)
         work = self._describe_work(cls)
         self._parts.retries.note_request(now, work.pool)
         self._attempts = AttemptRules(cls.route.max_attempts, cls.route.repeatable)
@@ -243,7 +240,7 @@
             bounds_whole=cls.bounds_whole_answer,
         )
         if cls.route.target_latency_s:
-            work.target = self._started_at + cls.route.target_latency_s - self._spent_s
+            work.target = self._started_at + cls.route.target_latency_s
         if cls.route.patience_s:
             work.begin_by = self._started_at + cls.route.patience_s - PATIENCE_MARGIN_S
         if cls.stream and cls.prompt_tokens:
@@ -451,7 +448,7 @@
             "INFO" if outcome in WELL_ENDED else "WARNING",
             "event=request_ended request={} trace={} outcome={} kind={} organisation={} route={} "
             "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} "
-            "spent_ms={:.0f} waited_ms={:.1f} took_ms={:.1f}",
+            "waited_ms={:.1f} took_ms={:.1f}",
             self.name,
             self._trace.trace_id,
             outcome.value if outcome is not None else "none",
@@ -465,7 +462,6 @@
             self._attempts.sent,
             self._attempts.unsent,
             self._status,
-            self._spent_s * 1000,
             self._waited_s * 1000,
             (self._parts.loop.timers.now() - self._started_at) * 1000,
         )
--- a/tarragonwind/core/caller_calls.py
+++ b/tarragonwind/core/caller_calls.py
@@ -107,7 +107,6 @@
         bounds_whole_answer=True,
         after_event=call.last_event_id,
         rank=0 if organisation.tier is None else route.tier,
-        left_s=call.deadline_s,
     )
 
 
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -79,8 +79,6 @@
         Event after which the caller wants its stream to go on.
     rank : int
         Importance among the requests of its tier, 0 the highest.
-    left_s : float or None
-        Time that the caller itself has left, in seconds, where it names one.
     """
 
     organisation: OrganisationEntry
@@ -98,7 +96,6 @@
     bounds_whole_answer: bool = False
     after_event: int | None = None
     rank: int = 0
-    left_s: float | None = None
 
 
 @dataclass(slots=True)
