Let late requests wait one grade lower instead of behind all others

Cause: a late draft, still worth several questions on time to its caller, waited behind every question until most of its caller's patience was spent. Now: a late request stands behind those of its own grade and of the next one that can be on time, and before those after them; the time to come back counts the work before that place. Test failed first.

--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -28,7 +28,7 @@
 )
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
-from tarragonwind.core.queues import FIRST_LATE_LEVEL, LEVEL_COUNT, TierQueue, WaitingAsk
+from tarragonwind.core.queues import LEVEL_COUNT, TierQueue, WaitingAsk, is_late
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -255,9 +255,9 @@
     def retry_after_s(self, tier: int, rank: int, organisation: str) -> float:
         """Return the time until a new ask is expected to be served, in seconds.
 
-        The late work counts too: who comes back sooner meets the same backlog.
+        It is late by then, so the late work before it counts too.
         """
-        work = self._queue.work_before(tier, rank, organisation) + self._queue.late_work()
+        work = self._queue.work_before_late(tier, rank, organisation)
         wait_s = work / self._rate.tokens_per_s
         return min(self._settings.max_retry_after_s, max(MIN_RETRY_AFTER_S, wait_s))
 
@@ -386,7 +386,7 @@
         if not self._active or not self._rate.measured:
             return waits_s * LEVEL_COUNT
         for level, work in enumerate(self._queue.work_by_level()):
-            late = level >= FIRST_LATE_LEVEL and self._late_rate.measured
+            late = is_late(level) and self._late_rate.measured
             rate = self._late_rate if late else self._rate
             waits_s.append(waits_s[-1] + work / rate.tokens_per_s)
         return waits_s
@@ -454,7 +454,7 @@
         )
         self._ledger.add(now, permit)
         self._rate.add(permit.cost_tokens)
-        if ask.level >= FIRST_LATE_LEVEL:
+        if is_late(ask.level):
             self._late_rate.add(permit.cost_tokens)
         if ask.prefixes:
             self.hints.add(load.entry.name, ask.prefixes)
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -1,8 +1,8 @@
 """Keep the one queue of a pool: strict between tiers and ranks, fair between organisations.
 
-An ask that can no longer be served on time waits behind all that can, so that a backlog does not
-make every later request late. When its deadline comes near, it goes before lower tiers again: a
-higher tier is not shed before a lower one.
+An ask that can no longer be served on time waits behind those of its own grade and of the next one
+that can, so that a backlog does not make every later request late; two grades outweigh lateness. When
+its time runs out, it goes before lower grades again: a higher tier is not shed before a lower one.
 """
 
 from __future__ import annotations
@@ -104,10 +104,9 @@
 RANK_COUNT = TIER_COUNT
 """Number of ranks in a tier: a rank is the tier of a route where organisations name the tier."""
 GRADE_COUNT = TIER_COUNT * RANK_COUNT
-FIRST_LATE_LEVEL = 2 * GRADE_COUNT
-"""First of the lines of late asks."""
-LEVEL_COUNT = 3 * GRADE_COUNT
-"""Lines: of each grade the asks that can be on time and the urgent ones, then the late ones."""
+LEVELS_OF_GRADE = 3
+"""Lines at each grade: asks that can be on time, urgent ones, and the late ones of the grade above."""
+LEVEL_COUNT = LEVELS_OF_GRADE * (GRADE_COUNT + 1)
 
 
 def grade_of(tier: int, rank: int) -> int:
@@ -115,19 +114,34 @@
     return tier * RANK_COUNT + min(rank, RANK_COUNT - 1)
 
 
-def levels_of(grade: int) -> tuple[int, int, int]:
-    """Return the lines of a grade's late, urgent and timely asks."""
-    return FIRST_LATE_LEVEL + grade, 2 * grade + 1, 2 * grade
+def timely_level(grade: int) -> int:
+    """Return the line of a grade's asks that can be on time."""
+    return LEVELS_OF_GRADE * grade
+
+
+def urgent_level(grade: int) -> int:
+    """Return the line of a grade's late asks whose time runs out."""
+    return LEVELS_OF_GRADE * grade + 1
+
+
+def late_level(grade: int) -> int:
+    """Return the line of a grade's late asks: behind those of the next grade that can be on time."""
+    return LEVELS_OF_GRADE * (grade + 1) + 2
+
+
+def is_late(level: int) -> bool:
+    """Tell whether a line is one of late asks."""
+    return level % LEVELS_OF_GRADE == 2
 
 
 def level_at(now: float, ask: WaitingAsk) -> int:
     """Return the line that an ask belongs to."""
     grade = grade_of(ask.tier, ask.rank)
     if now <= ask.on_time_until:
-        return 2 * grade
+        return timely_level(grade)
     if now >= ask.urgent_from:
-        return 2 * grade + 1
-    return FIRST_LATE_LEVEL + grade
+        return urgent_level(grade)
+    return late_level(grade)
 
 
 @dataclass(slots=True)
@@ -300,7 +314,7 @@
                 return ask
             self.remove(shed.key)
         self._asks[ask.key] = ask
-        self._place(ask, 2 * grade_of(ask.tier, ask.rank))
+        self._place(ask, timely_level(grade_of(ask.tier, ask.rank)))
         return shed
 
     def pop(
@@ -318,13 +332,9 @@
                 return ask
         return None
 
-    def late_work(self) -> int:
-        """Return the estimated work in tokens of asks that can no longer be on time."""
-        return sum(lines.work for lines in self._levels[FIRST_LATE_LEVEL:])
-
     def has_late(self) -> bool:
         """Tell whether an ask waits that can no longer be on time."""
-        return any(lines.asks for lines in self._levels[FIRST_LATE_LEVEL:])
+        return any(lines.asks for lines in self._levels[late_level(0) :: LEVELS_OF_GRADE])
 
     def review(self, now: float) -> None:
         """Move each ask to the line that it belongs to by now."""
@@ -347,11 +357,17 @@
 
     def work_before(self, tier: int, rank: int, organisation: str) -> float:
         """Return the estimated work in tokens served before a new ask that can be on time."""
-        level = 2 * grade_of(tier, rank)
+        level = timely_level(grade_of(tier, rank))
         higher = sum(lines.work for lines in self._levels[:level])
         weight = self._weight_of(organisation)
         return higher + self._levels[level].work_before(organisation, weight)
 
+    def work_before_late(self, tier: int, rank: int, organisation: str) -> float:
+        """Return the estimated work in tokens served before a new ask that is late already."""
+        grade = grade_of(tier, rank)
+        between = self._levels[timely_level(grade) + 1 : late_level(grade) + 1]
+        return self.work_before(tier, rank, organisation) + sum(lines.work for lines in between)
+
     def waiting_by_tier(self) -> list[int]:
         """Return the number of waiting asks of each tier."""
         counts = [0] * TIER_COUNT
@@ -366,7 +382,7 @@
     def lowest_first(self) -> Iterator[WaitingAsk]:
         """Iterate over waiting asks, the lowest grade first and the newest first within it."""
         for grade in reversed(range(GRADE_COUNT)):
-            for level in levels_of(grade):
+            for level in (late_level(grade), urgent_level(grade), timely_level(grade)):
                 yield from list(reversed(self._levels[level].asks.values()))
 
     def forget_idle(self) -> None:
@@ -379,7 +395,9 @@
         lowest = max(grade_of(waiting.tier, waiting.rank) for waiting in self._asks.values())
         if lowest < grade:
             return ask
-        late, urgent, timely = (self._levels[level] for level in levels_of(lowest))
+        late = self._levels[late_level(lowest)]
+        urgent = self._levels[urgent_level(lowest)]
+        timely = self._levels[timely_level(lowest)]
         if late.asks:
             return late.newest_of_heaviest()
         if not timely.asks:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -49,6 +49,23 @@
     assert ranks == sorted(ranks)
 
 
+def test_a_late_ask_waits_behind_those_of_the_next_rank_and_before_those_after_it():
+    queue = create_queue()
+    for number, rank in enumerate([2, 1, 0, 0]):
+        queue.push(create_ask(number, 1, rank=rank))
+    late = create_ask(9, 1, rank=0)
+    late.on_time_until = 5.0
+    queue.push(late)
+    queue.review(6.0)
+    assert [(ask.rank, ask is late) for ask in pop_all(queue)] == [
+        (0, False),
+        (0, False),
+        (1, False),
+        (0, True),
+        (2, False),
+    ]
+
+
 def test_the_work_before_an_ask_is_that_of_higher_ranks_and_of_its_own():
     queue = create_queue()
     for number, rank in enumerate([0, 0, 1, 2, 2, 2]):
