Keep the last upstreams of a pool in use when their answers fail

Cause: five failed answers in a row ejected an upstream, also the only one of its pool; then one probe at a time went to it, each failing probe doubled the pause, and everything else waited until its callers left. Ruled out: the owner (one, unchanged, granting to others), the store, the network. Now: failed answers eject an upstream only while half of the pool's live ones take work without it; an ejected one that is left alone takes work again after its next answer. An upstream that refuses connections or falls silent is ejected as before. Tests failed first.

--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from tarragonwind.core.drain_rates import DrainRate
-from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.core.entries import UpstreamEntry, UpstreamState
 from tarragonwind.core.host_registers import HostRegister
 from tarragonwind.core.owner_settings import PermitSettings, Send, VersionChooser
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
@@ -49,6 +49,10 @@
 FASTEST_PERIOD_S = 0.1
 """Time for which the fastest upstream is not looked up again, in seconds."""
 
+MIN_PART_IN_USE = 0.5
+"""Part of a pool's live upstreams that failed answers leave in use: when most fail, the fault is
+seldom theirs, and the others would not carry the load."""
+
 SWEEP_PERIOD_S = 0.2
 """Time between two sweeps over waiting asks, in seconds."""
 
@@ -485,10 +489,17 @@
         elif msg.outcome == Outcome.REFUSED:
             load.on_refused(now)
         elif msg.outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
-            load.on_failed(now, self._rng)
+            load.on_failed(now, self._rng, self._can_spare(load))
         if load.ejected:
             self._draw_for_stranded(now)
 
+    def _can_spare(self, load: UpstreamLoad) -> bool:
+        """Tell whether enough upstreams of the pool take work without one of them."""
+        loads = self._ledger.loads.values()
+        live = [one for one in loads if one.entry.state is UpstreamState.LIVE]
+        others = [one for one in live if one is not load and one.takes_work()]
+        return len(others) >= MIN_PART_IN_USE * len(live)
+
     def _on_stalled(self, now: float, host: str, msg: PermitStalled) -> None:
         """Give a silent upstream no more work until a probe has succeeded."""
         permit = self._ledger.find((host, msg.ask_id))
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -1,8 +1,9 @@
 """Keep the one queue of a pool: strict between tiers and ranks, fair between organisations.
 
-An ask that can no longer be served on time waits behind those of its own grade and of the next one
-that can, so that a backlog does not make every later request late; two grades outweigh lateness. When
-its time runs out, it goes before lower grades again: a higher tier is not shed before a lower one.
+An ask that can no longer be served on time waits behind those of its own grade and of the next
+one that can, so that a backlog does not make every later request late; two grades outweigh
+lateness. When its time runs out, it goes before lower grades again: a higher tier is not shed
+before a lower one.
 """
 
 from __future__ import annotations
@@ -105,7 +106,7 @@
 """Number of ranks in a tier: a rank is the tier of a route where organisations name the tier."""
 GRADE_COUNT = TIER_COUNT * RANK_COUNT
 LEVELS_OF_GRADE = 3
-"""Lines at each grade: asks that can be on time, urgent ones, and the late ones of the grade above."""
+"""Lines at each grade: timely asks, urgent ones, and the late ones of the grade above."""
 LEVEL_COUNT = LEVELS_OF_GRADE * (GRADE_COUNT + 1)
 
 
@@ -125,7 +126,7 @@
 
 
 def late_level(grade: int) -> int:
-    """Return the line of a grade's late asks: behind those of the next grade that can be on time."""
+    """Return the line of a grade's late asks: behind the timely ones of the next grade."""
     return LEVELS_OF_GRADE * (grade + 1) + 2
 
 
--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -185,11 +185,24 @@
         self._report_extra = max(self._report_extra, float(self.entry.slots - self.in_flight))
         self._report_at = now
 
-    def on_failed(self, now: float, rng: random.Random) -> None:
-        """Note a failed answer; several in a row eject the upstream."""
+    def on_failed(self, now: float, rng: random.Random, may_eject: bool = True) -> None:
+        """Note a failed answer; several in a row eject the upstream.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        rng : random.Random
+            Source of jitter.
+        may_eject : bool
+            Whether enough others take work; if not, an upstream that answers is better than none.
+        """
         self._note_answer(now, failed=True)
         self._failures += 1
-        if self.ejected or self._failures >= self._settings.failures_to_eject:
+        if not may_eject:
+            self._retry_s = 0.0
+            self._probing = False
+        elif self.ejected or self._failures >= self._settings.failures_to_eject:
             self._eject(now, rng)
 
     def on_report(self, now: float, in_flight: int, age_s: float) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -101,6 +101,41 @@
     assert len(host.granted) == 7
 
 
+def test_the_last_upstream_of_a_pool_is_not_ejected_for_failed_answers():
+    fleet = Fleet([create_upstream("u1", slots=2)])
+    host = fleet.hosts["h1"]
+    for _ in range(12):
+        (ask_id,) = ask_many(fleet, host, 1)
+        assert ask_id in host.granted
+        give_back(fleet, host, ask_id, Outcome.FAILED)
+
+
+def test_of_upstreams_that_all_fail_half_stay_in_use():
+    fleet = Fleet([create_upstream(f"u{number}", slots=2) for number in range(4)])
+    host = fleet.hosts["h1"]
+    for _ in range(60):
+        (ask_id,) = ask_many(fleet, host, 1)
+        give_back(fleet, host, ask_id, Outcome.FAILED)
+    (ask_id,) = ask_many(fleet, host, 1)
+    assert ask_id in host.granted
+    assert sum(load.ejected for load in fleet.owner().loads()) == 2
+
+
+def test_an_ejected_upstream_that_is_left_alone_takes_work_again():
+    fleet = Fleet([create_upstream("u1", slots=2), create_upstream("u2", slots=2)])
+    host = fleet.hosts["h1"]
+    while not any(load.ejected for load in fleet.owner().loads()):
+        (ask_id,) = ask_many(fleet, host, 1)
+        give_back(fleet, host, ask_id, Outcome.FAILED)
+    ejected = next(load.entry for load in fleet.owner().loads() if load.ejected)
+    fleet.configure([ejected])
+    fleet.advance(1.0)
+    for _ in range(3):
+        (ask_id,) = ask_many(fleet, host, 1)
+        assert ask_id in host.granted
+        give_back(fleet, host, ask_id, Outcome.FAILED)
+
+
 def test_a_pool_without_upstreams_is_told_at_once():
     fleet = Fleet([create_upstream("u1", state=UpstreamState.LEAVING)])
     host = fleet.hosts["h1"]
