Give pools and allotments to the largest live hosts

Ruled out: places at the engines (free), the store. Now: a member's record names its host's size, in hundredths of a core, from the settings; what all hosts ask of one belongs to the hosts of at least three quarters of the largest's size. Hosts of one size choose as before. Tests: the choice, and one view of five unlike hosts that agree on large owners and on small ones once the large have left.

--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -11,13 +11,13 @@
 from tarragonwind.adapters.fact_slots import FactSlot, FactSlots
 from tarragonwind.adapters.peer_greetings import PeerIdentity
 from tarragonwind.adapters.peers import TcpPeers
-from tarragonwind.core.member_views import Health, Member
+from tarragonwind.core.member_views import DEFAULT_SIZE, Health, Member
 from tarragonwind.core.memberships import (
     PROTOCOL_MESSAGES,
     MembershipCore,
     Outgoing,
 )
-from tarragonwind.core.rendezvous import choose_owner, rank_names
+from tarragonwind.core.rendezvous import choose_large, choose_owner, rank_names
 from tarragonwind.messages import Message
 from tarragonwind.ports import Address, Gossip, Members, Timer, Timers
 
@@ -45,9 +45,12 @@
     ----------
     seeds : list of Address
         Where to ask first; they may be away.
+    size : int
+        Processor that this host has, in hundredths of a core.
     """
 
     seeds: list[Address] = field(default_factory=list)
+    size: int = DEFAULT_SIZE
 
 
 class Membership(Members, Gossip):
@@ -61,7 +64,13 @@
         self._peers = peers
         self._timers = timers
         self._facts = FactSlots()
-        own = Member(identity.name, identity.address, identity.data_centre, int(timers.wall()))
+        own = Member(
+            identity.name,
+            identity.address,
+            identity.data_centre,
+            int(timers.wall()),
+            size=cfg.size,
+        )
         self._core = MembershipCore(own, rng, timers.now(), self._facts)
         self._core.on_changed = self._tell_changed
         self._core.on_resumed = self._tell_resumed
@@ -123,13 +132,17 @@
         return (*self.live(), *stopping)
 
     def owner_of(self, key: str) -> str:
-        """Return the live daemon that a key belongs to; this one when nobody takes part."""
+        """Return the large live daemon that a key belongs to; this one when nobody takes part."""
         owner = self._owners.get(key)
         if owner is None:
-            owner = choose_owner(key, self._core.live() or (self.name,))
+            owner = choose_owner(key, choose_large(self._live_sizes()) or (self.name,))
             self._owners[key] = owner
         return owner
 
+    def _live_sizes(self) -> dict[str, int]:
+        live = set(self._core.live())
+        return {member.name: member.size for member in self.members() if member.name in live}
+
     def rank(self, key: str, count: int) -> list[str]:
         """Return the first live daemons for a key, the owner first."""
         return rank_names(key, self._core.live(), count)
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -18,7 +18,10 @@
 """Parts of a view that two daemons compare before they exchange records."""
 MAX_INCARNATION = 1 << 62
 _LEAVING_FLAG = 4
-_RECORD_FIELDS = 6
+_RECORD_FIELDS = 7
+DEFAULT_SIZE = 100
+"""Size of a host whose settings name none: a hundredth of a core is 1."""
+MAX_SIZE = 1_000_000
 
 
 class Health(enum.IntEnum):
@@ -45,6 +48,8 @@
         What the fleet says of it.
     leaving : bool
         Whether it has announced its planned stop.
+    size : int
+        Processor that its host has, in hundredths of a core.
     heard_at : float
         When this daemon last received a message of it, in seconds; minus infinity for never.
     changed_at : float
@@ -57,6 +62,7 @@
     incarnation: int
     health: Health = Health.ALIVE
     leaving: bool = False
+    size: int = DEFAULT_SIZE
     heard_at: float = float("-inf")
     changed_at: float = float("-inf")
 
@@ -69,7 +75,15 @@
     """Return the record of a member as it travels."""
     flags = int(member.health) | (_LEAVING_FLAG if member.leaving else 0)
     address = member.address
-    return [member.name, address.host, address.port, member.data_centre, member.incarnation, flags]
+    return [
+        member.name,
+        address.host,
+        address.port,
+        member.data_centre,
+        member.incarnation,
+        flags,
+        member.size,
+    ]
 
 
 def unpack_member(record: Any) -> Member:
@@ -81,14 +95,16 @@
         When the record is malformed.
     """
     if not isinstance(record, list) or len(record) != _RECORD_FIELDS:
-        raise MessageError("a member record is an array of 6")
-    name, host, port, data_centre, incarnation, flags = record
+        raise MessageError(f"a member record is an array of {_RECORD_FIELDS}")
+    name, host, port, data_centre, incarnation, flags, size = record
     texts = isinstance(name, str) and isinstance(host, str) and isinstance(data_centre, str)
-    numbers = isinstance(port, int) and isinstance(incarnation, int) and isinstance(flags, int)
+    numbers = all(isinstance(number, int) for number in (port, incarnation, flags, size))
     if not texts or not numbers or not name or not 0 <= flags <= _LEAVING_FLAG + Health.DEAD:
         raise MessageError("a member record has a field of the wrong type")
     if flags % _LEAVING_FLAG > Health.DEAD or not 0 <= incarnation <= MAX_INCARNATION:
         raise MessageError("a member record has an unknown health or incarnation")
+    if not 0 < size <= MAX_SIZE:
+        raise MessageError("a member record has a size out of range")
     return Member(
         name,
         Address(host, port),
@@ -96,6 +112,7 @@
         incarnation,
         Health(flags % _LEAVING_FLAG),
         bool(flags & _LEAVING_FLAG),
+        size,
     )
 
 
--- a/tarragonwind/core/rendezvous.py
+++ b/tarragonwind/core/rendezvous.py
@@ -4,10 +4,13 @@
 
 import bisect
 import heapq
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import xxhash
 
+LARGE_PART = 0.75
+"""Part of the largest host's size from which a host counts as large."""
+
 
 def _score(key: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f"{key}\x00{name}".encode())
@@ -28,6 +31,15 @@
     return max(names, key=lambda name: (_score(key, name), name))
 
 
+def choose_large(sizes: Mapping[str, int]) -> list[str]:
+    """Return the names of the hosts that are about as large as the largest.
+
+    What all hosts ask of one belongs there: a host several times smaller would hold up the others.
+    """
+    least = LARGE_PART * max(sizes.values(), default=0)
+    return [name for name, size in sizes.items() if size >= least]
+
+
 def rank_names(key: str, names: Iterable[str], count: int) -> list[str]:
     """Return the `count` first names for a key, the owner first."""
     return heapq.nlargest(count, names, key=lambda name: (_score(key, name), name))
--- a/tarragonwind/daemon_settings.py
+++ b/tarragonwind/daemon_settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from tarragonwind.adapters.http_requests import HttpLimits
+from tarragonwind.adapters.memberships import MembershipSettings
 from tarragonwind.adapters.peers import PeerSettings
 from tarragonwind.adapters.stores import StoreSettings
 from tarragonwind.core.allotments import AllotmentSettings
@@ -14,6 +15,8 @@
 from tarragonwind.ports import Address
 from tarragonwind.settings import CallerSettings, Settings
 
+SIZES_OF_A_CORE = 100
+"""A host's size is counted in hundredths of a core."""
 OPEN_TOKEN = b"trusted network"
 """Stands for the secret of hosts that need none."""
 TOKEN_BYTES = 32
@@ -26,6 +29,12 @@
     return StoreSettings(cfg.store.backend.value, endpoints, cfg.store.timeout_s)
 
 
+def membership_settings(cfg: Settings) -> MembershipSettings:
+    """Return what the membership needs to know."""
+    seeds = [seed.address() for seed in cfg.peers.seeds if seed.name != cfg.host.name]
+    return MembershipSettings(seeds, max(1, round(SIZES_OF_A_CORE * cfg.host.cores)))
+
+
 def peer_settings(cfg: Settings, rng: random.Random) -> PeerSettings:
     """Return what the transport between hosts needs; read the shared secret."""
     token = b""
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -15,7 +15,7 @@
 from tarragonwind.adapters.host_lists import HostListReader, create_host_list_reader
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop, create_loop
-from tarragonwind.adapters.memberships import MembershipSettings, create_membership
+from tarragonwind.adapters.memberships import create_membership
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
 from tarragonwind.adapters.peers import Traffic, create_peers
 from tarragonwind.adapters.status_pages import create_status_pages
@@ -30,6 +30,7 @@
     allotment_settings,
     budget_settings,
     http_limits,
+    membership_settings,
     peer_settings,
     store_settings,
 )
@@ -85,8 +86,8 @@
             store_settings(cfg), loop.timers, self.client, self._count_store_call
         )
         self.peers = create_peers(loop, peer_settings(cfg, rng))
-        seeds = [seed.address() for seed in cfg.peers.seeds if seed.name != cfg.host.name]
-        self.membership = create_membership(self.peers, loop.timers, MembershipSettings(seeds), rng)
+        members = membership_settings(cfg)
+        self.membership = create_membership(self.peers, loop.timers, members, rng)
         root = cfg.store.prefix.rstrip("/")
         self.catalogue = create_catalogue_service(
             self.store, self.membership, self.peers, loop.timers, rng, root
--- a/tarragonwind/platform/settings.py
+++ b/tarragonwind/platform/settings.py
@@ -59,7 +59,10 @@
     grace_s = read_number(bounds, "graceS")
     settings = Settings(
         host=HostSettings(
-            name=read_field(doc, "node", str), data_centre=read_field(doc, "zone", str)
+            name=read_field(doc, "node", str),
+            data_centre=read_field(doc, "zone", str),
+            # A part of one core, and how many times as fast as one it runs.
+            cores=read_number(limits, "cpuShare", 1.0) * read_number(limits, "cores", 1.0),
         ),
         callers=CallerSettings(
             listen_host=callers.host,
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -17,7 +17,7 @@
 from tarragonwind.adapters.gateways import Gateway
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop, create_loop
-from tarragonwind.adapters.memberships import MembershipSettings, create_membership
+from tarragonwind.adapters.memberships import create_membership
 from tarragonwind.adapters.peers import create_peers
 from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
@@ -31,6 +31,7 @@
     allotment_settings,
     budget_settings,
     http_limits,
+    membership_settings,
     peer_settings,
     store_settings,
 )
@@ -118,8 +119,7 @@
         )
         self.store = create_store(store_settings(cfg), timers, self.client, self._count_store_call)
         self.peers = create_peers(loop, peer_settings(cfg, rng))
-        seeds = [seed.address() for seed in cfg.peers.seeds]
-        self.membership = create_membership(self.peers, timers, MembershipSettings(seeds), rng)
+        self.membership = create_membership(self.peers, timers, membership_settings(cfg), rng)
         self.mirror = StoreMirror(WHOLE_STORE, self.store, timers, rng)
         self.sharing = MirrorSharing(
             self.mirror, self.membership, self.membership, self.peers, timers
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -77,10 +77,13 @@
         Unique in the fleet.
     data_centre : str
         Data centre that the host stands in.
+    cores : float
+        Processor that the host has; pools and allotments belong to the largest hosts.
     """
 
     name: Name
     data_centre: Name
+    cores: Annotated[float, Field(gt=0, le=1_000)] = 1.0
 
 
 @dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
--- a/tests/peer_helpers.py
+++ b/tests/peer_helpers.py
@@ -29,8 +29,10 @@
         self.transports.append(transport)
         return transport
 
-    def membership(self, peers: TcpPeers, seeds: list[Address], seed: int = 0) -> Membership:
-        cfg = MembershipSettings(seeds)
+    def membership(
+        self, peers: TcpPeers, seeds: list[Address], seed: int = 0, size: int = 100
+    ) -> Membership:
+        cfg = MembershipSettings(seeds, size)
         return create_membership(peers, self.loop.timers, cfg, random.Random(seed))
 
     def wait(self, reached: Callable[[], bool], what: str) -> None:
--- a/tests/test_member_merges.py
+++ b/tests/test_member_merges.py
@@ -16,7 +16,7 @@
     pack_member,
     unpack_member,
 )
-from tarragonwind.core.rendezvous import choose_neighbours, choose_owner, rank_names
+from tarragonwind.core.rendezvous import choose_large, choose_neighbours, choose_owner, rank_names
 from tarragonwind.messages import MessageError
 from tarragonwind.ports import Address
 
@@ -91,10 +91,16 @@
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
     st.integers()
-    | st.lists(st.integers() | st.text() | st.none(), max_size=7)
-    | st.tuples(st.text(), st.text(), st.integers(), st.text(), st.integers(), st.integers()).map(
-        list
-    )
+    | st.lists(st.integers() | st.text() | st.none(), max_size=8)
+    | st.tuples(
+        st.text(),
+        st.text(),
+        st.integers(),
+        st.text(),
+        st.integers(),
+        st.integers(0, 8),
+        st.integers(),
+    ).map(list)
 )
 def test_a_malformed_record_is_refused(record):
     try:
@@ -139,3 +145,11 @@
         edge = [n for name in edge for n in choose_neighbours(name, names, 4) if n not in reached]
         reached.update(edge)
     assert reached == set(names)
+
+
+def test_what_all_hosts_ask_of_one_belongs_to_a_large_host():
+    sizes = {"small-1": 52, "small-2": 52, "large-1": 215, "large-2": 200}
+    assert choose_large(sizes) == ["large-1", "large-2"]
+    del sizes["large-1"], sizes["large-2"]
+    assert choose_large(sizes) == ["small-1", "small-2"]
+    assert choose_large({}) == []
--- a/tests/test_membership_adapters.py
+++ b/tests/test_membership_adapters.py
@@ -127,3 +127,22 @@
     bench.wait(lambda: len(first.live()) == len(third.live()) == 2, "two pairs")
     third.introduce(first.name, first.members()[0].address)
     bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+
+
+def test_owners_are_the_largest_live_hosts_on_every_host(bench):
+    fleet = []
+    for number, size in enumerate([50, 210, 50, 200, 50]):
+        peers = bench.peers(f"host-{number}", start_id=number)
+        seeds = [fleet[0].members()[0].address] if fleet else []
+        fleet.append(bench.membership(peers, seeds, seed=number, size=size))
+    for member in fleet:
+        member.start()
+    bench.wait(lambda: all_see(fleet, names_of(fleet)), "one view")
+    keys = [f"pool-{number}" for number in range(20)]
+    owners = [[member.owner_of(key) for key in keys] for member in fleet]
+    assert all(one == owners[0] for one in owners)
+    assert set(owners[0]) == {"host-1", "host-3"}
+    fleet[1].leave()
+    fleet[3].leave()
+    bench.wait(lambda: fleet[0].live() == ("host-0", "host-2", "host-4"), "the small ones")
+    assert {fleet[0].owner_of(key) for key in keys} == {"host-0", "host-2", "host-4"}
