Share the planned stop between the two daemons

Cause: both daemons carried their own copy of the steps; the product's own lacked the closing of idle callers' connections, so a kept one could send a request into the end of the process. Ruled out: other order of steps (the tests of both daemons pass unchanged).

--- a/tarragonwind/daemon_operators.py
+++ b/tarragonwind/daemon_operators.py
@@ -68,13 +68,16 @@
     """Name what operators may see and start of the daemon itself."""
 
     data_centre: str
-    stopping: bool
     store_calls: int
 
     @property
     def in_progress(self) -> int:
         """Return the requests not yet answered."""
 
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the planned stop has begun."""
+
     def begin_stop(self) -> None:
         """Begin the planned stop."""
 
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -36,6 +36,7 @@
 )
 from tarragonwind.logs import configure_logs
 from tarragonwind.move_runners import MoveRunner
+from tarragonwind.planned_stops import PlannedStop
 from tarragonwind.pool_orders import PoolOrders
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
@@ -46,12 +47,8 @@
 
 SIGNAL_POLL_S = 0.1
 """Time between two looks for a signal, in seconds."""
-STOP_POLL_S = 0.05
-"""Time between two looks at whether all requests have ended, in seconds."""
 LOG_FLUSH_S = 0.5
 """Time between two looks at log lines that could not be written, in seconds."""
-FAREWELL_S = 0.3
-"""Time that last messages to other hosts have to go out, in seconds."""
 
 
 class Daemon:
@@ -67,7 +64,6 @@
 
     def __init__(self, cfg: Settings, loop: Loop) -> None:
         self.data_centre = cfg.host.data_centre
-        self.stopping = False
         self.store_calls = 0
         self._cfg = cfg
         self._loop = loop
@@ -101,6 +97,7 @@
             self.membership, self.peers, loop.timers, allotment_settings(cfg)
         )
         self.gateway = self._create_gateway(f"{cfg.host.name}-{incarnation:x}")
+        self.stop = PlannedStop(self.gateway, self.membership, loop.timers, cfg.stop, self._end)
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.reports = UpstreamReports(self.client, loop.timers, self.scheduler.owners)
         self.orders = self._create_orders()
@@ -243,29 +240,12 @@
 
     def begin_stop(self) -> None:
         """Begin the planned stop: not ready, hand over, let every request end."""
-        if self.stopping:
-            return
-        self.stopping = True
-        logger.info("event=stopping in_progress={}", self.in_progress)
-        self.gateway.announce_close()
-        self.membership.leave()
-        self._loop.timers.call_later(self._cfg.stop.notice_s, self._close_door)
-
-    def _close_door(self) -> None:
-        self.gateway.stop()
-        deadline = self._loop.timers.now() + self._cfg.stop.grace_s
-        self._wait_for_requests(deadline)
-
-    def _wait_for_requests(self, deadline: float) -> None:
-        unfinished = self.in_progress or self.gateway.unsent_bytes
-        if unfinished and self._loop.timers.now() < deadline:
-            self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
-            return
-        if self.in_progress:
-            logger.warning(
-                "event=stop_grace_over in_progress={} hint=raise_stop.grace_s", self.in_progress
-            )
-        self._loop.timers.call_later(FAREWELL_S, self._end)
+        self.stop.begin()
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the planned stop has begun."""
+        return self.stop.begun
 
     def _end(self) -> None:
         if self.host_list is not None:
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -37,6 +37,7 @@
 )
 from tarragonwind.host_leases import FleetWatch, HostLease, pack_address
 from tarragonwind.logs import configure_logs
+from tarragonwind.planned_stops import PlannedStop
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
 from tarragonwind.platform.configurations import (
@@ -62,12 +63,8 @@
 """Time between two looks for a signal, in seconds."""
 SETTINGS_POLL_S = 5.0
 """Time between two looks at a settings file that may change without a signal, in seconds."""
-STOP_POLL_S = 0.05
-"""Time between two looks at whether all requests have ended, in seconds."""
 LOG_FLUSH_S = 0.5
 """Time between two looks at log lines that could not be written, in seconds."""
-FAREWELL_S = 0.2
-"""Time that last messages to other hosts have to go out, in seconds."""
 
 HOST_PREFIX = "tarragonwind/hosts/"
 """What the keys begin with under which hosts hold their leases."""
@@ -101,7 +98,6 @@
     def __init__(
         self, cfg: Settings, loop: Loop, reread: Callable[[], Settings], sock: socket.socket
     ) -> None:
-        self.stopping = False
         self._cfg = cfg
         self._loop = loop
         self._reread = reread
@@ -161,6 +157,7 @@
         )
         self.configuration.subscribe(self._on_catalogue)
         self.gateway = self._create_gateway(rng, sock)
+        self.stop = PlannedStop(self.gateway, self.membership, timers, cfg.stop, self._end)
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.membership.subscribe_resumed(self.scheduler.resume)
 
@@ -202,7 +199,7 @@
         logger.info("event=started callers={} peers={}", self.gateway.address, self.peers.address)
 
     def _is_ready(self) -> bool:
-        return not self.stopping and self.configuration.ready
+        return not self.stop.begun and self.configuration.ready
 
     def _render_metrics(self) -> bytes:
         telemetry = self.telemetry
@@ -242,7 +239,7 @@
         if self._reloads != self._reloaded:
             self._reloaded = self._reloads
             self._reload()
-        if self._stops and not self.stopping:
+        if self._stops and not self.stop.begun:
             self.begin_stop()
 
     def _look_at_settings(self) -> None:
@@ -268,25 +265,8 @@
 
     def begin_stop(self) -> None:
         """Begin the planned stop: not ready, hand over, let every request end."""
-        self.stopping = True
-        logger.info("event=stopping in_progress={}", self.gateway.in_progress)
-        self.gateway.announce_close()
-        self.membership.leave()
         self.lease.stop()
-        deadline = self._loop.timers.now() + self._cfg.stop.notice_s + self._cfg.stop.grace_s
-        self._loop.timers.call_later(self._cfg.stop.notice_s, lambda: self._close_door(deadline))
-
-    def _close_door(self, deadline: float) -> None:
-        self.gateway.stop()
-        self.gateway.close_idle()
-        self._wait_for_requests(deadline)
-
-    def _wait_for_requests(self, deadline: float) -> None:
-        unfinished = self.gateway.in_progress or self.gateway.unsent_bytes
-        if unfinished and self._loop.timers.now() < deadline:
-            self._loop.timers.call_later(STOP_POLL_S, lambda: self._wait_for_requests(deadline))
-            return
-        self._loop.timers.call_later(FAREWELL_S, self._end)
+        self.stop.begin()
 
     def _end(self) -> None:
         logger.info("event=stopped in_progress={}", self.gateway.in_progress)
