Run the tests four at a time

Cause: the whole check took 9 to 14 minutes, most of it waiting: scenarios with real processes one after another. Now: pytest-xdist spreads them over four workers; the tests that share one fleet of the platform's daemons stay on one worker.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
+# Tests wait more than they compute: four at a time take half of a machine of eight cores.
+WORKERS ?= 4
 SOURCES := tarragonwind standins bench soak tests
 
 .PHONY: env check test demo demo-platform soak up capacity
@@ -18,7 +20,7 @@
 	$(VENV)/bin/mypy
 
 test: env
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(WORKERS) --dist loadgroup
 
 demo: env
 	$(PY) -m standins.demo
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -20,7 +20,7 @@
     PlatformFleet,
 )
 
-pytestmark = pytest.mark.process
+pytestmark = [pytest.mark.process, pytest.mark.xdist_group("platform")]
 COUNTED = {"Token_Counts": "100,50", "Model": "m"}
 
 
