Let the soak go on when a fault pauses a host in its planned stop

Ruled out: the daemon (its process stood still by SIGSTOP, by the schedule printed). Now: a host that is to be started anew is resumed first.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -138,10 +138,13 @@
 
     def restart_host(self, name: str) -> Undo:
         """Return what starts a host anew once its process is gone."""
-        process = self.site.fleet.processes[name].process
+        running = self.site.fleet.processes[name]
 
         def start() -> None:
-            process.wait(15)
+            if running.process.poll() is None:
+                # A fault after the stop may have paused it, and it would never end.
+                running.resume()
+            running.process.wait(15)
             self.site.start_host(name)
 
         return start
