Take no port out of range from another host's lease

Cause, found by reading: a value with such a port would make the connect raise an error that is no OSError, out of the timer that handles the store's changes. Only hosts write these keys. Test failed first (a port of 0 was taken). Ruled out: other fields (tested).

--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -22,6 +22,7 @@
 """Time between two renewals, so that two may be lost, in seconds."""
 TICK_PERIOD_S = 0.25
 """Time between two looks at who lives, in seconds."""
+LAST_PORT = 65_535
 MAX_INTRODUCED = 4
 """Hosts of one batch of changes that are turned to: enough to join, and few in a large fleet."""
 
@@ -45,6 +46,8 @@
     fields = msgpack.unpackb(value)
     if not isinstance(fields, list) or [type(one) for one in fields] != [str, int]:
         raise ValueError("the value is no address")
+    if not 0 < fields[1] <= LAST_PORT:
+        raise ValueError("the port is out of range")
     return Address(*fields)
 
 
--- a/tests/test_host_leases.py
+++ b/tests/test_host_leases.py
@@ -74,7 +74,9 @@
     assert len(met) == MAX_INTRODUCED
 
 
-@pytest.mark.parametrize("value", [b"", b"\xc1", b"\x01", b"\x92\x01\x02", b"\x91\xa1x"])
+@pytest.mark.parametrize(
+    "value", [b"", b"\xc1", b"\x01", b"\x92\x01\x02", b"\x91\xa1x", b"\x92\xa1x\x00"]
+)
 def test_a_value_that_is_no_address_names_no_host(value):
     with pytest.raises(ValueError):
         unpack_address(value)
