Let the soak start a host anew once when two faults took the same process

Cause: a planned stop and a kill of one process each started it anew; the second start took the first one's place in the list of processes, so one daemon was left running after the soak. Ruled out: the soak's own ending of processes (it ends all that it lists). Now: only the first of them starts it.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -141,6 +141,9 @@
         running = self.site.fleet.processes[name]
 
         def start() -> None:
+            if self.site.fleet.processes[name] is not running:
+                # Two faults took the same process; the first of them has started it anew.
+                return
             if running.process.poll() is None:
                 # A fault after the stop may have paused it, and it would never end.
                 running.resume()
--- a/tests/test_soak_runs.py
+++ b/tests/test_soak_runs.py
@@ -34,13 +34,23 @@
 """
 
 
-def test_a_host_that_is_paused_in_its_planned_stop_is_started_anew():
+def start_slow_stop():
+    """Return a soak of one host that takes a while to stop, and the names that it starts."""
     process = subprocess.Popen([sys.executable, "-c", SLOW_STOP], stdout=subprocess.PIPE)
     process.stdout.readline()
     started = []
     processes = {"front-0": FleetProcess("front-0", process, 0)}
-    site = SimpleNamespace(fleet=SimpleNamespace(processes=processes), start_host=started.append)
-    soak = Soak(1, 1.0, site)
+
+    def start_host(name):
+        started.append(name)
+        processes[name] = FleetProcess(name, process, 0)
+
+    site = SimpleNamespace(fleet=SimpleNamespace(processes=processes), start_host=start_host)
+    return Soak(1, 1.0, site), process, started
+
+
+def test_a_host_that_is_paused_in_its_planned_stop_is_started_anew():
+    soak, process, started = start_slow_stop()
     try:
         start_anew = soak.stop_host(Fault(0.0, 1.0, "stop_host", "front-0"))
         soak.pause_host(Fault(0.1, 1.0, "pause_host", "front-0"))
@@ -49,3 +59,16 @@
         process.kill()
         process.wait()
     assert started == ["front-0"]
+
+
+def test_a_host_that_two_faults_take_is_started_anew_once():
+    soak, process, started = start_slow_stop()
+    try:
+        after_stop = soak.stop_host(Fault(0.0, 1.0, "stop_host", "front-0"))
+        after_kill = soak.kill_host(Fault(0.1, 1.0, "kill_host", "front-0"))
+        after_kill()
+        after_stop()
+    finally:
+        process.kill()
+        process.wait()
+    assert started == ["front-0"]
