--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -14,6 +14,7 @@
     open_connection,
 )
 from tarragonwind.adapters.loops import Loop
+from tarragonwind.adapters.response_headers import Framing, find_framing
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, HttpResponse, HttpTransport, Timer
 
@@ -82,6 +83,11 @@
         Request with its body.
     sink : ResponseSink
         Receiver of the events.
+
+    Attributes
+    ----------
+    framing : Framing or None
+        What ends the response's body, None before its head has arrived.
     """
 
     __slots__ = (
@@ -96,18 +102,19 @@
         "_headers",
         "_keep_alive",
         "_parser",
-        "_read_until_close",
         "_req",
         "_sent",
         "_sink",
         "_status",
         "address",
+        "framing",
     )
 
     def __init__(
         self, client: HttpClient, address: Address, req: HttpRequest, sink: ResponseSink
     ) -> None:
         self.address = address
+        self.framing: Framing | None = None
         self._client = client
         self._req = req
         self._sink = sink
@@ -119,7 +126,6 @@
         self._complete = False
         self._discarding = False
         self._keep_alive = False
-        self._read_until_close = False
         self._ended = False
         self._parser = httptools.HttpResponseParser(self)
         self._conn: Connection | None = None
@@ -190,12 +196,12 @@
             return
         self._flush_body()
         if self._complete and not self._ended:
-            keep = not error and not self._read_until_close and self._keep_alive
+            keep = not error and self.framing is not Framing.CLOSE and self._keep_alive
             self._finish(reuse=keep)
 
     def on_closed(self, reason: str) -> None:
         """Complete a response without framing, or fail the exchange."""
-        if self._read_until_close and self._status and reason == CLOSED_BY_PEER:
+        if self.framing is Framing.CLOSE and reason == CLOSED_BY_PEER:
             self._flush_body()
             self._finish(reuse=False)
             return
@@ -224,16 +230,15 @@
             self._discard_response(status)
             return
         self._status = status
-        self._read_until_close = not has_framing(status, self._headers, self._req.method)
+        self.framing = find_framing(status, self._headers, self._req.method)
         self._sink.on_head(status, self._headers)
         if self._req.method == "HEAD":
             # The parser would wait for a body, which a response to HEAD does not have.
             self._complete = True
-            self._read_until_close = True
 
     def _discard_response(self, status: int) -> None:
         """Discard a response to an earlier request; this request's response follows it."""
-        if not has_framing(status, self._headers, self._req.method):
+        if find_framing(status, self._headers, self._req.method) is Framing.CLOSE:
             raise ValueError("an answer to another request runs to the end of the connection")
         logger.warning("event=foreign_answer_dropped upstream={} status={}", self.address, status)
         self._discarding = True
@@ -297,14 +302,6 @@
         self._sink.on_failed(HttpError(message, self._sent))
 
 
-def has_framing(status: int, headers: list[tuple[bytes, bytes]], method: str) -> bool:
-    """Return whether a response ends before the connection does: by its length or chunks."""
-    if method == "HEAD" or status in (204, 304):
-        return True
-    names = {name.lower() for name, _ in headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 def parse_keep_alive_timeout(headers: list[tuple[bytes, bytes]]) -> float | None:
     """Return the timeout of the Keep-Alive header in seconds, or None."""
     for name, value in headers:
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -7,9 +7,10 @@
 from tarragonwind.adapters.caller_dialects import Headers, ResponseKind
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient, ResponseSink
 from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
+from tarragonwind.adapters.response_headers import Framing, is_event_stream
 from tarragonwind.core.dispatches import DispatchOutcome
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
-from tarragonwind.core.stream_cursors import EVENT_END, StreamCursor
+from tarragonwind.core.stream_cursors import EVENT_END, EventTail, StreamCursor
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, Timer, Timers
 
@@ -139,6 +140,8 @@
         Time from the dispatch to the first body byte, and to the end, in seconds.
     event_count : int
         Server-sent events of the response so far.
+    tail : EventTail or None
+        End of the upstream's stream so far, None if the response is no event stream.
     buffered_response : BufferedResponse or None
         Error response that has not been sent to the caller.
     on_first_byte : callable
@@ -185,6 +188,7 @@
         "on_stalled",
         "reason",
         "status",
+        "tail",
     )
 
     def __init__(
@@ -201,6 +205,7 @@
         self.first_byte_s = 0.0
         self.duration_s = 0.0
         self.event_count = 0
+        self.tail: EventTail | None = None
         self.buffered_response: BufferedResponse | None = None
         self._caller = caller
         self._cursor = cursor
@@ -225,6 +230,11 @@
         """Return whether a byte of the request may have reached the upstream."""
         return self._exchange is not None and self._exchange.sent
 
+    @property
+    def framing(self) -> Framing | None:
+        """Return what ends the upstream's response, None before its head has arrived."""
+        return self._exchange.framing if self._exchange is not None else None
+
     def start(self, client: HttpClient, address: Address, req: HttpRequest) -> None:
         """Send the request to the upstream."""
         self._caller.events = self
@@ -257,6 +267,8 @@
             self._finish(DispatchOutcome.MISDIRECTED if misdirected else DispatchOutcome.REFUSED)
             self._cancel_exchange()
             return
+        if is_event_stream(headers):
+            self.tail = EventTail()
         if self._caller.started:
             self._continue_response(status)
             return
@@ -290,6 +302,8 @@
             self.first_byte_s = now - self._dispatched_at
             self.on_first_byte()
         self._last_data_at = now
+        if self.tail is not None:
+            self.tail.feed(data)
         if self.buffered_response is not None:
             self.buffered_response.body += data
             return
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -85,6 +85,7 @@
         self._retry_policy = RetryPolicy(1, False)
         self._cursor: StreamCursor | None = None
         self._buffered_response: BufferedResponse | None = None
+        self._relay: Relay | None = None
         self._allotment_taken = False
         self._budget_taken = False
         self._permit: Permit | None = None
@@ -92,6 +93,7 @@
         self._status = 0
         self._trace = context.telemetry.start_request(exchange.request.headers)
         self._refusal = ""
+        self._reason = ""
         exchange.events = self
 
     async def serve(self) -> None:
@@ -149,20 +151,21 @@
         """Dispatch the request and retry failed dispatches while the retry policy allows it."""
         while True:
             permit = await self._obtain_permit(scheduling_request)
-            outcome, reason = await self._dispatch(request_class, permit)
+            outcome = await self._dispatch(request_class, permit)
             self._retry_policy.record(outcome)
             if outcome in (DispatchOutcome.WHOLE, DispatchOutcome.CALLER_LEFT, DispatchOutcome.CUT):
                 return
             if not self._may_retry(outcome, scheduling_request):
-                self._finish_failed(outcome, reason)
+                self._finish_failed(outcome)
                 return
             logger.info(
-                "event=dispatched_again request={} upstream={} end={} reason={!r} sent={} "
+                "event=dispatched_again request={} upstream={} end={} reason={!r} {} sent={} "
                 "unsent={}",
                 self.name,
                 permit.upstream,
                 outcome.value,
-                reason,
+                self._reason,
+                describe_response_end(self._relay),
                 self._retry_policy.sent,
                 self._retry_policy.unsent,
             )
@@ -191,7 +194,7 @@
             self._budget_taken = self._context.retries.take(self._context.loop.timers.now(), pool)
         return self._budget_taken
 
-    def _finish_failed(self, outcome: DispatchOutcome, reason: str) -> None:
+    def _finish_failed(self, outcome: DispatchOutcome) -> None:
         """Send the buffered error response or raise the error of the last dispatch."""
         if outcome is DispatchOutcome.FAILURE_ANSWER and self._buffered_response is not None:
             self._send_buffered(self._buffered_response)
@@ -203,7 +206,7 @@
         if outcome is DispatchOutcome.DEADLINE_PASSED:
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
         raise RequestError(
-            ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no whole answer: {reason}"
+            ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no whole answer: {self._reason}"
         )
 
     def _send_buffered(self, buffered_response: BufferedResponse) -> None:
@@ -316,15 +319,15 @@
             self._context.waiting_requests -= 1
             self._context.waiting_bytes -= size
 
-    async def _dispatch(
-        self, request_class: RequestClass, permit: Permit
-    ) -> tuple[DispatchOutcome, str]:
-        """Dispatch under a permit; return the outcome and the reason for a failure."""
+    async def _dispatch(self, request_class: RequestClass, permit: Permit) -> DispatchOutcome:
+        """Dispatch under a permit, and record the reason of a failure."""
         scheduler = self._context.scheduler
+        self._relay = None
         upstream = self._find_upstream(permit)
         if upstream is None or not scheduler.may_dispatch(permit):
             scheduler.on_finished(permit, DispatchReport(PermitOutcome.UNUSED))
-            return DispatchOutcome.NOT_SENT, "the upstream takes no work any more"
+            self._reason = "the upstream takes no work any more"
+            return DispatchOutcome.NOT_SENT
         try:
             remaining_s = self._check_deadline(request_class)
             self._check_claim()
@@ -337,12 +340,14 @@
         self._context.dispatched_requests -= 1
         self._exchange.events = self
         self._buffered_response = relay.buffered_response
+        self._relay = relay
         self._sent = self._sent or relay.sent
         self._response_complete = outcome is DispatchOutcome.WHOLE
         self._status = relay.status
         self._response_succeeded = relay.status < FIRST_FAILURE_STATUS
         scheduler.on_finished(permit, describe_dispatch(outcome, relay))
-        return outcome, relay.reason
+        self._reason = relay.reason
+        return outcome
 
     def _find_upstream(self, permit: Permit) -> UpstreamEntry | None:
         catalogue = self._context.catalogue()
@@ -487,8 +492,8 @@
         logger.log(
             "INFO" if outcome in EXPECTED_OUTCOMES else "WARNING",
             "event=request_ended request={} trace={} outcome={} kind={} organisation={} route={} "
-            "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} "
-            "waited_ms={:.1f} took_ms={:.1f}",
+            "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} {} "
+            "reason={!r} waited_ms={:.1f} took_ms={:.1f}",
             self.name,
             self._trace.trace_id,
             outcome.value if outcome is not None else "none",
@@ -502,6 +507,8 @@
             self._retry_policy.sent,
             self._retry_policy.unsent,
             self._status,
+            describe_response_end(self._relay),
+            self._reason,
             self._waited_s * 1000,
             (self._context.loop.timers.now() - self._started_at) * 1000,
         )
@@ -516,3 +523,12 @@
     if outcome is PermitOutcome.OK and relay.status >= FIRST_FAILURE_STATUS:
         outcome = PermitOutcome.FAILED
     return DispatchReport(outcome, relay.first_byte_s, relay.duration_s, relay.event_count)
+
+
+def describe_response_end(relay: Relay | None) -> str:
+    """Return the log fields that tell how the upstream's response was framed and how it ended."""
+    if relay is None:
+        return "framing=- events=0 mid_event=-"
+    framing = relay.framing.value if relay.framing is not None else "-"
+    mid_event = relay.tail.inside_event if relay.tail is not None else "-"
+    return f"framing={framing} events={relay.event_count} mid_event={mid_event}"
--- a/tarragonwind/core/stream_cursors.py
+++ b/tarragonwind/core/stream_cursors.py
@@ -1,4 +1,4 @@
-"""Track the position in a stream of server-sent events, so that the stream can be resumed."""
+"""Track the position in a stream of server-sent events: its last whole event and its tail."""
 
 from __future__ import annotations
 
@@ -7,6 +7,39 @@
 EVENT_END = b"\n\n"
 _ID_LINE = re.compile(rb"^id:[ ]?([0-9]{1,18})\r?$", re.MULTILINE)
 
+_BLANK_LINE_AT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}\Z")
+LONGEST_EVENT_END_BYTES = 4
+
+
+class EventTail:
+    """Track whether a stream has ended inside an event.
+
+    An event ends with a blank line; lines end with LF, CR LF or CR.
+    """
+
+    __slots__ = ("_last_bytes",)
+
+    def __init__(self) -> None:
+        self._last_bytes = b""
+
+    def feed(self, data: bytes) -> None:
+        """Append data of the stream."""
+        self._last_bytes = (self._last_bytes + data[-LONGEST_EVENT_END_BYTES:])[
+            -LONGEST_EVENT_END_BYTES:
+        ]
+
+    @property
+    def empty(self) -> bool:
+        """Return whether no data has come."""
+        return not self._last_bytes
+
+    @property
+    def inside_event(self) -> bool:
+        """Return whether data has come since the last blank line."""
+        if not self._last_bytes.strip(b"\r\n"):
+            return False
+        return not _BLANK_LINE_AT_END.search(self._last_bytes)
+
 
 class StreamCursor:
     """Split a stream into complete events and track the id of the last one.
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -8,6 +8,7 @@
 import threading
 
 import pytest
+from loguru import logger
 
 from standins.engine import Engine
 from tarragonwind.adapters.gateway_contexts import GatewayContext
@@ -336,3 +337,23 @@
         assert got.read() == b"hello"
     harness.close()
     upstream.close()
+
+
+@pytest.mark.parametrize(
+    ("head", "fields"),
+    [
+        (b"Content-Length: 9\r\n\r\n", "framing=length events=1 mid_event=False"),
+        (b"\r\n", "framing=close events=1 mid_event=False"),
+    ],
+)
+def test_log_tells_how_the_upstreams_response_was_framed(head, fields):
+    lines: list[str] = []
+    sink = logger.add(lines.append, level="INFO")
+    response = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + head + b"data: a\n\n"
+    upstream = ScriptedUpstream(response)
+    harness = GatewayHarness(upstream.port)
+    harness.post(chat(stream=True))[0].read()
+    harness.close()
+    upstream.close()
+    logger.remove(sink)
+    assert any("event=request_ended" in line and fields in line for line in lines)
--- a/tests/test_stream_cursors.py
+++ b/tests/test_stream_cursors.py
@@ -1,9 +1,10 @@
 """Test the splitting of streams into complete events."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tarragonwind.core.stream_cursors import StreamCursor
+from tarragonwind.core.stream_cursors import EventTail, StreamCursor
 
 EVENTS = [b"id: %d\ndata: part-%d\n\n" % (number, number) for number in range(1, 30)]
 
@@ -37,3 +38,25 @@
 
 def test_resumed_stream_starts_after_the_callers_event():
     assert StreamCursor(12).last_id == 12
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_tail_is_inside_an_event_until_its_blank_line(line_end):
+    event = b"id: 1" + line_end + b"data: a" + line_end + line_end
+    inside = []
+    for size in range(len(event) + 1):
+        tail = EventTail()
+        for position in range(size):
+            tail.feed(event[position : position + 1])
+        inside.append(tail.inside_event)
+    whole = EventTail()
+    whole.feed(event * 3)
+    assert inside[0] is False and all(inside[1 : len(event) - len(line_end) + 1])
+    assert not inside[-1] and not whole.inside_event
+
+
+def test_tail_without_data_is_empty_and_line_ends_alone_begin_no_event():
+    tail = EventTail()
+    assert tail.empty
+    tail.feed(b"\n")
+    assert not tail.empty and not tail.inside_event
