Treat a stream that ends inside an event as broken off, however it is framed

Cause: where a response has neither a length nor chunks, the client takes an orderly close for its end. The relay then wrote the rest of the unfinished event and the last chunk, so what proved nothing upstream became a proof downstream; it also reported the dispatch as a success, did not resume where that is allowed, and settled claims as answered. The class: the absence of an error taken as evidence of completion, while the payload itself says otherwise.

Ruled out: an end that the parser reports too early (all framed rows of tests/test_response_endings.py passed before), and a failure that is seen and then ended as complete (no dispatched_again, sent=1, outcome=answered).

Why it works: an event stream is whole only after a blank line, and after at least one event when nothing but the connection ends it. The check stands where every stream path ends (plain, resumable, resumed by id, buffered failure) and hands over to the path of a failed exchange, which resumes or resets. A response with a length has delivered what it promised and stays as it is.

--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -323,9 +323,12 @@
             self._exchange.pause()
 
     def on_complete(self) -> None:
-        """Finish the caller's response."""
+        """Finish the caller's response, unless the upstream broke its stream off."""
         if self.end.done():
             return
+        if self._is_cut_short():
+            self.on_failed(HttpError("the stream ended inside an event", sent=True))
+            return
         if self.buffered_response is not None:
             self._finish(DispatchOutcome.FAILURE_ANSWER)
             return
@@ -336,6 +339,15 @@
         self._caller.finish()
         self._finish(DispatchOutcome.WHOLE)
 
+    def _is_cut_short(self) -> bool:
+        """Return whether the upstream's event stream ended too early, however it was framed.
+
+        Where only the connection's end ends the stream, one without any event is cut short too.
+        """
+        if self.tail is None or self.framing is Framing.LENGTH:
+            return False
+        return self.tail.inside_event or (self.tail.empty and self.framing is Framing.CLOSE)
+
     def on_failed(self, exc: HttpError) -> None:
         """Map a failure to its outcome: before sending, before the response or within it."""
         if self.end.done():
@@ -377,6 +389,7 @@
         headers = [(LAST_EVENT_HEADER, b"%d" % self.event_count)]
         req = HttpRequest("GET", STREAM_TARGET.format(self._stream_id), headers)
         self._paused = False
+        self.tail = EventTail()
         self._exchange = self._client.exchange(self._address, req, ResumeSink(self))
 
     def on_caller_drained(self) -> None:
