Reset a caller's connection when the host dies in a response that only its end completes

What callers saw: with HTTP/1.0, whose responses have no chunks, an orderly end in the middle of a response when the host's process died, as if the response were whole.

Cause: the operating system closes the sockets of a dead process with FIN, which is what completes such a response. SO_LINGER with a time of 0 is now set as long as the response is not finished, so that any other end sends RST; it is taken back after the last byte, before the FIN.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -32,6 +32,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close sends RST."""
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which a close sends FIN after the unsent bytes."""
 
 
 class ConnectionEvents:
@@ -77,6 +79,7 @@
         "_mask",
         "_over_high_water",
         "_poller",
+        "_resets_on_close",
         "_send_buffer",
         "_timers",
         "closed",
@@ -102,6 +105,7 @@
         self._connecting = connecting
         self._closing = False
         self._over_high_water = False
+        self._resets_on_close = False
         self._send_buffer = bytearray()
         self._mask = POLL_WRITE if connecting else POLL_READ | POLL_PEER_CLOSED
         self._poller.add_handler(self._fileno, self, self._mask)
@@ -198,6 +202,8 @@
     def _shut_down_writing(self) -> None:
         self._timers.call_later(LINGER_S, self.close)
         try:
+            if self._resets_on_close:
+                self._set_linger(ORDERLY_CLOSE)
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.close()
@@ -206,9 +212,21 @@
         """Close with RST, so that the peer sees an error instead of an orderly close."""
         if not self.closed:
             with contextlib.suppress(OSError):
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                self._set_linger(RESET_ON_CLOSE)
         self.close()
 
+    def reset_unless_finished(self) -> None:
+        """Let every end but `close_when_sent` send RST, also that of the process.
+
+        It is for responses whose only end is that of their connection.
+        """
+        self._resets_on_close = True
+        with contextlib.suppress(OSError):
+            self._set_linger(RESET_ON_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def is_stale(self) -> bool:
         """Return whether an idle connection is closed or has received unsolicited bytes."""
         try:
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -110,6 +110,7 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         else:
             self.request.keep_alive = False
+            self._conn.reset_unless_finished()
         if not self.request.keep_alive or self._conn.stopping:
             self.request.keep_alive = False
             lines.append(b"Connection: close\r\n")
@@ -281,6 +282,10 @@
         self._conn.close()
         self._server.remove_connection(self)
 
+    def reset_unless_finished(self) -> None:
+        """Reset the connection if it ends before the response that its end completes."""
+        self._conn.reset_unless_finished()
+
     def abort(self) -> None:
         """Reset the connection."""
         self._stop_timer()
