Play streams without framing and orderly cuts in the stand-ins and the soak

The platform's engine stand-in can now leave out length and chunks and end such a stream by an orderly close; the proxy passes a reset on; the soak has the kinds unframed and break_off_streams, which overlap with the others.

The interrupted stream's test could pass without any cut (it ended the fault when the first run began): it now requires exactly one cut.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -200,6 +200,17 @@
         """Make a back end abort its streams in the middle of an event."""
         return self.set_fault(self.ports[fault.target], "cut_after_events", 4, 0)
 
+    def unframed(self, fault: Fault) -> EndFault:
+        """Make a back end send streams that only the end of their connection completes."""
+        return self.set_fault(self.ports[fault.target], "unframed", True, False)
+
+    def break_off_streams(self, fault: Fault) -> EndFault:
+        """Make a back end close its unframed streams in the middle of an event."""
+        set_faults(self.ports[fault.target], unframed=True, orderly_cut=True, cut_after_events=4)
+        return lambda: set_faults(
+            self.ports[fault.target], unframed=False, orderly_cut=False, cut_after_events=0
+        )
+
     def fail(self, fault: Fault) -> EndFault:
         """Make a back end answer with status 500."""
         return self.set_fault(self.ports[fault.target], "fail", True, False)
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -63,7 +63,16 @@
     return rng.choice(targets.hosts)
 
 
-@fault_kind("silent", "cut_streams", "fail", "full", "drain", "restart_back_end")
+@fault_kind(
+    "silent",
+    "cut_streams",
+    "break_off_streams",
+    "unframed",
+    "fail",
+    "full",
+    "drain",
+    "restart_back_end",
+)
 def choose_back_end(rng: random.Random, targets: Targets) -> str:
     """Choose a random back end."""
     return rng.choice(targets.back_ends)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -17,6 +17,7 @@
 
 from standins.servers import StandIn
 from tarragonwind.adapters.connections import (
+    CLOSED_BY_PEER,
     Connection,
     ConnectionEvents,
     Listener,
@@ -57,7 +58,10 @@
         self.link.schedule(self)
 
     def on_closed(self, reason: str) -> None:
-        """Schedule closing the other side after the buffered data."""
+        """Schedule closing the other side after the buffered data; pass a reset on at once."""
+        if reason != CLOSED_BY_PEER:
+            self.link.reset()
+            return
         self.ended = True
         self.link.schedule(self)
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -16,10 +16,17 @@
 
 
 class EngineFaults:
-    """Hold the back end's faults, set through ``/control``."""
+    """Hold the back end's faults, set through ``/control``.
+
+    ``unframed`` leaves out length and chunks; with ``orderly_cut`` such a stream is cut by an
+    orderly close instead of a reset. ``spares_resumed`` cuts no stream that goes on after an event.
+    """
 
     def __init__(self) -> None:
         self.cut_after_events = 0
+        self.orderly_cut = False
+        self.spares_resumed = False
+        self.unframed = False
         self.silent = False
         self.full = False
         self.fail = False
@@ -32,6 +39,7 @@
         self.engine = engine
         self.exchange = exchange
         self.last_event_id = after
+        self.resumed = after > 0
         self.disconnected = False
         exchange.events = self
 
@@ -47,10 +55,14 @@
         faults = self.engine.faults
         self.last_event_id += 1
         text = f"id: {self.last_event_id}\ndata: {self.engine.name}.{self.last_event_id}\n\n"
-        if faults.cut_after_events and self.last_event_id >= faults.cut_after_events:
+        spared = self.resumed and faults.spares_resumed
+        if faults.cut_after_events and self.last_event_id >= faults.cut_after_events and not spared:
             self.exchange.write(text[: len(text) // 2].encode())
             self.engine.write_journal("cut", self.exchange, after=self.last_event_id)
-            self.exchange.abort()
+            if faults.orderly_cut and not self.exchange.request.accepts_chunked:
+                self.exchange.finish()
+            else:
+                self.exchange.abort()
             return
         self.exchange.write(text.encode())
         if self.last_event_id < EVENTS_PER_STREAM:
@@ -105,6 +117,8 @@
         headers = [*base, (b"Server-Seal", f"seal-{self.name}".encode())]
         if "/stream" in path:
             headers.append((b"Content-Type", b"text/event-stream"))
+            if self.faults.unframed:
+                request.accepts_chunked = False
             exchange.start(200, headers)
             after = request.header(b"last-event-id")
             EventStream(self, exchange, int(after) if after else 0).send_next_event()
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -35,13 +35,13 @@
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
 
-def runs_of(site, attempt):
+def runs_of(site, attempt, event="run"):
     names = [name for name in site.fleet.processes if name.startswith("i-")]
     lines = [(name, line) for name in names for line in site.journal(name)]
     return [
         (name, line)
         for name, line in lines
-        if line["event"] == "run" and line["attempt-id"] == attempt
+        if line["event"] == event and line["attempt-id"] == attempt
     ]
 
 
@@ -85,24 +85,19 @@
     assert site.send_caller_request("front-0", path, "a-3", organisation).status == status
 
 
-def test_an_interrupted_stream_resumes_on_another_engine_after_its_last_complete_event(site):
+@pytest.mark.parametrize("unframed", [False, True], ids=["chunked-reset", "unframed-closed"])
+def test_an_interrupted_stream_resumes_on_another_engine_after_its_last_complete_event(
+    site, unframed
+):
+    attempt = f"a-4-{unframed}"
     for port in engine_ports(site):
+        set_faults(port, unframed=unframed, orderly_cut=unframed, spares_resumed=True)
         set_faults(port, cut_after_events=4)
-    done = threading.Event()
-
-    def stop_cutting() -> None:
-        wait_until(lambda: len(runs_of(site, "a-4")) == 1, "the first run")
-        for port in engine_ports(site):
-            set_faults(port, cut_after_events=0)
-        done.set()
-
-    first = engine_ports(site)
-    set_faults(first[0], cut_after_events=4)
-    set_faults(first[1], cut_after_events=4)
-    threading.Thread(target=stop_cutting, daemon=True).start()
-    answer = site.send_caller_request("front-0", STREAM_PATH, "a-4", **COUNTED)
-    assert done.wait(10)
+    answer = site.send_caller_request("front-0", STREAM_PATH, attempt, **COUNTED)
+    for port in engine_ports(site):
+        set_faults(port, unframed=False, orderly_cut=False, cut_after_events=0)
     assert event_ids(answer.body) == list(range(1, EVENTS_PER_STREAM + 1))
+    assert len(runs_of(site, attempt, "cut")) == 1
 
 
 def test_failed_safe_requests_are_retried_and_unsafe_ones_are_not(site):
