Find the ends of events also where lines end with CR LF or CR

What callers saw: a resumable stream with such line ends was held back until its end, and one with a Stream-Id was resumed at event 0 instead of the last one. Found by the table of endings. Cause: the cursor and the relay looked for LF LF alone. Red before: both rows of test_events_with_other_line_ends_are_returned_as_they_come and the row crlf of the resumed stream. Rows for responses that the daemon fetches itself are added; they passed before.

--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -307,11 +307,9 @@
         if self.buffered_response is not None:
             self.buffered_response.body += data
             return
-        if self._cursor is not None:
-            data = self._cursor.feed(data)
+        data = self._take_events(data)
         if not data:
             return
-        self.event_count += data.count(EVENT_END)
         try:
             self._caller.write(data)
         except ValueError as exc:
@@ -322,6 +320,16 @@
             self._paused = True
             self._exchange.pause()
 
+    def _take_events(self, data: bytes) -> bytes:
+        """Count events and return what may be sent: of a resumable stream, whole events only."""
+        if self._cursor is None:
+            self.event_count += data.count(EVENT_END)
+            return data
+        count_before = self._cursor.event_count
+        complete = self._cursor.feed(data)
+        self.event_count += self._cursor.event_count - count_before
+        return complete
+
     def on_complete(self) -> None:
         """Finish the caller's response, unless the upstream broke its stream off."""
         if self.end.done():
--- a/tarragonwind/core/stream_cursors.py
+++ b/tarragonwind/core/stream_cursors.py
@@ -5,9 +5,9 @@
 import re
 
 EVENT_END = b"\n\n"
-_ID_LINE = re.compile(rb"^id:[ ]?([0-9]{1,18})\r?$", re.MULTILINE)
-
-_BLANK_LINE_AT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}\Z")
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])id:[ ]?([0-9]{1,18})(?=[\r\n])")
+_BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+_BLANK_LINE_AT_END = re.compile(_BLANK_LINE.pattern + rb"\Z")
 LONGEST_EVENT_END_BYTES = 4
 
 
@@ -62,13 +62,12 @@
     def feed(self, data: bytes) -> bytes:
         """Append data and return the complete events; buffer the rest."""
         data = self._partial + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            end = 0
+        ends = [match.end() for match in _BLANK_LINE.finditer(data)]
+        end = ends[-1] if ends else 0
         self._partial = data[end:]
         complete = data[:end]
         if complete:
-            self.event_count += complete.count(EVENT_END)
+            self.event_count += len(ends)
             self._update_last_id(complete)
         return complete
 
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -8,8 +8,9 @@
 from tarragonwind.adapters.http_clients import HttpClient, ResponseSink
 from tarragonwind.adapters.loops import create_loop
 from tarragonwind.futures import Future
-from tarragonwind.ports import Address, HttpRequest
+from tarragonwind.ports import Address, HttpError, HttpRequest, HttpResponse
 from tests.support import run_until
+from tests.test_response_endings import Ending, EndingUpstream
 
 
 class CountingServer:
@@ -126,3 +127,44 @@
 def test_response_to_another_request_without_framing_fails_the_exchange():
     sink = exchange(b"HTTP/1.1 200 OK\r\nName: a\r\n\r\nxyz", b"b")
     assert sink.status == 0 and sink.body == b"" and sink.ended.startswith("failed")
+
+
+def fetch_once(response: bytes, ending: Ending) -> HttpResponse | HttpError:
+    loop = create_loop()
+    upstream = EndingUpstream((response, ending))
+    results: list[HttpResponse | HttpError] = []
+
+    def on_response(fut: Future) -> None:
+        try:
+            results.append(fut.result())
+        except HttpError as exc:
+            results.append(exc)
+
+    def send() -> None:
+        address = Address("127.0.0.1", upstream.port)
+        HttpClient(loop).fetch(address, HttpRequest("GET", "/"), 1.0).add_callback(on_response)
+
+    loop.timers.call_later(0.0, send)
+    run_until(loop, lambda: bool(results))
+    upstream.close()
+    return results[0]
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize(
+    ("response", "ending", "body"),
+    [
+        (HEAD + b"Content-Length: 2\r\n\r\nab", Ending.CLOSE, b"ab"),
+        (HEAD + b"Content-Length: 3\r\n\r\nab", Ending.CLOSE, None),
+        (HEAD + b"Content-Length: 3\r\n\r\nab", Ending.STALL, None),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", Ending.CLOSE, None),
+        (HEAD + b"\r\nab", Ending.CLOSE, b"ab"),
+        (HEAD + b"\r\nab", Ending.RESET, None),
+        (HEAD + b"\r\nab", Ending.STALL, None),
+    ],
+)
+def test_fetched_response_is_whole_or_an_error(response, ending, body):
+    result = fetch_once(response, ending)
+    assert (result.body if isinstance(result, HttpResponse) else None) == body
--- a/tests/test_response_endings.py
+++ b/tests/test_response_endings.py
@@ -173,12 +173,14 @@
     assert (seen, body) == (True, EVENT + REST)
 
 
-def test_stream_with_an_id_that_ends_inside_an_event_is_resumed_at_its_upstream():
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"], ids=["lf", "crlf"])
+def test_stream_with_an_id_that_ends_inside_an_event_is_resumed_at_its_upstream(line_end):
     head = UNFRAMED[:-2] + b"Stream-Id: s1\r\n\r\n"
-    script = (head + EVENT + MID_EVENT, Ending.CLOSE), (UNFRAMED + REST, Ending.CLOSE)
+    first, last = (part.replace(b"\n", line_end) for part in (EVENT + MID_EVENT, REST))
+    script = (head + first, Ending.CLOSE), (UNFRAMED + last, Ending.CLOSE)
     with relay_response(*script) as (harness, upstream):
         seen, body = read_response(harness, 11)
-    assert (seen, body) == (True, EVENT + REST)
+    assert (seen, body.replace(b"\r", b"")) == (True, EVENT + REST)
     assert b"GET /v1/streams/s1 " in upstream.requests[1]
     assert b"Last-Event-ID: 1\r\n" in upstream.requests[1]
 
--- a/tests/test_stream_cursors.py
+++ b/tests/test_stream_cursors.py
@@ -60,3 +60,13 @@
     assert tail.empty
     tail.feed(b"\n")
     assert not tail.empty and not tail.inside_event
+
+
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+def test_events_with_other_line_ends_are_returned_as_they_come(line_end):
+    events = [event.replace(b"\n", line_end) for event in EVENTS[:3]]
+    cursor = StreamCursor()
+    assert cursor.feed(events[0] + events[1][:7]) == events[0]
+    assert cursor.feed(events[1][7:]) == events[1]
+    assert cursor.feed(events[2]) == events[2]
+    assert (cursor.last_id, cursor.event_count) == (3, 3)
