Answer a local owner through its client, never by a host name

A local owner asks its client for its permits after 15 s; the client sent the answer, and the return of a grant that nobody waits for, to the empty host name. On a host this is a message to nobody: the local share kept permits that had ended.

Cause: replies went through the network's send for every owner. They now go through _reply, which hands them to the local owner. The new test test_a_local_owner_gets_its_clients_state_without_the_network failed with KeyError '' before.

--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -289,7 +289,7 @@
     def _on_grant(self, now: float, host: str, msg: PermitGrant) -> None:
         state = self._pools.get(msg.pool)
         if state is None or (host == LOCAL_OWNER and state.local is None):
-            self._return_unused(host, msg)
+            self._return_unused(now, host, msg)
             return
         self._record_owner_seen(now, state, host)
         held = state.held.get(msg.permit_id)
@@ -297,10 +297,10 @@
             return
         pending = state.pending.pop(msg.permit_id, None)
         if pending is None:
-            self._return_unused(host, msg)
+            self._return_unused(now, host, msg)
             return
         if pending.request.wait_deadline <= now:
-            self._return_unused(host, msg)
+            self._return_unused(now, host, msg)
             self._refuse(msg.permit_id, pending, ErrorKind.DEADLINE_PASSED, 1.0)
             return
         permit = Permit(msg.permit_id, msg.pool, msg.upstream, msg.version, host)
@@ -339,10 +339,10 @@
     def _on_query(self, now: float, host: str, msg: PermitQuery) -> None:
         state = self._pools.get(msg.pool)
         if state is None:
-            self._send(host, PermitSync(msg.pool))
+            self._reply(now, host, PermitSync(msg.pool))
         else:
             self._record_owner_seen(now, state, host)
-            self._send(host, self._permit_sync(now, state))
+            self._reply(now, host, self._permit_sync(now, state))
 
     def _refuse(
         self, permit_id: int, pending: _PendingRequest, kind: ErrorKind, retry_after_s: float
@@ -350,9 +350,17 @@
         del self._pool_of[permit_id]
         pending.on_refused(kind, retry_after_s)
 
-    def _return_unused(self, host: str, msg: PermitGrant) -> None:
+    def _return_unused(self, now: float, host: str, msg: PermitGrant) -> None:
+        self._reply(now, host, PermitDone(msg.pool, msg.permit_id, Outcome.UNUSED))
+
+    def _reply(self, now: float, host: str, msg: PermitSync | PermitDone) -> None:
+        """Send a message to the owner that has asked: over the network, or to the local owner."""
         if host != LOCAL_OWNER:
-            self._send(host, PermitDone(msg.pool, msg.permit_id, Outcome.UNUSED))
+            self._send(host, msg)
+            return
+        state = self._pools.get(msg.pool)
+        if state is not None and state.local is not None:
+            state.local.on_message(now, self._name, msg)
 
     def _cancel_everywhere(self, now: float, state: _PoolState, permit_id: int) -> None:
         self._cancel_elsewhere(now, state, None, permit_id)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -262,6 +262,22 @@
     assert len(requester.granted) == 1
 
 
+def test_a_local_owner_gets_its_clients_state_without_the_network():
+    fleet = Fleet([create_upstream("u1", slots=6)])
+    host = fleet.hosts["h1"]
+    fleet.cut = {("h1", "h0"), ("h0", "h1")}
+    request_many(fleet, host, 1, within=300)
+    fleet.advance(1.0)
+    assert host.client.uses_local_share(POOL) and len(host.granted) == 1
+    fleet.advance(40.0)
+    assert host.client.held() == 1
+    release_permit(fleet, host, next(iter(host.granted)))
+    fleet.cut = set()
+    fleet.advance(20.0)
+    assert not host.client.uses_local_share(POOL)
+    assert fleet.owner().in_flight() == 0
+
+
 class PermitMachine(RuleBasedStateMachine):
     """Lose, duplicate and delay messages while hosts change owner, are paused and resume."""
 
@@ -271,10 +287,16 @@
         self.fleet = Fleet(upstreams, settings=PermitSettings(max_waiting=6))
         self.fleet.on_sent = self.check_sent
         self.tiers = {}
+        self.sent_grants = set()
 
     def check_sent(self, sender, receiver, msg):
         owner = self.fleet.hosts[sender].owners.owner(POOL)
         if isinstance(msg, PermitGrant) and owner.active:
+            grant = (sender, owner._epoch, receiver, msg.permit_id, msg.upstream)
+            if grant in self.sent_grants:
+                # A lost grant is sent again, whatever has come since it was decided.
+                return
+            self.sent_grants.add(grant)
             higher = owner.waiting_by_tier()[: self.tiers[receiver, msg.permit_id]]
             assert sum(higher) == 0, "a lower tier was granted while a higher one waited"
         elif isinstance(msg, PermitRefusal) and REFUSAL_KINDS[msg.kind] is ErrorKind.SHED:
