Send a request again that its upstream had not received when it closed the connection

Cause: every end of a pooled connection without an answer counted as unknown. A FIN acknowledges all that its sender had received; with tcpi_bytes_acked the same as before the request, nothing of it had arrived, and the client sends it once more on a new connection. docs/design/http.md has the cases that stay in doubt.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -23,6 +23,10 @@
 """Longest time without progress while a closing connection sends its last bytes, in seconds."""
 CLOSED_BY_PEER = "closed by the other side"
 """Reason given for an orderly close by the peer."""
+RESET_AFTER_CLOSE = "closed by the other side, then reset"
+"""Reason given for an orderly close that a reset followed, before the close was read."""
+TCP_INFO_BYTES_ACKED = struct.Struct("=120xQ")
+"""Place of `tcpi_bytes_acked` in Linux's `struct tcp_info`."""
 ACCEPT_BATCH = 64
 """Maximum number of connections accepted in one pass of the event loop."""
 LISTEN_BACKLOG = 1024
@@ -70,9 +74,19 @@
         Receiver of the events.
     connecting : bool
         Whether a connect is in progress.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether the connection is closed.
+    peer_closed_unread : bool
+        Whether the peer closed in an orderly way and had received nothing since `mark_acked`.
+    sent_bytes : int
+        Number of bytes that the operating system has accepted.
     """
 
     __slots__ = (
+        "_acked_before",
         "_closing",
         "_connecting",
         "_fileno",
@@ -84,6 +98,7 @@
         "_timers",
         "closed",
         "events",
+        "peer_closed_unread",
         "sent_bytes",
         "sock",
     )
@@ -98,7 +113,9 @@
         self.sock = sock
         self.events = events
         self.closed = False
+        self.peer_closed_unread = False
         self.sent_bytes = 0
+        self._acked_before = 0
         self._poller = loop.poller
         self._timers = loop.timers
         self._fileno = sock.fileno()
@@ -227,6 +244,29 @@
     def _set_linger(self, value: bytes) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
+    def mark_acked(self) -> None:
+        """Remember what the peer has acknowledged, to tell later whether it received more."""
+        self._acked_before = self._acked_bytes()
+
+    def _acked_bytes(self) -> int:
+        """Return the number of bytes that the peer has acknowledged, 0 if that is unknown."""
+        size = TCP_INFO_BYTES_ACKED.size
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        except OSError:
+            return 0
+        return int(TCP_INFO_BYTES_ACKED.unpack(info)[0]) if len(info) == size else 0
+
+    def _is_closed_unread(self, reason: str) -> bool:
+        """Return whether the peer's close acknowledges nothing since `mark_acked`.
+
+        A FIN acknowledges all that its sender had received. A reset does not: after a reset alone,
+        or where nothing was acknowledged before, it is unknown what was received.
+        """
+        if reason not in (CLOSED_BY_PEER, RESET_AFTER_CLOSE) or not self._acked_before:
+            return False
+        return self._acked_bytes() == self._acked_before
+
     def is_stale(self) -> bool:
         """Return whether an idle connection is closed or has received unsolicited bytes."""
         try:
@@ -271,7 +311,8 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._end_connection(str(exc))
+            reset_after_close = exc.errno == errno.EPIPE
+            self._end_connection(RESET_AFTER_CLOSE if reset_after_close else str(exc))
             return
         if data and self._closing:
             return
@@ -299,6 +340,7 @@
             self.events.on_drained()
 
     def _end_connection(self, reason: str) -> None:
+        self.peer_closed_unread = self._is_closed_unread(reason)
         self.close()
         if not self._closing:
             self.events.on_closed(reason)
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -102,7 +102,9 @@
         "_headers",
         "_keep_alive",
         "_parser",
+        "_received",
         "_req",
+        "_reused",
         "_sent",
         "_sink",
         "_status",
@@ -123,6 +125,8 @@
         self._head_bytes = 0
         self._status = 0
         self._sent = False
+        self._received = False
+        self._reused = False
         self._complete = False
         self._discarding = False
         self._keep_alive = False
@@ -136,9 +140,15 @@
         conn = self._client.take_idle(self.address)
         if conn is not None:
             conn.events = self
+            conn.mark_acked()
             self._conn = conn
+            self._reused = True
+            self._sink.on_sent()
             self._send()
             return
+        self._connect()
+
+    def _connect(self) -> None:
         try:
             self._conn = open_connection(self._client.loop, self.address, self)
         except OSError as exc:
@@ -178,10 +188,13 @@
     def on_connected(self) -> None:
         """Send the request on the new connection."""
         self._stop_connect_timer()
+        if not self._reused:
+            self._sink.on_sent()
         self._send()
 
     def on_data(self, data: bytes) -> None:
         """Parse received bytes and pass the results to the sink."""
+        self._received = True
         error = ""
         try:
             self._parser.feed_data(data)
@@ -200,13 +213,23 @@
             self._finish(reuse=keep)
 
     def on_closed(self, reason: str) -> None:
-        """Complete a response without framing, or fail the exchange."""
+        """Complete a response without framing, send an unread request again, or fail."""
         if self.framing is Framing.CLOSE and reason == CLOSED_BY_PEER:
             self._flush_body()
             self._finish(reuse=False)
             return
+        if self._is_unread():
+            logger.info("event=idle_connection_was_closed upstream={}", self.address)
+            self._sent = False
+            self._connect()
+            return
         self._fail(reason)
 
+    def _is_unread(self) -> bool:
+        """Return whether the server closed a pooled connection before it received the request."""
+        conn = self._conn
+        return self._reused and not self._received and conn is not None and conn.peer_closed_unread
+
     def on_drained(self) -> None:
         """Pass the event to the sink."""
         self._sink.on_request_drained()
@@ -269,7 +292,6 @@
     def _send(self) -> None:
         assert self._conn is not None
         self._sent = True
-        self._sink.on_sent()
         self._conn.write(encode_request(self.address, self._req))
 
     def _on_connect_timeout(self) -> None:
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tarragonwind.adapters.http_clients import HttpClient, ResponseSink
+from tarragonwind.adapters.connections import RESET_ON_CLOSE, Connection
+from tarragonwind.adapters.http_clients import HttpClient, IdleConnection, ResponseSink
 from tarragonwind.adapters.loops import create_loop
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, HttpResponse
@@ -168,3 +169,80 @@
 def test_fetched_response_is_whole_or_an_error(response, ending, body):
     result = fetch_once(response, ending)
     assert (result.body if isinstance(result, HttpResponse) else None) == body
+
+
+class KeptConnectionServer:
+    """Answer one request on a connection, then treat the next one on it in a given way."""
+
+    def __init__(self, treat_next) -> None:
+        self.requests = 0
+        self.closed = threading.Event()
+        self._treat_next = treat_next
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._sock.getsockname()[1])
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            conn, _ = self._sock.accept()
+            self._answer(conn)
+            self._treat_next(self, conn)
+
+    def _answer(self, conn: socket.socket) -> None:
+        if conn.recv(65_536):
+            self.requests += 1
+            conn.sendall(HEAD + b"Content-Length: 2\r\n\r\nab")
+
+
+def close_unread(server: KeptConnectionServer, conn: socket.socket) -> None:
+    conn.close()
+    server.closed.set()
+
+
+def read_and_close(server: KeptConnectionServer, conn: socket.socket) -> None:
+    server.requests += bool(conn.recv(65_536))
+    conn.close()
+
+
+def read_and_reset(server: KeptConnectionServer, conn: socket.socket) -> None:
+    server.requests += bool(conn.recv(65_536))
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    conn.close()
+
+
+@pytest.mark.parametrize(
+    ("treat_next", "expected"),
+    [
+        (close_unread, [b"ab", b"ab"]),
+        (read_and_close, [b"ab", None]),
+        (read_and_reset, [b"ab", None]),
+    ],
+)
+def test_request_on_a_closing_connection_is_sent_again_only_if_it_was_not_received(
+    monkeypatch, treat_next, expected
+):
+    # The close arrives between this check and the request.
+    monkeypatch.setattr(Connection, "is_stale", lambda conn: False)
+    monkeypatch.setattr(IdleConnection, "on_closed", lambda idle, reason: None)
+    server = KeptConnectionServer(treat_next)
+    loop = create_loop()
+    client = HttpClient(loop)
+    results: list[bytes | None] = []
+
+    def send() -> None:
+        client.fetch(server.address, HttpRequest("GET", "/"), 5.0).add_callback(on_response)
+
+    def on_response(fut: Future) -> None:
+        try:
+            results.append(fut.result().body)
+        except HttpError as exc:
+            assert exc.sent
+            results.append(None)
+        if len(results) == 1:
+            assert treat_next is not close_unread or server.closed.wait(5)
+            send()
+
+    loop.timers.call_later(0.0, send)
+    run_until(loop, lambda: len(results) == 2)
+    assert results == expected
+    assert server.requests == 2
