Recognise a store that comes back from an older copy by its era

What callers would see: revoked keys in force again on hosts that start their watch anew, requests to upstreams that had left, and hosts that follow no change until the store's revision has passed the one that they knew.

Cause: a revision was compared as if there were one history. The mirror's positions are now pairs of era and revision, one ordered type that can't be compared with a number; watches end with their era, answers of an older era are errors, hosts register anew, and missing entries keep their grace.

--- a/bench/catalogue_fleets.py
+++ b/bench/catalogue_fleets.py
@@ -179,12 +179,16 @@
         """Revoke a lease after the latency."""
         return self._call_delayed(lambda: self._store.revoke_lease(lease_id))
 
+    def subscribe_era(self, listener: Callable[[int], None]) -> None:
+        """Do nothing, since this store has no eras."""
+
     def watch(
         self,
         prefix: str,
         from_revision: int,
         on_events: Callable[[list[WatchEvent]], None],
         on_end: Callable[[str], None],
+        era: int = 0,
     ) -> Watch:
         """Watch a prefix, with each batch of events delayed or suppressed."""
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -18,7 +18,7 @@
 from soak.callers import CallerRecord, LoadWorker
 from soak.checkers import Violation, check_recovery, check_run
 from soak.schedules import Fault, Targets, generate_faults
-from standins.fleets import FleetError, free_port, set_faults
+from standins.fleets import FleetError, call, free_port, set_faults
 from standins.platform_engine import EVENTS_PER_STREAM
 from standins.platform_fleets import PlatformFleet
 
@@ -270,6 +270,15 @@
         """Make the store reject watches as if it had compacted its history."""
         return self.set_fault(self.site.store_port, "forgotten_before", 10**9, 0)
 
+    def store_goes_back(self, fault: Fault) -> EndFault:
+        """Let the store come back from a copy as old as the fault is long, in a new era."""
+        call(self.site.store_port, "POST", "/copy")
+
+        def restore() -> None:
+            call(self.site.store_port, "POST", "/restore")
+
+        return restore
+
     def configure(self, fault: Fault) -> None:
         """Write a new version of the configuration."""
         self.site.configure()
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -84,7 +84,14 @@
     return rng.choice(targets.links)
 
 
-@fault_kind("store_away", "store_silent", "store_loses_answers", "store_forgets", "configure")
+@fault_kind(
+    "store_away",
+    "store_silent",
+    "store_loses_answers",
+    "store_forgets",
+    "store_goes_back",
+    "configure",
+)
 def choose_no_target(rng: random.Random, targets: Targets) -> str:
     """Return an empty target: there is only one store and one operator."""
     return ""
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -18,6 +18,8 @@
 LOOKUP_PATH = "/lookup/7"
 STAMP_PATH = "/stamp/7"
 GRACE_S = 6
+FIRST_START_MS = 1_700_000_000_000
+"""Time of a back end's first start, in Unix milliseconds."""
 
 
 @dataclass(slots=True)
@@ -36,6 +38,8 @@
     addresses: dict[str, str] = field(default_factory=dict)
     store_port: int = 0
     version: int = 0
+    starts: dict[str, int] = field(default_factory=dict)
+    draining: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.fleet = Fleet(self.directory)
@@ -85,7 +89,12 @@
         return started
 
     def register(self, name: str, pool: str, port: int, state: str = "ready") -> None:
-        """Write a back end's entry to the store."""
+        """Write a back end's entry to the store; one that was draining has started again."""
+        if state == "draining":
+            self.draining.add(name)
+        elif name in self.draining:
+            self.draining.discard(name)
+            self.starts[name] = self.starts.get(name, 0) + 1
         doc = {
             "service": pool,
             "address": f"127.0.0.1:{port}",
@@ -95,7 +104,7 @@
             "state": state,
             "coldMs": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000,
+            "born": FIRST_START_MS + self.starts.get(name, 0),
         }
         self.put(f"servers/{name}", doc)
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import base64
+import copy
 import itertools
+import json
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
 
 import fire
 
-from standins.servers import StandIn, answer_json, read_json
+from standins.servers import JSON_HEADERS, StandIn, read_json
 from tarragonwind.adapters.http_servers import CallerExchange
 
 LEASE_SWEEP_PERIOD_S = 0.1
-HISTORY_LENGTH = 10_000
+REWRITE_DELAY_S = 0.3
+"""Time after a return from a copy until the operator and the back ends have written again."""
 
 
 class StoreFaults:
@@ -42,6 +45,7 @@
 class StoreState:
     """Hold items by key, the change log, and leases as pairs of expiry and time to live."""
 
+    era: int = 1
     revision: int = 1
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
     changes: list[dict[str, Any]] = field(default_factory=list)
@@ -67,16 +71,24 @@
 
 
 class PlatformStore(StandIn):
-    """Serve the store; ``POST /put`` writes or removes a key as the operator or a back end."""
+    """Serve the store; ``POST /put`` writes or removes a key as the operator or a back end.
+
+    ``POST /copy`` keeps a copy of the state, and ``POST /restore`` returns to it in a new era. What
+    the operator and the back ends have written since is then written again.
+    """
 
     def __init__(self, port: int) -> None:
         super().__init__(port, StoreFaults())
         self._state = StoreState()
+        self._copy = copy.deepcopy(self._state)
+        self._outside: dict[str, str | None] = {}
         self._pending_watches: list[PendingWatch] = []
         self._lease_ids = itertools.count(100)
         self.routes.update(
             {
                 "/put": self._put,
+                "/copy": self._keep_copy,
+                "/restore": self._restore,
                 "/kv-key": self._key,
                 "/kv-range": self._range,
                 "/kv-watch": self._watch,
@@ -93,14 +105,14 @@
         if self._apply_faults(exchange):
             return
         if lease not in self._state.leases:
-            answer_json(exchange, 404, {"error": "no such lease"})
+            self._answer(exchange, 404, {"error": "no such lease"})
         elif name == "kv-keep":
             ttl_s = self._state.leases[lease][1]
             self._state.leases[lease][0] = self.loop.timers.now() + ttl_s
-            answer_json(exchange, 200, {"ttlMs": int(ttl_s * 1_000)})
+            self._answer(exchange, 200, {"ttlMs": int(ttl_s * 1_000)})
         else:
             self._remove_lease(lease)
-            answer_json(exchange, 200, {})
+            self._answer(exchange, 200, {})
 
     def _apply_faults(self, exchange: CallerExchange) -> bool:
         """Apply the active faults to a call; return whether it was failed."""
@@ -108,29 +120,63 @@
         if self.faults.silent:
             return True
         if self.faults.away or refused:
-            answer_json(exchange, 503, {"error": "away"})
+            self._answer(exchange, 503, {"error": "away"})
             return True
         return False
 
+    def _answer(self, exchange: CallerExchange, status: int, doc: Any) -> None:
+        """Answer with a JSON document and the era."""
+        headers = [*JSON_HEADERS, (b"Store-Era", b"%d" % self._state.era)]
+        exchange.answer(status, headers, json.dumps(doc).encode() + b"\n")
+
     def _put(self, exchange: CallerExchange) -> None:
         doc = read_json(exchange)
+        self._write_outside(doc["key"], doc.get("value"))
+        self._answer(exchange, 200, {"revision": self._state.revision})
+
+    def _write_outside(self, key: str, value: str | None) -> None:
+        """Write or remove a key of the operator or a back end."""
+        self._outside[key] = value
         self._state.revision += 1
-        if doc.get("value") is None:
-            self._state.remove(doc["key"])
+        if value is None:
+            self._state.remove(key)
         else:
-            text = base64.b64encode(doc["value"].encode()).decode()
-            self._state.put(doc["key"], text, 0)
+            self._state.put(key, base64.b64encode(value.encode()).decode(), 0)
         self._notify_watches()
-        answer_json(exchange, 200, {"revision": self._state.revision})
+
+    def _keep_copy(self, exchange: CallerExchange) -> None:
+        self._copy = copy.deepcopy(self._state)
+        self._answer(exchange, 200, {"revision": self._state.revision})
+
+    def _restore(self, exchange: CallerExchange) -> None:
+        """Return to the copy; waiting watches are cut."""
+        era = self._state.era + 1
+        self._state = copy.deepcopy(self._copy)
+        self._state.era = era
+        for lease in self._state.leases.values():
+            lease[0] = self.loop.timers.now() + lease[1]
+        for watch in self._pending_watches:
+            watch.answered = True
+            watch.exchange.abort()
+        self._pending_watches.clear()
+        self.loop.timers.call_later(REWRITE_DELAY_S, self._write_again)
+        self._answer(exchange, 200, {"era": era, "revision": self._state.revision})
+
+    def _write_again(self) -> None:
+        for key, value in self._outside.items():
+            item = self._state.items.get(key)
+            held = base64.b64decode(item["value"]).decode() if item is not None else None
+            if held != value:
+                self._write_outside(key, value)
 
     def _key(self, exchange: CallerExchange) -> None:
         if self._apply_faults(exchange):
             return
         item = self._state.items.get(parse_query(exchange).get("key", ""))
         if item is None:
-            answer_json(exchange, 404, {"at": self._state.revision})
+            self._answer(exchange, 404, {"at": self._state.revision})
         else:
-            answer_json(exchange, 200, {**item, "at": self._state.revision})
+            self._answer(exchange, 200, {**item, "at": self._state.revision})
 
     def _range(self, exchange: CallerExchange) -> None:
         if self._apply_faults(exchange):
@@ -138,15 +184,15 @@
         prefix = parse_query(exchange).get("pathPrefix", "")
         items = [item for key, item in sorted(self._state.items.items()) if key.startswith(prefix)]
         doc = {"items": items, "hasMore": False, "at": self._state.revision}
-        answer_json(exchange, 200, doc)
+        self._answer(exchange, 200, doc)
 
     def _watch(self, exchange: CallerExchange) -> None:
         if self._apply_faults(exchange):
             return
         query = parse_query(exchange)
         watch = PendingWatch(exchange, query.get("pathPrefix", ""), int(query["after"]))
-        if watch.after < self.faults.forgotten_before:
-            answer_json(exchange, 410, {"error": "history is gone"})
+        if watch.after < self.faults.forgotten_before or watch.after > self._state.revision:
+            self._answer(exchange, 410, {"error": "history is gone"})
             return
         self._pending_watches.append(watch)
         self._notify_watches()
@@ -169,7 +215,7 @@
         watch.answered = True
         self._pending_watches.remove(watch)
         if not watch.exchange.disconnected and not self.faults.silent:
-            answer_json(watch.exchange, 200, {"events": events, "at": self._state.revision})
+            self._answer(watch.exchange, 200, {"events": events, "at": self._state.revision})
 
     def _txn(self, exchange: CallerExchange) -> None:
         if self._apply_faults(exchange):
@@ -180,7 +226,7 @@
         for row in doc.get("expectedRev", []):
             item = current[row["key"]]
             if (item["revision"] if item else 0) != row["revision"]:
-                answer_json(
+                self._answer(
                     exchange, 412, {"items": [found for found in current.values() if found]}
                 )
                 return
@@ -193,7 +239,7 @@
         if self.faults.lose_answers:
             exchange.abort()
         else:
-            answer_json(exchange, 200, {"revision": state.revision})
+            self._answer(exchange, 200, {"revision": state.revision})
 
     def _lease(self, exchange: CallerExchange) -> None:
         if self._apply_faults(exchange):
@@ -202,7 +248,7 @@
         lease = next(self._lease_ids)
         ttl_s = ttl_ms / 1_000
         self._state.leases[lease] = [self.loop.timers.now() + ttl_s, ttl_s]
-        answer_json(exchange, 200, {"lease": lease, "ttlMs": ttl_ms})
+        self._answer(exchange, 200, {"lease": lease, "ttlMs": ttl_ms})
 
     def _expire_leases(self) -> None:
         now = self.loop.timers.now()
--- a/tarragonwind/adapters/etcd_stores.py
+++ b/tarragonwind/adapters/etcd_stores.py
@@ -203,12 +203,16 @@
         except StoreError as exc:
             raise StoreError(f"store {address}: {exc}", writes) from exc
 
+    def subscribe_era(self, listener: Callable[[int], None]) -> None:
+        """Do nothing, since this store has no eras."""
+
     def watch(
         self,
         prefix: str,
         from_revision: int,
         on_events: Callable[[list[WatchEvent]], None],
         on_end: Callable[[str], None],
+        era: int = 0,
     ) -> Watch:
         """Watch changes under `prefix`, starting at a revision."""
         self._on_call("watch")
--- a/tarragonwind/configuration_watchers.py
+++ b/tarragonwind/configuration_watchers.py
@@ -96,7 +96,9 @@
         try:
             cfg = self._decode_configuration(item.value)
         except Exception as exc:
-            logger.error("event=configuration_unreadable revision={} why={!r}", item.revision, exc)
+            logger.error(
+                "event=configuration_unreadable revision={} why={!r}", item.position.revision, exc
+            )
             return False
         in_force = self._configuration
         if in_force is not None and cfg.version <= in_force.version:
@@ -105,7 +107,7 @@
         logger.info(
             "event=configuration_in_force version={} revision={} entries={}",
             cfg.version,
-            item.revision,
+            item.position.revision,
             len(cfg.entries),
         )
         return True
@@ -113,7 +115,7 @@
     def _apply_upstream(self, now: float, item: MirrorItem) -> None:
         name = item.key.rpartition("/")[2]
         if item.value is None:
-            logger.info("event=upstream_gone upstream={} revision={}", name, item.revision)
+            logger.info("event=upstream_gone upstream={} revision={}", name, item.position.revision)
             self._registry.remove(now, name, self._mirror.recovered_at)
             return
         try:
@@ -128,9 +130,10 @@
             entry.pool,
             entry.state.value,
             entry.version,
-            item.revision,
+            item.position.revision,
         )
-        self._registry.put(entry)
+        if not self._registry.put(entry, item.position):
+            logger.warning("event=upstream_outdated upstream={} era={}", name, item.position.era)
 
     def _expire(self) -> None:
         self._expiry_timer = None
--- a/tarragonwind/core/mirror_messages.py
+++ b/tarragonwind/core/mirror_messages.py
@@ -18,10 +18,13 @@
         Key prefix of the mirror.
     since : int
         Store revision of the requesting host's copy, -1 to request all items.
+    era : int
+        Era of the store to which that revision belongs.
     """
 
     prefix: str
     since: int
+    era: int = 0
 
 
 @message(61)
@@ -39,9 +42,12 @@
         Whether `items` is a full snapshot instead of the changes since the requested revision.
     items : list of list
         Key, value (nil if removed) and store revision of each item.
+    era : int
+        Era of the store to which all revisions belong.
     """
 
     prefix: str
     revision: int
     whole: bool
     items: list[list]
+    era: int = 0
--- a/tarragonwind/core/mirror_states.py
+++ b/tarragonwind/core/mirror_states.py
@@ -1,7 +1,7 @@
-"""Hold a copy of the keys under one prefix of the store, versioned by store revisions.
+"""Hold a copy of the keys under one prefix of the store, versioned by positions in its history.
 
-Hosts that cannot reach the store fill their copies from other hosts. Each change carries its store
-revision, so that the newest state of a key wins regardless of its source.
+Hosts that cannot reach the store fill their copies from other hosts. Each change carries its
+position, so that the newest state of a key wins regardless of its source.
 """
 
 from __future__ import annotations
@@ -9,13 +9,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from tarragonwind.core.store_positions import ORIGIN, StorePosition
+
 MAX_REMOVALS = 1_024
 """Maximum number of tombstones kept for hosts that are behind; the oldest is dropped first."""
 
 
 @dataclass(frozen=True, slots=True)
 class MirrorItem:
-    """Hold the state of one key at a revision.
+    """Hold the state of one key at a position.
 
     Attributes
     ----------
@@ -23,85 +25,100 @@
         Full key, including the prefix.
     value : bytes or None
         Value of the key, None if it was removed.
-    revision : int
-        Store revision at which the key got this state.
+    position : StorePosition
+        Position at which the key got this state.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    position: StorePosition
 
 
 class MirrorState:
-    """Hold the items, recent tombstones and revisions of a copy.
+    """Hold the items, recent tombstones and positions of a copy; all are of one era.
 
     Attributes
     ----------
     items : dict of str to MirrorItem
         Existing keys and their states.
-    revision : int
-        Highest store revision among the applied changes, 0 before the first.
+    position : StorePosition
+        Highest position among the applied changes and the first snapshot of an era.
     loaded : bool
         Whether a snapshot has ever been applied.
     """
 
-    __slots__ = (
-        "_dropped_revision",
-        "_removed",
-        "_snapshot_revision",
-        "items",
-        "loaded",
-        "revision",
-    )
+    __slots__ = ("_dropped", "_removed", "_snapshot", "items", "loaded", "position")
 
     def __init__(self) -> None:
         self.items: dict[str, MirrorItem] = {}
-        self.revision = 0
+        self.position = ORIGIN
         self.loaded = False
         self._removed: dict[str, MirrorItem] = {}
-        self._dropped_revision = 0
-        self._snapshot_revision = 0
+        self._dropped = ORIGIN
+        self._snapshot = ORIGIN
 
     def apply_changes(self, changes: Iterable[MirrorItem]) -> list[MirrorItem]:
-        """Apply changes and return those that had an effect, in revision order."""
+        """Apply the changes of the copy's era; return those that had an effect, in order."""
         applied = []
-        for item in sorted(changes, key=lambda one: one.revision):
-            if self._apply(item):
+        for item in sorted(changes, key=lambda one: one.position):
+            if item.position.era == self.position.era and self._apply(item):
                 applied.append(item)
         return applied
 
-    def apply_snapshot(self, items: Iterable[MirrorItem], revision: int) -> list[MirrorItem]:
-        """Apply a full snapshot taken at a revision and return the resulting changes.
+    def apply_snapshot(
+        self, items: Iterable[MirrorItem], position: StorePosition
+    ) -> list[MirrorItem]:
+        """Apply a full snapshot taken at a position and return the resulting changes.
 
-        A key missing from the snapshot is removed unless it changed after that revision.
+        A key missing from the snapshot is removed unless it changed after that position. A snapshot
+        of an older era has no effect; the first one of a newer era replaces the copy.
         """
         snapshot = {item.key: item for item in items}
+        if position.era < self.position.era:
+            return []
+        self.loaded = True
+        if position.era > self.position.era:
+            return self._enter_era(snapshot, position)
         changes = list(snapshot.values())
         for key, item in self.items.items():
-            if key not in snapshot and item.revision <= revision:
-                changes.append(MirrorItem(key, None, revision))
-        self.loaded = True
+            if key not in snapshot and item.position <= position:
+                changes.append(MirrorItem(key, None, position))
         applied = self.apply_changes(changes)
-        self._snapshot_revision = max(self._snapshot_revision, revision)
+        self._snapshot = max(self._snapshot, position)
         return applied
 
-    def changes_since(self, revision: int) -> list[MirrorItem] | None:
-        """Return the changes after a revision, or None if their tombstones are incomplete."""
-        if revision < self._dropped_revision:
+    def changes_since(self, position: StorePosition) -> list[MirrorItem] | None:
+        """Return the changes after a position, or None if the copy does not have them all."""
+        if position < self._dropped or position.era != self.position.era:
             return None
         states = [*self.items.values(), *self._removed.values()]
         return sorted(
-            (item for item in states if item.revision > revision), key=lambda one: one.revision
+            (item for item in states if item.position > position), key=lambda one: one.position
         )
 
+    def _enter_era(
+        self, snapshot: dict[str, MirrorItem], position: StorePosition
+    ) -> list[MirrorItem]:
+        """Replace the copy and return the keys whose values differ."""
+        removed = [MirrorItem(key, None, position) for key in self.items if key not in snapshot]
+        changed = [
+            item
+            for item in snapshot.values()
+            if item.key not in self.items or self.items[item.key].value != item.value
+        ]
+        self.items = snapshot
+        self.position = self._dropped = self._snapshot = position
+        self._removed = {}
+        return [*removed, *sorted(changed, key=lambda one: one.position)]
+
     def _apply(self, item: MirrorItem) -> bool:
         known = self.items.get(item.key) or self._removed.get(item.key)
-        if known is not None and known.revision >= item.revision:
+        if known is not None and known.position >= item.position:
             return False
-        if known is None and item.revision <= self._snapshot_revision:
+        if known is None and item.position <= self._snapshot:
             # A newer snapshot did not contain the key.
             return False
-        self.revision = max(self.revision, item.revision)
+        self.position = max(self.position, item.position)
         if item.value is None:
             self._remove(item)
         else:
@@ -115,4 +132,4 @@
         self._removed[item.key] = item
         while len(self._removed) > MAX_REMOVALS:
             oldest = self._removed.pop(next(iter(self._removed)))
-            self._dropped_revision = max(self._dropped_revision, oldest.revision)
+            self._dropped = max(self._dropped, oldest.position)
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -78,6 +78,9 @@
         self._rng = rng
         self._lease_id = 0
         self._stopped = False
+        self._era_changed = False
+        self._pause_end: Future[None] | None = None
+        store.subscribe_era(self._on_new_era)
 
     def start(self) -> None:
         """Register the key and start renewing its lease."""
@@ -91,11 +94,25 @@
 
     async def _run(self) -> None:
         while not self._stopped:
+            self._era_changed = False
             try:
                 await self._renew()
             except StoreError as exc:
                 logger.debug("event=lease_not_renewed key={} why={!r}", self._key, str(exc))
-            await delay(self._timers, RENEW_PERIOD_S * self._rng.uniform(0.8, 1.2))
+            if not self._era_changed:
+                await self._pause(RENEW_PERIOD_S * self._rng.uniform(0.8, 1.2))
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next renewal, or until the store's era changes."""
+        self._pause_end = delay(self._timers, seconds)
+        await self._pause_end
+
+    def _on_new_era(self, era: int) -> None:
+        """Register anew: the older copy may lack the lease, or have given its id to another."""
+        self._lease_id = 0
+        self._era_changed = True
+        if self._pause_end is not None and not self._pause_end.done():
+            self._pause_end.set_result(None)
 
     async def _renew(self) -> None:
         if self._lease_id and await self._store.renew_lease(self._lease_id) > 0:
@@ -189,5 +206,7 @@
     def _update_shares(self) -> None:
         members = self._members
         self.shares.set_live(self._timers.now(), members.live(), members.leaving_hosts())
-        self.shares.set_leased(self._leased, self._mirror.unavailable_since is not None)
+        recovering = self._timers.now() < self._mirror.recovered_at + LEASE_TTL_S
+        unavailable = self._mirror.unavailable_since is not None
+        self.shares.set_leased(self._leased, unavailable or recovering)
         self._on_tick()
--- a/tarragonwind/platform/stores.py
+++ b/tarragonwind/platform/stores.py
@@ -8,6 +8,8 @@
 from typing import Any
 from urllib.parse import quote
 
+from loguru import logger
+
 from tarragonwind.adapters.store_backends import StoreDependencies, StoreSettings, store_backend
 from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
@@ -42,6 +44,8 @@
 NOT_APPLIED_STATUSES = frozenset([429, 503])
 """Statuses of calls that had no effect on the store."""
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
+ERA_HEADER = b"store-era"
+"""Header of every answer: it rises each time the store comes back from an older copy."""
 
 
 class PlatformStore(Store):
@@ -74,6 +78,12 @@
         self._address = address
         self._timeout_s = timeout_s
         self._on_call = on_call
+        self._era: int | None = None
+        self._era_listeners: list[Callable[[int], None]] = []
+
+    def subscribe_era(self, listener: Callable[[int], None]) -> None:
+        """Call `listener` with each era after the first."""
+        self._era_listeners.append(listener)
 
     def get(self, key: str) -> Future[KeyValue | None]:
         """Read one key."""
@@ -92,6 +102,7 @@
     async def _read_range(self, prefix: str) -> RangeResult:
         items: list[KeyValue] = []
         revision = None
+        era = 0
         after = ""
         while True:
             target = f"/kv-range?pathPrefix={quote(prefix, safe='/')}"
@@ -102,8 +113,11 @@
             items += page
             if revision is None:
                 revision = decode_field(doc, "at", int)
+                era = self._era or 0
+            if era != (self._era or 0):
+                raise StoreError("the store's era changed between two pages")
             if not doc.get("hasMore") or not page:
-                return RangeResult(items, revision)
+                return RangeResult(items, revision, era)
             after = page[-1].key
 
     def commit(self, compares: list[Compare], ops: list[Put | Delete]) -> Future[TxnResult]:
@@ -157,6 +171,7 @@
         from_revision: int,
         on_events: Callable[[list[WatchEvent]], None],
         on_end: Callable[[str], None],
+        era: int = 0,
     ) -> Watch:
         """Watch changes under `prefix` by long polling."""
         watch = Watch()
@@ -165,8 +180,16 @@
         def cancel() -> None:
             ended[0] = True
 
+        def end_with_era(new_era: int) -> None:
+            if not ended[0] and new_era != era:
+                ended[0] = True
+                on_end(f"the store's era changed from {era} to {new_era}")
+
+        self._era_listeners.append(end_with_era)
+
         async def run() -> None:
             revision = from_revision - 1
+            end_with_era(self._era or 0)
             while not ended[0]:
                 try:
                     doc = await self._wait_for_changes(prefix, revision)
@@ -174,11 +197,13 @@
                     revision = decode_field(doc, "at", int)
                 except StoreError as exc:
                     if not ended[0]:
+                        ended[0] = True
                         on_end(str(exc))
-                    return
+                    break
                 if events and not ended[0]:
                     on_events(events)
                     await self._wait_for_batch(WATCH_BATCH_DELAY_S)
+            self._era_listeners.remove(end_with_era)
 
         watch.cancel = cancel
         spawn(run())
@@ -209,10 +234,36 @@
         headers = list(JSON_HEADERS) if data else []
         req = HttpRequest(method, target, headers, data)
         try:
-            return await self._http.fetch(self._address, req, timeout_s or self._timeout_s)
+            response = await self._http.fetch(self._address, req, timeout_s or self._timeout_s)
         except HttpError as exc:
             message = f"store {self._address}: {kind}: {exc}"
             raise StoreError(message, maybe_applied=exc.sent and method != "GET") from exc
+        self._check_era(decode_era(response), maybe_applied=method != "GET")
+        return response
+
+    def _check_era(self, era: int | None, maybe_applied: bool) -> None:
+        """Announce a new era; raise `StoreError` for an answer of an older one."""
+        if era is None or era == self._era:
+            return
+        if self._era is not None and era < self._era:
+            raise StoreError(
+                f"the answer is of era {era}, the store is in {self._era}", maybe_applied
+            )
+        is_first = self._era is None
+        self._era = era
+        if is_first:
+            return
+        logger.warning("event=store_era_changed era={}", era)
+        for listener in list(self._era_listeners):
+            listener(era)
+
+
+def decode_era(response: HttpResponse) -> int | None:
+    """Return the store's era, None if the answer doesn't tell it."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER and value.isdigit():
+            return int(value)
+    return None
 
 
 def require_success(response: HttpResponse, maybe_applied: bool = False) -> None:
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -92,10 +92,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Contain the sorted keys under a prefix, and the store revision of the read."""
+    """Contain the sorted keys under a prefix, and the store's era and revision of the read."""
 
     items: list[KeyValue]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,7 @@
         from_revision: int,
         on_events: Callable[[list[WatchEvent]], None],
         on_end: Callable[[str], None],
+        era: int = 0,
     ) -> Watch:
         """Watch changes under `prefix`, starting at a revision.
 
@@ -171,8 +173,14 @@
             Called with each batch of changes, in order.
         on_end : callable
             Called once with the reason if the watch is interrupted or rejected.
+        era : int
+            Era of the store to which the revision belongs; the watch ends with the era.
         """
 
+    @abstractmethod
+    def subscribe_era(self, listener: Callable[[int], None]) -> None:
+        """Call `listener` with each era of the store after the first, if it has eras."""
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import struct
 from collections.abc import Callable
 
 from loguru import logger
 
 from tarragonwind.core.mirror_messages import MirrorAsk, MirrorPart
 from tarragonwind.core.mirror_states import MirrorItem, MirrorState
+from tarragonwind.core.store_positions import ORIGIN, StorePosition
 from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future, spawn
@@ -30,8 +32,8 @@
 """Mean delay between the end of a watch and the read that follows it, in seconds."""
 REQUEST_PERIOD_S = 0.25
 """Minimum interval between two requests of one mirror to other hosts, in seconds."""
-REVISION_BYTES = 8
-"""Size of the revision that is piggybacked on probes, in bytes."""
+POSITION_FORMAT = struct.Struct(">QQ")
+"""Era and revision of the copy's position, as piggybacked on probes."""
 
 ChangeListener = Callable[[list[MirrorItem]], None]
 
@@ -58,7 +60,7 @@
         Monotonic time since which reads have failed, in seconds; the creation time before the
         first read, None after a successful one.
     recovered_at : float
-        Monotonic time of the last recovery of the store, in seconds.
+        Monotonic time of the last recovery or new era of the store, in seconds.
     """
 
     def __init__(
@@ -98,15 +100,27 @@
         if not changes:
             return
         logger.info(
-            "event=mirror_changed prefix={} source={} changes={} revision={}",
+            "event=mirror_changed prefix={} source={} changes={} revision={} era={}",
             self.prefix,
             source,
             len(changes),
-            self.state.revision,
+            self.state.position.revision,
+            self.state.position.era,
         )
         for listener in self._listeners:
             listener(changes)
 
+    def apply_snapshot(self, items: list[MirrorItem], position: StorePosition, source: str) -> None:
+        """Apply a full snapshot of the store, which may be the first of a new era."""
+        if self.state.loaded and position.era > self.state.position.era:
+            # Upstreams and hosts need time to write again what the older copy lacks.
+            self.recovered_at = self._timers.now()
+        self.notify_listeners(self.state.apply_snapshot(items, position), source)
+
+    def apply_changes(self, changes: list[MirrorItem], source: str) -> None:
+        """Apply changes of the store."""
+        self.notify_listeners(self.state.apply_changes(changes), source)
+
     async def _run(self) -> None:
         while not self._stopped:
             try:
@@ -116,25 +130,33 @@
                 await delay(self._timers, RETRY_DELAY_S * self._jitter())
                 continue
             self._mark_available()
-            items = [MirrorItem(one.key, one.value, one.mod_revision) for one in result.items]
-            self.notify_listeners(self.state.apply_snapshot(items, result.revision), "store")
-            reason = await self._watch_from(result.revision + 1)
+            position = StorePosition(result.era, result.revision)
+            items = [
+                MirrorItem(one.key, one.value, StorePosition(result.era, one.mod_revision))
+                for one in result.items
+            ]
+            self.apply_snapshot(items, position, "store")
+            reason = await self._watch_from(position)
             logger.info("event=watch_ended prefix={} reason={!r}", self.prefix, reason)
             await delay(self._timers, REWATCH_DELAY_S * self._jitter())
 
-    async def _watch_from(self, revision: int) -> str:
+    async def _watch_from(self, position: StorePosition) -> str:
         ended: Future[str] = Future()
+        era = position.era
+
+        def apply_events(events: list[WatchEvent]) -> None:
+            changes = [
+                MirrorItem(one.key, one.value, StorePosition(era, one.mod_revision))
+                for one in events
+            ]
+            self.apply_changes(changes, "watch")
 
         def end(reason: str) -> None:
             ended.set_result(reason)
 
-        self._watch = self._store.watch(self.prefix, revision, self._on_events, end)
+        self._watch = self._store.watch(self.prefix, position.revision + 1, apply_events, end, era)
         return await ended
 
-    def _on_events(self, events: list[WatchEvent]) -> None:
-        changes = [MirrorItem(one.key, one.value, one.mod_revision) for one in events]
-        self.notify_listeners(self.state.apply_changes(changes), "watch")
-
     def _jitter(self) -> float:
         return self._rng.uniform(0.75, 1.25)
 
@@ -185,7 +207,7 @@
         self._peers = peers
         self._timers = timers
         self._requested_at = float("-inf")
-        self._gossiped_revision = 0
+        self._gossiped_position = ORIGIN
         self._deferred_request: Timer | None = None
         gossip.attach(mirror.prefix, self._provide, self._on_payload)
         peers.subscribe(MirrorAsk, self._on_request)
@@ -194,10 +216,14 @@
         mirror.subscribe(self._on_changed)
 
     def _provide(self) -> bytes | None:
-        return self._mirror.state.revision.to_bytes(REVISION_BYTES, "big")
+        position = self._mirror.state.position
+        return POSITION_FORMAT.pack(position.era, position.revision)
 
     def _on_payload(self, sender: str, value: bytes) -> None:
-        if int.from_bytes(value, "big") > self._mirror.state.revision:
+        if len(value) != POSITION_FORMAT.size:
+            logger.warning("event=mirror_position_unreadable host={} size={}", sender, len(value))
+            return
+        if StorePosition(*POSITION_FORMAT.unpack(value)) > self._mirror.state.position:
             self._request(sender)
 
     def _on_members(self) -> None:
@@ -207,8 +233,8 @@
             self._request(others[0])
 
     def _on_changed(self, changes: list[MirrorItem]) -> None:
-        if self._mirror.state.revision > self._gossiped_revision:
-            self._gossiped_revision = self._mirror.state.revision
+        if self._mirror.state.position > self._gossiped_position:
+            self._gossiped_position = self._mirror.state.position
             self._gossip.push_payloads()
 
     def _request(self, host: str) -> None:
@@ -223,9 +249,8 @@
             return
         self._requested_at = now
         state = self._mirror.state
-        self._peers.send(
-            host, MirrorAsk(self._mirror.prefix, state.revision if state.loaded else -1)
-        )
+        since = state.position.revision if state.loaded else -1
+        self._peers.send(host, MirrorAsk(self._mirror.prefix, since, state.position.era))
 
     def _retry_request(self, host: str) -> None:
         self._deferred_request = None
@@ -235,25 +260,29 @@
         state = self._mirror.state
         if msg.prefix != self._mirror.prefix or not state.loaded:
             return
-        changes = state.changes_since(msg.since) if msg.since >= 0 else None
+        since = StorePosition(msg.era, msg.since)
+        changes = state.changes_since(since) if msg.since >= 0 else None
         whole = changes is None
         items = list(state.items.values()) if changes is None else changes
-        rows: list[list] = [[one.key, one.value, one.revision] for one in items]
-        self._peers.send(sender, MirrorPart(self._mirror.prefix, state.revision, whole, rows))
+        rows: list[list] = [[one.key, one.value, one.position.revision] for one in items]
+        position = state.position
+        self._peers.send(
+            sender, MirrorPart(msg.prefix, position.revision, whole, rows, position.era)
+        )
 
     def _on_part(self, sender: str, msg: MirrorPart) -> None:
         if msg.prefix != self._mirror.prefix:
             return
-        items = [unpack_item(row) for row in msg.items]
-        state = self._mirror.state
-        changes = (
-            state.apply_snapshot(items, msg.revision) if msg.whole else state.apply_changes(items)
-        )
-        self._mirror.notify_listeners(changes, sender)
+        items = [unpack_item(row, msg.era) for row in msg.items]
+        if msg.whole:
+            position = StorePosition(msg.era, msg.revision)
+            self._mirror.apply_snapshot(items, position, sender)
+        else:
+            self._mirror.apply_changes(items, sender)
 
 
-def unpack_item(row: list) -> MirrorItem:
-    """Return the item encoded as a row of a `MirrorPart`.
+def unpack_item(row: list, era: int) -> MirrorItem:
+    """Return the item encoded as a row of a `MirrorPart` of an era.
 
     Raises
     ------
@@ -269,4 +298,4 @@
             "mirror item must have a string key, binary or nil value and integer revision, got "
             f"{type(key).__name__}, {type(value).__name__} and {type(revision).__name__}"
         )
-    return MirrorItem(key, value, revision)
+    return MirrorItem(key, value, StorePosition(era, revision))
--- a/tests/store_fakes.py
+++ b/tests/store_fakes.py
@@ -89,7 +89,10 @@
     def revoke_lease(self, lease_id):
         return self._call("lease_revoke", self.inner.revoke_lease, lease_id)
 
-    def watch(self, prefix, from_revision, on_events, on_end):
+    def subscribe_era(self, listener):
+        self.inner.subscribe_era(listener)
+
+    def watch(self, prefix, from_revision, on_events, on_end, era=0):
         self.calls["watch"] += 1
         watch = self.inner.watch(prefix, from_revision, on_events, on_end)
         self.watches.append((watch, on_end))
--- a/tests/test_host_leases.py
+++ b/tests/test_host_leases.py
@@ -6,6 +6,7 @@
 
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.core.mirror_states import MirrorItem
+from tarragonwind.core.store_positions import StorePosition
 from tarragonwind.host_leases import (
     MAX_DISCOVERED_PER_BATCH,
     FleetMonitor,
@@ -36,6 +37,7 @@
     """Fake a store mirror; `put` delivers changes to the subscriber."""
 
     unavailable_since = None
+    recovered_at = 0.0
 
     def subscribe(self, listener):
         self.put = listener
@@ -56,20 +58,23 @@
     return mirror, discovered
 
 
+POSITION = StorePosition(0, 5)
+
+
 def lease(name, value=None):
     address = Address("10.0.0.9", 7600)
-    return MirrorItem(PREFIX + name, pack_address(address) if value is None else value, 5)
+    return MirrorItem(PREFIX + name, pack_address(address) if value is None else value, POSITION)
 
 
 def test_a_host_that_is_not_known_to_run_is_reported():
     mirror, discovered = create_monitor()
-    mirror.put([lease("h0"), lease("h1"), lease("h2"), MirrorItem("other/h3", b"x", 5)])
+    mirror.put([lease("h0"), lease("h1"), lease("h2"), MirrorItem("other/h3", b"x", POSITION)])
     assert discovered == {"h2": Address("10.0.0.9", 7600)}
 
 
 def test_a_host_whose_lease_has_expired_is_not_reported():
     mirror, discovered = create_monitor()
-    mirror.put([MirrorItem(PREFIX + "h2", None, 5)])
+    mirror.put([MirrorItem(PREFIX + "h2", None, POSITION)])
     assert discovered == {}
 
 
--- a/tests/test_mirror_states.py
+++ b/tests/test_mirror_states.py
@@ -2,14 +2,20 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tarragonwind.core.mirror_states import MAX_REMOVALS, MirrorItem, MirrorState
+from tarragonwind.core.store_positions import StorePosition
 
 KEYS = ["op/config", "servers/a", "servers/b", "servers/c"]
 
 
+def at(revision, era=0):
+    return StorePosition(era, revision)
+
+
 def play(steps):
     """Return the changes that the steps cause in a store, and its final items."""
     changes, items = [], {}
@@ -17,7 +23,7 @@
         value = None if removes else b"%d" % revision
         if removes and key not in items:
             continue
-        item = MirrorItem(key, value, revision)
+        item = MirrorItem(key, value, at(revision))
         changes.append(item)
         if removes:
             del items[key]
@@ -41,7 +47,7 @@
         held.pop(item.key, None)
         if item.value is not None:
             held[item.key] = item
-    state.apply_snapshot(held.values(), early[-1].revision if early else 1)
+    state.apply_snapshot(held.values(), early[-1].position if early else at(1))
     repeated = [*changes[cut:], *rng.sample(changes, len(changes) // 2)]
     state.apply_changes(repeated)
     assert state.items == items
@@ -54,24 +60,24 @@
     ahead, behind = MirrorState(), MirrorState()
     ahead.apply_changes(changes)
     behind.apply_changes(changes[:cut])
-    missing = ahead.changes_since(behind.revision)
+    missing = ahead.changes_since(behind.position)
     assert missing is not None
     behind.apply_changes(missing)
     assert behind.items == items
-    assert behind.revision == ahead.revision
+    assert behind.position == ahead.position
 
 
 def test_an_old_snapshot_does_not_restore_a_removed_key():
     state = MirrorState()
-    state.apply_changes([MirrorItem("a", b"1", 5), MirrorItem("a", None, 9)])
-    assert state.apply_snapshot([MirrorItem("a", b"1", 5)], 7) == []
+    state.apply_changes([MirrorItem("a", b"1", at(5)), MirrorItem("a", None, at(9))])
+    assert state.apply_snapshot([MirrorItem("a", b"1", at(5))], at(7)) == []
     assert state.items == {}
 
 
 def test_a_key_missing_from_a_snapshot_is_removed_unless_it_changed_later():
     state = MirrorState()
-    state.apply_changes([MirrorItem("a", b"1", 5), MirrorItem("b", b"1", 12)])
-    changed = state.apply_snapshot([], 10)
+    state.apply_changes([MirrorItem("a", b"1", at(5)), MirrorItem("b", b"1", at(12))])
+    changed = state.apply_snapshot([], at(10))
     assert [item.key for item in changed] == ["a"]
     assert set(state.items) == {"b"}
 
@@ -79,6 +85,46 @@
 def test_changes_are_unavailable_for_a_copy_behind_the_oldest_tombstone():
     state = MirrorState()
     for revision in range(1, 2 * MAX_REMOVALS + 10, 2):
-        state.apply_changes([MirrorItem(f"k{revision}", b"", revision)])
-        state.apply_changes([MirrorItem(f"k{revision}", None, revision + 1)])
-    assert state.changes_since(1) is None
+        state.apply_changes([MirrorItem(f"k{revision}", b"", at(revision))])
+        state.apply_changes([MirrorItem(f"k{revision}", None, at(revision + 1))])
+    assert state.changes_since(at(1)) is None
+
+
+def test_a_new_era_replaces_the_copy_although_its_revisions_are_lower():
+    state = MirrorState()
+    state.apply_changes([MirrorItem("a", b"2", at(50)), MirrorItem("b", b"1", at(40))])
+    old = [MirrorItem("a", b"1", at(30, 1)), MirrorItem("c", b"1", at(20, 1))]
+    changed = state.apply_snapshot(old, at(31, 1))
+    assert {item.key: item.value for item in changed} == {"a": b"1", "b": None, "c": b"1"}
+    assert state.position == at(31, 1)
+    again = state.apply_changes([MirrorItem("a", b"2", at(32, 1))])
+    assert [item.key for item in again] == ["a"]
+
+
+def test_answers_of_an_older_era_have_no_effect():
+    state = MirrorState()
+    state.apply_snapshot([MirrorItem("a", b"1", at(10, 2))], at(10, 2))
+    assert state.apply_changes([MirrorItem("a", b"0", at(99, 1))]) == []
+    assert state.apply_snapshot([MirrorItem("a", b"0", at(99, 1))], at(99, 1)) == []
+    assert state.changes_since(at(99, 1)) is None
+    assert state.items["a"].value == b"1"
+
+
+def test_changes_of_a_newer_era_wait_for_its_snapshot():
+    state = MirrorState()
+    state.apply_snapshot([MirrorItem("a", b"1", at(10))], at(10))
+    assert state.apply_changes([MirrorItem("a", b"2", at(5, 1))]) == []
+    assert state.position == at(10)
+
+
+def test_two_eras_within_one_outage_end_in_the_newest():
+    state = MirrorState()
+    for era in (1, 3, 2):
+        item = MirrorItem("a", b"%d" % era, at(5, era))
+        state.apply_snapshot([item], at(5, era))
+    assert (state.position, state.items["a"].value) == (at(5, 3), b"3")
+
+
+def test_a_position_cannot_be_compared_with_a_revision():
+    with pytest.raises(TypeError):
+        assert at(5) < 6
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from standins.fleets import set_faults, wait_until
+from standins.fleets import call, set_faults, wait_until
 from standins.platform_engine import EVENTS_PER_STREAM
 from standins.platform_fleets import (
     AUTHORITY,
@@ -214,6 +214,38 @@
     site.register(leaving, "registry", port)
 
 
+def events_of(site, name, event):
+    log = site.fleet.log_path(name).read_text()
+    return [line for line in log.splitlines() if f"event={event}" in line]
+
+
+def test_nothing_known_goes_back_when_the_store_returns_from_an_older_copy(site):
+    leaving, other = (name for name in site.fleet.processes if name.startswith("i-service"))
+    call(site.store_port, "POST", "/copy")
+    registered = {name: len(events_of(site, name, "host_registered")) for name in site.addresses}
+    site.register(leaving, "registry", site.fleet.processes[leaving].port, state="draining")
+    site.configure(keys={"cantiere": KEYS["cantiere"]})
+    for name in site.addresses:
+        wait_until(lambda name=name: catalogue_number(site, name) == site.version, "in force")
+    call(site.store_port, "POST", "/restore")
+    deadline = time.monotonic() + 2.5
+    number = 0
+    while time.monotonic() < deadline:
+        name = f"front-{number % 2}"
+        attempt = f"a-20-{number}"
+        assert site.send_caller_request(name, LOOKUP_PATH, attempt).status == 401
+        assert site.send_caller_request(name, LOOKUP_PATH, attempt, "cantiere").status == 200
+        assert {back_end for back_end, _ in runs_of(site, attempt)} == {other}
+        number += 1
+    for name in site.addresses:
+        assert events_of(site, name, "store_era_changed")
+        assert len(events_of(site, name, "host_registered")) > registered[name]
+    site.configure()
+    site.register(leaving, "registry", site.fleet.processes[leaving].port)
+    for name in site.addresses:
+        wait_until(lambda name=name: catalogue_number(site, name) == site.version, "in force")
+
+
 def test_a_malformed_back_end_entry_is_ignored(site):
     site.put("servers/i-odd", {"service": "registry", "address": 7, "state": "ready"})
     time.sleep(0.2)
--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -7,7 +7,7 @@
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
-from tarragonwind.ports import Delete, Put
+from tarragonwind.ports import Delete, KeyValue, Put, RangeResult, Watch
 from tarragonwind.store_mirrors import MirrorReplicator, StoreMirror
 from tests.support import run_until
 
@@ -112,3 +112,54 @@
     served.stop()
     refused.stop()
     assert replicator is not None
+
+
+class EraStore:
+    """Answer reads from a list of results, one after the other; the last one stays."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.ends = []
+
+    def read_range(self, prefix):
+        fut = Future()
+        fut.set_result(self.results.pop(0) if len(self.results) > 1 else self.results[0])
+        return fut
+
+    def watch(self, prefix, from_revision, on_events, on_end, era=0):
+        self.ends.append(on_end)
+        return Watch()
+
+
+def read(era, revision, **values):
+    items = [KeyValue(key, value, revision) for key, value in values.items()]
+    return RangeResult(items, revision, era)
+
+
+def test_a_host_that_sees_an_era_last_takes_it_from_another_host():
+    loop = create_loop()
+    wire = Wire(loop)
+    ahead, _ = create(loop, EraStore(read(2, 5, a=b"new")), wire.join("h1"))
+    late, _ = create(loop, EraStore(read(1, 90, a=b"old")), wire.join("h2"))
+    late.start()
+    run_until(loop, lambda: values(late) == {"a": b"old"})
+    recovered_before = late.recovered_at
+    ahead.start()
+    run_until(loop, lambda: values(late) == {"a": b"new"})
+    assert late.recovered_at > recovered_before
+    ahead.stop()
+    late.stop()
+
+
+def test_an_answer_of_an_older_era_changes_nothing():
+    loop = create_loop()
+    store = EraStore(read(2, 5, a=b"new"), read(1, 90, a=b"old"), read(2, 6, a=b"newest"))
+    mirror, _ = create(loop, store, Wire(loop).join("h1"))
+    seen = []
+    mirror.subscribe(lambda changes: seen.extend(item.value for item in changes))
+    mirror.start()
+    for count in (1, 2, 3):
+        run_until(loop, lambda count=count: len(store.ends) == count)
+        store.ends[-1]("ended")
+    assert seen == [b"new", b"newest"]
+    mirror.stop()
--- a/tests/test_upstream_registries.py
+++ b/tests/test_upstream_registries.py
@@ -1,7 +1,12 @@
 """Test which registered upstreams are kept during store outages."""
 
+import dataclasses
+
+import pytest
 from permit_fleets import create_upstream
 
+from tarragonwind.core.entries import UpstreamState
+from tarragonwind.core.store_positions import StorePosition
 from tarragonwind.core.upstream_registries import REREGISTRATION_GRACE_S, UpstreamRegistry
 
 LONG_AGO = -100.0
@@ -36,3 +41,45 @@
     registry = UpstreamRegistry()
     registry.remove(1.0, "a", LONG_AGO)
     assert registry.expire(2.0) == []
+
+
+def at(revision, era=0):
+    return StorePosition(era, revision)
+
+
+def leaving(name="a", **fields):
+    return create_upstream(name, state=UpstreamState.LEAVING, **fields)
+
+
+def states(registry):
+    return [entry.state for entry in registry.entries()]
+
+
+def test_an_upstream_stays_leaving_when_an_older_copy_shows_it_live():
+    registry = UpstreamRegistry()
+    registry.put(create_upstream("a", incarnation=7), at(5))
+    registry.put(leaving(incarnation=7), at(9))
+    registry.put(create_upstream("a", incarnation=7), at(5, 1))
+    assert states(registry) == [UpstreamState.LEAVING]
+    registry.remove(50.0, "a", LONG_AGO)
+    registry.put(create_upstream("a", incarnation=7), at(5, 2))
+    assert states(registry) == [UpstreamState.LEAVING]
+
+
+@pytest.mark.parametrize("fields", [{"incarnation": 8}, {"incarnation": 7, "port": 9_001}])
+def test_an_upstream_that_starts_again_after_leaving_is_live(fields):
+    registry = UpstreamRegistry()
+    registry.put(leaving(incarnation=7), at(9))
+    entry = dataclasses.replace(create_upstream("a"), **fields)
+    assert registry.put(entry, at(10))
+    assert states(registry) == [UpstreamState.LIVE]
+
+
+def test_an_upstream_that_is_gone_does_not_return_with_an_older_copy():
+    registry = UpstreamRegistry()
+    registry.put(create_upstream("a", incarnation=7), at(5))
+    registry.remove(50.0, "a", LONG_AGO)
+    assert not registry.put(create_upstream("a", incarnation=7), at(5, 1))
+    assert names(registry) == []
+    assert registry.put(create_upstream("a", incarnation=7), at(12, 1))
+    assert names(registry) == ["a"]
