Take upstreams at their word: leaving, and pauses after 503 with Retry-After

What callers would see: requests that end with an upstream that has gone (DRAIN), and refusals by upstreams that had asked for a pause (BUDGET). Neither was read before.

The dialect reads both from the head of each answer (UpstreamNotice). A leaving is marked in the registry before the answer is passed on, told to all live hosts, and holds until the upstream starts again. A pause holds back permits on this host by time, and the pool's owner learns it with the released permit; it is no failure of the upstream.

Red before: both new tests of the daemons (leaving: the first request after it reached the upstream; pause: 0.04 s instead of 2 s).

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -20,6 +20,8 @@
 
     ``unframed`` leaves out length and chunks; with ``orderly_cut`` such a stream is cut by an
     orderly close instead of a reset. ``spares_resumed`` cuts no stream that goes on after an event.
+    ``leaving`` announces in every answer that the back end is leaving; with ``hold_s`` it turns
+    every request away and wants none for that time.
     """
 
     def __init__(self) -> None:
@@ -29,6 +31,8 @@
         self.unframed = False
         self.silent = False
         self.full = False
+        self.leaving = False
+        self.hold_s = 0.0
         self.fail = False
 
 
@@ -105,9 +109,16 @@
         """Execute one request, or refuse it as the faults demand."""
         request = exchange.request
         base = [(b"Attempt-Id", request.header(b"attempt-id"))]
+        if self.faults.leaving:
+            base.append((b"Server-Leaving", b"1"))
         if request.header(b"expect-instance").decode("latin-1") != self.name:
             exchange.answer(421, [*base, (b"Instance-Id", self.name.encode())], b"")
             return
+        if self.faults.hold_s:
+            self.write_journal("turned_away", exchange)
+            hold = (b"Retry-After", b"%.3f" % self.faults.hold_s)
+            exchange.answer(503, [*base, (b"Not-Executed", b"1"), hold], b"")
+            return
         if self.faults.full:
             exchange.answer(503, [*base, (b"Not-Executed", b"1")], b"")
             return
--- a/tarragonwind/adapters/caller_dialects.py
+++ b/tarragonwind/adapters/caller_dialects.py
@@ -58,6 +58,25 @@
     """The address belongs to another upstream than the intended one."""
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """Contain what an upstream says of itself in a response.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the upstream is leaving and gets no new requests.
+    hold_s : float
+        Time for which the upstream wants no requests of this host, in seconds.
+    """
+
+    leaving: bool = False
+    hold_s: float = 0.0
+
+
+NO_NOTICE = UpstreamNotice()
+
+
 @dataclass(slots=True)
 class ForwardContext:
     """Collect the inputs for the request that is sent to an upstream.
@@ -127,6 +146,10 @@
     ) -> ResponseKind:
         """Classify an upstream's response by its status and header fields."""
 
+    def read_notice(self, status: int, headers: Headers) -> UpstreamNotice:
+        """Return what the upstream says of itself in the head of a response."""
+        return NO_NOTICE
+
     @abstractmethod
     def matches_request(self, name: str, headers: Headers) -> bool:
         """Return whether an upstream's response belongs to the request with id `name`."""
--- a/tarragonwind/adapters/gateway_contexts.py
+++ b/tarragonwind/adapters/gateway_contexts.py
@@ -11,7 +11,7 @@
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.claims import Claims
 from tarragonwind.core.classifications import CatalogueView
-from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry
+from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry, UpstreamEntry
 from tarragonwind.core.organisation_limits import OrganisationLimits
 from tarragonwind.core.retry_budgets import RetryBudget, RetryBudgetSettings
 from tarragonwind.core.schedulers import Scheduler
@@ -71,6 +71,8 @@
         Limits the retries of each pool.
     allotments : Allotments or None
         Token allotments of organisations over all hosts; None if not configured.
+    on_upstream_leaving : callable
+        Called with the entry of an upstream that has announced its leaving in a response.
     sheds : list of int
         Number of requests shed since the start, by tier.
     stopping : bool
@@ -94,6 +96,7 @@
     limits: OrganisationLimits = field(default_factory=OrganisationLimits)
     retries: RetryBudget = field(default_factory=lambda: RetryBudget(RetryBudgetSettings()))
     allotments: Allotments | None = None
+    on_upstream_leaving: Callable[[UpstreamEntry], None] = lambda entry: None
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     stopping: bool = False
     waiting_requests: int = 0
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -4,7 +4,12 @@
 
 from collections.abc import Callable
 
-from tarragonwind.adapters.caller_dialects import Headers, ResponseKind
+from tarragonwind.adapters.caller_dialects import (
+    NO_NOTICE,
+    Headers,
+    ResponseKind,
+    UpstreamNotice,
+)
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient, ResponseSink
 from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.response_headers import Framing, is_event_stream
@@ -31,6 +36,11 @@
     """Do nothing; default of the relay's callbacks."""
 
 
+def _read_no_notice(status: int, headers: Headers) -> UpstreamNotice:
+    """Return no notice; default of `RelayOptions.read_notice`."""
+    return NO_NOTICE
+
+
 class RelayOptions:
     """Configure one relay: upstream-specific callbacks and timeouts.
 
@@ -40,6 +50,8 @@
         Returns the `ResponseKind` for the status and header fields of a response.
     matches_request : callable
         Returns whether a response with these header fields belongs to this request.
+    read_notice : callable
+        Returns the `UpstreamNotice` in the status and header fields of a response.
     first_byte_timeout_s, idle_timeout_s : float
         Longest wait for the response head, and between two reads of the body, in seconds.
     deadline_is_total : bool
@@ -61,6 +73,7 @@
         "first_byte_timeout_s",
         "idle_timeout_s",
         "matches_request",
+        "read_notice",
     )
 
     def __init__(
@@ -73,6 +86,7 @@
         buffers_failures: bool = False,
         first_byte_stall_s: float = 0.0,
         event_stall_s: float = 0.0,
+        read_notice: Callable[[int, Headers], UpstreamNotice] = _read_no_notice,
     ) -> None:
         self.classify_response = classify_response
         self.matches_request = matches_request
@@ -82,6 +96,7 @@
         self.buffers_failures = buffers_failures
         self.first_byte_stall_s = first_byte_stall_s
         self.event_stall_s = event_stall_s
+        self.read_notice = read_notice
 
 
 class BufferedResponse:
@@ -144,8 +159,12 @@
         End of the upstream's stream so far, None if the response is no event stream.
     buffered_response : BufferedResponse or None
         Error response that has not been sent to the caller.
+    notice : UpstreamNotice
+        What the upstream said of itself in the head of its response.
     on_first_byte : callable
         Called once, when the first byte of the response body has arrived.
+    on_leaving : callable
+        Called when the upstream announces that it is leaving.
     on_stalled : callable
         Called once, when no bytes have arrived for longer than a stall limit.
 
@@ -184,7 +203,9 @@
         "end",
         "event_count",
         "first_byte_s",
+        "notice",
         "on_first_byte",
+        "on_leaving",
         "on_stalled",
         "reason",
         "status",
@@ -222,6 +243,8 @@
         self._address: Address | None = None
         self._timer: Timer | None = None
         self._stall_timer: Timer | None = None
+        self.notice = NO_NOTICE
+        self.on_leaving: Callable[[], None] = _do_nothing
         self.on_first_byte: Callable[[], None] = _do_nothing
         self.on_stalled: Callable[[], None] = _do_nothing
 
@@ -260,6 +283,9 @@
         """Start the caller's response, unless the upstream refused the request."""
         self.status = status
         self._last_data_at = self._timers.now()
+        self.notice = self._options.read_notice(status, headers)
+        if self.notice.leaving:
+            self.on_leaving()
         kind = self._options.classify_response(status, headers)
         if kind is not ResponseKind.ANSWER:
             self._lifecycle.refusal_proven = True
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -325,7 +325,8 @@
         self._relay = None
         upstream = self._find_upstream(permit)
         if upstream is None or not scheduler.may_dispatch(permit):
-            scheduler.on_finished(permit, DispatchReport(PermitOutcome.UNUSED))
+            hold_s = scheduler.hold_left_s(permit.upstream)
+            scheduler.on_finished(permit, DispatchReport(PermitOutcome.UNUSED, hold_s=hold_s))
             self._reason = "the upstream takes no work any more"
             return DispatchOutcome.NOT_SENT
         try:
@@ -384,10 +385,12 @@
             self._retry_policy.may_retry_failures,
             STALL_FACTOR * request_class.route.target_latency_s,
             STALL_FACTOR * request_class.route.event_gap_s,
+            dialect.read_notice,
         )
         timers = self._context.loop.timers
         relay = Relay(self._exchange, self._lifecycle, options, timers, self._cursor)
         relay.on_first_byte = lambda: self._on_first_byte(permit)
+        relay.on_leaving = lambda: self._context.on_upstream_leaving(upstream)
         relay.on_stalled = lambda: self._on_stalled(permit, relay)
         self._context.scheduler.on_dispatched(permit)
         self._trace.set_attribute("upstream", permit.upstream)
@@ -522,7 +525,12 @@
     outcome = PERMIT_OUTCOMES[dispatch_outcome]
     if outcome is PermitOutcome.OK and relay.status >= FIRST_FAILURE_STATUS:
         outcome = PermitOutcome.FAILED
-    return DispatchReport(outcome, relay.first_byte_s, relay.duration_s, relay.event_count)
+    if outcome is PermitOutcome.FAILED and relay.notice.hold_s:
+        # An upstream that asks for a pause works as it should.
+        outcome = PermitOutcome.REFUSED
+    return DispatchReport(
+        outcome, relay.first_byte_s, relay.duration_s, relay.event_count, relay.notice.hold_s
+    )
 
 
 def describe_response_end(relay: Relay | None) -> str:
--- a/tarragonwind/configuration_watchers.py
+++ b/tarragonwind/configuration_watchers.py
@@ -13,6 +13,7 @@
 from tarragonwind.core.upstream_registries import UpstreamRegistry
 from tarragonwind.ports import Timer, Timers
 from tarragonwind.store_mirrors import StoreMirror
+from tarragonwind.upstream_departures import UpstreamLeaving
 
 
 class ConfigurationWatcher:
@@ -78,6 +79,16 @@
         """Call `listener` with each new catalogue."""
         self._listeners.append(listener)
 
+    def mark_leaving(self, leaving: UpstreamLeaving) -> bool:
+        """Take an upstream that announced its leaving out of use; return False if it is known."""
+        marked = self._registry.mark_leaving(
+            leaving.name, leaving.incarnation, leaving.host, leaving.port
+        )
+        if marked:
+            logger.info("event=upstream_leaving upstream={}", leaving.name)
+            self._rebuild_catalogue()
+        return marked
+
     def _on_changes(self, changes: list[MirrorItem]) -> None:
         now = self._timers.now()
         rebuild = False
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -202,14 +202,23 @@
         duration_ms: int = 0,
         output_tokens: int = 0,
         cached_tokens: int = 0,
+        hold_ms: int = 0,
     ) -> None:
         """Release a permit with the outcome of its use; has no effect on a released permit."""
         state = self._find(permit_id)
-        if state is None or state.held.pop(permit_id, None) is None:
+        held = state.held.pop(permit_id, None) if state is not None else None
+        if state is None or held is None:
             return
-        pool = self._pool_of.pop(permit_id)
         msg = PermitDone(
-            pool, permit_id, outcome, first_byte_ms, duration_ms, output_tokens, cached_tokens
+            pool=self._pool_of.pop(permit_id),
+            permit_id=permit_id,
+            outcome=outcome,
+            first_byte_ms=first_byte_ms,
+            duration_ms=duration_ms,
+            output_tokens=output_tokens,
+            cached_tokens=cached_tokens,
+            hold_ms=hold_ms,
+            upstream=held.permit.upstream if hold_ms else "",
         )
         self._send_to_owner(state, msg)
         if state.local is not None:
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -145,6 +145,10 @@
         Tokens that the upstream generated.
     cached_tokens : int
         Prompt tokens that the upstream had in its cache.
+    hold_ms : int
+        Time for which the upstream wants no requests of this host, in milliseconds.
+    upstream : str
+        Upstream of the permit, empty if `hold_ms` is 0.
     """
 
     pool: str
@@ -154,6 +158,8 @@
     duration_ms: int = 0
     output_tokens: int = 0
     cached_tokens: int = 0
+    hold_ms: int = 0
+    upstream: str = ""
 
 
 @dataclass(slots=True)
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -29,6 +29,7 @@
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
 from tarragonwind.core.queues import LEVEL_COUNT, QueuedRequest, TierQueue, is_late
+from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -129,6 +130,7 @@
         self._late_rate = DrainRate()
         self._ledger = PermitLedger(self._load_settings)
         self._hosts = HostTracker()
+        self._holds: UpstreamHolds[tuple[str, str]] = UpstreamHolds()
         self._active = False
         self._grants_from = 0.0
         self._epoch = rng.getrandbits(31)
@@ -311,6 +313,9 @@
         if self._active and self._wait_exceeds_limit(now, req):
             self._refuse(req, ErrorKind.DEADLINE_UNMEETABLE)
             return
+        if self._active and self._is_held_too_long(now, req):
+            self._refuse(req, ErrorKind.DEADLINE_UNMEETABLE, self._hold_left_s(now, req))
+            return
         shed = self._queue.push(req)
         if shed is not None:
             self._refuse(shed, ErrorKind.SHED)
@@ -398,9 +403,13 @@
                 kind = ErrorKind.DEADLINE_UNMEETABLE
             if kind is None and waits_s[req.level] > _max_wait_s(now, req):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
+            hold_s = 0.0
+            if kind is None and self._is_held_too_long(now, req):
+                kind = ErrorKind.DEADLINE_UNMEETABLE
+                hold_s = self._hold_left_s(now, req)
             if kind is not None:
                 self._queue.remove(req.key)
-                self._refuse(req, kind)
+                self._refuse(req, kind, hold_s)
 
     def _waits_by_level_s(self) -> list[float]:
         """Return the time that the work ahead of each queue level takes."""
@@ -413,8 +422,26 @@
             waits_s.append(waits_s[-1] + work / rate.tokens_per_s)
         return waits_s
 
-    def _refuse(self, req: QueuedRequest, kind: ErrorKind) -> None:
-        wait_ms = int(1_000 * self.retry_after_s(req.tier, req.rank, req.organisation))
+    def _hold_left_s(self, now: float, req: QueuedRequest) -> float:
+        """Return the time until an upstream takes requests of the request's host, in seconds."""
+        if not self._holds.any_left(now):
+            return 0.0
+        loads = filter_by_version(req.version, list(self._ledger.loads.values()))
+        waits_s = [
+            self._holds.left_s(now, (req.host, load.entry.name))
+            for load in loads
+            if load.is_available()
+        ]
+        return min(waits_s, default=0.0)
+
+    def _is_held_too_long(self, now: float, req: QueuedRequest) -> bool:
+        """Return whether every upstream is held for the request's host beyond its latest grant."""
+        return now + self._hold_left_s(now, req) > req.latest_first_byte
+
+    def _refuse(self, req: QueuedRequest, kind: ErrorKind, min_wait_s: float = 0.0) -> None:
+        """Refuse a request; its caller is told to come back after `min_wait_s` or later."""
+        wait_s = max(min_wait_s, self.retry_after_s(req.tier, req.rank, req.organisation))
+        wait_ms = math.ceil(1_000 * wait_s)
         refusal = PermitRefusal(self.pool, req.permit_id, REFUSAL_KINDS.index(kind), wait_ms)
         self._send(req.host, refusal)
 
@@ -450,14 +477,25 @@
         versions = {"", *(load.entry.version for load in available)}
 
         def fits(req: QueuedRequest) -> bool:
+            loads = self._without_held(now, req, filter_by_version(req.version, available))
+            if not loads:
+                return False
             if not req.deadline_is_total or self._packs_requests(self.pool, req.version):
                 return True
-            loads = filter_by_version(req.version, available)
             return self.placer.should_place_now(now, loads, self._fastest(now, req.version), req)
 
         return self._queue.pop(versions.__contains__, fits)
 
+    def _without_held(
+        self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams that take requests of the request's host now."""
+        if not self._holds.any_left(now):
+            return loads
+        return [load for load in loads if not self._holds.left_s(now, (req.host, load.entry.name))]
+
     def _grant(self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]) -> None:
+        loads = self._without_held(now, req, loads)
         if self._packs_requests(self.pool, req.version):
             loads = choose_busiest_with_room(now, loads)
         placement = self.placer.choose(now, self._rng, loads, req)
@@ -499,6 +537,7 @@
     # Releases
 
     def _on_done(self, now: float, host: str, msg: PermitDone) -> None:
+        self._holds.put(now, (host, msg.upstream), msg.hold_ms / 1_000)
         permit = self._ledger.release(now, (host, msg.permit_id))
         if permit is None:
             return
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -76,12 +76,15 @@
         Times since the dispatch, in seconds; 0 if unknown.
     event_count : int
         Number of stream events in the response.
+    hold_s : float
+        Time for which the upstream wants no requests of this host, in seconds.
     """
 
     outcome: Outcome
     first_byte_s: float = 0.0
     duration_s: float = 0.0
     event_count: int = 0
+    hold_s: float = 0.0
 
 
 class Scheduler(ABC):
@@ -110,6 +113,10 @@
     def may_dispatch(self, permit: Permit) -> bool:
         """Return whether a permit still holds: its upstream may have left since the grant."""
 
+    def hold_left_s(self, upstream: str) -> float:
+        """Return the time for which an upstream wants no requests of this host, in seconds."""
+        return 0.0
+
     @abstractmethod
     def on_dispatched(self, permit: Permit) -> None:
         """Record the start of a dispatch."""
--- a/tarragonwind/core/upstream_registries.py
+++ b/tarragonwind/core/upstream_registries.py
@@ -80,6 +80,18 @@
         while len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
 
+    def mark_leaving(self, name: str, incarnation: int, host: str, port: int) -> bool:
+        """Mark one start of an upstream as leaving; return False if it is unknown or marked."""
+        registration = self._registrations.get(name)
+        if registration is None or registration.entry.state is UpstreamState.LEAVING:
+            return False
+        entry = registration.entry
+        if (entry.incarnation, entry.host, entry.port) != (incarnation, host, port):
+            return False
+        return self.put(
+            dataclasses.replace(entry, state=UpstreamState.LEAVING), registration.position
+        )
+
     def remove(self, now: float, name: str, store_recovered_at: float) -> None:
         """Remove an entry that is no longer registered, after the grace period if one is running.
 
--- a/tarragonwind/platform/callers.py
+++ b/tarragonwind/platform/callers.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
+from loguru import logger
+
 from tarragonwind.adapters.caller_dialects import (
+    NO_NOTICE,
     CallerDialect,
     ForwardContext,
     Headers,
     ResponseKind,
+    UpstreamNotice,
     end_to_end_headers,
 )
 from tarragonwind.adapters.http_requests import CallerRequest
@@ -31,8 +36,14 @@
 UPSTREAM_ID = b"expect-instance"
 ORGANISATION = b"tenant"
 NOT_RUN = b"not-executed"
+LEAVING = b"server-leaving"
+"""Field in every response of an upstream that is leaving; its value is 1."""
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+MAX_HOLD_S = 300.0
+"""Longest time for which an upstream is left alone by its own word, in seconds."""
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 """Statuses that promise callers that the request has not run."""
 
@@ -97,6 +108,15 @@
             return ResponseKind.NOT_RUN
         return ResponseKind.ANSWER
 
+    def read_notice(self, status: int, headers: Headers) -> UpstreamNotice:
+        """Return whether the upstream is leaving, and the time for which it wants no requests."""
+        fields = {name.lower(): value for name, value in headers}
+        leaving = fields.get(LEAVING, b"").strip() == b"1"
+        hold_s = 0.0
+        if status == UNAVAILABLE_STATUS and RETRY_AFTER in fields:
+            hold_s = parse_hold_s(fields[RETRY_AFTER])
+        return UpstreamNotice(leaving, hold_s) if leaving or hold_s else NO_NOTICE
+
     def matches_request(self, name: str, headers: Headers) -> bool:
         """Return whether the request id in a response, where present, is that of the request."""
         for key, value in headers:
@@ -157,6 +177,17 @@
     return parts
 
 
+def parse_hold_s(value: bytes) -> float:
+    """Parse the seconds of Retry-After within 0 and `MAX_HOLD_S`; return 0 if it is no number."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if not 0 <= seconds <= MAX_HOLD_S:
+        logger.warning("event=retry_after_out_of_range value={!r} max_s={}", value[:40], MAX_HOLD_S)
+    return 0.0 if math.isnan(seconds) else min(max(0.0, seconds), MAX_HOLD_S)
+
+
 def parse_uint(value: bytes) -> int | None:
     """Parse an unsigned decimal integer of at most 18 digits; return None if it is malformed."""
     text = value.strip()
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -53,6 +53,7 @@
 from tarragonwind.store_mirrors import MirrorReplicator, StoreMirror
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
+from tarragonwind.upstream_departures import UpstreamDepartures
 
 __all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
 
@@ -156,6 +157,9 @@
             timers,
         )
         self.configuration.subscribe(self._on_catalogue)
+        self.departures = UpstreamDepartures(
+            self.membership, self.peers, self.configuration.mark_leaving
+        )
         self.gateway = self._create_gateway(rng, sock)
         self.stop = GracefulShutdown(self.gateway, self.membership, timers, cfg.stop, self._end)
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
@@ -176,6 +180,7 @@
             dialect=PlatformDialect(rng),
             retries=RetryBudget(retry_budget_settings(cfg)),
             allotments=self.allotments,
+            on_upstream_leaving=self.departures.announce,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
         return Gateway(address, http_limits(cfg.callers), context, sock)
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,10 +24,11 @@
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
-from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.permit_messages import Outcome, PermitDone
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerDependencies, PoolOwners
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
+from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.core.version_selectors import VersionSelector
 from tarragonwind.errors import ErrorKind, RequestError
@@ -98,6 +100,7 @@
         self._slots: dict[str, int] = {}
         self._held: dict[str, int] = {}
         self._failures: dict[str, int] = {}
+        self._holds: UpstreamHolds[str] = UpstreamHolds()
         deps = OwnerDependencies(
             peers.send,
             rng,
@@ -184,8 +187,14 @@
         entry = self._catalogue.entry(f"upstream/{permit.upstream}")
         if not isinstance(entry, UpstreamEntry) or entry.state is not UpstreamState.LIVE:
             return False
+        if self.hold_left_s(permit.upstream) > 0:
+            return False
         return not self._versions.is_withheld(permit.pool, permit.version)
 
+    def hold_left_s(self, upstream: str) -> float:
+        """Return the time for which an upstream wants no requests of this host, in seconds."""
+        return self._holds.left_s(self._timers.now(), upstream)
+
     def on_dispatched(self, permit: Permit) -> None:
         """Start a trial of the version that serves the dispatch."""
         record = self._dispatched.get(permit.permit_id)
@@ -211,6 +220,7 @@
 
     def on_finished(self, permit: Permit, report: DispatchReport) -> None:
         """Release the permit and update cost estimates and the trial from the result."""
+        self._holds.put(self._timers.now(), permit.upstream, report.hold_s)
         pool = self._catalogue.pool(permit.pool)
         tokens = report.event_count * (pool.tokens_per_event if pool is not None else 1)
         self.client.release(
@@ -220,6 +230,7 @@
             round(report.first_byte_s * 1000),
             round(report.duration_s * 1000),
             tokens,
+            hold_ms=math.ceil(report.hold_s * 1000),
         )
         record = self._dispatched.pop(permit.permit_id, None)
         if record is None:
@@ -289,6 +300,8 @@
 
     def _on_owner_message(self, host: str, msg: Message) -> None:
         self.owners.on_message(self._timers.now(), host, msg)
+        if isinstance(msg, PermitDone) and msg.hold_ms:
+            self._timers.call_later(msg.hold_ms / 1000, self._tick)
 
     def _on_client_message(self, host: str, msg: Message) -> None:
         self.client.on_message(self._timers.now(), host, msg)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -278,6 +278,46 @@
     assert fleet.owner().in_flight() == 0
 
 
+def hold_upstream(fleet, host, seconds):
+    """Let the upstream of a request turn it away and want nothing of its host for some seconds."""
+    (permit_id,) = request_many(fleet, host, 1)
+    upstream = host.granted[permit_id].upstream
+    release_permit(fleet, host, permit_id, Outcome.REFUSED, hold_ms=int(1_000 * seconds))
+    return upstream
+
+
+def test_an_upstream_that_turns_a_host_away_serves_the_other_hosts():
+    fleet = Fleet([create_upstream("u1", slots=9)])
+    turned_away, other = fleet.hosts["h1"], fleet.hosts["h2"]
+    hold_upstream(fleet, turned_away, 3.0)
+    (waiting,) = request_many(fleet, turned_away, 1)
+    (served,) = request_many(fleet, other, 1)
+    assert served in other.granted and waiting not in turned_away.granted
+    fleet.advance(2.8)
+    assert waiting not in turned_away.granted
+    fleet.advance(0.4)
+    assert waiting in turned_away.granted
+    assert not fleet.owner().loads()[0].ejected
+
+
+def test_a_host_uses_the_upstreams_that_do_not_turn_it_away():
+    fleet = Fleet([create_upstream("u1", slots=9), create_upstream("u2", slots=9)])
+    host = fleet.hosts["h1"]
+    held = hold_upstream(fleet, host, 5.0)
+    permit_ids = request_many(fleet, host, 6)
+    assert {host.granted[permit_id].upstream for permit_id in permit_ids} == {"u1", "u2"} - {held}
+
+
+def test_a_request_that_can_not_wait_for_any_upstream_is_told_when_to_come_back():
+    fleet = Fleet([create_upstream("u1", slots=9)])
+    host = fleet.hosts["h1"]
+    hold_upstream(fleet, host, 5.0)
+    (refused,) = request_many(fleet, host, 1, within=2.0)
+    kind, retry_after_s = host.refused[refused]
+    assert kind is ErrorKind.DEADLINE_UNMEETABLE
+    assert 4.5 <= retry_after_s <= 5.0
+
+
 class PermitMachine(RuleBasedStateMachine):
     """Lose, duplicate and delay messages while hosts change owner, are paused and resume."""
 
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from tarragonwind.adapters.caller_dialects import UpstreamNotice
 from tarragonwind.errors import ErrorKind, NotRun, RequestError
-from tarragonwind.platform.callers import NOT_RUN_STATUSES, PlatformDialect
+from tarragonwind.platform.callers import MAX_HOLD_S, NOT_RUN_STATUSES, PlatformDialect
 
 DIALECT = PlatformDialect(random.Random(1))
 
@@ -30,3 +31,24 @@
 
 def test_a_caller_error_keeps_its_own_status():
     assert refuse(ErrorKind.UNKNOWN_ROUTE, NotRun.TRUE).status == 404
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "notice"),
+    [
+        (200, [], UpstreamNotice()),
+        (200, [(b"Server-Leaving", b"1")], UpstreamNotice(leaving=True)),
+        (503, [(b"server-leaving", b" 1 ")], UpstreamNotice(leaving=True)),
+        (200, [(b"Server-Leaving", b"0")], UpstreamNotice()),
+        (503, [(b"Retry-After", b"2.5")], UpstreamNotice(hold_s=2.5)),
+        (503, [(b"Retry-After", b"0")], UpstreamNotice()),
+        (503, [(b"Retry-After", b"-3")], UpstreamNotice()),
+        (503, [(b"Retry-After", b"nan")], UpstreamNotice()),
+        (503, [(b"Retry-After", b"Fri, 04 Dec 2026 09:00:00 GMT")], UpstreamNotice()),
+        (503, [(b"Retry-After", b"864000")], UpstreamNotice(hold_s=MAX_HOLD_S)),
+        (503, [(b"Retry-After", b"inf")], UpstreamNotice(hold_s=MAX_HOLD_S)),
+        (429, [(b"Retry-After", b"2.5")], UpstreamNotice()),
+    ],
+)
+def test_notices_in_the_head_of_a_response(status, headers, notice):
+    assert DIALECT.read_notice(status, headers) == notice
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -246,6 +246,67 @@
         wait_until(lambda name=name: catalogue_number(site, name) == site.version, "in force")
 
 
+def back_ends_of(site, attempt):
+    return {name for event in ("run", "turned_away") for name, _ in runs_of(site, attempt, event)}
+
+
+def test_a_back_end_that_announces_its_leaving_in_an_answer_gets_no_new_requests(site):
+    assert site.send_caller_request("front-0", LOOKUP_PATH, "a-21").status == 200
+    (leaving,) = back_ends_of(site, "a-21")
+    port = site.fleet.processes[leaving].port
+    set_faults(port, leaving=True)
+    for number in range(20):
+        assert site.send_caller_request("front-0", LOOKUP_PATH, f"a-21-{number}").status == 200
+        if leaving in back_ends_of(site, f"a-21-{number}"):
+            break
+    assert leaving in back_ends_of(site, f"a-21-{number}")
+    time.sleep(0.3)
+    # Its entry says that it is ready, and is written once more.
+    site.register(leaving, "registry", port)
+    time.sleep(0.3)
+    for number in range(10):
+        for name in site.addresses:
+            attempt = f"a-22-{name}-{number}"
+            assert site.send_caller_request(name, LOOKUP_PATH, attempt).status == 200
+            assert leaving not in back_ends_of(site, attempt)
+    set_faults(port, leaving=False)
+    site.draining.add(leaving)
+    site.register(leaving, "registry", port)
+    (other,) = {name for name in site.fleet.processes if name.startswith("i-service")} - {leaving}
+    other_port = site.fleet.processes[other].port
+    site.register(other, "registry", other_port, state="draining")
+    time.sleep(0.5)
+    assert site.send_caller_request("front-0", LOOKUP_PATH, "a-23").status == 200
+    assert back_ends_of(site, "a-23") == {leaving}
+    site.register(other, "registry", other_port)
+
+
+def test_a_back_end_that_wants_nothing_for_a_while_gets_nothing(site):
+    for port in service_ports(site):
+        set_faults(port, hold_s=2.0)
+    started_at = time.monotonic()
+    assert site.send_caller_request("front-0", LOOKUP_PATH, "a-24").status == 503
+    assert len(runs_of(site, "a-24", "turned_away")) == 2
+    for port in service_ports(site):
+        set_faults(port, hold_s=0.0)
+    answers = []
+    threads = [
+        threading.Thread(
+            target=lambda n=number: answers.append(
+                site.send_caller_request("front-0", STAMP_PATH, f"a-25-{n}")
+            )
+        )
+        for number in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+        assert time.monotonic() - started_at > 1.9
+    assert [answer.status for answer in answers] == [200] * 4
+    assert site.send_caller_request("front-1", LOOKUP_PATH, "a-26").status == 200
+
+
 def test_a_malformed_back_end_entry_is_ignored(site):
     site.put("servers/i-odd", {"service": "registry", "address": 7, "state": "ready"})
     time.sleep(0.2)
