Let the baselines of the placement table be baselines again

Since Placer has no choose_among, so RoundRobinPlacer and LeastInFlightPlacer measured the ordinary placer. They override choose now.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import statistics
+from collections.abc import Iterable
 
 import fire
 
@@ -69,11 +70,16 @@
 
     __slots__ = ("_turn",)
 
-    def choose_among(self, now: float, loads: list[UpstreamLoad], req: QueuedRequest) -> Placement:
-        """Choose the next upstream in the order of names."""
-        loads = sorted(loads, key=lambda load: load.entry.name)
+    def choose(
+        self, now: float, rng: random.Random, loads: Iterable[UpstreamLoad], req: QueuedRequest
+    ) -> Placement | None:
+        """Choose the next upstream with room in the order of names."""
+        with_room = [load for load in loads if load.has_room(now)]
+        if not with_room:
+            return None
+        with_room.sort(key=lambda load: load.entry.name)
         self._turn = getattr(self, "_turn", 0) + 1
-        return self.estimate(now, loads[self._turn % len(loads)], req)
+        return self.estimate(now, with_room[self._turn % len(with_room)], req)
 
 
 class LeastInFlightPlacer(Placer):
@@ -81,9 +87,14 @@
 
     __slots__ = ()
 
-    def choose_among(self, now: float, loads: list[UpstreamLoad], req: QueuedRequest) -> Placement:
-        """Choose by the number of requests in flight."""
-        return self.estimate(now, min(loads, key=lambda load: load.in_flight), req)
+    def choose(
+        self, now: float, rng: random.Random, loads: Iterable[UpstreamLoad], req: QueuedRequest
+    ) -> Placement | None:
+        """Choose an upstream with room by the number of requests in flight."""
+        with_room = [load for load in loads if load.has_room(now)]
+        if not with_room:
+            return None
+        return self.estimate(now, min(with_room, key=lambda load: load.in_flight), req)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
