Stop the whole fleet of make up on TERM and when one of its processes ends

TERM ended the demonstration alone and left its processes running; so did the death of one of them go unnoticed. TERM is now treated like Ctrl-C, and the processes are checked while the fleet stays.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,7 +1,7 @@
 """Demonstrate the daemon on loopback: every tier, and moves to a healthy and to a failing version.
 
 ``python -m standins.demo`` exits non-zero when a check failed. With ``--stay`` it starts the
-processes, prints their addresses and waits until it is interrupted.
+processes, prints their addresses and waits until it is interrupted or one of them ends.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 import fire
@@ -28,6 +29,8 @@
 TOKENS = {"officina": "token-officina", "cantiere": "token-cantiere"}
 MOVE_WITHIN_S = 12
 LOAD_THREADS = 12
+STAY_POLL_S = 0.2
+"""Interval at which the processes of a fleet that stays are checked, in seconds."""
 
 
 @dataclass(slots=True)
@@ -274,14 +277,33 @@
     print(f"export TARRAGONWIND_TOKEN_FILE={fleet.directory}/token.txt")
 
 
+def wait_for_end(fleet: Fleet) -> int:
+    """Wait for an interrupt or for the end of a process; return the exit code."""
+    try:
+        while True:
+            for name, started in fleet.processes.items():
+                if started.process.poll() is not None:
+                    print(f"{name} has ended with code {started.process.returncode}")
+                    return 1
+            time.sleep(STAY_POLL_S)
+    except KeyboardInterrupt:
+        return 0
+
+
+def interrupt(number: int, frame: FrameType | None) -> None:
+    """Treat a signal like Ctrl-C, so that the processes of the fleet are stopped."""
+    raise KeyboardInterrupt
+
+
 def main(stay: bool = False) -> None:
     """Run the demonstration.
 
     Parameters
     ----------
     stay : bool
-        Start the fleet only, and wait until it is interrupted.
+        Start the fleet only, and wait until it is interrupted or one of its processes ends.
     """
+    signal.signal(signal.SIGTERM, interrupt)
     with (
         tempfile.TemporaryDirectory(prefix="tarragonwind-") as directory,
         Fleet(Path(directory)) as fleet,
@@ -290,9 +312,8 @@
         demo.set_up()
         if stay:
             print_addresses(fleet)
-            with contextlib.suppress(KeyboardInterrupt):
-                signal.pause()
-            return
+            sys.stdout.flush()
+            sys.exit(wait_for_end(fleet))
         demo.send_every_tier()
         demo.run_moves()
         print(demo.run_cli("hosts"))
