Take a free port in a test, end a read loop, and remove what nothing uses

tests/test_orders.py failed when two suites ran together (fixed port); bench/relays.py read_request looped when a connection closed in a body; PeerUnreachable and CallLog.write had no user. evict_idle of the organisations' limits has a test and stays.

--- a/bench/relays.py
+++ b/bench/relays.py
@@ -113,7 +113,7 @@
 
 
 def read_request(conn: socket.socket) -> bytes:
-    """Read one request and return its bytes, empty if the connection closes within the header."""
+    """Read one request and return its bytes, empty if the connection closes within it."""
     data = b""
     while b"\r\n\r\n" not in data:
         more = conn.recv(READ_BYTES)
@@ -127,6 +127,8 @@
             length = int(line.split(b":")[1])
     while len(body) < length:
         more = conn.recv(READ_BYTES)
+        if not more:
+            return b""
         data += more
         body += more
     return data
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -10,8 +10,7 @@
 import threading
 import time
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass, field
-from pathlib import Path
+from dataclasses import dataclass, field
 
 LOOPBACK = "127.0.0.1"
 CONNECT_PAUSE_S = 0.05
@@ -125,12 +124,6 @@
 
     records: list[CallRecord] = field(default_factory=list)
 
-    def write(self, path: Path) -> None:
-        """Write the records as JSON lines."""
-        with open(path, "w") as out:
-            for record in self.records:
-                out.write(json.dumps(asdict(record)) + "\n")
-
 
 class LoadGenerator:
     """Run load threads against entry hosts until stopped.
--- a/tarragonwind/errors.py
+++ b/tarragonwind/errors.py
@@ -126,9 +126,5 @@
         self.maybe_applied = maybe_applied
 
 
-class PeerUnreachable(Exception):
-    """Signal that a message to another daemon wasn't delivered or answered in time."""
-
-
 class EntryError(Exception):
     """Signal an invalid catalogue entry; nothing was written."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench.virtual_clocks import VirtualTimers
+from standins.fleets import free_port
 from tarragonwind.adapters.orders import (
     CLAIM_TTL_S,
     ORDER_TIMEOUT_S,
@@ -268,7 +269,7 @@
 
 
 def test_the_weight_store_stand_in_limits_loads():
-    port = 18_770
+    port = free_port()
     command = [sys.executable, "-m", "standins.weight_store", "--port", str(port)]
     process = subprocess.Popen([*command, "--rate", "0.1", "--lifetime", LIFETIME_S])
     try:
