Leave out an earlier start of an upstream that an older copy of the store shows

An upstream that had started again under its name would have gone back to its earlier address and start until it wrote again. Found in reading the change; the test was not run without the check.

--- a/tarragonwind/core/upstream_registries.py
+++ b/tarragonwind/core/upstream_registries.py
@@ -36,6 +36,11 @@
     )
 
 
+def is_older_start(entry: UpstreamEntry, position: StorePosition, known: Registration) -> bool:
+    """Return whether an older copy of the store shows a start before the known one."""
+    return position.era > known.position.era and entry.incarnation < known.entry.incarnation
+
+
 class UpstreamRegistry:
     """Hold the registrations of upstreams and the expiry times of missing ones."""
 
@@ -51,6 +56,9 @@
 
         An upstream that was leaving stays so until it starts again or has another address.
         """
+        known = self._registrations.get(entry.name)
+        if known is not None and is_older_start(entry, position, known):
+            return False
         departed = self._departed.get(entry.name)
         if departed is not None and not is_same_start(departed.entry, entry):
             del self._departed[entry.name]
--- a/tarragonwind/upstream_departures.py
+++ b/tarragonwind/upstream_departures.py
@@ -50,7 +50,7 @@
         self._members = members
         self._peers = peers
         self._mark_leaving = mark_leaving
-        peers.subscribe(UpstreamLeaving, self._on_told)
+        peers.subscribe(UpstreamLeaving, self._on_message)
 
     def announce(self, entry: UpstreamEntry) -> None:
         """Record that an upstream has announced its leaving, and tell the others if it is news."""
@@ -61,5 +61,5 @@
             if host != self._members.name:
                 self._peers.send(host, msg)
 
-    def _on_told(self, sender: str, msg: UpstreamLeaving) -> None:
+    def _on_message(self, sender: str, msg: UpstreamLeaving) -> None:
         self._mark_leaving(msg)
--- a/tests/test_upstream_registries.py
+++ b/tests/test_upstream_registries.py
@@ -75,6 +75,14 @@
     assert states(registry) == [UpstreamState.LIVE]
 
 
+def test_an_older_copy_does_not_bring_back_an_earlier_start():
+    registry = UpstreamRegistry()
+    registry.put(create_upstream("a", incarnation=8), at(9))
+    assert not registry.put(create_upstream("a", incarnation=7), at(5, 1))
+    assert [entry.incarnation for entry in registry.entries()] == [8]
+    assert registry.put(create_upstream("a", incarnation=9), at(6, 1))
+
+
 def test_an_upstream_that_is_gone_does_not_return_with_an_older_copy():
     registry = UpstreamRegistry()
     registry.put(create_upstream("a", incarnation=7), at(5))
