Let the soak's back ends announce their leaving and ask for pauses

The checker has no rule of its own for these yet: journals don't tell which host sent a request, and a host that restarts may not know. The invariants hold for them as for the other faults.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -211,6 +211,23 @@
             self.ports[fault.target], unframed=False, orderly_cut=False, cut_after_events=0
         )
 
+    def announce_leaving(self, fault: Fault) -> EndFault:
+        """Let a back end announce in its answers that it is leaving, then start again."""
+        name = fault.target
+        proxy_port = self.ports[f"proxy-{name}"]
+        set_faults(self.ports[name], leaving=True)
+
+        def start_again() -> None:
+            set_faults(self.ports[name], leaving=False)
+            self.site.draining.add(name)
+            self.site.register(name, self.pools[name], proxy_port)
+
+        return start_again
+
+    def want_pause(self, fault: Fault) -> EndFault:
+        """Make a back end turn requests away and ask each host for a pause."""
+        return self.set_fault(self.ports[fault.target], "hold_s", 1.5, 0.0)
+
     def fail(self, fault: Fault) -> EndFault:
         """Make a back end answer with status 500."""
         return self.set_fault(self.ports[fault.target], "fail", True, False)
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -68,6 +68,8 @@
     "cut_streams",
     "break_off_streams",
     "unframed",
+    "announce_leaving",
+    "want_pause",
     "fail",
     "full",
     "drain",
