Stop the fleet that stays quietly whenever the interrupt comes

The interrupt came while the addresses were being printed, before the wait that took it; the fleet was stopped, but the exit was the signal's. It is now taken around the whole run of the fleet.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -29,6 +29,8 @@
 TOKENS = {"officina": "token-officina", "cantiere": "token-cantiere"}
 MOVE_WITHIN_S = 12
 LOAD_THREADS = 12
+INTERRUPTED = 130
+"""Exit code of an interrupted demonstration."""
 STAY_POLL_S = 0.2
 """Interval at which the processes of a fleet that stays are checked, in seconds."""
 
@@ -278,16 +280,13 @@
 
 
 def wait_for_end(fleet: Fleet) -> int:
-    """Wait for an interrupt or for the end of a process; return the exit code."""
-    try:
-        while True:
-            for name, started in fleet.processes.items():
-                if started.process.poll() is not None:
-                    print(f"{name} has ended with code {started.process.returncode}")
-                    return 1
-            time.sleep(STAY_POLL_S)
-    except KeyboardInterrupt:
-        return 0
+    """Wait until a process of the fleet has ended, and return the exit code."""
+    while True:
+        for name, started in fleet.processes.items():
+            if started.process.poll() is not None:
+                print(f"{name} has ended with code {started.process.returncode}")
+                return 1
+        time.sleep(STAY_POLL_S)
 
 
 def interrupt(number: int, frame: FrameType | None) -> None:
@@ -304,6 +303,14 @@
         Start the fleet only, and wait until it is interrupted or one of its processes ends.
     """
     signal.signal(signal.SIGTERM, interrupt)
+    try:
+        sys.exit(run_fleet(stay))
+    except KeyboardInterrupt:
+        sys.exit(0 if stay else INTERRUPTED)
+
+
+def run_fleet(stay: bool) -> int:
+    """Start the fleet, run the checks or wait, stop the fleet, and return the exit code."""
     with (
         tempfile.TemporaryDirectory(prefix="tarragonwind-") as directory,
         Fleet(Path(directory)) as fleet,
@@ -313,12 +320,11 @@
         if stay:
             print_addresses(fleet)
             sys.stdout.flush()
-            sys.exit(wait_for_end(fleet))
+            return wait_for_end(fleet)
         demo.send_every_tier()
         demo.run_moves()
         print(demo.run_cli("hosts"))
-        wrong = demo.report()
-    sys.exit(1 if wrong else 0)
+        return 1 if demo.report() else 0
 
 
 if __name__ == "__main__":
