--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -38,6 +38,8 @@
     every request away and wants none for that time. A prompt with ``crashing_part`` before its last
     part ends the process as soon as its answer begins. With ``limit_per_s`` every answer names that
     limit of requests per second. ``endless`` sends bytes without end: in a failure, or in an event.
+    ``pause_s`` is a silence after which the back end goes on: in a stream it comes once, after
+    ``pause_after_events`` events, else before the answer.
     """
 
     def __init__(self) -> None:
@@ -53,6 +55,8 @@
         self.crashing_part = ""
         self.limit_per_s = 0.0
         self.endless = False
+        self.pause_s = 0.0
+        self.pause_after_events = 0
 
 
 class EventStream(ExchangeEvents):
@@ -89,7 +93,9 @@
             return
         self.exchange.write(text.encode())
         if self.last_event_id < EVENTS_PER_STREAM:
-            self.engine.loop.timers.call_later(EVENT_INTERVAL_S, self.send_next_event)
+            paused = faults.pause_s and self.last_event_id == faults.pause_after_events
+            delay_s = faults.pause_s if paused else EVENT_INTERVAL_S
+            self.engine.loop.timers.call_later(delay_s, self.send_next_event)
             return
         self.engine.write_journal("ended", self.exchange)
         self.exchange.finish()
@@ -157,7 +163,7 @@
             return
         faults = self.faults
         self.write_journal("run", exchange, limit_per_s=faults.limit_per_s, leaving=faults.leaving)
-        if self.faults.silent:
+        if faults.silent:
             return
         headers = [*base, (b"Server-Seal", f"seal-{self.name}".encode())]
         if self.faults.endless:
@@ -168,7 +174,7 @@
             status = 500 if self.faults.fail else 200
             body = f"{self.name} {exchange.request.target}".encode()
             self.loop.timers.call_later(
-                WORK_S, lambda: self._answer(exchange, status, headers, body)
+                WORK_S + faults.pause_s, lambda: self._answer(exchange, status, headers, body)
             )
 
     def _common_headers(self, exchange: CallerExchange) -> Headers:
