--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -39,7 +39,8 @@
     part ends the process as soon as its answer begins. With ``limit_per_s`` every answer names that
     limit of requests per second. ``endless`` sends bytes without end: in a failure, or in an event.
     ``pause_s`` is a silence after which the back end goes on: in a stream it comes once, after
-    ``pause_after_events`` events, else before the answer.
+    ``pause_after_events`` events, else before the answer. A request whose body is
+    ``crashing_body`` ends the process as soon as it runs.
     """
 
     def __init__(self) -> None:
@@ -57,6 +58,7 @@
         self.endless = False
         self.pause_s = 0.0
         self.pause_after_events = 0
+        self.crashing_body = ""
 
 
 class EventStream(ExchangeEvents):
@@ -165,6 +167,9 @@
         self.write_journal("run", exchange, limit_per_s=faults.limit_per_s, leaving=faults.leaving)
         if faults.silent:
             return
+        if faults.crashing_body and exchange.request.body == faults.crashing_body.encode():
+            self.write_journal("crashed", exchange)
+            os._exit(CRASH_EXIT_CODE)
         headers = [*base, (b"Server-Seal", f"seal-{self.name}".encode())]
         if self.faults.endless:
             EndlessBody(self, exchange).begin(headers, "/stream" in path)
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -180,9 +180,18 @@
         return call(self.ports[side], method, path, body, headers, host=self.addresses[name])
 
     def send_caller_request(
-        self, name: str, path: str, attempt: str, organisation: str = "officina", **more: str
+        self,
+        name: str,
+        path: str,
+        attempt: str,
+        organisation: str = "officina",
+        text: bytes = b"text",
+        **more: str,
     ) -> Any:
-        """Send a request to a host as a caller; keyword arguments become headers."""
+        """Send a request to a host as a caller; further keyword arguments become headers.
+
+        `text` is the body of requests that have one.
+        """
         headers = {
             "Host": AUTHORITY,
             "Attempt-Id": attempt,
@@ -191,7 +200,7 @@
             **{key.replace("_", "-"): value for key, value in more.items()},
         }
         method = "GET" if path.startswith("/lookup") else "POST"
-        body = b"" if method == "GET" else b"text"
+        body = b"" if method == "GET" else text
         return self.send_request(name, "callers", method, path, headers, body)
 
     def journal(self, name: str) -> list[dict[str, Any]]:
