--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -185,7 +185,7 @@
         path: str,
         attempt: str,
         organisation: str = "officina",
-        text: bytes = b"text",
+        text: str | bytes = b"text",
         **more: str,
     ) -> Any:
         """Send a request to a host as a caller; further keyword arguments become headers.
@@ -200,7 +200,8 @@
             **{key.replace("_", "-"): value for key, value in more.items()},
         }
         method = "GET" if path.startswith("/lookup") else "POST"
-        body = b"" if method == "GET" else text
+        body = text.encode() if isinstance(text, str) else text
+        body = b"" if method == "GET" else body
         return self.send_request(name, "callers", method, path, headers, body)
 
     def journal(self, name: str) -> list[dict[str, Any]]:
