Log the bytes that a host reads and drops on a connection that it closes

LOST beside a configuration: no log line told a request that crossed the close of its connection from one that never came, so the first and the fourth hypothesis could not be told apart.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -79,6 +79,8 @@
     ----------
     closed : bool
         Whether the connection is closed.
+    dropped_bytes : int
+        Number of bytes that were read and discarded while the connection was being closed.
     peer_closed_unread : bool
         Whether the peer closed in an orderly way and had received nothing since `mark_acked`.
     sent_bytes : int
@@ -97,6 +99,7 @@
         "_send_buffer",
         "_timers",
         "closed",
+        "dropped_bytes",
         "events",
         "peer_closed_unread",
         "sent_bytes",
@@ -113,6 +116,7 @@
         self.sock = sock
         self.events = events
         self.closed = False
+        self.dropped_bytes = 0
         self.peer_closed_unread = False
         self.sent_bytes = 0
         self._acked_before = 0
@@ -315,6 +319,7 @@
             self._end_connection(RESET_AFTER_CLOSE if reset_after_close else str(exc))
             return
         if data and self._closing:
+            self.dropped_bytes += len(data)
             return
         if data:
             self.events.on_data(data)
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from loguru import logger
+
 from tarragonwind.adapters.connections import Connection, ConnectionEvents, Listener
 from tarragonwind.adapters.http_requests import CallerRequest, HttpLimits, RequestParser
 from tarragonwind.adapters.loops import Loop
@@ -169,6 +171,7 @@
     """Read requests from one caller's connection and respond to them in order."""
 
     __slots__ = (
+        "_close_reason",
         "_conn",
         "_current",
         "_error",
@@ -185,6 +188,7 @@
         self._parser = RequestParser(server.limits)
         self._current: CallerExchange | None = None
         self._error: RequestError | None = None
+        self._close_reason = ""
         self._timer: Timer | None = None
         self._sent_at_stall_check = 0
         self._conn = Connection(server.loop, sock, self)
@@ -255,6 +259,14 @@
     def on_finished(self) -> None:
         """Remove the connection after its last bytes are sent."""
         self._server.remove_connection(self)
+        dropped = self._conn.dropped_bytes
+        if dropped:
+            logger.info(
+                "event=input_dropped peer={} bytes={} reason={}",
+                self.peer,
+                dropped,
+                self._close_reason,
+            )
 
     @property
     def unsent(self) -> int:
@@ -268,7 +280,7 @@
         self._current = None
         self._stop_timer()
         if not exchange.request.keep_alive:
-            self._close_when_sent()
+            self._close_when_sent("last_response")
             return
         self._conn.resume_reading()
         if self._parser.ready or self._error:
@@ -321,7 +333,7 @@
         if self._current is not None:
             return
         if self.idle:
-            self._close_when_sent()
+            self._close_when_sent("idle")
             return
         self._refuse(RequestError(ErrorKind.REQUEST_TOO_SLOW, "the request came too slowly"))
 
@@ -347,7 +359,8 @@
             self._timer.cancel()
             self._timer = None
 
-    def _close_when_sent(self) -> None:
+    def _close_when_sent(self, reason: str) -> None:
+        self._close_reason = reason
         self._stop_timer()
         self._conn.close_when_sent()
 
