Leave a silent upstream only when another one can take the request

A stream's connection was reset, with neither an answer nor a refusal, though its upstream was sound and went on; other requests got 502 or 503.

Cause: after 2.5 pauses of the route (1.0 s there) `Relay.abandon` ended the dispatch first and the request asked for another permit afterwards. Where that was refused, a response that had begun could only be reset. A pause of about a second is sound, and 1.0 s is on the wrong side of it. Class: giving up what works before its replacement is certain.

Now the dispatch goes on while a second permit is asked for. A grant for another upstream ends the dispatch and is used; a byte of the upstream cancels the request for it; a refusal is asked again after as long a silence. The retry budget is charged at the grant. A caller that leaves gives up both.

Ruled out: a longer stall factor, which leaves the race where it is and keeps requests at dead upstreams for longer.

--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -13,7 +13,12 @@
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient
 from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions, ignore_notice
-from tarragonwind.adapters.response_headers import Framing, is_event_stream
+from tarragonwind.adapters.response_headers import (
+    Framing,
+    content_length,
+    find_stream_id,
+    is_event_stream,
+)
 from tarragonwind.adapters.response_sinks import ResponseSink
 from tarragonwind.core.dispatches import DispatchOutcome
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
@@ -21,14 +26,11 @@
 from tarragonwind.futures import Future
 from tarragonwind.ports import Address, HttpError, HttpRequest, Timer, Timers
 
-STREAM_ID_HEADER = b"stream-id"
-"""Response header with the id under which an upstream can resume or cancel the stream."""
 STREAM_TARGET = "/v1/streams/{}"
 LAST_EVENT_HEADER = b"Last-Event-ID"
 MAX_RESUMES = 3
 RESUME_DELAY_S = 0.1
 CANCEL_TIMEOUT_S = 2.0
-MAX_STREAM_ID_LENGTH = 128
 FIRST_FAILURE_STATUS = 500
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Maximum size of an event of a resumable stream, and of a failure held back for a retry."""
@@ -98,7 +100,10 @@
     on_notice : callable
         Called with the notice of each response's head, before the response is passed on.
     on_stalled : callable
-        Called once, when no bytes have arrived for longer than a stall limit.
+        Called when no bytes have arrived for longer than a stall limit, and again after each
+        further limit.
+    on_recovered : callable
+        Called when bytes arrive after `on_stalled`.
 
     Parameters
     ----------
@@ -127,6 +132,7 @@
         "_paused",
         "_resumes",
         "_stall_timer",
+        "_stalled",
         "_stream_id",
         "_timer",
         "_timers",
@@ -139,6 +145,7 @@
         "notice",
         "on_first_byte",
         "on_notice",
+        "on_recovered",
         "on_stalled",
         "reason",
         "status",
@@ -177,10 +184,12 @@
         self._address: Address | None = None
         self._timer: Timer | None = None
         self._stall_timer: Timer | None = None
+        self._stalled = False
         self.notice = NO_NOTICE
         self.on_notice: Callable[[UpstreamNotice], None] = ignore_notice
         self.on_first_byte: Callable[[], None] = _do_nothing
         self.on_stalled: Callable[[], None] = _do_nothing
+        self.on_recovered: Callable[[], None] = _do_nothing
 
     @property
     def dispatched_at(self) -> float:
@@ -221,7 +230,7 @@
     def on_head(self, status: int, headers: Headers) -> None:
         """Start the caller's response, unless the upstream refused the request."""
         self.status = status
-        self._last_data_at = self._timers.now()
+        self._on_data_arrived()
         self.notice = self._options.read_notice(status, headers)
         self.on_notice(self.notice)
         kind = self._options.classify_response(status, headers)
@@ -248,6 +257,12 @@
         self._caller.start(status, headers, length)
         self._restart_timer()
 
+    def _on_data_arrived(self) -> None:
+        self._last_data_at = self._timers.now()
+        if self._stalled:
+            self._stalled = False
+            self.on_recovered()
+
     def _continue_response(self, status: int) -> None:
         """Continue the response of an earlier upstream if this one responded with status 200."""
         if status == 200:
@@ -261,11 +276,10 @@
         """Forward body bytes, and stop reading the upstream while the caller is congested."""
         if self.end.done():
             return
-        now = self._timers.now()
+        self._on_data_arrived()
         if not self.first_byte_s:
-            self.first_byte_s = now - self._dispatched_at
+            self.first_byte_s = self._last_data_at - self._dispatched_at
             self.on_first_byte()
-        self._last_data_at = now
         if self.tail is not None:
             self.tail.feed(data)
         if self.buffered_response is not None:
@@ -411,7 +425,7 @@
             self._stall_timer = self._timers.call_later(limit_s, self._check_stall)
 
     def _check_stall(self) -> None:
-        """Call `on_stalled` if the upstream has been silent too long, else check again later."""
+        """Call `on_stalled` if the upstream has been silent too long, and check again later."""
         self._stall_timer = None
         if self.end.done():
             return
@@ -422,7 +436,10 @@
         if self._paused or silent_s < limit_s - TIMER_TOLERANCE_S:
             self._schedule_stall_check(limit_s if self._paused else limit_s - silent_s)
             return
+        self._stalled = True
         self.on_stalled()
+        if not self.end.done():
+            self._schedule_stall_check(limit_s)
 
     def _abort_response(self) -> None:
         self._lifecycle.end(Outcome.CUT)
@@ -468,21 +485,3 @@
         self.duration_s = self._timers.now() - self._dispatched_at
         self._caller.events = ExchangeEvents()
         self.end.set_result(end)
-
-
-def content_length(headers: Headers) -> int | None:
-    """Return the value of Content-Length in bytes, or None."""
-    for name, value in headers:
-        if name.lower() == b"content-length":
-            return int(value)
-    return None
-
-
-def find_stream_id(headers: Headers) -> str:
-    """Return the id of a resumable stream, empty if there is no valid one."""
-    for name, value in headers:
-        if name.lower() == STREAM_ID_HEADER:
-            text = value.decode("latin-1")
-            plain = text.replace("-", "").isalnum() and text.isascii()
-            return text if plain and len(text) <= MAX_STREAM_ID_LENGTH else ""
-    return ""
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from loguru import logger
 
 from tarragonwind.adapters.caller_dialects import (
@@ -20,6 +22,7 @@
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, Relay
 from tarragonwind.adapters.request_claims import RequestClaim
+from tarragonwind.adapters.standby_permits import StandbyPermit
 from tarragonwind.core.classifications import RequestClass
 from tarragonwind.core.dispatches import DispatchOutcome, RetryPolicy
 from tarragonwind.core.entries import UpstreamEntry
@@ -28,9 +31,9 @@
 from tarragonwind.core.permit_requests import Permit
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
 from tarragonwind.core.schedulers import DispatchReport, SchedulingRequest
-from tarragonwind.core.scheduling_requests import FIRST_BYTE_MARGIN_S, build_scheduling_request
+from tarragonwind.core.scheduling_requests import build_scheduling_request, restart_patience
 from tarragonwind.core.stream_cursors import StreamCursor
-from tarragonwind.errors import ErrorKind, RequestError
+from tarragonwind.errors import CALLER_ERRORS, ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled
 from tarragonwind.ports import Address, HttpRequest
 from tarragonwind.telemetry_traces import SpanName
@@ -39,18 +42,6 @@
 """Error kinds that count as load shedding."""
 STALL_FACTOR = 2.5
 """Multiple of the route's target latency or event gap after which a silent upstream has stalled."""
-CALLER_ERRORS = frozenset(
-    [
-        ErrorKind.BAD_REQUEST,
-        ErrorKind.UNAUTHORIZED,
-        ErrorKind.UNKNOWN_ROUTE,
-        ErrorKind.METHOD_REFUSED,
-        ErrorKind.OVER_ALLOTMENT,
-        ErrorKind.OVER_LIMIT,
-        ErrorKind.PROMPT_QUARANTINED,
-    ]
-)
-"""Error kinds that the caller causes; they are logged at INFO instead of WARNING."""
 EXPECTED_OUTCOMES = frozenset([Outcome.ANSWERED, Outcome.CALLER_LEFT])
 """Outcomes that are logged at INFO instead of WARNING."""
 
@@ -93,6 +84,7 @@
         self._allotment_taken_at: float | None = None
         self._budget_taken = False
         self._permit: Permit | None = None
+        self._standby: StandbyPermit | None = None
         self._catalogue_number = 0
         self._status = 0
         self._trace = context.telemetry.start_request(exchange.request.headers)
@@ -112,6 +104,8 @@
             logger.exception("event=request_failed request={}", self.name)
             self._refuse(RequestError(ErrorKind.INTERNAL, "an internal error ended the request"))
         finally:
+            if self._standby is not None:
+                self._standby.withdraw()
             not_run = not self._sent or self._lifecycle.refusal_proven
             self._claim.settle(self._response_complete, not_run)
             self._refund_allotment()
@@ -157,9 +151,10 @@
         self, request_class: RequestClass, scheduling_request: SchedulingRequest
     ) -> None:
         """Dispatch the request and retry failed dispatches while the retry policy allows it."""
+        timers = self._context.loop.timers
         while True:
             permit = await self._obtain_permit(scheduling_request)
-            outcome = await self._dispatch(request_class, permit)
+            outcome = await self._dispatch(request_class, permit, scheduling_request)
             self._retry_policy.record(outcome)
             if outcome in (DispatchOutcome.WHOLE, DispatchOutcome.CALLER_LEFT, DispatchOutcome.CUT):
                 return
@@ -179,12 +174,8 @@
                 describe_parts(request_class),
             )
             scheduling_request.avoid.append(permit.upstream)
-            if self._exchange.started and request_class.route.patience_s:
-                # After an event the caller waits `patience_s` again, so the deadline restarts.
-                now = self._context.loop.timers.now()
-                scheduling_request.first_byte_deadline = (
-                    now + request_class.route.patience_s - FIRST_BYTE_MARGIN_S
-                )
+            if self._exchange.started:
+                restart_patience(scheduling_request, request_class.route, timers.now())
             self._budget_taken = False
             self._buffered_response = None
             self._lifecycle.reset_for_retry(request_class.route.repeatable)
@@ -240,7 +231,18 @@
             )
 
     async def _obtain_permit(self, scheduling_request: SchedulingRequest) -> Permit:
+        """Take the permit for another upstream that is held already, or else wait for one."""
         self._lifecycle.advance(LifecycleState.WAITING)
+        permit = self._standby.take() if self._standby is not None else None
+        if permit is None:
+            permit = await self._request_permit(scheduling_request)
+        self._permit = permit
+        self._trace.end_span(SpanName.WAIT)
+        self._waited_s = self._context.loop.timers.now() - self._started_at
+        self._lifecycle.advance(LifecycleState.PERMITTED)
+        return permit
+
+    async def _request_permit(self, scheduling_request: SchedulingRequest) -> Permit:
         permit_future: Future[Permit] = Future()
         self._permit_future = permit_future
         self._trace.start_span(SpanName.OWNER)
@@ -249,11 +251,7 @@
         )
         permit = await self._await_permit(permit_future)
         self._permit_future = None
-        self._permit = permit
         self._trace.end_span(SpanName.OWNER)
-        self._trace.end_span(SpanName.WAIT)
-        self._waited_s = self._context.loop.timers.now() - self._started_at
-        self._lifecycle.advance(LifecycleState.PERMITTED)
         return permit
 
     async def _await_permit(self, permit_future: Future[Permit]) -> Permit:
@@ -266,7 +264,12 @@
             self._context.waiting_requests -= 1
             self._context.waiting_bytes -= size
 
-    async def _dispatch(self, request_class: RequestClass, permit: Permit) -> DispatchOutcome:
+    async def _dispatch(
+        self,
+        request_class: RequestClass,
+        permit: Permit,
+        scheduling_request: SchedulingRequest,
+    ) -> DispatchOutcome:
         """Dispatch under a permit, and record the reason of a failure."""
         scheduler = self._context.scheduler
         self._relay = None
@@ -284,9 +287,11 @@
             scheduler.on_finished(permit, DispatchReport(PermitOutcome.UNUSED))
             raise
         relay = self._start_relay(permit, upstream, remaining_s)
+        self._standby = self._create_standby(relay, permit, request_class, scheduling_request)
         self._context.dispatched_requests += 1
         outcome = await relay.end
         self._context.dispatched_requests -= 1
+        self._standby.stop_asking()
         self._exchange.events = self
         self._buffered_response = relay.buffered_response
         self._relay = relay
@@ -346,7 +351,6 @@
         relay = Relay(self._exchange, self._lifecycle, options, timers, self._cursor)
         relay.on_first_byte = lambda: self._on_first_byte(permit)
         relay.on_notice = lambda notice: self._on_notice(upstream, notice, relay)
-        relay.on_stalled = lambda: self._on_stalled(permit, relay)
         self._context.scheduler.on_dispatched(permit)
         self._trace.set_attribute("upstream", permit.upstream)
         self._trace.start_span(SpanName.DISPATCH)
@@ -361,22 +365,33 @@
             self._context.on_upstream_leaving(upstream)
         self._context.scheduler.on_limit(upstream, notice.limit_per_s, relay.dispatched_at)
 
-    def _on_stalled(self, permit: Permit, relay: Relay) -> None:
-        """Report a stalled upstream and retry the request on another one where that is allowed."""
-        self._context.scheduler.on_stalled(permit)
-        retried = (
-            self._retry_policy.may_retry_failures
-            and not self._exchange.disconnected
-            and self._take_retry_budget(permit.pool)
-        )
-        logger.warning(
-            "event=upstream_silent request={} upstream={} retried={}",
+    def _create_standby(
+        self,
+        relay: Relay,
+        permit: Permit,
+        request_class: RequestClass,
+        scheduling_request: SchedulingRequest,
+    ) -> StandbyPermit:
+        """Return what looks for another upstream while this one is silent."""
+
+        def create_request() -> SchedulingRequest:
+            retry = dataclasses.replace(scheduling_request)
+            if self._exchange.started:
+                restart_patience(retry, request_class.route, self._context.loop.timers.now())
+            return retry
+
+        def may_leave() -> bool:
+            return self._retry_policy.may_retry_failures and not self._exchange.disconnected
+
+        return StandbyPermit(
+            self._context.scheduler,
+            relay,
+            permit,
+            create_request,
+            may_leave,
+            lambda: self._take_retry_budget(permit.pool),
             self.name,
-            permit.upstream,
-            retried,
         )
-        if retried:
-            relay.abandon("the upstream was silent")
 
     def _on_first_byte(self, permit: Permit) -> None:
         self._context.scheduler.on_first_byte(permit)
--- a/tarragonwind/adapters/response_headers.py
+++ b/tarragonwind/adapters/response_headers.py
@@ -8,6 +8,9 @@
 
 EVENT_STREAM_TYPE = b"text/event-stream"
 BODILESS_STATUSES = frozenset([204, 304])
+STREAM_ID_HEADER = b"stream-id"
+"""Response header with the id under which an upstream can resume or cancel the stream."""
+MAX_STREAM_ID_LENGTH = 128
 
 
 class Framing(enum.Enum):
@@ -36,3 +39,21 @@
     media_type = fields.get(b"content-type", b"").partition(b";")[0].strip().lower()
     coding = fields.get(b"content-encoding", b"identity").strip().lower()
     return media_type == EVENT_STREAM_TYPE and coding == b"identity"
+
+
+def content_length(headers: Headers) -> int | None:
+    """Return the value of Content-Length in bytes, or None."""
+    for name, value in headers:
+        if name.lower() == b"content-length":
+            return int(value)
+    return None
+
+
+def find_stream_id(headers: Headers) -> str:
+    """Return the id of a resumable stream, empty if there is no valid one."""
+    for name, value in headers:
+        if name.lower() == STREAM_ID_HEADER:
+            text = value.decode("latin-1")
+            plain = text.replace("-", "").isalnum() and text.isascii()
+            return text if plain and len(text) <= MAX_STREAM_ID_LENGTH else ""
+    return ""
--- a/tarragonwind/core/scheduling_requests.py
+++ b/tarragonwind/core/scheduling_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tarragonwind.core.classifications import RequestClass
+from tarragonwind.core.entries import RouteEntry
 from tarragonwind.core.prompt_prefixes import hash_prefixes
 from tarragonwind.core.schedulers import SchedulingRequest
 
@@ -44,3 +45,9 @@
         scheduling_request.max_tokens = request_class.max_tokens
         scheduling_request.prefixes = hash_prefixes(request_class.prompt)
     return scheduling_request
+
+
+def restart_patience(request: SchedulingRequest, route: RouteEntry, now: float) -> None:
+    """Restart the time within which the next byte must come, as callers wait after each event."""
+    if route.patience_s:
+        request.first_byte_deadline = now + route.patience_s - FIRST_BYTE_MARGIN_S
--- a/tarragonwind/errors.py
+++ b/tarragonwind/errors.py
@@ -130,3 +130,17 @@
 
 class EntryError(Exception):
     """Signal an invalid catalogue entry; nothing was written."""
+
+
+CALLER_ERRORS = frozenset(
+    [
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.UNAUTHORIZED,
+        ErrorKind.UNKNOWN_ROUTE,
+        ErrorKind.METHOD_REFUSED,
+        ErrorKind.OVER_ALLOTMENT,
+        ErrorKind.OVER_LIMIT,
+        ErrorKind.PROMPT_QUARANTINED,
+    ]
+)
+"""Error kinds that the caller causes; they are logged at INFO instead of WARNING."""
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -26,6 +26,7 @@
 TARGET_S = 0.1
 """Target of the routes; an upstream is silent after 2.5 times as long."""
 PAUSE_S = 0.8
+SHORT_PAUSE_S = 0.02
 
 
 class PausingUpstream:
@@ -144,10 +145,10 @@
 def harness(request):
     if request.param == "stream":
         silent = PausingUpstream(HEAD + EVENTS[0], b"".join(EVENTS[1:]))
-        other = PausingUpstream(HEAD + EVENTS[1], b"".join(EVENTS[2:]), 0.0)
+        other = PausingUpstream(HEAD + EVENTS[1], b"".join(EVENTS[2:]), SHORT_PAUSE_S)
     else:
         silent = PausingUpstream(b"", PLAIN)
-        other = PausingUpstream(b"", PLAIN, 0.0)
+        other = PausingUpstream(b"", PLAIN, SHORT_PAUSE_S)
     one = Harness(silent, other)
     one.stream = request.param == "stream"
     one.body = b"".join(EVENTS) if one.stream else b"ok"
@@ -165,6 +166,7 @@
     assert read_answer(harness.send(harness.stream)) == (200, harness.body)
     assert len(harness.silent.requests) == 1
     assert not harness.silent.cut.is_set()
+    wait_until(lambda: harness.scheduler.reports, "the permit is released", 2.0)
     assert [report.outcome for report in harness.scheduler.reports] == [Outcome.OK]
 
 
