Time idle connections by the limits in force, and narrow a limit only when its change has spread

What callers saw: LOST beside a configuration.

Cause: a read timer kept the limit that was in force when it was started, and a lowered limit bound this host at once while callers still went by the one before. Class: a value of the configuration that is captured at the start of something that outlives it.

Now a timer that fires asks again which limit is in force, for the idle time as for a head on its way.

Ruled out: closing all idle connections at a change, which makes every caller's next request cross a close.

--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -11,6 +11,7 @@
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
 from tarragonwind.adapters.request_handlers import RequestHandler
+from tarragonwind.core.caller_limits import SPREAD_S, SpreadingLimits
 from tarragonwind.core.configurations import CallerLimits
 from tarragonwind.core.request_lifecycles import RequestLifecycle
 from tarragonwind.errors import RequestError
@@ -43,6 +44,7 @@
         self.context = context
         self._active: set[RequestHandler] = set()
         self._ids = itertools.count(1)
+        self._limits = SpreadingLimits()
         self._server = HttpServer(
             context.loop, address, limits, self._on_request, self._on_request_error, sock
         )
@@ -53,11 +55,23 @@
         self._server.start()
 
     def set_limits(self, limits: CallerLimits) -> None:
-        """Replace the limits on the size and time of callers' requests."""
-        self._server.limits.max_head_bytes = limits.max_header_bytes
-        self._server.limits.max_body_bytes = limits.max_body_bytes
-        self._server.limits.head_timeout_s = limits.header_timeout_s
-        self._server.limits.idle_timeout_s = limits.idle_timeout_s
+        """Replace the limits on the size and time of callers' requests.
+
+        A limit that becomes narrower binds after `SPREAD_S`, since callers may still go by the one
+        before.
+        """
+        timers = self.context.loop.timers
+        if self._limits.replace(timers.now(), limits):
+            self._apply_limits()
+            timers.call_later(SPREAD_S, self._apply_limits)
+
+    def _apply_limits(self) -> None:
+        widest = self._limits.widest(self.context.loop.timers.now())
+        limits = self._server.limits
+        limits.max_head_bytes = widest.max_header_bytes
+        limits.max_body_bytes = widest.max_body_bytes
+        limits.head_timeout_s = widest.header_timeout_s
+        limits.idle_timeout_s = widest.idle_timeout_s
 
     def announce_close(self) -> None:
         """Send ``Connection: close`` with each response, so that callers connect to other hosts."""
--- a/tarragonwind/adapters/http_requests.py
+++ b/tarragonwind/adapters/http_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import deque
 
 import httptools
@@ -12,6 +13,14 @@
 """Maximum number of pipelined requests of one connection that wait for earlier responses."""
 
 
+class ReadPhase(enum.Enum):
+    """Define what a connection waits for, each with a time limit of its own."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+
+
 class HttpLimits:
     """Limit the size and duration of requests and responses on one connection.
 
@@ -58,6 +67,12 @@
         self.stall_timeout_s = stall_timeout_s
         self.max_connections = max_connections
 
+    def read_timeout_s(self, phase: ReadPhase) -> float:
+        """Return the longest duration of a phase, in seconds."""
+        if phase is ReadPhase.IDLE:
+            return self.idle_timeout_s
+        return self.head_timeout_s if phase is ReadPhase.HEAD else self.body_timeout_s
+
 
 class CallerRequest:
     """Represent one complete request of a caller.
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from tarragonwind.adapters.connections import Connection, ConnectionEvents, Listener
-from tarragonwind.adapters.http_requests import CallerRequest, HttpLimits, RequestParser
+from tarragonwind.adapters.http_requests import (
+    CallerRequest,
+    HttpLimits,
+    ReadPhase,
+    RequestParser,
+)
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.ports import Address, Timer
@@ -176,6 +181,8 @@
         "_current",
         "_error",
         "_parser",
+        "_phase",
+        "_phase_began",
         "_sent_at_stall_check",
         "_server",
         "_timer",
@@ -192,7 +199,9 @@
         self._timer: Timer | None = None
         self._sent_at_stall_check = 0
         self._conn = Connection(server.loop, sock, self)
-        self._start_read_timer(server.limits.idle_timeout_s)
+        self._phase = ReadPhase.IDLE
+        self._phase_began = 0.0
+        self._begin_phase(ReadPhase.IDLE)
 
     @property
     def closed(self) -> bool:
@@ -232,7 +241,7 @@
         elif self._parser.in_body:
             self._prepare_body()
         elif not was_reading:
-            self._start_read_timer(self._server.limits.head_timeout_s)
+            self._begin_phase(ReadPhase.HEAD)
 
     def _prepare_body(self) -> None:
         if self._parser.wants_continue:
@@ -240,7 +249,7 @@
             self._conn.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if not self._parser.body_timed:
             self._parser.body_timed = True
-            self._start_read_timer(self._server.limits.body_timeout_s)
+            self._begin_phase(ReadPhase.BODY)
 
     def on_drained(self) -> None:
         """Pass the event to the current exchange."""
@@ -286,7 +295,7 @@
         if self._parser.ready or self._error:
             self._server.loop.timers.call_later(0.0, self._start_next_exchange)
         else:
-            self._start_read_timer(self._server.limits.idle_timeout_s)
+            self._begin_phase(ReadPhase.IDLE)
 
     def close(self) -> None:
         """Close immediately; requests that are not yet read are discarded."""
@@ -324,14 +333,28 @@
         self._conn.pause_reading()
         self._server.on_request_error(exchange, error)
 
-    def _start_read_timer(self, timeout_s: float) -> None:
+    def _begin_phase(self, phase: ReadPhase) -> None:
+        self._phase = phase
+        self._phase_began = self._server.loop.timers.now()
+        self._start_read_timer()
+
+    def _start_read_timer(self) -> None:
         self._stop_timer()
-        self._timer = self._server.loop.timers.call_later(timeout_s, self._on_read_timeout)
+        self._timer = self._server.loop.timers.call_later(self._left_s(), self._on_read_timeout)
+
+    def _left_s(self) -> float:
+        """Return the time left of the current phase, by the limits in force now, in seconds."""
+        elapsed_s = self._server.loop.timers.now() - self._phase_began
+        return self._server.limits.read_timeout_s(self._phase) - elapsed_s
 
     def _on_read_timeout(self) -> None:
         self._timer = None
         if self._current is not None:
             return
+        if self._left_s() > 0:
+            # The limit was raised since the timer was started.
+            self._start_read_timer()
+            return
         if self.idle:
             self._close_when_sent("idle")
             return
