Leave input unread on a connection that is being closed, and answer what came before the close

A request that crossed the close of its idle connection was read by the host's process and got nothing: no response, no reset, only the end of the connection.

Cause: `Connection.close_when_sent` resumed reading and discarded for a second what came, so that a peer that is still sending gets to read a refusal. It did so for idle connections and after last responses too, where the bytes are a request of their own. Class: input that is consumed by a part which answers for nothing.

Now only the close behind a refused request discards. Every other close leaves input in the socket, and the close resets the connection: the caller knows that its request was not read. A request that has arrived when the idle limit is reached is served.

Ruled out: serving requests after the close has begun, as a response can't follow the end of the sending side.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -120,7 +120,7 @@
         side.forwarded_bytes += min(count, len(side.buffer))
         del side.buffer[:count]
         if side.ended and not side.buffer:
-            other.conn.close_when_sent()
+            other.conn.close_when_sent(discard_input=True)
             self.proxy.links.discard(self)
 
     def reset(self) -> None:
--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -192,21 +192,40 @@
         if self._closing:
             self.events.on_finished()
 
-    def close_when_sent(self) -> None:
+    def close_when_sent(self, discard_input: bool = False) -> None:
         """Close after the unsent bytes are sent and the peer has had time to read them.
 
-        Closing a socket with unread input resets the connection, and the reset can destroy data
-        that the peer has not read yet. Input is therefore discarded for `LINGER_S` first.
+        Input is left unread, so a request that crosses the close is known not to have been read.
+
+        Parameters
+        ----------
+        discard_input : bool
+            Whether to read and discard input for `LINGER_S`. A peer that is still sending a request
+            needs it: closing with unread input resets the connection, and the reset can destroy a
+            response that the peer has not read yet.
         """
         if self.closed or self._closing:
             return
         self._closing = True
-        self.resume_reading()
+        if discard_input:
+            self.resume_reading()
+        else:
+            self.pause_reading()
         if self._send_buffer:
             self._close_if_stalled(self.sent_bytes)
         else:
             self._shut_down_writing()
 
+    def has_input(self) -> bool:
+        """Return whether bytes, or the peer's close, wait to be read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def _close_if_stalled(self, sent_bytes: int) -> None:
         """Close if the peer has read nothing within `CLOSE_STALL_S`."""
 
@@ -273,13 +292,7 @@
 
     def is_stale(self) -> bool:
         """Return whether an idle connection is closed or has received unsolicited bytes."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return self.has_input()
 
     def on_ready(self, events: int) -> None:
         """Handle readiness of the socket."""
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -355,10 +355,14 @@
             # The limit was raised since the timer was started.
             self._start_read_timer()
             return
-        if self.idle:
+        if not self.idle:
+            self._error = RequestError(ErrorKind.REQUEST_TOO_SLOW, "the request came too slowly")
+            self._refuse(self._error)
+        elif self._conn.has_input():
+            # The next request has arrived and is read after this timer.
+            self._begin_phase(ReadPhase.IDLE)
+        else:
             self._close_when_sent("idle")
-            return
-        self._refuse(RequestError(ErrorKind.REQUEST_TOO_SLOW, "the request came too slowly"))
 
     def _start_stall_timer(self) -> None:
         timeout_s = self._server.limits.stall_timeout_s
@@ -385,7 +389,7 @@
     def _close_when_sent(self, reason: str) -> None:
         self._close_reason = reason
         self._stop_timer()
-        self._conn.close_when_sent()
+        self._conn.close_when_sent(discard_input=self._error is not None)
 
 
 class HttpServer:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -203,3 +203,22 @@
         while data := sock.recv(4_096):
             got += data
     return got
+
+
+def test_requests_sent_around_the_idle_close_are_answered_or_unread(runner):
+    served = ServedRequests()
+    server = find_server(runner, served, HttpLimits(idle_timeout_s=SHORT_S))
+    callers = [open_connection(server.address) for _ in range(60)]
+    began = {}
+    for caller in callers:
+        assert exchange(caller).startswith(b"HTTP/1.1 200")
+        began[caller] = time.monotonic()
+    for number, caller in enumerate(callers):
+        offset_s = (number % 20 - 10) / 1_000
+        time.sleep(max(0.0, began[caller] + SHORT_S + offset_s - time.monotonic()))
+        with contextlib.suppress(ConnectionError):
+            caller.sendall(REQUEST)
+    answered = {caller for caller in callers if read_all(caller).startswith(b"HTTP/1.1 200")}
+    unread = {caller for caller in callers if caller not in answered and was_reset(caller)}
+    assert len(answered) == served.count - len(callers)
+    assert len(answered | unread) == len(callers), f"{len(answered)} answered, {len(unread)} unread"
