Answer pipelined requests that were read when a host stops

A request that was read behind another one got nothing when the host closed its idle connections, or when the response before it announced the end of the connection.

Cause: `CallerConnection.idle` and `stopping` did not count requests that are parsed and wait for their turn. Class: a request that is in the host's hands and in nobody's books.

--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -210,13 +210,17 @@
 
     @property
     def stopping(self) -> bool:
-        """Return whether responses announce the end of their connection."""
-        return self._server.stopping
+        """Return whether the next response announces the end of its connection.
+
+        Requests behind it that have been read are answered first.
+        """
+        return self._server.stopping and not self._parser.ready
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being read or processed."""
-        return self._current is None and not self._parser.in_head and not self._parser.in_body
+        """Return whether no request is being read, waiting or processed."""
+        reading = self._parser.in_head or self._parser.in_body
+        return self._current is None and not reading and not self._parser.ready
 
     def write(self, data: bytes) -> None:
         """Send response bytes, and start the stall timer if the caller reads too slowly."""
