Add the failing test of an idle limit that runs while a response is being sent

A caller that needs longer than the idle limit to read a response found its connection closing, though nothing announced that, and its next request got no answer. The idle timer starts when the response enters the send buffer, so that the wait for the next request is over before the caller has the response; what it then sends is read and dropped by Connection.close_when_sent. A lowered idle limit makes this more likely.

--- a/tests/test_unsent_responses.py
+++ b/tests/test_unsent_responses.py
@@ -1,7 +1,8 @@
-"""Test that a response which its caller reads slowly arrives whole."""
+"""Test that a response which its caller reads slowly arrives whole, and so does the next one."""
 
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -14,6 +15,7 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 BODY_BYTES = 16 * 1024 * 1024
 """More than the socket buffers of both sides take."""
+IDLE_S = 0.3
 BUFFER_BYTES = 64 * 1024
 
 
@@ -84,3 +86,14 @@
     runner.call(server.stop)
     runner.call(server.close_idle)
     assert caller.is_whole(caller.read_response())
+
+
+def test_a_request_after_a_response_that_outlasted_the_idle_limit_is_answered(served, server):
+    server.limits.idle_timeout_s = IDLE_S
+    caller = SlowCaller(server.address.port)
+    caller.send()
+    wait_until(lambda: served.count == 1, "the response is being sent")
+    time.sleep(2 * IDLE_S)
+    assert caller.is_whole(caller.read_response())
+    caller.send()
+    assert caller.is_whole(caller.read_response())
