--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -211,11 +211,20 @@
 
 
 def create_configuration(
-    version: int, keys: dict[str, str] | None = None, rate: int = 0, timeout_ms: int = 3_000
+    version: int,
+    keys: dict[str, str] | None = None,
+    rate: int = 0,
+    timeout_ms: int = 3_000,
+    limits: dict[str, int] | None = None,
+    routes: list[dict[str, Any]] | None = None,
 ) -> dict[str, Any]:
-    """Return a configuration document in the platform's form."""
+    """Return a configuration document in the platform's form.
+
+    `limits` replaces single limits, `routes` all routes; their fields that all routes share are
+    added.
+    """
     common = {"host": AUTHORITY, "public": False, "sessionAffinity": False}
-    routes = [
+    routes = routes or [
         {
             "name": "r-draft",
             "pathPrefix": "/draft/",
@@ -274,6 +283,7 @@
             "maxBodyBytes": 1_000_000,
             "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
+            **(limits or {}),
         },
         "tenants": tenants,
     }
