Wait at a stop for responses that are being sent and requests that are being read

At the end of a stop's notice a response that its caller was still reading was cut, a half-sent request got no answer although the grace period was not over, and a response that took longer to read than the idle limit cost its caller the next request.

Cause: `CallerConnection.idle` and `Gateway.in_progress` knew only requests between their last byte and the hand-over of their response to the send buffer.

Now unsent bytes and half-read requests count as in progress, and the idle time of a caller that is still reading its response does not end while it makes progress (stall_timeout_s as before bounds it).

--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -88,8 +88,8 @@
 
     @property
     def in_progress(self) -> int:
-        """Return the number of requests in progress."""
-        return len(self._active)
+        """Return the number of requests in progress, with those that are being read."""
+        return len(self._active) + self._server.reading_count
 
     @property
     def unsent_bytes(self) -> int:
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -176,13 +176,13 @@
     """Read requests from one caller's connection and respond to them in order."""
 
     __slots__ = (
-        "_close_reason",
         "_conn",
         "_current",
         "_error",
         "_parser",
         "_phase",
         "_phase_began",
+        "_progress_at",
         "_sent_at_stall_check",
         "_server",
         "_timer",
@@ -195,12 +195,12 @@
         self._parser = RequestParser(server.limits)
         self._current: CallerExchange | None = None
         self._error: RequestError | None = None
-        self._close_reason = ""
         self._timer: Timer | None = None
         self._sent_at_stall_check = 0
         self._conn = Connection(server.loop, sock, self)
         self._phase = ReadPhase.IDLE
         self._phase_began = 0.0
+        self._progress_at = 0.0
         self._begin_phase(ReadPhase.IDLE)
 
     @property
@@ -216,11 +216,16 @@
         """
         return self._server.stopping and not self._parser.ready
 
+    @property
+    def reading(self) -> bool:
+        """Return whether a part of a request has been read."""
+        return self._parser.in_head or self._parser.in_body
+
     @property
     def idle(self) -> bool:
-        """Return whether no request is being read, waiting or processed."""
-        reading = self._parser.in_head or self._parser.in_body
-        return self._current is None and not reading and not self._parser.ready
+        """Return whether no request is read, waiting or processed, and no response being sent."""
+        busy = self._current is not None or self._parser.ready or self.reading
+        return not busy and not self._conn.unsent
 
     def write(self, data: bytes) -> None:
         """Send response bytes, and start the stall timer if the caller reads too slowly."""
@@ -234,7 +239,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Parse requests and start the next one if none is in progress."""
-        was_reading = self._parser.in_head or self._parser.in_body
+        was_reading = self.reading
         self._error = self._parser.feed(data)
         if self._current is not None:
             if self._parser.ready or self._error:
@@ -274,12 +279,7 @@
         self._server.remove_connection(self)
         dropped = self._conn.dropped_bytes
         if dropped:
-            logger.info(
-                "event=input_dropped peer={} bytes={} reason={}",
-                self.peer,
-                dropped,
-                self._close_reason,
-            )
+            logger.info("event=input_dropped peer={} bytes={}", self.peer, dropped)
 
     @property
     def unsent(self) -> int:
@@ -293,12 +293,13 @@
         self._current = None
         self._stop_timer()
         if not exchange.request.keep_alive:
-            self._close_when_sent("last_response")
+            self._close_when_sent()
             return
         self._conn.resume_reading()
         if self._parser.ready or self._error:
             self._server.loop.timers.call_later(0.0, self._start_next_exchange)
         else:
+            self._progress_at = self._server.loop.timers.now()
             self._begin_phase(ReadPhase.IDLE)
 
     def close(self) -> None:
@@ -359,14 +360,24 @@
             # The limit was raised since the timer was started.
             self._start_read_timer()
             return
-        if not self.idle:
+        if self.reading:
             self._error = RequestError(ErrorKind.REQUEST_TOO_SLOW, "the request came too slowly")
             self._refuse(self._error)
-        elif self._conn.has_input():
-            # The next request has arrived and is read after this timer.
+        elif self._conn.has_input() or self._awaits_caller():
+            # The next request is read after this timer, or can't come yet.
             self._begin_phase(ReadPhase.IDLE)
         else:
-            self._close_when_sent("idle")
+            self._close_when_sent()
+
+    def _awaits_caller(self) -> bool:
+        """Return whether the last response is being sent, to a caller that has not stalled."""
+        if not self._conn.unsent:
+            return False
+        now = self._server.loop.timers.now()
+        if self._conn.sent_bytes != self._sent_at_stall_check:
+            self._sent_at_stall_check = self._conn.sent_bytes
+            self._progress_at = now
+        return now - self._progress_at < self._server.limits.stall_timeout_s
 
     def _start_stall_timer(self) -> None:
         timeout_s = self._server.limits.stall_timeout_s
@@ -390,8 +401,7 @@
             self._timer.cancel()
             self._timer = None
 
-    def _close_when_sent(self, reason: str) -> None:
-        self._close_reason = reason
+    def _close_when_sent(self) -> None:
         self._stop_timer()
         self._conn.close_when_sent(discard_input=self._error is not None)
 
@@ -442,6 +452,11 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def reading_count(self) -> int:
+        """Return the number of connections on which a part of a request has been read."""
+        return sum(conn.reading for conn in self._connections)
+
     @property
     def unsent_bytes(self) -> int:
         """Return the number of response bytes that are not yet sent, over all connections."""
@@ -460,7 +475,7 @@
         self._listener.close()
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress.
+        """Close the connections that have no request or response in progress.
 
         A request that arrives at the same time is not read, so its caller can infer that it has
         not run.
