Close kept connections to an upstream when its address changes hands

Cause: the client keeps idle connections by address. An address is given to another upstream, or to a new start of the same one; what is sent on a connection to the one before is reset. Class: state kept under a key that outlives what it describes.

Now a change of the catalogue closes the idle connections of each address whose start has changed or gone; one in use at that time isn't kept. Both daemons do so.

--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -43,6 +43,7 @@
 from tarragonwind.settings import Settings
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
+from tarragonwind.upstream_connections import UpstreamConnections
 from tarragonwind.upstream_reports import UpstreamReports
 
 SIGNAL_POLL_S = 0.1
@@ -78,6 +79,7 @@
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
+        self.connections = UpstreamConnections(self.client)
         self.store = create_store(
             store_settings(cfg), loop.timers, self.client, self._count_store_call
         )
@@ -265,6 +267,7 @@
         return in_force if in_force.number else None
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self.connections.on_catalogue(catalogue)
         self.moves.set_catalogue(catalogue)
         self.scheduler.set_catalogue(catalogue)
         self.reports.set_catalogue(catalogue)
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -54,6 +54,7 @@
 from tarragonwind.store_mirrors import MirrorReplicator, StoreMirror
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
+from tarragonwind.upstream_connections import UpstreamConnections
 from tarragonwind.upstream_departures import UpstreamDepartures
 
 __all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
@@ -117,6 +118,7 @@
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
+        self.connections = UpstreamConnections(self.client)
         self.store = create_store(store_settings(cfg), timers, self.client, self._count_store_call)
         self.peers = create_peers(loop, peer_settings(cfg, rng))
         self.membership = create_membership(self.peers, timers, membership_settings(cfg), rng)
@@ -239,6 +241,7 @@
         return self.configuration.catalogue
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self.connections.on_catalogue(catalogue)
         self.scheduler.set_catalogue(catalogue)
         self.gateway.set_limits(self.configuration.limits)
         if self.configuration.ready:
