Add the failing test of bytes that replace the response to an operator's change

An operator whose client sends anything after a change, an empty line is enough, got 400 although the change was being written, and took it for refused. OperatorListener._on_read passes a complete request on and goes on reading; what comes next is rejected on the same connection, which marks it as responded, so that the true response is dropped.

Bytes in the same read as the request are rejected before it is passed on, which is true.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -280,6 +280,24 @@
     assert send_request(running, "GET", "/healthz")[0] == 200
 
 
+@pytest.mark.parametrize(
+    "trailing",
+    [b"\r\n", b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"],
+    ids=["empty-line", "request"],
+)
+def test_bytes_after_a_change_that_is_being_written_do_not_replace_its_response(running, trailing):
+    running.service.hold_answers = True
+    body = json.dumps(change()).encode()
+    with socket.create_connection(("127.0.0.1", running.port), 10) as sock:
+        sock.sendall(REQUEST_HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        while not running.service.held:
+            time.sleep(0.005)
+        sock.sendall(trailing)
+        time.sleep(0.1)
+        running.call(lambda: running.service.held[0].set_result(ChangeResult(9)))
+        assert read_to_end(sock).startswith(b"HTTP/1.1 200 ")
+
+
 def test_closed_connections_leave_no_buffers_or_clients(running, capfd):
     # Clients that close or reset with a complete, partial or malformed request.
     request = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
