--- a/tests/configuration_changes.py
+++ b/tests/configuration_changes.py
@@ -186,8 +186,7 @@
             assert self._response is not None
             body = self._got + self._response.read()
         except (OSError, http.client.HTTPException) as exc:
-            status = self._response.status if self._response is not None else 0
-            return Answer(status or 0, error=repr(exc))
+            return Answer(error=repr(exc))
         return Answer(self._response.status, dict(self._response.getheaders()), body)
 
     def ask(self, path: str, **more: str) -> Answer:
