Time a request that begins behind another one by its own limits

A head or body that began to arrive while an earlier request of its connection was in progress went by the idle limit, and its caller got no 100 Continue.

Cause: finish_exchange took such a connection for idle.

--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -247,9 +247,14 @@
             return
         if self._parser.ready or self._error:
             self._start_next_exchange()
-        elif self._parser.in_body:
+        elif self._parser.in_body or not was_reading:
+            self._go_on_reading()
+
+    def _go_on_reading(self) -> None:
+        """Time the rest of a request of which a part has been read."""
+        if self._parser.in_body:
             self._prepare_body()
-        elif not was_reading:
+        else:
             self._begin_phase(ReadPhase.HEAD)
 
     def _prepare_body(self) -> None:
@@ -298,6 +303,8 @@
         self._conn.resume_reading()
         if self._parser.ready or self._error:
             self._server.loop.timers.call_later(0.0, self._start_next_exchange)
+        elif self.reading:
+            self._go_on_reading()
         else:
             self._progress_at = self._server.loop.timers.now()
             self._begin_phase(ReadPhase.IDLE)
