Answer a request whose handler fails before it takes it over

A probe of a page that can't be rendered got no response and no end of its connection: the exception went up to the poller, which logs it, and the request stayed in progress without a time limit.

Cause: HttpServer stops the read timer and hands over; nobody owned the request when the hand-over failed. Callers' requests don't come to this, as RequestHandler.serve answers for every exception.

--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -333,10 +333,21 @@
         if self._parser.ready:
             exchange = CallerExchange(self, self._parser.ready.popleft())
             self._current = exchange
-            self._server.on_request(exchange)
+            self._serve(exchange)
         elif self._error is not None:
             self._refuse(self._error)
 
+    def _serve(self, exchange: CallerExchange) -> None:
+        """Hand a request over; a failure to take it is answered here."""
+        try:
+            self._server.on_request(exchange)
+        except Exception:
+            logger.exception("event=request_not_taken peer={}", self.peer)
+            if exchange.started:
+                exchange.abort()
+            else:
+                exchange.answer(HTTPStatus.INTERNAL_SERVER_ERROR, [], b"")
+
     def _refuse(self, error: RequestError) -> None:
         request = CallerRequest("GET", "/", [])
         request.keep_alive = False
