Ignore what comes behind an operator's request instead of rejecting it in place of its response

A client that sent anything behind a change, an empty line is enough, got 400 while the change was written, and its true response was dropped.

--- a/tarragonwind/adapters/operator_listeners.py
+++ b/tarragonwind/adapters/operator_listeners.py
@@ -231,6 +231,10 @@
         conn = self._conns.get(sock)
         if conn is None or conn.responded:
             return
+        if conn.reader.complete:
+            # Its response is still due; a rejection would replace it.
+            logger.info("event=operator_input_ignored peer={} bytes={}", conn.peer[0], len(data))
+            return
         try:
             conn.reader.feed(data)
         except RequestRejected as exc:
