--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,7 +13,7 @@
 
 from standins.journals import Journal
 from standins.servers import StandIn, answer_json, read_json
-from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
+from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 from tarragonwind.core.classifications import join_prompt
 
 BLOCK_CHARACTERS = 256
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -9,7 +9,7 @@
 import fire
 
 from standins.servers import StandIn, answer_json, read_json
-from tarragonwind.adapters.http_servers import CallerExchange
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 
 HOST_FIELDS = ("name", "address", "port", "data_centre")
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -10,7 +10,7 @@
 from standins.journals import Journal
 from standins.servers import StandIn
 from tarragonwind.adapters.caller_dialects import Headers
-from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
+from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 
 EVENT_INTERVAL_S = 0.02
 EVENTS_PER_STREAM = 10
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,7 +13,7 @@
 import fire
 
 from standins.servers import JSON_HEADERS, StandIn, read_json
-from tarragonwind.adapters.http_servers import CallerExchange
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 
 LEASE_SWEEP_PERIOD_S = 0.1
 REWRITE_DELAY_S = 0.3
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 from tarragonwind.adapters.http_requests import HttpLimits
-from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
+from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.errors import RequestError
 from tarragonwind.ports import Address
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 
 from standins.journals import Journal
 from standins.servers import StandIn, answer_json
-from tarragonwind.adapters.http_servers import CallerExchange
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 
 
 class ServiceFaults:
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -6,7 +6,7 @@
 import math
 
 from standins.servers import StandIn, answer_json, read_json
-from tarragonwind.adapters.http_servers import CallerExchange
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 
 DEFAULT_LIFETIME_S = 3_600.0
 
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -7,9 +7,10 @@
 
 from loguru import logger
 
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 from tarragonwind.adapters.gateway_contexts import GatewayContext
 from tarragonwind.adapters.http_requests import HttpLimits
-from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
+from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.adapters.request_handlers import RequestHandler
 from tarragonwind.core.caller_limits import SPREAD_S, SpreadingLimits
 from tarragonwind.core.configurations import CallerLimits
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -10,8 +10,8 @@
     ResponseKind,
     UpstreamNotice,
 )
+from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.http_clients import ClientExchange, HttpClient
-from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions, ignore_notice
 from tarragonwind.adapters.response_headers import (
     Framing,
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -12,13 +12,13 @@
     ResponseKind,
     UpstreamNotice,
 )
+from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.dispatch_reports import (
     describe_dispatch,
     describe_parts,
     describe_response_end,
 )
 from tarragonwind.adapters.gateway_contexts import GatewayContext
-from tarragonwind.adapters.http_servers import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, Relay
 from tarragonwind.adapters.request_claims import RequestClaim
--- a/tarragonwind/adapters/status_pages.py
+++ b/tarragonwind/adapters/status_pages.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from tarragonwind.adapters.caller_exchanges import CallerExchange
 from tarragonwind.adapters.http_requests import HttpLimits
-from tarragonwind.adapters.http_servers import CallerExchange, HttpServer
+from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.errors import RequestError
 from tarragonwind.ports import Address
