Let back ends of the soak fall silent for about a second and go on

No soak run had a back end that is sound and silent for a while: the fault kind `silent` never answers. The new kind `fall_silent` pauses streams after three events and plain answers before their head, 1.2 s each, and goes on. It is no disturbance, so it excuses no promise.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -42,6 +42,9 @@
 CRASHING_PAUSE_S = 0.4
 """Longest pause between two crashing prompts, in seconds."""
 LIMIT_PER_S = 4.0
+SILENCE_S = 1.2
+"""Time for which a sound back end falls silent, in seconds."""
+EVENTS_BEFORE_SILENCE = 3
 
 EndFault = Callable[[], None]
 
@@ -270,6 +273,12 @@
         """Make a back end accept requests without answering."""
         return self.set_fault(self.ports[fault.target], "silent", True, False)
 
+    def fall_silent(self, fault: Fault) -> EndFault:
+        """Let a sound back end fall silent in its streams and before plain answers, and go on."""
+        port = self.ports[fault.target]
+        self.control(port, pause_s=SILENCE_S, pause_after_events=EVENTS_BEFORE_SILENCE)
+        return lambda: self.control(port, pause_s=0.0, pause_after_events=0)
+
     def cut_streams(self, fault: Fault) -> EndFault:
         """Make a back end abort its streams in the middle of an event."""
         return self.set_fault(self.ports[fault.target], "cut_after_events", 4, 0)
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -68,6 +68,7 @@
 
 @fault_kind(
     "silent",
+    "fall_silent",
     "cut_streams",
     "break_off_streams",
     "unframed",
