Change each kind of configuration field in series in the soak

The fault kind `configure` wrote one version without any change, so no soak run changed an idle limit, a timeout, keys, routes or request limits under load. Versions are due actions like the ends of faults, so they overlap with signals. Actions that are due at once are now carried out by their due time.

`create_configuration` of the stand-ins learns the limits, tenants with several keys, and added and dropped routes; the fleet keeps the limits that it has written.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,12 +11,15 @@
 import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from functools import partial
+from operator import itemgetter
 from pathlib import Path
 
 import fire
 
 from soak.callers import CRASHING, CRASHING_PART, CallerRecord, LoadWorker
 from soak.checkers import Violation, check_recovery, check_run
+from soak.configuration_changes import generate_series
 from soak.promises import (
     Disturbance,
     History,
@@ -170,7 +173,7 @@
                 end_fault = self.record_disturbance(fault, end_fault)
                 self.active_faults.append((time.monotonic() + fault.for_s, end_fault))
         self.wait_until(time.monotonic() + max(0.0, started_at + self.seconds - time.monotonic()))
-        for _, end_fault in self.active_faults:
+        for _, end_fault in sorted(self.active_faults, key=itemgetter(0)):
             end_fault()
         self.active_faults.clear()
 
@@ -192,7 +195,8 @@
         while True:
             now = time.monotonic()
             self.restart_crashed_back_ends()
-            for due, end_fault in [fault for fault in self.active_faults if fault[0] <= now]:
+            past = [fault for fault in self.active_faults if fault[0] <= now]
+            for due, end_fault in sorted(past, key=itemgetter(0)):
                 self.active_faults.remove((due, end_fault))
                 end_fault()
             if now >= end:
@@ -401,8 +405,12 @@
         return restore
 
     def configure(self, fault: Fault) -> None:
-        """Write a new version of the configuration."""
-        self.site.configure()
+        """Write versions of the configuration in series; the last one restores all fields."""
+        rng = random.Random(f"{self.seed}-{fault.at_s}")
+        due = time.monotonic()
+        for gap_s, changes in generate_series(rng):
+            due += gap_s
+            self.active_faults.append((due, partial(self.site.configure, **changes)))
 
 
 def run_seed(seed: int, seconds: float) -> list[Violation]:
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -6,6 +6,8 @@
 import os
 import subprocess
 import sys
+import time
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,11 +19,29 @@
 STREAM_PATH = "/draft/stream"
 LOOKUP_PATH = "/lookup/7"
 STAMP_PATH = "/stamp/7"
+ROUTE_COMMON = {"host": AUTHORITY, "public": False, "sessionAffinity": False}
 GRACE_S = 6
 FIRST_START_MS = 1_700_000_000_000
 """Time of a back end's first start, in Unix milliseconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenVersion:
+    """Hold the limits of a configuration and when it was written.
+
+    Attributes
+    ----------
+    at : float
+        Wall-clock time in seconds.
+    timeout_s, idle_s : float
+        Timeout of all routes, and idle timeout of callers' connections, in seconds.
+    """
+
+    at: float
+    timeout_s: float
+    idle_s: float
+
+
 @dataclass(slots=True)
 class PlatformFleet:
     """Run stand-ins and entry hosts with their files in one directory.
@@ -30,9 +50,15 @@
     ----------
     directory : Path
         Directory of settings, logs and journals.
+    base : dict
+        Changes that all configurations contain, as arguments of `create_configuration`.
+    versions : list of WrittenVersion
+        Configurations written so far.
     """
 
     directory: Path
+    base: dict[str, Any] = field(default_factory=dict)
+    versions: list[WrittenVersion] = field(default_factory=list)
     fleet: Fleet = field(init=False)
     ports: dict[str, int] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -77,7 +103,11 @@
     def configure(self, **changes: Any) -> None:
         """Write a configuration with a higher version."""
         self.version += 3
-        self.put("op/config", create_configuration(self.version, **changes))
+        doc = create_configuration(self.version, **merge_changes(self.base, changes))
+        timeout_s = min((route["timeoutMs"] for route in doc["routes"]), default=0) / 1_000
+        idle_s = doc["limits"]["idleTimeoutMs"] / 1_000
+        self.versions.append(WrittenVersion(time.time(), timeout_s, idle_s))
+        self.put("op/config", doc)
 
     def replace_exited_back_end(self, name: str, successor: str, pool: str) -> FleetProcess:
         """Remove the entry of a back end that has exited, and start another one in its place."""
@@ -210,6 +240,12 @@
         return [json.loads(line) for line in path.read_text().splitlines()]
 
 
+def merge_changes(changes: dict[str, Any], later: dict[str, Any]) -> dict[str, Any]:
+    """Return arguments of `create_configuration` with later ones; limits are merged by name."""
+    limits = {**changes.get("limits", {}), **later.get("limits", {})}
+    return {**changes, **later, "limits": limits}
+
+
 def create_configuration(
     version: int,
     keys: dict[str, str] | None = None,
@@ -217,66 +253,47 @@
     timeout_ms: int = 3_000,
     limits: dict[str, int] | None = None,
     routes: list[dict[str, Any]] | None = None,
+    *,
+    tenants: dict[str, list[str]] | None = None,
+    added_routes: Collection[str] = (),
+    dropped_routes: Collection[str] = (),
 ) -> dict[str, Any]:
     """Return a configuration document in the platform's form.
 
-    `limits` replaces single limits, `routes` all routes; their fields that all routes share are
-    added.
+    Parameters
+    ----------
+    version : int
+        Version number.
+    keys : dict of str
+        API key of each tenant.
+    rate : int
+        Tokens per second and burst of each tenant, 0 for no limit.
+    timeout_ms : int
+        Timeout of all routes.
+    limits : dict of int
+        Limits for requests from callers to replace, by name.
+    routes : list of dict
+        Routes in place of the usual ones; fields that all routes share are added.
+    tenants : dict of list
+        API keys of each tenant, in place of `keys`.
+    added_routes, dropped_routes : collection of str
+        Names of safe routes to add, whose paths begin with the name, and of routes to leave out.
     """
-    common = {"host": AUTHORITY, "public": False, "sessionAffinity": False}
-    routes = routes or [
-        {
-            "name": "r-draft",
-            "pathPrefix": "/draft/",
-            "kind": "stream",
-            "timeoutMs": timeout_ms,
-            "targetLatencyMs": 400,
-            "gapTargetMs": 300,
-            "priority": 0,
-            "service": "drafting",
-            "maxAttempts": 2,
-            "streamResume": True,
-        },
-        {
-            "name": "r-lookup",
-            "pathPrefix": "/lookup/",
-            "kind": "safe",
-            "timeoutMs": timeout_ms,
-            "targetLatencyMs": 200,
-            "priority": 1,
-            "service": "registry",
-            "maxAttempts": 2,
-        },
-        {
-            "name": "r-stamp",
-            "pathPrefix": "/stamp/",
-            "kind": "unsafe",
-            "timeoutMs": timeout_ms,
-            "targetLatencyMs": 200,
-            "priority": 1,
-            "service": "registry",
-            "maxAttempts": 1,
-        },
+    added = [create_plain_route(name, name, "safe", timeout_ms) for name in added_routes]
+    kept = [
+        {**ROUTE_COMMON, **route}
+        for route in [*(routes or create_routes(timeout_ms)), *added]
+        if route["name"] not in dropped_routes
     ]
     engine = {"slots": 6, "stride": 5}
     services = [
         {"name": "drafting", "healthPath": "/healthz", "maxConns": 100, "engine": engine},
         {"name": "registry", "healthPath": "/healthz", "maxConns": 100},
     ]
-    tenants = [
-        {
-            "name": name,
-            "apiKeys": [key],
-            "unit": "token_stream",
-            "plainTokens": 200,
-            "ratePerS": rate,
-            "burst": rate,
-        }
-        for name, key in (keys or KEYS).items()
-    ]
+    keys_by_tenant = tenants or {name: [key] for name, key in (keys or KEYS).items()}
     return {
         "version": version,
-        "routes": [{**common, **route} for route in routes],
+        "routes": kept,
         "services": services,
         "limits": {
             "maxHeaderBytes": 16_384,
@@ -285,5 +302,52 @@
             "idleTimeoutMs": 15_000,
             **(limits or {}),
         },
-        "tenants": tenants,
+        "tenants": [create_tenant(name, held, rate) for name, held in keys_by_tenant.items()],
+    }
+
+
+def create_routes(timeout_ms: int) -> list[dict[str, Any]]:
+    """Return the routes of `STREAM_PATH`, `LOOKUP_PATH` and `STAMP_PATH`."""
+    stream = {
+        "name": "r-draft",
+        "pathPrefix": "/draft/",
+        "kind": "stream",
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 400,
+        "gapTargetMs": 300,
+        "priority": 0,
+        "service": "drafting",
+        "maxAttempts": 2,
+        "streamResume": True,
+    }
+    return [
+        stream,
+        create_plain_route("r-lookup", "lookup", "safe", timeout_ms),
+        create_plain_route("r-stamp", "stamp", "unsafe", timeout_ms),
+    ]
+
+
+def create_plain_route(name: str, segment: str, kind: str, timeout_ms: int) -> dict[str, Any]:
+    """Return a route of plain answers whose paths begin with a segment."""
+    return {
+        "name": name,
+        "pathPrefix": f"/{segment}/",
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 200,
+        "priority": 1,
+        "service": "registry",
+        "maxAttempts": 2 if kind == "safe" else 1,
+    }
+
+
+def create_tenant(name: str, keys: list[str], rate: int) -> dict[str, Any]:
+    """Return a tenant with its API keys."""
+    return {
+        "name": name,
+        "apiKeys": keys,
+        "unit": "token_stream",
+        "plainTokens": 200,
+        "ratePerS": rate,
+        "burst": rate,
     }
