Check in the soak that a request which a back end runs is answered

No check of the soak looked at a request that a back end ran and whose caller got no complete answer: a lost connection was an allowed outcome everywhere. The check `a request that was read is answered` finds them by the callers' records and the back ends' journals. Excused are an unplanned disturbance of the host, a back end of the last execution that broke off, crashed or had its link disturbed, the caller's deadline, the shortest timeout that may be in force, and what a stopping host gives up in the last sixth of its grace while the back end is at work. A graceful stop by itself and a disturbance of the store excuse nothing.

Four patient callers leave connections idle for up to four fifths of the idle limit and reuse them, and the limit is 2.5 s. Resets of links and endless answers are kept for the check; the excuses of the other checks are as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,6 +26,13 @@
 """Kind of the requests that have the crashing part; other streams share the first one."""
 PATHS = {"stream": STREAM_PATH, "safe": LOOKUP_PATH, "unsafe": STAMP_PATH}
 TIMEOUT_S = 6.0
+DEADLINE_S = 5.0
+"""Time that callers wait for an answer, as they tell the hosts, in seconds."""
+IDLE_SHARE = 0.8
+"""Longest time that a connection is idle before callers reuse it, as a share of its limit."""
+WAKE_UP_S = 0.05
+"""Time by which a caller may wake up late, in seconds."""
+LONGEST_WAIT_SHARE = 0.5
 PAUSE_S = 0.02
 NO_ANSWER = 0
 """Status of a request that got no response head."""
@@ -53,6 +60,11 @@
         Wall-clock time at which a response that names a limit was received, 0 without one.
     leaving_at : float
         Wall-clock time of a response whose back end announces its leaving, 0 without one.
+    sent_at, ended_at : float
+        Wall-clock times at which the request was sent, and at which its response or connection
+        ended, 0 before that.
+    idle_s : float
+        Time for which its connection had been idle, 0 for a new one.
     """
 
     attempt: str
@@ -65,11 +77,18 @@
     seal: str = ""
     limited_at: float = 0.0
     leaving_at: float = 0.0
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    idle_s: float = 0.0
 
 
 @dataclass(slots=True)
 class LoadWorker:
-    """Send requests of one thread in sequence to randomly chosen hosts."""
+    """Send requests of one thread in sequence to randomly chosen hosts.
+
+    It keeps a connection to each host. One that is patient mostly leaves a connection idle for most
+    of the time that the host may allow, and then reuses it.
+    """
 
     site: PlatformFleet
     name: str
@@ -79,6 +98,8 @@
     conns: dict[str, http.client.HTTPConnection] = field(default_factory=dict)
     kinds: tuple[str, ...] = tuple(sorted(PATHS))
     pause_s: float = PAUSE_S
+    patient: bool = False
+    used_at: dict[str, float] = field(default_factory=dict)
 
     def run(self) -> None:
         """Send requests until stopped."""
@@ -86,33 +107,61 @@
             if self.stopped.is_set():
                 return
             kind = self.rng.choice(self.kinds)
-            host = self.rng.choice(sorted(self.site.addresses))
+            host = self.choose_host(number)
             record = CallerRecord(f"{self.name}-{number}", kind, host)
             self.records.append(record)
+            if self.patient and host in self.conns:
+                self.stopped.wait(self.choose_wait(host))
             self.send_request(record)
             time.sleep(self.pause_s * self.rng.random())
 
+    def choose_host(self, number: int) -> str:
+        """Return a random host, or the next one in turn if the worker is patient."""
+        hosts = sorted(self.site.addresses)
+        return hosts[number % len(hosts)] if self.patient else self.rng.choice(hosts)
+
+    def max_idle_s(self) -> float:
+        """Return the longest time for which a connection may be idle before it is reused."""
+        return IDLE_SHARE * self.site.versions[-1].idle_s
+
+    def choose_wait(self, host: str) -> float:
+        """Return how long to leave the connection to a host idle, mostly the longest time."""
+        share = 1.0 if self.rng.random() < LONGEST_WAIT_SHARE else self.rng.random()
+        return max(0.0, self.used_at[host] + share * self.max_idle_s() - time.time())
+
     def send_request(self, record: CallerRecord) -> None:
         """Send one request, closing its connection after an error."""
-        conn = self.conns.get(record.host)
-        if conn is None:
-            address = self.site.addresses[record.host]
-            conn = http.client.HTTPConnection(
-                address, self.site.ports["callers"], timeout=TIMEOUT_S
-            )
-            self.conns[record.host] = conn
+        conn = self.find_conn(record.host)
+        record.sent_at = time.time()
+        if conn.sock is not None:
+            record.idle_s = record.sent_at - self.used_at[record.host]
         try:
             self.exchange(conn, record)
         except (OSError, http.client.HTTPException):
             conn.close()
             del self.conns[record.host]
+        finally:
+            record.ended_at = self.used_at[record.host] = time.time()
+
+    def find_conn(self, host: str) -> http.client.HTTPConnection:
+        """Return the connection to a host; one that has been idle for too long is closed."""
+        conn = self.conns.get(host)
+        if conn is None:
+            address = self.site.addresses[host]
+            conn = http.client.HTTPConnection(
+                address, self.site.ports["callers"], timeout=TIMEOUT_S
+            )
+            self.conns[host] = conn
+        elif time.time() - self.used_at[host] > self.max_idle_s() + WAKE_UP_S:
+            conn.close()
+        return conn
 
     def exchange(self, conn: http.client.HTTPConnection, record: CallerRecord) -> None:
         """Send one request and record its response as it is received."""
         headers = {
             "Host": AUTHORITY,
             "Attempt-Id": record.attempt,
-            "Request-Deadline": "5000",
+            "Request-Deadline": f"{DEADLINE_S * 1_000:.0f}",
             "Authorization": f"Bearer {KEYS['officina']}",
             "Token-Counts": "100,50",
             "Model": "m",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,14 +5,13 @@
 import math
 import re
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
 from soak.callers import CRASHING, CallerRecord
 from soak.checkers import Violation
+from soak.histories import CONTACT_S, History
+from soak.lost_requests import check_lost_requests
 
-CONTACT_S = 3.0
-"""Time without a disturbance after which a promise binds a host, in seconds."""
 CRASHES_ALLOWED = 5
 """Number of back ends that one part may crash before it is kept from the others."""
 LATE_RUNS_ALLOWED = 3
@@ -33,66 +32,15 @@
 """Memory of a host, as in the settings of the fleet."""
 
 
-@dataclass(frozen=True, slots=True)
-class Disturbance:
-    """Hold the time in which a host, a back end's link or the store was disturbed.
-
-    Attributes
-    ----------
-    host : str
-        Name of the host or of the back end, empty for the store.
-    begin, end : float
-        Wall-clock times, in seconds.
-    """
-
-    host: str
-    begin: float
-    end: float
-
-
-@dataclass(slots=True)
-class History:
-    """Hold what is known after a run.
-
-    Attributes
-    ----------
-    records : list of CallerRecord
-        Requests of all callers.
-    lines : list of dict
-        Events of the journals of all back ends.
-    disturbances : list of Disturbance
-        Disturbances of hosts and the store.
-    """
-
-    records: list[CallerRecord]
-    lines: list[dict[str, Any]]
-    disturbances: list[Disturbance] = field(default_factory=list)
-
-    def runs(self) -> list[dict[str, Any]]:
-        """Return the executions, in order."""
-        return sorted(
-            (line for line in self.lines if line["event"] == "run"), key=lambda line: line["at"]
-        )
-
-    def hosts(self) -> dict[str, str]:
-        """Return the host that each request was sent to."""
-        return {record.attempt: record.host for record in self.records}
-
-    def is_bound(self, host: str, at: float) -> bool:
-        """Return whether neither the host nor the store was disturbed within `CONTACT_S`."""
-        begin = at - CONTACT_S
-        return not (self.is_disturbed(host, begin, at) or self.is_disturbed("", begin, at))
-
-    def is_disturbed(self, host: str, begin: float, end: float) -> bool:
-        """Return whether a host, a back end's link or the store was disturbed in a time."""
-        return any(
-            one.host == host and one.begin <= end and one.end >= begin for one in self.disturbances
-        )
-
-
 def check_promises(history: History) -> list[Violation]:
     """Return all violations of the promises."""
-    checks = (check_crashing_part, check_limits, check_leaving, check_holds)
+    checks = (
+        check_crashing_part,
+        check_limits,
+        check_leaving,
+        check_holds,
+        check_lost_requests,
+    )
     return [violation for check in checks for violation in check(history)]
 
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -20,20 +20,17 @@
 from soak.callers import CRASHING, CRASHING_PART, CallerRecord, LoadWorker
 from soak.checkers import Violation, check_recovery, check_run
 from soak.configuration_changes import generate_series
-from soak.promises import (
-    Disturbance,
-    History,
-    check_memory,
-    check_promises,
-    check_sound_streams,
-    check_versions,
-)
+from soak.histories import Disturbance, History
+from soak.promises import check_memory, check_promises, check_sound_streams, check_versions
 from soak.schedules import Fault, Targets, generate_faults
 from standins.fleets import FleetError, call, free_port, set_faults
 from standins.platform_engine import EVENTS_PER_STREAM
 from standins.platform_fleets import PlatformFleet
 
 HOSTS, ENGINES, SERVICES, CALLERS = 3, 3, 3, 6
+PATIENT_CALLERS = 4
+BASE_IDLE_MS = 2_500
+"""Idle limit of callers' connections outside of changes, in milliseconds."""
 RECOVERY_S = 6.0
 """Length of the recovery phase, which follows the faults, in seconds."""
 RECOVERY_WARMUP_S = 4.0
@@ -45,6 +42,8 @@
 CRASHING_PAUSE_S = 0.4
 """Longest pause between two crashing prompts, in seconds."""
 LIMIT_PER_S = 4.0
+RESET_S = 0.1
+"""Time after which a link has reset its connections, in seconds."""
 SILENCE_S = 1.2
 """Time for which a sound back end falls silent, in seconds."""
 EVENTS_BEFORE_SILENCE = 3
@@ -68,22 +67,21 @@
     ports: dict[str, int] = field(default_factory=dict)
     active_faults: list[tuple[float, EndFault]] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    resets: list[Disturbance] = field(default_factory=list)
     crashing_callers: list[LoadWorker] = field(default_factory=list)
 
     def run(self) -> list[Violation]:
         """Start all processes, inject the faults under load and check the invariants."""
+        self.site.base["limits"] = {"idleTimeoutMs": BASE_IDLE_MS}
         self.site.start(engines=0, services=0, hosts=HOSTS)
         for number in range(ENGINES):
             self.start_back_end(f"i-engine{number}", "drafting")
         for number in range(SERVICES):
             self.start_back_end(f"i-service{number}", "registry")
         stopped = threading.Event()
-        callers = [
-            LoadWorker(
-                self.site, f"s{self.seed}-c{number}", random.Random(self.seed + number), stopped
-            )
-            for number in range(CALLERS)
-        ]
+        callers = [self.create_caller(number, stopped) for number in range(CALLERS)]
+        for number in range(CALLERS, CALLERS + PATIENT_CALLERS):
+            callers.append(self.create_caller(number, stopped, patient=True))
         threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
         for thread in threads:
             thread.start()
@@ -96,6 +94,13 @@
             thread.join(10)
         return self.check(callers, counts)
 
+    def create_caller(
+        self, number: int, stopped: threading.Event, patient: bool = False
+    ) -> LoadWorker:
+        """Create a caller of the load."""
+        name, rng = f"s{self.seed}-c{number}", random.Random(self.seed + number)
+        return LoadWorker(self.site, name, rng, stopped, patient=patient)
+
     def check(self, callers: list[LoadWorker], counts: list[int]) -> list[Violation]:
         """Check the callers' records against the journals of back ends."""
         records: list[CallerRecord] = []
@@ -106,6 +111,7 @@
         for caller in self.crashing_callers:
             records += caller.records
         lines = [line for name in self.pools for line in self.site.journal(name)]
+        history = History(records, lines, self.disturbances, self.resets, list(self.site.versions))
         statuses = sorted({record.status for record in records})
         print(
             f"seed={self.seed} requests={len(records)} statuses="
@@ -117,7 +123,7 @@
             *check_run(records, lines, EVENTS_PER_STREAM),
             *check_recovery(recovery_records),
             *check_sound_streams(recovery_records),
-            *check_promises(History(records, lines, self.disturbances)),
+            *check_promises(history),
             *self.check_hosts(),
         ]
 
@@ -168,25 +174,28 @@
         for fault in faults:
             self.wait_until(started_at + fault.at_s)
             print(f"seed={self.seed} " + json.dumps(asdict(fault)), file=sys.stderr)
+            begin = time.time()
             end_fault = getattr(self, fault.kind)(fault)
             if end_fault is not None:
-                end_fault = self.record_disturbance(fault, end_fault)
+                end_fault = self.record_disturbance(fault, begin, end_fault)
                 self.active_faults.append((time.monotonic() + fault.for_s, end_fault))
         self.wait_until(time.monotonic() + max(0.0, started_at + self.seconds - time.monotonic()))
         for _, end_fault in sorted(self.active_faults, key=itemgetter(0)):
             end_fault()
         self.active_faults.clear()
 
-    def record_disturbance(self, fault: Fault, end_fault: EndFault) -> EndFault:
+    def record_disturbance(self, fault: Fault, begin: float, end_fault: EndFault) -> EndFault:
         """Return a function that ends a fault and records whom it disturbed, and for how long."""
         if fault.kind not in HOST_KINDS and not fault.kind.startswith(("store_", "link_")):
             return end_fault
-        begin = time.time()
         started_s = DISTURBED_AFTER_START_S if fault.kind in HOST_KINDS else 0.0
 
         def end() -> None:
             end_fault()
-            self.disturbances.append(Disturbance(fault.target, begin, time.time() + started_s))
+            planned = fault.kind == "stop_host"
+            self.disturbances.append(
+                Disturbance(fault.target, begin, time.time() + started_s, planned)
+            )
 
         return end
 
@@ -360,7 +369,9 @@
 
     def link_reset(self, fault: Fault) -> EndFault | None:
         """Reset all connections of a proxy."""
+        begin = time.time()
         set_faults(self.links[fault.target], cut=random.getrandbits(30))
+        self.resets.append(Disturbance(fault.target, begin, time.time() + RESET_S))
         return None
 
     def link_black_hole(self, fault: Fault) -> EndFault:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -114,6 +114,7 @@
 
     def begin(self, headers: Headers, stream: bool) -> None:
         """Send the head, of a stream or of a failure, and the first bytes."""
+        self.engine.write_journal("endless", self.exchange)
         if stream:
             headers = [*headers, (b"Content-Type", b"text/event-stream")]
         self.exchange.start(200 if stream else 500, headers)
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from soak.callers import CRASHING, CallerRecord
+from soak.callers import CRASHING, DEADLINE_S, CallerRecord
 from soak.checkers import check_recovery, check_run
+from soak.histories import CONTACT_S, SPREAD_S, Disturbance, History
+from soak.lost_requests import GRACE_SHARE, LATEST_S, check_lost_requests
 from soak.promises import (
-    CONTACT_S,
     CRASHES_ALLOWED,
     DRAIN_S,
     HELD_RUNS_ALLOWED,
@@ -14,14 +15,13 @@
     SLACK,
     TOLERANCE,
     WINDOW_S,
-    Disturbance,
-    History,
     check_memory,
     check_promises,
     check_sound_streams,
     check_versions,
 )
 from soak.schedules import FAULT_KINDS, Targets, generate_faults
+from standins.platform_fleets import GRACE_S, WrittenVersion
 
 TARGETS = Targets(("h1", "h2"), ("b1", "b2"), ("b1", "b2"))
 
@@ -210,3 +210,87 @@
     assert check_versions("h1", log.format(6, older)) != []
     assert check_versions("h1", log.format(6, "event=started\n" + older)) == []
     assert check_versions("h1", log.format(3, older)) == []
+
+
+def lost_history(lines=(), lasts_s=1.0, **more):
+    """Return a history of a request that two back ends ran and that got no complete answer."""
+    lost = CallerRecord("a", "safe", "h1", sent_at=10.0, ended_at=10.0 + lasts_s)
+    runs = [
+        {"event": "run", "source": source, "attempt-id": "a", "at": at}
+        for source, at in (("b1", 10.1), ("b2", 10.5))
+    ]
+    return History([lost], [*runs, *lines], **more)
+
+
+def journal_line(event, source="b2", attempt="a", at=10.6):
+    return {"event": event, "source": source, "attempt-id": attempt, "at": at}
+
+
+def stop(begin):
+    return Disturbance("h1", begin, begin + 60.0, planned=True)
+
+
+STOP_GIVES_UP_S = GRACE_S * GRACE_SHARE
+WRITTEN = [WrittenVersion(1.0, 0.5, 9.0), WrittenVersion(2.0, 4.0, 9.0)]
+LOST = "a request that was read is answered"
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        lost_history(),
+        lost_history([journal_line("cut", "b1")]),
+        lost_history([journal_line("cut", attempt="b")]),
+        lost_history([journal_line("crashed", "b1", "b")]),
+        lost_history([journal_line("crashed", attempt="b", at=10.4)]),
+        lost_history(disturbances=[Disturbance("h1", 9.0, 12.0, planned=True)]),
+        lost_history(disturbances=[Disturbance("h2", 9.0, 12.0), Disturbance("", 9.0, 12.0)]),
+        lost_history(disturbances=[Disturbance("h1", 1.0, 9.9 - CONTACT_S)]),
+        lost_history(disturbances=[Disturbance("b1", 9.0, 12.0)]),
+        lost_history(resets=[Disturbance("b2", 10.0, 10.4)]),
+        lost_history(lasts_s=3.0, disturbances=[stop(13.1 - STOP_GIVES_UP_S)]),
+        lost_history([journal_line("ended")], 3.0, disturbances=[stop(12.9 - STOP_GIVES_UP_S)]),
+        lost_history(lasts_s=3.0, disturbances=[stop(9.9 - LATEST_S)]),
+        lost_history(lasts_s=3.9, versions=WRITTEN),
+        lost_history(lasts_s=DEADLINE_S - 0.1),
+    ],
+)
+def test_a_request_that_ran_and_ended_without_a_whole_answer_is_found(history):
+    assert invariants(history) == [LOST]
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        lost_history([journal_line("cut")]),
+        lost_history([journal_line("endless")]),
+        lost_history([journal_line("crashed", attempt="b")]),
+        lost_history(disturbances=[Disturbance("h1", 10.5, 12.0)]),
+        lost_history(disturbances=[Disturbance("h1", 1.0, 10.1 - CONTACT_S)]),
+        lost_history(disturbances=[Disturbance("b2", 9.0, 10.6)]),
+        lost_history(resets=[Disturbance("b2", 10.6, 10.7)]),
+        lost_history(lasts_s=3.0, disturbances=[stop(12.9 - STOP_GIVES_UP_S)]),
+        lost_history(lasts_s=4.0, versions=WRITTEN),
+        lost_history(lasts_s=DEADLINE_S),
+    ],
+)
+def test_what_may_end_a_request_without_an_answer_is_no_violation(history):
+    assert invariants(history) == []
+
+
+def test_requests_that_are_answered_or_unfinished_or_have_not_run_are_not_lost():
+    history = lost_history()
+    history.records[0].whole = True
+    assert check_lost_requests(history) == []
+    history.records[0].whole, history.records[0].ended_at = False, 0.0
+    assert check_lost_requests(history) == []
+    history = lost_history()
+    history.lines.clear()
+    assert check_lost_requests(history) == []
+
+
+def test_a_timeout_counts_until_its_successor_is_in_force():
+    older, newer = WRITTEN
+    assert History([], [], versions=WRITTEN).versions_in_force(2.1 + SPREAD_S, 9.0) == [newer]
+    assert History([], [], versions=WRITTEN).versions_in_force(1.9 + SPREAD_S, 9.0) == WRITTEN
+    assert History([], [], versions=WRITTEN).versions_in_force(1.0, 1.9) == [older]
