Keep the callers' records beside the logs of a soak run

A violation names one attempt; who was served around it, and on which connection, was lost with the process. The records are written to records.jsonl without the bodies.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -110,6 +110,7 @@
             recovery_records += caller.records[count:-1]
         for caller in self.crashing_callers:
             records += caller.records
+        self.save_records(records)
         lines = [line for name in self.pools for line in self.site.journal(name)]
         history = History(records, lines, self.disturbances, self.resets, list(self.site.versions))
         statuses = sorted({record.status for record in records})
@@ -127,6 +128,11 @@
             *self.check_hosts(),
         ]
 
+    def save_records(self, records: list[CallerRecord]) -> None:
+        """Write the callers' records beside the logs, without the bodies."""
+        lines = [json.dumps({**asdict(one), "body": len(one.body)}) for one in records]
+        (self.site.directory / "records.jsonl").write_text("\n".join(lines) + "\n")
+
     def check_hosts(self) -> list[Violation]:
         """Check the log of each host, and the largest memory of those that run."""
         violations = []
