Send one request again and again in the soak that crashes the back ends which run it

Only prompts crashed back ends in the soak. The fault kind `crash_requests` sends one request (same path, caller and body) at any host for 9 s; each plain service that begins to run it ends, and is started again. From then on a worker sends sound requests of the same route that share the path, the body or the caller with it, and some that share nothing.

Checks: from 3 s after its third crash the request reaches back ends at most three times more through hosts that are bound; from 6 s after that crash sound requests of each kind are served at least half as often as unrelated ones. Crashes by such requests do not count as those by a part of prompts. Invariants of unsafe requests now go by path as well as kind, and the tenant is that of the caller.

Crashed back ends are restarted in the recovery phase too.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from standins.platform_fleets import (
@@ -24,7 +25,6 @@
 """Part of prompts that ends a back end as soon as it begins to answer."""
 CRASHING = "crashing"
 """Kind of the requests that have the crashing part; other streams share the first one."""
-PATHS = {"stream": STREAM_PATH, "safe": LOOKUP_PATH, "unsafe": STAMP_PATH}
 TIMEOUT_S = 6.0
 DEADLINE_S = 5.0
 """Time that callers wait for an answer, as they tell the hosts, in seconds."""
@@ -34,10 +34,36 @@
 """Time by which a caller may wake up late, in seconds."""
 LONGEST_WAIT_SHARE = 0.5
 PAUSE_S = 0.02
+UNSAFE_PREFIX = "/stamp/"
 NO_ANSWER = 0
 """Status of a request that got no response head."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShape:
+    """Hold what all requests of one kind have in common.
+
+    Attributes
+    ----------
+    path, method, body, tenant : str
+        Path, method and body, and the tenant whose API key is sent.
+    """
+
+    path: str
+    method: str = "POST"
+    body: str = "text"
+    tenant: str = "officina"
+
+
+LOAD_SHAPES = {
+    "stream": RequestShape(STREAM_PATH),
+    "safe": RequestShape(LOOKUP_PATH, "GET", ""),
+    "unsafe": RequestShape(STAMP_PATH),
+}
+"""Requests of the load by kind."""
+CRASHING_SHAPES = {CRASHING: RequestShape(STREAM_PATH)}
+
+
 @dataclass(slots=True)
 class CallerRecord:
     """Hold one request and its outcome.
@@ -65,6 +91,8 @@
         ended, 0 before that.
     idle_s : float
         Time for which its connection had been idle, 0 for a new one.
+    path, tenant : str
+        Path of the request, and the tenant that sent it.
     """
 
     attempt: str
@@ -80,6 +108,13 @@
     sent_at: float = 0.0
     ended_at: float = 0.0
     idle_s: float = 0.0
+    path: str = ""
+    tenant: str = "officina"
+
+    @property
+    def unsafe(self) -> bool:
+        """Return whether the request may run only once."""
+        return self.kind == "unsafe" or self.path.startswith(UNSAFE_PREFIX)
 
 
 @dataclass(slots=True)
@@ -96,7 +131,7 @@
     stopped: threading.Event
     records: list[CallerRecord] = field(default_factory=list)
     conns: dict[str, http.client.HTTPConnection] = field(default_factory=dict)
-    kinds: tuple[str, ...] = tuple(sorted(PATHS))
+    shapes: Mapping[str, RequestShape] = field(default_factory=lambda: LOAD_SHAPES)
     pause_s: float = PAUSE_S
     patient: bool = False
     used_at: dict[str, float] = field(default_factory=dict)
@@ -106,9 +141,12 @@
         for number in itertools.count():
             if self.stopped.is_set():
                 return
-            kind = self.rng.choice(self.kinds)
+            kind = self.rng.choice(sorted(self.shapes))
             host = self.choose_host(number)
-            record = CallerRecord(f"{self.name}-{number}", kind, host)
+            shape = self.shapes[kind]
+            record = CallerRecord(
+                f"{self.name}-{number}", kind, host, path=shape.path, tenant=shape.tenant
+            )
             self.records.append(record)
             if self.patient and host in self.conns:
                 self.stopped.wait(self.choose_wait(host))
@@ -158,19 +196,18 @@
 
     def exchange(self, conn: http.client.HTTPConnection, record: CallerRecord) -> None:
         """Send one request and record its response as it is received."""
+        shape = self.shapes[record.kind]
         headers = {
             "Host": AUTHORITY,
             "Attempt-Id": record.attempt,
             "Request-Deadline": f"{DEADLINE_S * 1_000:.0f}",
-            "Authorization": f"Bearer {KEYS['officina']}",
+            "Authorization": f"Bearer {KEYS[shape.tenant]}",
             "Token-Counts": "100,50",
             "Model": "m",
         }
-        path = PATHS.get(record.kind, STREAM_PATH)
-        if path == STREAM_PATH:
+        if shape.path == STREAM_PATH:
             headers["Prompt-Prefix"] = self.create_prompt(record)
-        method = "GET" if record.kind == "safe" else "POST"
-        conn.request(method, path, None if method == "GET" else b"text", headers)
+        conn.request(shape.method, shape.path, shape.body.encode() or None, headers)
         answer = conn.getresponse()
         record.status = answer.status
         record.answered_id = answer.getheader("Attempt-Id") or ""
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -69,14 +69,14 @@
     def add_violation(invariant: str, detail: str) -> None:
         found.append(Violation(invariant, record.attempt, detail))
 
-    if record.kind == "unsafe" and len(runs) > 1:
+    if record.unsafe and len(runs) > 1:
         add_violation("an unsafe request runs at most once", f"{len(runs)} runs")
-    if record.status in NOT_EXECUTED_STATUSES and record.kind == "unsafe" and runs:
+    if record.status in NOT_EXECUTED_STATUSES and record.unsafe and runs:
         add_violation(
             "a refused unsafe request has not run", f"status {record.status}, {len(runs)} runs"
         )
     for run in runs:
-        if run["tenant"] != "officina" or run["key"] or run["hold"]:
+        if run["tenant"] != record.tenant or run["key"] or run["hold"]:
             add_violation("back ends receive the organisation and no API key", str(run))
     if record.status == 200 and record.answered_id != record.attempt:
         add_violation("each answer belongs to its request", record.answered_id)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,6 +9,11 @@
 
 from soak.callers import CRASHING, CallerRecord
 from soak.checkers import Violation
+from soak.crashing_requests import (
+    CRASHING_REQUEST,
+    check_crashing_request,
+    check_sound_requests,
+)
 from soak.histories import CONTACT_S, History
 from soak.lost_requests import check_lost_requests
 
@@ -40,6 +45,8 @@
         check_leaving,
         check_holds,
         check_lost_requests,
+        check_crashing_request,
+        check_sound_requests,
     )
     return [violation for check in checks for violation in check(history)]
 
@@ -107,7 +114,12 @@
 
 def check_crashing_part(history: History) -> list[Violation]:
     """Check that a part which has crashed back ends is kept from the others."""
-    crashes = sorted(line["at"] for line in history.lines if line["event"] == "crashed")
+    others = {record.attempt for record in history.records if record.kind == CRASHING_REQUEST}
+    crashes = sorted(
+        line["at"]
+        for line in history.lines
+        if line["event"] == "crashed" and line["attempt-id"] not in others
+    )
     if len(crashes) < CRASHES_ALLOWED:
         return []
     hosts = history.hosts()
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -9,7 +9,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass, field
 from functools import partial
 from operator import itemgetter
@@ -17,14 +17,20 @@
 
 import fire
 
-from soak.callers import CRASHING, CRASHING_PART, CallerRecord, LoadWorker
+from soak.callers import CRASHING_PART, CRASHING_SHAPES, CallerRecord, LoadWorker, RequestShape
 from soak.checkers import Violation, check_recovery, check_run
 from soak.configuration_changes import generate_series
+from soak.crashing_requests import (
+    CRASHING_BODY,
+    CRASHING_TENANT,
+    create_crashing_shapes,
+    create_sound_shapes,
+)
 from soak.histories import Disturbance, History
 from soak.promises import check_memory, check_promises, check_sound_streams, check_versions
 from soak.schedules import Fault, Targets, generate_faults
 from standins.fleets import FleetError, call, free_port, set_faults
-from standins.platform_engine import EVENTS_PER_STREAM
+from standins.platform_engine import CRASH_EXIT_CODE, EVENTS_PER_STREAM
 from standins.platform_fleets import PlatformFleet
 
 HOSTS, ENGINES, SERVICES, CALLERS = 3, 3, 3, 6
@@ -41,6 +47,10 @@
 HOST_KINDS = frozenset(["kill_host", "stop_host", "pause_host"])
 CRASHING_PAUSE_S = 0.4
 """Longest pause between two crashing prompts, in seconds."""
+SOUND_PAUSE_S = 0.05
+"""Longest pause between two sound requests beside a crashing one, in seconds."""
+CRASHING_PREFIXES = ("/lookup/", "/stamp/")
+"""Prefixes of the path of the request that crashes back ends, by seed."""
 LIMIT_PER_S = 4.0
 RESET_S = 0.1
 """Time after which a link has reset its connections, in seconds."""
@@ -69,6 +79,7 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     resets: list[Disturbance] = field(default_factory=list)
     crashing_callers: list[LoadWorker] = field(default_factory=list)
+    stopped: threading.Event = field(default_factory=threading.Event)
 
     def run(self) -> list[Violation]:
         """Start all processes, inject the faults under load and check the invariants."""
@@ -78,28 +89,25 @@
             self.start_back_end(f"i-engine{number}", "drafting")
         for number in range(SERVICES):
             self.start_back_end(f"i-service{number}", "registry")
-        stopped = threading.Event()
-        callers = [self.create_caller(number, stopped) for number in range(CALLERS)]
+        callers = [self.create_caller(number) for number in range(CALLERS)]
         for number in range(CALLERS, CALLERS + PATIENT_CALLERS):
-            callers.append(self.create_caller(number, stopped, patient=True))
+            callers.append(self.create_caller(number, patient=True))
         threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
         for thread in threads:
             thread.start()
         self.inject_faults()
-        time.sleep(RECOVERY_WARMUP_S)
+        self.wait_until(time.monotonic() + RECOVERY_WARMUP_S)
         counts = [len(caller.records) for caller in callers]
-        time.sleep(RECOVERY_S - RECOVERY_WARMUP_S)
-        stopped.set()
+        self.wait_until(time.monotonic() + RECOVERY_S - RECOVERY_WARMUP_S)
+        self.stopped.set()
         for thread in threads:
             thread.join(10)
         return self.check(callers, counts)
 
-    def create_caller(
-        self, number: int, stopped: threading.Event, patient: bool = False
-    ) -> LoadWorker:
+    def create_caller(self, number: int, patient: bool = False) -> LoadWorker:
         """Create a caller of the load."""
         name, rng = f"s{self.seed}-c{number}", random.Random(self.seed + number)
-        return LoadWorker(self.site, name, rng, stopped, patient=patient)
+        return LoadWorker(self.site, name, rng, self.stopped, patient=patient)
 
     def check(self, callers: list[LoadWorker], counts: list[int]) -> list[Violation]:
         """Check the callers' records against the journals of back ends."""
@@ -147,7 +155,7 @@
     def start_back_end(self, name: str, pool: str) -> None:
         """Start a back end behind a fault proxy, and register the proxy's address."""
         self.ports[name] = free_port()
-        self.start_engine_process(name, self.ports[name])
+        self.start_engine_process(name, self.ports[name], {})
         self.pools[name] = pool
         proxy_port = free_port()
         link = self.site.fleet.start_standin(
@@ -162,13 +170,19 @@
         self.ports[f"proxy-{name}"] = proxy_port
         self.site.register(name, pool, proxy_port)
 
-    def start_engine_process(self, name: str, port: int) -> None:
-        """Start the process of a back end at a port and wait until it listens."""
-        journal = ["--name", name, "--journal", str(self.site.fleet.journal_path(name))]
-        arguments = ["-m", "standins.platform_engine", "--port", str(port), *journal]
-        started = self.site.fleet.spawn(name, arguments, port)
+    def start_engine_process(self, name: str, port: int, faults: Mapping[str, object]) -> None:
+        """Start the process of a back end with faults and wait until it listens at a port."""
+        crashing = {
+            "crashing_part": CRASHING_PART,
+            "crashing_body": CRASHING_BODY,
+            "crashing_path": f"{self.crashing_prefix}7",
+            "crashing_tenant": CRASHING_TENANT,
+        }
+        values = {"journal": self.site.fleet.journal_path(name), **crashing, **faults}
+        options = [f"--{option}={value}" for option, value in values.items()]
+        arguments = ["-m", "standins.platform_engine", "--port", str(port), "--name", name]
+        started = self.site.fleet.spawn(name, [*arguments, *options], port)
         self.site.fleet.wait_for_port(started, port)
-        set_faults(port, crashing_part=CRASHING_PART)
 
     def inject_faults(self) -> None:
         """Start and end each fault at its scheduled time."""
@@ -219,14 +233,21 @@
             time.sleep(0.02)
 
     def restart_crashed_back_ends(self) -> None:
-        """Start back ends again that have exited under a crashing prompt, at their old ports."""
-        for name, pool in self.pools.items():
-            if self.site.fleet.processes[name].process.poll() is None:
-                continue
-            self.site.put(f"servers/{name}", None)
-            self.start_engine_process(name, self.ports[name])
-            self.site.starts[name] = self.site.starts.get(name, 0) + 1
-            self.site.register(name, pool, self.ports[f"proxy-{name}"])
+        """Start back ends again that have exited under a crashing request."""
+        for name in self.pools:
+            if self.site.fleet.processes[name].process.poll() is not None:
+                self.restart_back_end_process(name, {})
+
+    def restart_back_end_process(self, name: str, faults: Mapping[str, object]) -> None:
+        """Start a back end that has exited again, at its old port and with faults."""
+        self.site.put(f"servers/{name}", None)
+        try:
+            self.start_engine_process(name, self.ports[name], faults)
+        except FleetError:
+            if self.site.fleet.processes[name].process.poll() != CRASH_EXIT_CODE:
+                raise
+        self.site.starts[name] = self.site.starts.get(name, 0) + 1
+        self.site.register(name, self.pools[name], self.ports[f"proxy-{name}"])
 
     def host_restarter(self, name: str) -> EndFault:
         """Return a function that restarts a host after its process has exited."""
@@ -272,16 +293,15 @@
         return lambda: running.process.send_signal(signal.SIGCONT)
 
     def control(self, port: int, **faults: object) -> None:
-        """Set faults of a stand-in, after starting it again if a prompt has just crashed it."""
+        """Set faults of a stand-in; one that a request has just crashed starts with them."""
         try:
             set_faults(port, **faults)
         except OSError:
-            crashed = next((name for name, one in self.ports.items() if one == port), "")
-            if crashed not in self.pools:
+            name = next((name for name, one in self.ports.items() if one == port), "")
+            if name not in self.pools:
                 raise
-            self.site.fleet.processes[crashed].process.wait(5)
-            self.restart_crashed_back_ends()
-            set_faults(port, **faults)
+            self.site.fleet.processes[name].process.wait(5)
+            self.restart_back_end_process(name, faults)
 
     def set_fault(self, port: int, name: str, value: object, after: object) -> EndFault:
         """Set a fault of a stand-in and return a function that resets it."""
@@ -332,16 +352,36 @@
 
     def crash_prompts(self, fault: Fault) -> EndFault:
         """Send prompts with a part that ends each back end which begins to answer."""
-        number = len(self.crashing_callers)
         stopped = threading.Event()
-        caller = LoadWorker(
-            self.site, f"s{self.seed}-p{number}", random.Random(self.seed - number), stopped
-        )
-        caller.kinds = (CRASHING,)
-        caller.pause_s = CRASHING_PAUSE_S
+        self.start_crashing_caller(stopped, CRASHING_SHAPES, CRASHING_PAUSE_S)
+        return stopped.set
+
+    def crash_requests(self, fault: Fault) -> EndFault:
+        """Send one request again and again that ends each back end which begins to run it.
+
+        Sound requests with the same path, body or caller are sent from then on.
+        """
+        stopped = threading.Event()
+        crashing = create_crashing_shapes(self.crashing_prefix)
+        self.start_crashing_caller(stopped, crashing, CRASHING_PAUSE_S)
+        sound = create_sound_shapes(self.crashing_prefix)
+        self.start_crashing_caller(self.stopped, sound, SOUND_PAUSE_S)
+        return stopped.set
+
+    @property
+    def crashing_prefix(self) -> str:
+        """Return the prefix of the path of the request that crashes back ends."""
+        return CRASHING_PREFIXES[self.seed % len(CRASHING_PREFIXES)]
+
+    def start_crashing_caller(
+        self, stopped: threading.Event, shapes: Mapping[str, RequestShape], pause_s: float
+    ) -> None:
+        """Start a caller of crashing requests, or of sound ones beside them."""
+        number = len(self.crashing_callers)
+        name, rng = f"s{self.seed}-p{number}", random.Random(self.seed - number)
+        caller = LoadWorker(self.site, name, rng, stopped, shapes=shapes, pause_s=pause_s)
         self.crashing_callers.append(caller)
         threading.Thread(target=caller.run, daemon=True).start()
-        return stopped.set
 
     def name_limit(self, fault: Fault) -> EndFault:
         """Make a back end name a limit of requests in its answers."""
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -9,7 +9,7 @@
 FIRST_FAULT_S = 1.0
 MEAN_GAP_S = 1.1
 MAX_DURATION_S = 4.0
-LONG_KINDS = frozenset(["crash_prompts", "name_limit"])
+LONG_KINDS = frozenset(["crash_prompts", "crash_requests", "name_limit"])
 """Kinds of faults that promises allow to show for some seconds before they bind."""
 LONG_DURATION_S = 9.0
 
@@ -100,6 +100,7 @@
     "store_goes_back",
     "configure",
     "crash_prompts",
+    "crash_requests",
 )
 def choose_no_target(rng: random.Random, targets: Targets) -> str:
     """Return an empty target: there is one store and one operator, and callers choose freely."""
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -40,7 +40,8 @@
     limit of requests per second. ``endless`` sends bytes without end: in a failure, or in an event.
     ``pause_s`` is a silence after which the back end goes on: in a stream it comes once, after
     ``pause_after_events`` events, else before the answer. A request whose body is
-    ``crashing_body`` ends the process as soon as it runs.
+    ``crashing_body`` ends the process as soon as it runs; with ``crashing_path`` and
+    ``crashing_tenant`` only if it has that path and tenant too.
     """
 
     def __init__(self) -> None:
@@ -59,6 +60,8 @@
         self.pause_s = 0.0
         self.pause_after_events = 0
         self.crashing_body = ""
+        self.crashing_path = ""
+        self.crashing_tenant = ""
 
 
 class EventStream(ExchangeEvents):
@@ -144,10 +147,14 @@
         Instance id; requests must name it in Expect-Instance.
     journal : str
         File that requests and executions are written to, empty for none.
+    faults : dict
+        Values of the faults at the start, by name.
     """
 
-    def __init__(self, port: int, name: str, journal: str = "") -> None:
+    def __init__(self, port: int, name: str, journal: str = "", **faults: Any) -> None:
         super().__init__(port, EngineFaults())
+        for fault, value in faults.items():
+            setattr(self.faults, fault, value)
         self.name = name
         self._journal = Journal(journal, name)
 
@@ -168,7 +175,7 @@
         self.write_journal("run", exchange, limit_per_s=faults.limit_per_s, leaving=faults.leaving)
         if faults.silent:
             return
-        if faults.crashing_body and exchange.request.body == faults.crashing_body.encode():
+        if self._crashes_on_request(exchange):
             self.write_journal("crashed", exchange)
             os._exit(CRASH_EXIT_CODE)
         headers = [*base, (b"Server-Seal", f"seal-{self.name}".encode())]
@@ -225,15 +232,25 @@
         rows = exchange.request.header(b"prompt-prefix").decode("latin-1").split(",")
         return self.faults.crashing_part in [row.partition(":")[0] for row in rows[:-1]]
 
+    def _crashes_on_request(self, exchange: CallerExchange) -> bool:
+        """Return whether a request, known by its body, path and tenant, crashes the back end."""
+        faults, request = self.faults, exchange.request
+        return (
+            faults.crashing_body != ""
+            and request.body == faults.crashing_body.encode()
+            and faults.crashing_path in ("", request.target)
+            and faults.crashing_tenant in ("", request.header(b"tenant").decode("latin-1"))
+        )
+
     def _answer(self, exchange: CallerExchange, status: int, headers: Headers, body: bytes) -> None:
         if not exchange.disconnected:
             exchange.answer(status, headers, body)
             self.write_journal("ended", exchange)
 
 
-def main(port: int, name: str, journal: str = "") -> None:
+def main(port: int, name: str, journal: str = "", **faults: Any) -> None:
     """Run the back end until the process is terminated."""
-    PlatformEngine(port, name, journal).run()
+    PlatformEngine(port, name, journal, **faults).run()
 
 
 if __name__ == "__main__":
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -4,6 +4,19 @@
 
 from soak.callers import CRASHING, DEADLINE_S, CallerRecord
 from soak.checkers import check_recovery, check_run
+from soak.crashing_requests import (
+    CRASHES_ALLOWED as REQUEST_CRASHES_ALLOWED,
+)
+from soak.crashing_requests import (
+    CRASHING_REQUEST,
+    MIN_SOUND_COUNT,
+    RETRIES_ALLOWED,
+    SAME_BODY,
+    SAME_CALLER,
+    SAME_PATH,
+    SOUND_AFTER_S,
+    UNRELATED,
+)
 from soak.histories import CONTACT_S, SPREAD_S, Disturbance, History
 from soak.lost_requests import GRACE_SHARE, LATEST_S, check_lost_requests
 from soak.promises import (
@@ -294,3 +307,75 @@
     assert History([], [], versions=WRITTEN).versions_in_force(2.1 + SPREAD_S, 9.0) == [newer]
     assert History([], [], versions=WRITTEN).versions_in_force(1.9 + SPREAD_S, 9.0) == WRITTEN
     assert History([], [], versions=WRITTEN).versions_in_force(1.0, 1.9) == [older]
+
+
+def test_an_unsafe_request_of_any_kind_runs_at_most_once_and_for_its_tenant():
+    seen = CallerRecord(
+        "a", SAME_PATH, "h1", 200, True, "a", path="/stamp/7", tenant="cantiere", ended_at=1.0
+    )
+    lines = [run(tenant="cantiere")]
+    assert violated_invariants([seen], lines) == []
+    assert violated_invariants([seen], lines * 2) == ["an unsafe request runs at most once"]
+    assert violated_invariants([seen], [run()]) != []
+
+
+def crashing_request_history(arrivals, crashes=REQUEST_CRASHES_ALLOWED, event="run", **more):
+    """Return a history of one request that crashes back ends and arrives again after that."""
+    records, lines = [], []
+    for number in range(crashes + arrivals):
+        attempt = f"q{number}"
+        crashed = number < crashes
+        at = float(number) if crashed else REQUEST_CRASHES_ALLOWED + CONTACT_S + number
+        records.append(CallerRecord(attempt, CRASHING_REQUEST, "h1", whole=True, path="/lookup/7"))
+        line = {"source": "b1", "attempt-id": attempt, "at": at}
+        lines.append({**line, "event": "run" if crashed else event})
+        if crashed:
+            lines.append({**line, "event": "crashed"})
+    return History(records, lines, **more)
+
+
+def test_a_crashing_request_that_is_sent_on_is_found():
+    found = ["a request that crashes back ends is kept from them"]
+    assert invariants(crashing_request_history(RETRIES_ALLOWED + 1)) == found
+    assert invariants(crashing_request_history(RETRIES_ALLOWED + 1, event="turned_away")) == found
+    assert invariants(crashing_request_history(RETRIES_ALLOWED)) == []
+    assert invariants(crashing_request_history(9, crashes=REQUEST_CRASHES_ALLOWED - 1)) == []
+
+
+@pytest.mark.parametrize(("host", "excused"), [("h1", True), ("", True), ("h2", False)])
+def test_only_disturbances_of_the_host_or_the_store_excuse_a_crashing_request(host, excused):
+    disturbances = [Disturbance(host, 0.0, 60.0)]
+    history = crashing_request_history(RETRIES_ALLOWED + 1, disturbances=disturbances)
+    assert (invariants(history) == []) is excused
+
+
+def test_crashes_by_a_request_do_not_count_as_those_by_a_part():
+    history = crashing_request_history(0, crashes=CRASHES_ALLOWED)
+    for number in range(LATE_RUNS_ALLOWED + 1):
+        attempt, at = f"p{number}", 100.0 + number
+        history.records.append(CallerRecord(attempt, CRASHING, "h1"))
+        history.lines.append({"event": "run", "at": at, "attempt-id": attempt, "source": "b1"})
+    assert invariants(history) == []
+
+
+def sound_history(kind, served, unrelated_served, late_s=0.0):
+    """Return a history of sound requests beside one that has crashed back ends."""
+    history = crashing_request_history(0)
+    begin = REQUEST_CRASHES_ALLOWED - 1 + SOUND_AFTER_S + late_s
+    for name, count in ((kind, served), (UNRELATED, unrelated_served)):
+        for number in range(MIN_SOUND_COUNT):
+            status = 200 if number < count else 503
+            sent = CallerRecord(f"{name}{number}", name, "h1", status, True)
+            sent.sent_at, sent.ended_at = begin + number, begin + number + 0.1
+            history.records.append(sent)
+    return history
+
+
+@pytest.mark.parametrize("kind", [SAME_PATH, SAME_BODY, SAME_CALLER])
+def test_sound_requests_that_are_kept_back_with_a_crashing_one_are_found(kind):
+    found = ["sound requests are served beside a crashing one"]
+    half = MIN_SOUND_COUNT // 2
+    assert invariants(sound_history(kind, half - 1, MIN_SOUND_COUNT)) == found
+    assert invariants(sound_history(kind, half, MIN_SOUND_COUNT)) == []
+    assert invariants(sound_history(kind, 0, 0)) == []
+    assert invariants(sound_history(kind, half - 1, MIN_SOUND_COUNT, late_s=-1.0)) == []
