Fill the slots of back ends in the soak, so that requests wait beside silent ones

The fault kind `surge` sends streams from 32 more callers for up to 4 s, and back ends have three slots in place of six.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -61,6 +61,7 @@
     "unsafe": RequestShape(STAMP_PATH),
 }
 """Requests of the load by kind."""
+SURGE_SHAPES = {"stream": LOAD_SHAPES["stream"]}
 CRASHING_SHAPES = {CRASHING: RequestShape(STREAM_PATH)}
 
 
--- a/soak/injections.py
+++ b/soak/injections.py
@@ -13,7 +13,14 @@
 from functools import partial
 from operator import itemgetter
 
-from soak.callers import CRASHING_PART, CRASHING_SHAPES, LoadWorker, RequestShape
+from soak.callers import (
+    CRASHING_PART,
+    CRASHING_SHAPES,
+    PAUSE_S,
+    SURGE_SHAPES,
+    LoadWorker,
+    RequestShape,
+)
 from soak.configuration_changes import generate_series
 from soak.crashing_requests import (
     CRASHING_BODY,
@@ -36,6 +43,7 @@
 """Longest pause between two sound requests beside a crashing one, in seconds."""
 CRASHING_PREFIXES = ("/lookup/", "/stamp/")
 """Prefixes of the path of the request that crashes back ends, by seed."""
+SURGE_CALLERS = 32
 LIMIT_PER_S = 4.0
 RESET_S = 0.1
 """Time after which a link has reset its connections, in seconds."""
@@ -63,7 +71,7 @@
     active_faults: list[tuple[float, EndFault]] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     resets: list[Disturbance] = field(default_factory=list)
-    crashing_callers: list[LoadWorker] = field(default_factory=list)
+    more_callers: list[LoadWorker] = field(default_factory=list)
     stopped: threading.Event = field(default_factory=threading.Event)
 
     def start_back_end(self, name: str, pool: str) -> None:
@@ -264,10 +272,17 @@
         """Make a back end turn requests away and ask each host for a pause."""
         return self.set_fault(self.ports[fault.target], "hold_s", 1.5, 0.0)
 
+    def surge(self, fault: Fault) -> EndFault:
+        """Send more streams than there are slots, so that some of them wait or are refused."""
+        stopped = threading.Event()
+        for _ in range(SURGE_CALLERS):
+            self.start_caller(stopped, SURGE_SHAPES, PAUSE_S)
+        return stopped.set
+
     def crash_prompts(self, fault: Fault) -> EndFault:
         """Send prompts with a part that ends each back end which begins to answer."""
         stopped = threading.Event()
-        self.start_crashing_caller(stopped, CRASHING_SHAPES, CRASHING_PAUSE_S)
+        self.start_caller(stopped, CRASHING_SHAPES, CRASHING_PAUSE_S)
         return stopped.set
 
     def crash_requests(self, fault: Fault) -> EndFault:
@@ -277,9 +292,9 @@
         """
         stopped = threading.Event()
         crashing = create_crashing_shapes(self.crashing_prefix)
-        self.start_crashing_caller(stopped, crashing, CRASHING_PAUSE_S)
+        self.start_caller(stopped, crashing, CRASHING_PAUSE_S)
         sound = create_sound_shapes(self.crashing_prefix)
-        self.start_crashing_caller(self.stopped, sound, SOUND_PAUSE_S)
+        self.start_caller(self.stopped, sound, SOUND_PAUSE_S)
         return stopped.set
 
     @property
@@ -287,14 +302,14 @@
         """Return the prefix of the path of the request that crashes back ends."""
         return CRASHING_PREFIXES[self.seed % len(CRASHING_PREFIXES)]
 
-    def start_crashing_caller(
+    def start_caller(
         self, stopped: threading.Event, shapes: Mapping[str, RequestShape], pause_s: float
     ) -> None:
-        """Start a caller of crashing requests, or of sound ones beside them."""
-        number = len(self.crashing_callers)
+        """Start a caller beside the load."""
+        number = len(self.more_callers)
         name, rng = f"s{self.seed}-p{number}", random.Random(self.seed - number)
         caller = LoadWorker(self.site, name, rng, stopped, shapes=shapes, pause_s=pause_s)
-        self.crashing_callers.append(caller)
+        self.more_callers.append(caller)
         threading.Thread(target=caller.run, daemon=True).start()
 
     def name_limit(self, fault: Fault) -> EndFault:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -24,6 +24,8 @@
 
 HOSTS, ENGINES, SERVICES, CALLERS = 3, 3, 3, 6
 PATIENT_CALLERS = 4
+SLOTS = 3
+"""Requests that each back end takes at a time, few enough for a surge to fill them."""
 BASE_IDLE_MS = 2_500
 """Idle limit of callers' connections outside of changes, in milliseconds."""
 RECOVERY_S = 6.0
@@ -39,6 +41,7 @@
     def run(self) -> list[Violation]:
         """Start all processes, inject the faults under load and check the invariants."""
         self.site.base["limits"] = {"idleTimeoutMs": BASE_IDLE_MS}
+        self.site.slots = SLOTS
         self.site.start(engines=0, services=0, hosts=HOSTS)
         for number in range(ENGINES):
             self.start_back_end(f"i-engine{number}", "drafting")
@@ -71,7 +74,7 @@
         for caller, count in zip(callers, counts, strict=True):
             records += caller.records
             recovery_records += caller.records[count:-1]
-        for caller in self.crashing_callers:
+        for caller in self.more_callers:
             records += caller.records
         self.save_records(records)
         lines = [line for name in self.pools for line in self.site.journal(name)]
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -101,6 +101,7 @@
     "configure",
     "crash_prompts",
     "crash_requests",
+    "surge",
 )
 def choose_no_target(rng: random.Random, targets: Targets) -> str:
     """Return an empty target: there is one store and one operator, and callers choose freely."""
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -54,11 +54,14 @@
         Changes that all configurations contain, as arguments of `create_configuration`.
     versions : list of WrittenVersion
         Configurations written so far.
+    slots : int
+        Requests that each back end takes at a time, by its entry.
     """
 
     directory: Path
     base: dict[str, Any] = field(default_factory=dict)
     versions: list[WrittenVersion] = field(default_factory=list)
+    slots: int = 6
     fleet: Fleet = field(init=False)
     ports: dict[str, int] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -135,7 +138,7 @@
             "address": f"127.0.0.1:{port}",
             "zone": "etna",
             "version": "v1",
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "coldMs": 0,
             "sequence": 1,
