Add the failing test of requests read behind an announced close

Beside a stop, a caller that sends its next request while a response with Connection: close is still being written got no answer to it, and an orderly end of the connection, though the host had read the request. CallerExchange.start announces the close and goes on reading; finish_exchange then closes with the request in the parser.

--- a/tests/test_pipelined_parts.py
+++ b/tests/test_pipelined_parts.py
@@ -1,5 +1,6 @@
 """Test a request whose beginning arrives while an earlier one on its connection is in progress."""
 
+import select
 import socket
 import time
 
@@ -43,16 +44,15 @@
 
 
 @pytest.fixture
-def caller(runner, held):
-    server = runner.call(
-        lambda: HttpServer(
-            runner.loop,
-            Address("127.0.0.1", 0),
-            HttpLimits(**LIMITS),
-            held.exchanges.append,
-            held.refuse,
-        )
+def server(runner, held):
+    address, limits = Address("127.0.0.1", 0), HttpLimits(**LIMITS)
+    return runner.call(
+        lambda: HttpServer(runner.loop, address, limits, held.exchanges.append, held.refuse)
     )
+
+
+@pytest.fixture
+def caller(server):
     sock = socket.create_connection(("127.0.0.1", server.address.port))
     sock.settimeout(LATE_S)
     return sock
@@ -88,3 +88,30 @@
     assert read_head(caller) == 100
     caller.sendall(b"text")
     wait_until(lambda: len(held.exchanges) == 2, "the second request has been read")
+
+
+def is_reset(sock):
+    """Return whether the other side resets the connection, as for bytes that it hasn't read."""
+    poller = select.poll()
+    poller.register(sock, 0)
+    deadline = time.monotonic() + LATE_S
+    while time.monotonic() < deadline:
+        if any(mask & (select.POLLERR | select.POLLHUP) for _, mask in poller.poll(20)):
+            return True
+    return False
+
+
+def test_a_request_behind_a_response_that_announced_the_close_is_not_read(
+    runner, held, server, caller
+):
+    caller.sendall(FIRST)
+    wait_until(lambda: held.exchanges, "the first request has been read")
+    (first,) = held.exchanges
+    runner.call(server.announce_close)
+    runner.call(lambda: first.start(200, [], 2))
+    caller.sendall(FIRST)
+    time.sleep(0.1)
+    runner.call(lambda: first.write(b"ok"))
+    runner.call(first.finish)
+    assert is_reset(caller)
+    assert len(held.exchanges) == 1
