Leave what comes behind an announced close unread

Beside a stop, a request sent while a response with Connection: close was still being written was read and dropped; its caller could not know that it had not run.

--- a/tarragonwind/adapters/caller_exchanges.py
+++ b/tarragonwind/adapters/caller_exchanges.py
@@ -42,6 +42,9 @@
     def congested(self) -> bool:
         """Return whether the writer should pause."""
 
+    def stop_reading(self) -> None:
+        """Leave what the caller sends from now on unread, as it gets no response."""
+
     def reset_unless_finished(self) -> None:
         """Reset the connection if it ends before the response that its end completes."""
 
@@ -139,6 +142,7 @@
         if not self.request.keep_alive or self._conn.stopping:
             self.request.keep_alive = False
             lines.append(b"Connection: close\r\n")
+            self._conn.stop_reading()
 
     def write(self, data: bytes) -> None:
         """Write body bytes.
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -164,6 +164,10 @@
         self._conn.close()
         self._server.remove_connection(self)
 
+    def stop_reading(self) -> None:
+        """Leave what the caller sends from now on unread, as it gets no response."""
+        self._conn.pause_reading()
+
     def reset_unless_finished(self) -> None:
         """Reset the connection if it ends before the response that its end completes."""
         self._conn.reset_unless_finished()
