Log a key that equal requests share, on request_ended and dispatched_again

The logs of crashing requests name route and organisation only, so whether the requests that were open at each crash are one and the same can't be read. key= is a keyed 64-bit hash of method, authority, path, organisation, the prompt's shared parts and body, equal on every host. Nothing is decided by it yet.

--- a/tarragonwind/adapters/dispatch_reports.py
+++ b/tarragonwind/adapters/dispatch_reports.py
@@ -49,3 +49,8 @@
     if request_class is None or not request_class.shared_parts:
         return "-"
     return ",".join(f"{part:x}" for part in request_class.shared_parts[:MAX_LOGGED_PARTS])
+
+
+def describe_key(request_class: RequestClass | None) -> str:
+    """Return the key of a request for a log line."""
+    return f"{request_class.request_key:x}" if request_class is not None else "-"
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -15,6 +15,7 @@
 from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.dispatch_reports import (
     describe_dispatch,
+    describe_key,
     describe_parts,
     describe_response_end,
 )
@@ -29,6 +30,7 @@
 from tarragonwind.core.organisation_limits import Admission
 from tarragonwind.core.permit_messages import Outcome as PermitOutcome
 from tarragonwind.core.permit_requests import Permit
+from tarragonwind.core.request_keys import compute_request_key
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
 from tarragonwind.core.schedulers import DispatchReport, SchedulingRequest
 from tarragonwind.core.scheduling_requests import build_scheduling_request, restart_patience
@@ -123,6 +125,9 @@
         self._catalogue_number = catalogue.number
         request_class = self._context.dialect.classify(self._exchange.request, catalogue)
         self._request_class = request_class
+        request_class.request_key = compute_request_key(
+            self._exchange.request, request_class.organisation.name, request_class.shared_parts
+        )
         self._check_quarantine(request_class)
         self._trace.start_span(SpanName.WAIT)
         now = self._context.loop.timers.now()
@@ -163,7 +168,7 @@
                 return
             logger.info(
                 "event=dispatched_again request={} upstream={} end={} reason={!r} {} sent={} "
-                "unsent={} parts={}",
+                "unsent={} parts={} key={}",
                 self.name,
                 permit.upstream,
                 outcome.value,
@@ -172,6 +177,7 @@
                 self._retry_policy.sent,
                 self._retry_policy.unsent,
                 describe_parts(request_class),
+                describe_key(request_class),
             )
             scheduling_request.avoid.append(permit.upstream)
             if self._exchange.started:
@@ -472,7 +478,7 @@
             "INFO" if outcome in EXPECTED_OUTCOMES else "WARNING",
             "event=request_ended request={} trace={} outcome={} kind={} organisation={} route={} "
             "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} {} "
-            "reason={!r} parts={} waited_ms={:.1f} took_ms={:.1f}",
+            "reason={!r} parts={} key={} waited_ms={:.1f} took_ms={:.1f}",
             self.name,
             self._trace.trace_id,
             outcome.value if outcome is not None else "none",
@@ -489,6 +495,7 @@
             describe_response_end(self._relay),
             self._reason,
             describe_parts(request_class),
+            describe_key(request_class),
             self._waited_s * 1000,
             (self._context.loop.timers.now() - self._started_at) * 1000,
         )
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -81,6 +81,8 @@
         Priority within the tier, 0 the highest.
     shared_parts : tuple of int
         Ids of the prompt's parts that other requests may have too: all but the last.
+    request_key : int
+        Key that equal requests share on every host, 0 until it is computed.
     """
 
     organisation: OrganisationEntry
@@ -99,6 +101,7 @@
     after_event: int | None = None
     rank: int = 0
     shared_parts: tuple[int, ...] = ()
+    request_key: int = 0
 
 
 @dataclass(slots=True)
