--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from typing import Any
 
 import fire
@@ -11,6 +12,7 @@
 from standins.servers import StandIn
 from tarragonwind.adapters.caller_dialects import Headers
 from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
+from tarragonwind.adapters.http_requests import CallerRequest
 
 EVENT_INTERVAL_S = 0.02
 EVENTS_PER_STREAM = 10
@@ -39,9 +41,10 @@
     part ends the process as soon as its answer begins. With ``limit_per_s`` every answer names that
     limit of requests per second. ``endless`` sends bytes without end: in a failure, or in an event.
     ``pause_s`` is a silence after which the back end goes on: in a stream it comes once, after
-    ``pause_after_events`` events, else before the answer. A request whose body is
-    ``crashing_body`` ends the process as soon as it runs; with ``crashing_path`` and
-    ``crashing_tenant`` only if it has that path and tenant too.
+    ``pause_after_events`` events, else before the answer. A request that has
+    ``crashing_body``, ``crashing_path`` and ``crashing_tenant``, as far as they are set, ends the
+    process as soon as it runs. ``reset_at`` is a Unix time at which the connections of all requests
+    that run are reset.
     """
 
     def __init__(self) -> None:
@@ -62,6 +65,7 @@
         self.crashing_body = ""
         self.crashing_path = ""
         self.crashing_tenant = ""
+        self.reset_at = 0.0
 
 
 class EventStream(ExchangeEvents):
@@ -175,9 +179,11 @@
         self.write_journal("run", exchange, limit_per_s=faults.limit_per_s, leaving=faults.leaving)
         if faults.silent:
             return
-        if self._crashes_on_request(exchange):
+        if self._crashes_under(exchange.request):
             self.write_journal("crashed", exchange)
             os._exit(CRASH_EXIT_CODE)
+        if faults.reset_at > time.time():
+            self.loop.timers.call_later(faults.reset_at - time.time(), exchange.abort)
         headers = [*base, (b"Server-Seal", f"seal-{self.name}".encode())]
         if self.faults.endless:
             EndlessBody(self, exchange).begin(headers, "/stream" in path)
@@ -225,6 +231,17 @@
         after = request.header(b"last-event-id")
         EventStream(self, exchange, int(after) if after else 0).send_next_event()
 
+    def _crashes_under(self, request: CallerRequest) -> bool:
+        """Return whether a request has all that crashes the back end."""
+        faults = self.faults
+        pairs = (
+            (faults.crashing_body.encode(), request.body),
+            (faults.crashing_path.encode(), request.target.encode()),
+            (faults.crashing_tenant.encode(), request.header(b"tenant")),
+        )
+        wanted = [(value, seen) for value, seen in pairs if value]
+        return bool(wanted) and all(value == seen for value, seen in wanted)
+
     def _crashes_on(self, exchange: CallerExchange) -> bool:
         """Return whether a part of the prompt, but for the last, crashes the back end."""
         if not self.faults.crashing_part:
@@ -232,16 +249,6 @@
         rows = exchange.request.header(b"prompt-prefix").decode("latin-1").split(",")
         return self.faults.crashing_part in [row.partition(":")[0] for row in rows[:-1]]
 
-    def _crashes_on_request(self, exchange: CallerExchange) -> bool:
-        """Return whether a request, known by its body, path and tenant, crashes the back end."""
-        faults, request = self.faults, exchange.request
-        return (
-            faults.crashing_body != ""
-            and request.body == faults.crashing_body.encode()
-            and faults.crashing_path in ("", request.target)
-            and faults.crashing_tenant in ("", request.header(b"tenant").decode("latin-1"))
-        )
-
     def _answer(self, exchange: CallerExchange, status: int, headers: Headers, body: bytes) -> None:
         if not exchange.disconnected:
             exchange.answer(status, headers, body)
