Name suspicions and quarantines by keys instead of parts of prompts

Mechanical: a key may stand for more than a part of a prompt. The wire and the store are unchanged; the log event part_quarantined is now key_quarantined. make check and the tests of suspicions, quarantines, permits, messages and the crashing prompts pass.

--- a/tarragonwind/core/owner_settings.py
+++ b/tarragonwind/core/owner_settings.py
@@ -61,5 +61,5 @@
     return False
 
 
-def ignore_conviction(part: int) -> None:
-    """Do nothing with a part on which upstreams keep crashing."""
+def ignore_conviction(key: int) -> None:
+    """Do nothing with a key on which upstreams keep crashing."""
--- a/tarragonwind/core/permit_ledgers.py
+++ b/tarragonwind/core/permit_ledgers.py
@@ -31,8 +31,8 @@
     first_byte_s, token_s : float
         Expected time to the first byte and per token, in seconds; 0 excludes the permit from the
         correction of these estimates.
-    parts : tuple of int
-        Ids of the prompt's parts that other requests may have too.
+    keys : tuple of int
+        Keys of the prompt's parts that other requests may have too.
     """
 
     host: str
@@ -44,7 +44,7 @@
     granted_at: float
     first_byte_s: float = 0.0
     token_s: float = 0.0
-    parts: tuple[int, ...] = ()
+    keys: tuple[int, ...] = ()
 
     @property
     def key(self) -> PermitKey:
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -67,8 +67,8 @@
     first_byte_deadline_ms : int
         Time left for the first byte before the caller disconnects, in milliseconds; -1 for no
         limit.
-    parts : list of int
-        Ids of the prompt's parts that other requests may have too.
+    keys : list of int
+        Keys of the prompt's parts that other requests may have too.
     """
 
     permit_id: int
@@ -86,7 +86,7 @@
     output_tokens: int = 0
     deadline_is_total: bool = False
     first_byte_deadline_ms: int = -1
-    parts: list[int] = field(default_factory=list)
+    keys: list[int] = field(default_factory=list)
 
 
 @message(31)
@@ -179,7 +179,7 @@
     upstream: str
     tier: int
     cost_tokens: int
-    parts: list[int] = field(default_factory=list)
+    keys: list[int] = field(default_factory=list)
 
 
 @message(39)
@@ -284,7 +284,7 @@
         msg.output_tokens,
         msg.deadline_is_total,
         msg.first_byte_deadline_ms,
-        msg.parts,
+        msg.keys,
     ]
 
 
@@ -295,4 +295,4 @@
 
 def held_permit_fields(permit: HeldPermit) -> list[object]:
     """Return the field values of a `HeldPermit` for `PermitSync`."""
-    return [permit.permit_id, permit.upstream, permit.tier, permit.cost_tokens, permit.parts]
+    return [permit.permit_id, permit.upstream, permit.tier, permit.cost_tokens, permit.keys]
--- a/tarragonwind/core/permit_outcomes.py
+++ b/tarragonwind/core/permit_outcomes.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from tarragonwind.core.entries import UpstreamState
-from tarragonwind.core.part_suspicions import PartSuspicions
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
 from tarragonwind.core.permit_messages import (
     Outcome,
@@ -15,6 +14,7 @@
     UpstreamLimit,
 )
 from tarragonwind.core.prefix_hints import PrefixHints
+from tarragonwind.core.suspicions import Suspicions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import UpstreamLoad
 
@@ -36,13 +36,13 @@
         Pauses that upstreams have asked of single hosts.
     rng : random.Random
         Source of randomness.
-    suspicions : PartSuspicions
-        Evidence on the parts of the pool's prompts.
-    on_part_convicted : callable
-        Called with each part of prompts on which upstreams keep crashing.
+    suspicions : Suspicions
+        Evidence on the pool's requests.
+    on_key_convicted : callable
+        Called with each key of requests on which upstreams keep crashing.
     """
 
-    __slots__ = ("_hints", "_holds", "_ledger", "_on_part_convicted", "_rng", "_suspicions")
+    __slots__ = ("_hints", "_holds", "_ledger", "_on_key_convicted", "_rng", "_suspicions")
 
     def __init__(
         self,
@@ -50,15 +50,15 @@
         hints: PrefixHints,
         holds: UpstreamHolds[tuple[str, str]],
         rng: random.Random,
-        suspicions: PartSuspicions,
-        on_part_convicted: Callable[[int], None],
+        suspicions: Suspicions,
+        on_key_convicted: Callable[[int], None],
     ) -> None:
         self._ledger = ledger
         self._hints = hints
         self._holds = holds
         self._rng = rng
         self._suspicions = suspicions
-        self._on_part_convicted = on_part_convicted
+        self._on_key_convicted = on_key_convicted
 
     def record(self, now: float, host: str, msg: PermitDone) -> bool:
         """Release a permit and learn of its upstream; return whether that is ejected now."""
@@ -69,7 +69,7 @@
         load = self._ledger.loads.get(permit.upstream)
         if load is None:
             return False
-        self._observe_parts(now, load, permit, msg)
+        self._observe_keys(now, load, permit, msg)
         if msg.outcome == Outcome.OK:
             if not msg.limited:
                 load.on_no_limit(now, permit.granted_at)
@@ -103,19 +103,19 @@
         """Convict the part whose crashes are confirmed by now, if any."""
         self._convict(self._suspicions.take_confirmed(now))
 
-    def _observe_parts(
+    def _observe_keys(
         self, now: float, load: UpstreamLoad, permit: GrantedPermit, msg: PermitDone
     ) -> None:
         """Record whether the upstream has begun to answer the prompt or has crashed on it."""
         start = load.entry.start
         if msg.outcome == Outcome.OK or msg.output_tokens > 0:
-            self._suspicions.on_answered(now, permit.granted_at, start, permit.parts)
+            self._suspicions.on_answered(now, permit.granted_at, start, permit.keys)
         elif msg.outcome == Outcome.CONNECTION_LOST:
-            self._convict(self._suspicions.on_crash(now, start, permit.parts))
+            self._convict(self._suspicions.on_crash(now, start, permit.keys))
 
-    def _convict(self, parts: list[int]) -> None:
-        for part in parts:
-            self._on_part_convicted(part)
+    def _convict(self, keys: list[int]) -> None:
+        for key in keys:
+            self._on_key_convicted(key)
 
     def _may_eject(self, load: UpstreamLoad) -> bool:
         """Return whether enough other upstreams of the pool are available to eject this one."""
--- a/tarragonwind/core/permit_requests.py
+++ b/tarragonwind/core/permit_requests.py
@@ -34,8 +34,8 @@
         Whether `deadline` is the deadline of the complete response instead of its first byte.
     first_byte_deadline : float
         Time at which the caller disconnects without a first byte, in seconds on this host's clock.
-    parts : list of int
-        Ids of the prompt's parts that other requests may have too.
+    keys : list of int
+        Keys of the prompt's parts that other requests may have too.
     """
 
     pool: str
@@ -52,7 +52,7 @@
     output_tokens: int = 0
     deadline_is_total: bool = False
     first_byte_deadline: float = math.inf
-    parts: list[int] = field(default_factory=list)
+    keys: list[int] = field(default_factory=list)
 
     @property
     def wait_deadline(self) -> float:
--- a/tarragonwind/core/permit_states.py
+++ b/tarragonwind/core/permit_states.py
@@ -88,7 +88,7 @@
                     held.permit.upstream,
                     held.request.tier,
                     held.request.cost_tokens,
-                    held.request.parts,
+                    held.request.keys,
                 )
             )
             for permit_id, held in self.held.items()
@@ -121,7 +121,7 @@
         output_tokens=request.output_tokens,
         deadline_is_total=request.deadline_is_total,
         first_byte_deadline_ms=time_left_ms(now, request.first_byte_deadline),
-        parts=request.parts,
+        keys=request.keys,
     )
 
 
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -16,7 +16,6 @@
     ignore_conviction,
     never_pack,
 )
-from tarragonwind.core.part_suspicions import PartSuspicions
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
@@ -34,6 +33,7 @@
 from tarragonwind.core.placements import Placer
 from tarragonwind.core.prefix_hints import PrefixHints
 from tarragonwind.core.queues import LEVEL_COUNT, QueuedRequest, TierQueue
+from tarragonwind.core.suspicions import Suspicions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
 from tarragonwind.core.version_draws import VersionDraws
@@ -84,10 +84,10 @@
         Round-trip time to each data centre, in seconds.
     packs_requests : callable
         Returns whether requests of a pool's version fill one upstream before the next.
-    suspicions : PartSuspicions, optional
-        Evidence on the parts of the pool's prompts, shared by the pool's owners on one host.
-    on_part_convicted : callable
-        Called with each part of prompts on which upstreams keep crashing.
+    suspicions : Suspicions, optional
+        Evidence on the pool's requests, shared by the pool's owners on one host.
+    on_key_convicted : callable
+        Called with each key of requests on which upstreams keep crashing.
     """
 
     def __init__(
@@ -101,8 +101,8 @@
         load_settings: LoadSettings | None = None,
         rtt_s: dict[str, float] | None = None,
         packs_requests: Callable[[str, str], bool] = never_pack,
-        suspicions: PartSuspicions | None = None,
-        on_part_convicted: Callable[[int], None] = ignore_conviction,
+        suspicions: Suspicions | None = None,
+        on_key_convicted: Callable[[int], None] = ignore_conviction,
     ) -> None:
         self.pool = pool
         self._packs_requests = packs_requests
@@ -125,8 +125,8 @@
             self.hints,
             self._holds,
             rng,
-            suspicions if suspicions is not None else PartSuspicions(),
-            on_part_convicted,
+            suspicions if suspicions is not None else Suspicions(),
+            on_key_convicted,
         )
         self._heartbeats = OwnerHeartbeats(
             pool, send, rng, self._queue, self._ledger, self._hosts, self._settings.query_after_s
@@ -296,7 +296,7 @@
                 if msg.first_byte_deadline_ms < 0
                 else now + msg.first_byte_deadline_ms / 1_000
             ),
-            parts=tuple(msg.parts),
+            keys=tuple(msg.keys),
         )
         self._set_latest_grant(now, req, msg)
         if self.active and not self._ledger.has_live(req.version):
@@ -407,7 +407,7 @@
             granted_at=now,
             first_byte_s=0.0 if placement.cached_share else placement.first_byte_s,
             token_s=placement.token_s,
-            parts=req.parts,
+            keys=req.keys,
         )
         self._ledger.add(now, permit)
         self._waits.add_granted(req)
@@ -469,7 +469,7 @@
             tier=held.tier,
             cost_tokens=held.cost_tokens,
             granted_at=now,
-            parts=tuple(held.parts),
+            keys=tuple(held.keys),
         )
         self._ledger.add(now, permit)
 
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -17,7 +17,6 @@
     ignore_conviction,
     never_pack,
 )
-from tarragonwind.core.part_suspicions import PartSuspicions
 from tarragonwind.core.permit_messages import (
     PermitAsk,
     PermitCancel,
@@ -27,6 +26,7 @@
     UpstreamLimit,
 )
 from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.suspicions import Suspicions
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.messages import Message
 
@@ -63,8 +63,8 @@
         Round-trip time to each data centre, in seconds.
     packs_requests : callable
         Returns whether requests of a pool's version fill one upstream before the next.
-    on_part_convicted : callable
-        Called with each part of prompts on which upstreams keep crashing.
+    on_key_convicted : callable
+        Called with each key of requests on which upstreams keep crashing.
     """
 
     send: Send
@@ -75,11 +75,11 @@
     load_settings: LoadSettings = dataclasses.field(default_factory=LoadSettings)
     rtt_s: dict[str, float] = dataclasses.field(default_factory=dict)
     packs_requests: Callable[[str, str], bool] = never_pack
-    on_part_convicted: Callable[[int], None] = ignore_conviction
+    on_key_convicted: Callable[[int], None] = ignore_conviction
 
 
 def create_owner(
-    pool: str, deps: OwnerDependencies, suspicions: PartSuspicions | None = None
+    pool: str, deps: OwnerDependencies, suspicions: Suspicions | None = None
 ) -> PoolOwner:
     """Create the owner of a pool; it is inactive until `PoolOwner.on_members_changed`."""
     return PoolOwner(
@@ -93,7 +93,7 @@
         deps.rtt_s,
         deps.packs_requests,
         suspicions,
-        deps.on_part_convicted,
+        deps.on_key_convicted,
     )
 
 
@@ -131,7 +131,7 @@
         self._share = 1.0
         self._owners: dict[str, PoolOwner] = {}
         self._upstreams: dict[str, list[UpstreamEntry]] = {}
-        self._suspicions: dict[str, PartSuspicions] = {}
+        self._suspicions: dict[str, Suspicions] = {}
         self._local: weakref.WeakValueDictionary[str, PoolOwner] = weakref.WeakValueDictionary()
 
     def configure(self, now: float, pools: Iterable[str], upstreams: list[UpstreamEntry]) -> None:
@@ -145,7 +145,7 @@
         for pool in sorted(names):
             self._upstreams[pool] = [entry for entry in upstreams if entry.pool == pool]
             if pool not in self._owners:
-                self._suspicions[pool] = PartSuspicions()
+                self._suspicions[pool] = Suspicions()
                 self._owners[pool] = create_owner(pool, self._deps, self._suspicions[pool])
                 self._owners[pool].set_share(now, self._share)
             owner = self._owners[pool]
@@ -226,7 +226,7 @@
         """
         settings = dataclasses.replace(self._deps.settings, settle_s=0.0, pause_limit_s=math.inf)
         deps = dataclasses.replace(self._deps, send=send, settings=settings)
-        owner = create_owner(pool, deps, self._suspicions.get(pool) or PartSuspicions())
+        owner = create_owner(pool, deps, self._suspicions.get(pool) or Suspicions())
         owner.configure(now, self._upstreams.get(pool, []))
         owner.set_share(now, self._local_share(now))
         owner.on_members_changed(now, [self._name], True)
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -64,8 +64,8 @@
         Time from which a late request precedes lower priorities, in seconds on the owner's clock.
     level : int
         Queue level, 0 the first to be served.
-    parts : tuple of int
-        Ids of the prompt's parts that other requests may have too.
+    keys : tuple of int
+        Keys of the prompt's parts that other requests may have too.
     """
 
     host: str
@@ -87,7 +87,7 @@
     latest_on_time_grant: float = math.inf
     urgent_from: float = math.inf
     level: int = 0
-    parts: tuple[int, ...] = ()
+    keys: tuple[int, ...] = ()
 
     @property
     def key(self) -> PermitKey:
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -46,8 +46,8 @@
     first_byte_deadline : float
         Time at which the caller disconnects without a first byte, in seconds on the monotonic
         clock.
-    parts : list of int
-        Ids of the prompt's parts that other requests may have too.
+    keys : list of int
+        Keys of the prompt's parts that other requests may have too.
     """
 
     pool: str
@@ -65,7 +65,7 @@
     first_byte_deadline: float = math.inf
     prompt_tokens: int | None = None
     expected_tokens: int | None = None
-    parts: list[int] = field(default_factory=list)
+    keys: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -120,8 +120,8 @@
     def may_dispatch(self, permit: Permit) -> bool:
         """Return whether a permit still holds: its upstream may have left since the grant."""
 
-    def quarantine_left_s(self, parts: Iterable[int]) -> float:
-        """Return the time for which these parts of a prompt are in quarantine, in seconds."""
+    def quarantine_left_s(self, keys: Iterable[int]) -> float:
+        """Return the time for which any of these keys is in quarantine, in seconds."""
         return 0.0
 
     def hold_left_s(self, upstream: str) -> float:
--- a/tarragonwind/core/part_suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -89,7 +89,7 @@
         return max(self.count_moments(), confirmed)
 
 
-class PartSuspicions:
+class Suspicions:
     """Collect the evidence on the parts of the prompts that one pool gets."""
 
     __slots__ = ("_answered_at", "_suspects")
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -145,7 +145,7 @@
             UnrestrictedVersionSelector(),
             ENGINE_LOAD_SETTINGS,
             self.fleet.shares,
-            lambda part: self.quarantines.announce(part),
+            lambda key: self.quarantines.announce(key),
         )
         self.quarantines = QuarantineReplicator(
             QUARANTINE_PREFIX,
--- a/tarragonwind/quarantine_replicators.py
+++ b/tarragonwind/quarantine_replicators.py
@@ -1,4 +1,4 @@
-"""Share quarantines of prompt parts between hosts: directly, by gossip and through the store."""
+"""Share quarantines between hosts: directly, by gossip and through the store."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from tarragonwind.core.mirror_states import MirrorItem
-from tarragonwind.core.part_quarantines import QUARANTINE_S, PartQuarantines
+from tarragonwind.core.quarantines import QUARANTINE_S, Quarantines
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import spawn
 from tarragonwind.messages import Message, message
@@ -19,7 +19,7 @@
 
 GOSSIP_NAME = "quarantines"
 GOSSIP_FORMAT = struct.Struct(">QI")
-"""Part, and the time that is left of its quarantine in milliseconds."""
+"""Key, and the time that is left of its quarantine in milliseconds."""
 MAX_PER_PAYLOAD = 4
 CHECK_PERIOD_S = 2.0
 """Interval at which quarantines that the store has lost are written again, in seconds."""
@@ -29,18 +29,18 @@
 
 @message(63)
 @dataclass(frozen=True, slots=True)
-class PartQuarantined(Message):
-    """Tell that a part of prompts is kept from upstreams.
+class KeyQuarantined(Message):
+    """Tell that requests with a key are kept from upstreams.
 
     Attributes
     ----------
-    part : int
-        Id of the part.
+    key : int
+        Key of a part of prompts.
     left_ms : int
         Time left of its quarantine, in milliseconds.
     """
 
-    part: int
+    key: int
     left_ms: int
 
 
@@ -54,7 +54,7 @@
     ----------
     prefix : str
         Prefix of the quarantines' keys in the store.
-    quarantines : PartQuarantines
+    quarantines : Quarantines
         Quarantines in force on this host.
     mirror : StoreMirror
         Mirror that contains these keys.
@@ -71,7 +71,7 @@
     def __init__(
         self,
         prefix: str,
-        quarantines: PartQuarantines,
+        quarantines: Quarantines,
         mirror: StoreMirror,
         store: Store,
         members: Members,
@@ -92,33 +92,33 @@
         self._missing: set[int] = set()
         self._writing: set[int] = set()
         gossip.attach(GOSSIP_NAME, self._provide, self._on_payload)
-        peers.subscribe(PartQuarantined, self._on_message)
+        peers.subscribe(KeyQuarantined, self._on_message)
         mirror.subscribe(self._on_changes)
         timers.call_every(CHECK_PERIOD_S * rng.uniform(0.8, 1.2), self._write_missing)
 
-    def announce(self, part: int) -> None:
-        """Quarantine a part on every host."""
-        if not self._add(part, QUARANTINE_S, "upstreams_crashed"):
+    def announce(self, key: int) -> None:
+        """Quarantine a key on every host."""
+        if not self._add(key, QUARANTINE_S, "upstreams_crashed"):
             return
-        msg = PartQuarantined(part, round(1_000 * QUARANTINE_S))
+        msg = KeyQuarantined(key, round(1_000 * QUARANTINE_S))
         for host in self._members.live():
             if host != self._members.name:
                 self._peers.send(host, msg)
-        self._write(part, QUARANTINE_S)
+        self._write(key, QUARANTINE_S)
 
-    def _add(self, part: int, left_s: float, source: str) -> bool:
-        added = self._quarantines.add(self._timers.now(), part, left_s)
+    def _add(self, key: int, left_s: float, source: str) -> bool:
+        added = self._quarantines.add(self._timers.now(), key, left_s)
         if added:
             logger.warning(
-                "event=part_quarantined part={:x} left_s={:.0f} source={}", part, left_s, source
+                "event=key_quarantined key={:x} left_s={:.0f} source={}", key, left_s, source
             )
             self._gossip.push_payloads()
         return added
 
     # Other hosts
 
-    def _on_message(self, sender: str, msg: PartQuarantined) -> None:
-        self._add(msg.part, msg.left_ms / 1_000, sender)
+    def _on_message(self, sender: str, msg: KeyQuarantined) -> None:
+        self._add(msg.key, msg.left_ms / 1_000, sender)
 
     def _provide(self) -> bytes | None:
         """Return a few quarantines; successive payloads take turns among all of them."""
@@ -128,14 +128,14 @@
         first = self._next_in_gossip % len(active)
         rows = [*active[first:], *active[:first]][:MAX_PER_PAYLOAD]
         self._next_in_gossip = first + len(rows)
-        return b"".join(GOSSIP_FORMAT.pack(part, round(1_000 * left_s)) for part, left_s in rows)
+        return b"".join(GOSSIP_FORMAT.pack(key, round(1_000 * left_s)) for key, left_s in rows)
 
     def _on_payload(self, sender: str, value: bytes) -> None:
         if len(value) % GOSSIP_FORMAT.size:
             logger.warning("event=quarantines_unreadable host={} size={}", sender, len(value))
             return
-        for part, left_ms in GOSSIP_FORMAT.iter_unpack(value):
-            self._add(part, left_ms / 1_000, sender)
+        for key, left_ms in GOSSIP_FORMAT.iter_unpack(value):
+            self._add(key, left_ms / 1_000, sender)
 
     # The store
 
@@ -145,39 +145,39 @@
             if not item.key.startswith(self._prefix) or item.value is None:
                 continue
             try:
-                part = int(item.key.removeprefix(self._prefix), 16)
+                key = int(item.key.removeprefix(self._prefix), 16)
             except ValueError:
                 logger.warning("event=quarantine_key_unreadable key={!r}", item.key)
                 continue
-            self._add(part, QUARANTINE_S, "store")
+            self._add(key, QUARANTINE_S, "store")
 
     def _write_missing(self) -> None:
         """Write the quarantines whose keys were already missing at the check before."""
         if self._mirror.unavailable_since is not None or not self._mirror.state.loaded:
             return
         missing = set()
-        for part, left_s in self._quarantines.active(self._timers.now()).items():
-            if left_s < MIN_STORED_S or self._key(part) in self._mirror.state.items:
+        for key, left_s in self._quarantines.active(self._timers.now()).items():
+            if left_s < MIN_STORED_S or self._store_key(key) in self._mirror.state.items:
                 continue
-            missing.add(part)
-            if part in self._missing:
-                self._write(part, left_s)
+            missing.add(key)
+            if key in self._missing:
+                self._write(key, left_s)
         self._missing = missing
 
-    def _key(self, part: int) -> str:
-        return f"{self._prefix}{part:x}"
+    def _store_key(self, key: int) -> str:
+        return f"{self._prefix}{key:x}"
 
-    def _write(self, part: int, left_s: float) -> None:
-        if part not in self._writing:
-            self._writing.add(part)
-            spawn(self._write_key(part, left_s))
+    def _write(self, key: int, left_s: float) -> None:
+        if key not in self._writing:
+            self._writing.add(key)
+            spawn(self._write_key(key, left_s))
 
-    async def _write_key(self, part: int, left_s: float) -> None:
-        key = self._key(part)
+    async def _write_key(self, key: int, left_s: float) -> None:
+        store_key = self._store_key(key)
         try:
             lease_id = await self._store.grant_lease(math.ceil(left_s))
-            await self._store.commit([Compare(key, 0)], [Put(key, b"", lease_id)])
+            await self._store.commit([Compare(store_key, 0)], [Put(store_key, b"", lease_id)])
         except StoreError as exc:
-            logger.warning("event=quarantine_not_stored part={:x} reason={!r}", part, str(exc))
+            logger.warning("event=quarantine_not_stored key={:x} reason={!r}", key, str(exc))
         finally:
-            self._writing.discard(part)
+            self._writing.discard(key)
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -25,11 +25,11 @@
 from tarragonwind.core.fleet_shares import FleetShares
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
-from tarragonwind.core.part_quarantines import PartQuarantines
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
 from tarragonwind.core.permit_messages import Outcome, PermitDone
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerDependencies, PoolOwners
+from tarragonwind.core.quarantines import Quarantines
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings
@@ -88,14 +88,14 @@
         Load limits, performance model and ejection of upstreams.
     fleet : FleetShares, optional
         Shares of the fleet's capacity while the fleet is partitioned.
-    on_part_convicted : callable, optional
-        Called with each part of prompts on which upstreams keep crashing; by default the part is
+    on_key_convicted : callable, optional
+        Called with each key of requests on which upstreams keep crashing; by default it is
         quarantined on this host alone.
 
     Attributes
     ----------
-    quarantines : PartQuarantines
-        Parts of prompts that are kept from upstreams.
+    quarantines : Quarantines
+        Keys of requests that are kept from upstreams.
     """
 
     def __init__(
@@ -107,9 +107,9 @@
         versions: VersionSelector,
         load_settings: LoadSettings | None = None,
         fleet: FleetShares | None = None,
-        on_part_convicted: Callable[[int], None] | None = None,
+        on_key_convicted: Callable[[int], None] | None = None,
     ) -> None:
-        self.quarantines = PartQuarantines()
+        self.quarantines = Quarantines()
         self._members = members
         self._timers = timers
         self._versions = versions
@@ -127,7 +127,7 @@
             self._weight_of,
             load_settings=load_settings or LoadSettings(),
             packs_requests=versions.packs_requests,
-            on_part_convicted=on_part_convicted or self._quarantine_here,
+            on_key_convicted=on_key_convicted or self._quarantine_here,
         )
         self.owners = PoolOwners(members.name, deps, members.owner_of, members.running, fleet)
         self.client = PermitClient(
@@ -175,7 +175,7 @@
             output_tokens=cost.output_tokens,
             deadline_is_total=request.deadline_is_total,
             first_byte_deadline=request.first_byte_deadline,
-            parts=request.parts,
+            keys=request.keys,
         )
 
         def granted(permit: Permit) -> None:
@@ -212,12 +212,12 @@
             return False
         return not self._versions.is_withheld(permit.pool, permit.version)
 
-    def quarantine_left_s(self, parts: Iterable[int]) -> float:
-        """Return the time for which these parts of a prompt are in quarantine, in seconds."""
-        return self.quarantines.left_s(self._timers.now(), parts)
+    def quarantine_left_s(self, keys: Iterable[int]) -> float:
+        """Return the time for which any of these keys is in quarantine, in seconds."""
+        return self.quarantines.left_s(self._timers.now(), keys)
 
-    def _quarantine_here(self, part: int) -> None:
-        self.quarantines.add(self._timers.now(), part)
+    def _quarantine_here(self, key: int) -> None:
+        self.quarantines.add(self._timers.now(), key)
 
     def hold_left_s(self, upstream: str) -> float:
         """Return the time for which an upstream wants no requests of this host, in seconds."""
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -64,7 +64,7 @@
             lambda organisation: fleet.weights.get(organisation, 1.0),
             fleet.settings,
             fleet.load_settings,
-            on_part_convicted=self.convicted.append,
+            on_key_convicted=self.convicted.append,
         )
         self.owners = PoolOwners(name, deps, lambda pool: self.owner_name, lambda: self.live)
         self.client = PermitClient(
--- a/tests/test_crashing_part_evidence.py
+++ b/tests/test_crashing_part_evidence.py
@@ -2,8 +2,8 @@
 
 from permit_fleets import Fleet, create_request, create_upstream
 
-from tarragonwind.core.part_suspicions import CRASHES_TO_CONVICT
 from tarragonwind.core.permit_messages import Outcome
+from tarragonwind.core.suspicions import CRASHES_TO_CONVICT
 
 SHARED, BAD = 7, 13
 
@@ -16,7 +16,7 @@
 
     def grant(self, name, *parts):
         host = self.fleet.hosts[name]
-        request = create_request(parts=list(parts), deadline=self.fleet.now + 50)
+        request = create_request(keys=list(parts), deadline=self.fleet.now + 50)
         permit_id = host.request_permit(request)
         self.fleet.settle_messages()
         return host, permit_id
@@ -83,7 +83,7 @@
     site.fleet.cut = {("h2", "h0"), ("h0", "h2")}
     for _ in range(CRASHES_TO_CONVICT):
         host = site.fleet.hosts["h2"]
-        request = create_request(parts=[SHARED, BAD], deadline=site.fleet.now + 50)
+        request = create_request(keys=[SHARED, BAD], deadline=site.fleet.now + 50)
         permit_id = host.request_permit(request)
         site.fleet.advance(1.5)
         site.crash_upstream(host, permit_id)
--- a/tests/test_part_suspicions.py
+++ b/tests/test_part_suspicions.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from tarragonwind.core.part_suspicions import (
+from tarragonwind.core.suspicions import (
     CONFIRMED_S,
     CRASHES_TO_CONVICT,
     CRASHES_TO_CONVICT_ANSWERED,
     MEMORY_S,
     SAME_MOMENT_S,
-    PartSuspicions,
+    Suspicions,
 )
 
 SHARED, CALLER, BAD = 1, 2, 3
@@ -20,7 +20,7 @@
     """Play crashes and answers of upstreams that start anew after each crash."""
 
     def __init__(self):
-        self.suspicions = PartSuspicions()
+        self.suspicions = Suspicions()
         self.now = 100.0
         self.starts = 0
         self.convicted = []
--- a/tests/test_quarantine_replicators.py
+++ b/tests/test_quarantine_replicators.py
@@ -7,7 +7,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.memory_stores import MemoryStore
 from tarragonwind.core.mirror_states import MirrorItem
-from tarragonwind.core.part_quarantines import QUARANTINE_S, PartQuarantines
+from tarragonwind.core.quarantines import QUARANTINE_S, Quarantines
 from tarragonwind.core.store_positions import StorePosition
 from tarragonwind.quarantine_replicators import (
     CHECK_PERIOD_S,
@@ -46,7 +46,7 @@
     def __init__(self, site, name):
         self.site = site
         self.name = name
-        self.quarantines = PartQuarantines()
+        self.quarantines = Quarantines()
         self.mirror = MirrorCopy()
         self.replicator = QuarantineReplicator(
             PREFIX,
