Let back ends of the test crash from their first request on

The faults are now set before the first request and before each registration, so the test is stricter.

--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from standins.fleets import Fleet, FleetProcess, call, free_port, wait_until
+from standins.fleets import Fleet, FleetProcess, call, free_port, set_faults, wait_until
 
 AUTHORITY = "fleet.example"
 KEYS = {"officina": "key-officina", "cantiere": "key-cantiere"}
@@ -112,17 +112,21 @@
         self.versions.append(WrittenVersion(time.time(), timeout_s, idle_s))
         self.put("op/config", doc)
 
-    def replace_exited_back_end(self, name: str, successor: str, pool: str) -> FleetProcess:
+    def replace_exited_back_end(
+        self, name: str, successor: str, pool: str, **faults: Any
+    ) -> FleetProcess:
         """Remove the entry of a back end that has exited, and start another one in its place."""
         self.put(f"servers/{name}", None)
-        return self.start_back_end(successor, pool)
+        return self.start_back_end(successor, pool, **faults)
 
-    def start_back_end(self, name: str, pool: str) -> FleetProcess:
-        """Start a back end and write its entry."""
+    def start_back_end(self, name: str, pool: str, **faults: Any) -> FleetProcess:
+        """Start a back end, set its faults and write its entry."""
         journal = str(self.fleet.journal_path(name))
         started = self.fleet.start_standin(
             name, "standins.platform_engine", "--name", name, "--journal", journal
         )
+        if faults:
+            set_faults(started.port, **faults)
         self.register(name, pool, started.port)
         return started
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -156,10 +156,6 @@
 
     def send_crashing(self, host):
         time.sleep(WARM_UP_S)
-        for name in self.site.back_ends:
-            port = self.site.fleet.fleet.processes[name].port
-            if host == "front-0":
-                set_faults(port, **crash_faults(self.site.kind.crashing))
         while time.monotonic() < self.ends_at:
             self.site.send("crashing", self.site.kind.crashing, host)
             time.sleep(0.4)
@@ -177,10 +173,10 @@
                 if processes[name].process.poll() is not None:
                     time.sleep(RESTART_S / BACK_ENDS)
                     self.site.back_ends[position] = f"{name}r"
-                    started = self.site.fleet.replace_exited_back_end(
-                        name, f"{name}r", self.site.kind.pool
+                    faults = crash_faults(self.site.kind.crashing)
+                    self.site.fleet.replace_exited_back_end(
+                        name, f"{name}r", self.site.kind.pool, **faults
                     )
-                    set_faults(started.port, **crash_faults(self.site.kind.crashing))
             time.sleep(0.05)
 
 
@@ -188,6 +184,7 @@
 def played(request, tmp_path_factory):
     with PlatformFleet(tmp_path_factory.mktemp(request.param)) as fleet:
         site = Site(fleet, KINDS[request.param])
+        set_all(site, **crash_faults(site.kind.crashing))
         Load(site).run()
         yield site
 
