Keep a request that crashes upstreams from them, also where it is no prompt

Cause: crashes were connected by the parts of prompts alone. A request of a plain service has none, and a prompt that comes again unchanged may have sound parts only, so each crash counted against its upstream and never against the request.

Why it works: the request is one more key of the mechanism that exists for parts. Its 64-bit hash goes with the permit, so the pool's owner sees each crash and each answer of all hosts; three crashes without an answer convict it, all hosts learn it by message, gossip and store, and check it before a permit is asked for and before each dispatch. The highest bit of a key tells requests from parts. Every request with enough crashes is convicted, as that costs no other; a part only if not all its crashes belong to convicted requests. After a dispatch that may have run the answer stays 502 (not_run unknown). Answers are remembered for 16384 keys a pool instead of 4096, as every request has one now; an answer looks through the suspects only if its upstream is one that has crashed.

Ruled out: a second mechanism for services; one key for path and caller without the body, which would refuse sound requests.

--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -322,11 +322,16 @@
         return remaining_s
 
     def _check_quarantine(self, request_class: RequestClass) -> None:
-        """Raise `RequestError` if upstreams have crashed on a part of the prompt."""
-        left_s = self._context.scheduler.quarantine_left_s(request_class.shared_parts)
+        """Raise `RequestError` if upstreams have crashed on the request or a part of its prompt."""
+        scheduler = self._context.scheduler
+        left_s = scheduler.quarantine_left_s(request_class.shared_parts)
         if left_s > 0:
             message = "upstreams have crashed on a part of this prompt"
             raise RequestError(ErrorKind.PROMPT_QUARANTINED, message, left_s)
+        left_s = scheduler.quarantine_left_s([request_class.request_key])
+        if left_s > 0:
+            message = "upstreams have crashed on this request"
+            raise RequestError(ErrorKind.REQUEST_QUARANTINED, message, left_s)
 
     def _start_relay(self, permit: Permit, upstream: UpstreamEntry, remaining_s: float) -> Relay:
         times = self._context.times
--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -80,7 +80,7 @@
     rank : int
         Priority within the tier, 0 the highest.
     shared_parts : tuple of int
-        Ids of the prompt's parts that other requests may have too: all but the last.
+        Keys of the prompt's parts that other requests may have too: all but the last.
     request_key : int
         Key that equal requests share on every host, 0 until it is computed.
     """
@@ -103,6 +103,11 @@
     shared_parts: tuple[int, ...] = ()
     request_key: int = 0
 
+    @property
+    def quarantine_keys(self) -> tuple[int, ...]:
+        """Return the keys of all that upstreams may crash on, the most specific last."""
+        return (*self.shared_parts, self.request_key)
+
 
 @dataclass(slots=True)
 class CompletionBody:
--- a/tarragonwind/core/permit_ledgers.py
+++ b/tarragonwind/core/permit_ledgers.py
@@ -32,7 +32,7 @@
         Expected time to the first byte and per token, in seconds; 0 excludes the permit from the
         correction of these estimates.
     keys : tuple of int
-        Keys of the prompt's parts that other requests may have too.
+        Keys of the prompt's shared parts and of the request, see `Suspicions`.
     """
 
     host: str
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -68,7 +68,7 @@
         Time left for the first byte before the caller disconnects, in milliseconds; -1 for no
         limit.
     keys : list of int
-        Keys of the prompt's parts that other requests may have too.
+        Keys of the prompt's shared parts and of the request, see `Suspicions`.
     """
 
     permit_id: int
--- a/tarragonwind/core/permit_requests.py
+++ b/tarragonwind/core/permit_requests.py
@@ -35,7 +35,7 @@
     first_byte_deadline : float
         Time at which the caller disconnects without a first byte, in seconds on this host's clock.
     keys : list of int
-        Keys of the prompt's parts that other requests may have too.
+        Keys of the prompt's shared parts and of the request, see `Suspicions`.
     """
 
     pool: str
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -65,7 +65,7 @@
     level : int
         Queue level, 0 the first to be served.
     keys : tuple of int
-        Keys of the prompt's parts that other requests may have too.
+        Keys of the prompt's shared parts and of the request, see `Suspicions`.
     """
 
     host: str
--- a/tarragonwind/core/request_keys.py
+++ b/tarragonwind/core/request_keys.py
@@ -11,6 +11,7 @@
 HASH_DOMAIN = b"tarragonwind-req"
 REQUEST_BIT = 1 << 63
 """Bit that is set in each key of a request and in no key of a prompt's part."""
+PART_KEY_MASK = REQUEST_BIT - 1
 FIELD_LENGTH = struct.Struct(">I")
 
 
--- a/tarragonwind/core/request_metadata.py
+++ b/tarragonwind/core/request_metadata.py
@@ -9,6 +9,7 @@
 
 from tarragonwind.core.classifications import RequestClass, parse_target_path
 from tarragonwind.core.entries import OrganisationEntry, RouteEntry
+from tarragonwind.core.request_keys import PART_KEY_MASK
 from tarragonwind.errors import ErrorKind, RequestError
 
 PUBLIC_ORGANISATION = OrganisationEntry(
@@ -119,8 +120,8 @@
 
 
 def select_shared_parts(parts: list[PromptPart]) -> tuple[int, ...]:
-    """Return the ids of all parts but the last, which belongs to its request or session."""
-    return tuple(part.part_id for part in parts[:-1][:MAX_SHARED_PARTS])
+    """Return the keys of all parts but the last, which belongs to its request or session."""
+    return tuple(part.part_id & PART_KEY_MASK for part in parts[:-1][:MAX_SHARED_PARTS])
 
 
 def authenticate(
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -47,7 +47,7 @@
         Time at which the caller disconnects without a first byte, in seconds on the monotonic
         clock.
     keys : list of int
-        Keys of the prompt's parts that other requests may have too.
+        Keys of the prompt's shared parts and of the request, see `Suspicions`.
     """
 
     pool: str
--- a/tarragonwind/core/scheduling_requests.py
+++ b/tarragonwind/core/scheduling_requests.py
@@ -30,7 +30,7 @@
         deadline=started_at + request_class.timeout_s,
         rank=request_class.rank,
         deadline_is_total=request_class.deadline_is_total,
-        keys=list(request_class.shared_parts),
+        keys=list(request_class.quarantine_keys),
     )
     if route.target_latency_s:
         scheduling_request.target = started_at + route.target_latency_s
--- a/tarragonwind/core/suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -1,10 +1,13 @@
-"""Find parts of prompts that crash one upstream after another.
+"""Find requests, and parts of prompts, that crash one upstream after another.
 
 An upstream that crashes breaks the responses of all its requests. Those that had not begun may have
-caused it; their prompts' parts become suspects. A part that was answered anywhere is sound. A part
-is convicted when several upstreams have crashed on it and it was never answered in between. Where
-several parts of one prompt could be the cause, only one is convicted: the one that was never
-answered, or longest ago.
+caused it; their keys become suspects: one for each part of a prompt that other prompts may have
+too, and one for the request itself. A key that was answered anywhere is sound. A key is convicted
+when several upstreams have crashed on it and it was never answered in between.
+
+Each request with enough crashes is convicted, as that costs no other request. Of several parts only
+one is: the one that was never answered, or longest ago; and none whose crashes all belong to
+convicted requests.
 """
 
 from __future__ import annotations
@@ -13,12 +16,13 @@
 from collections.abc import Iterable, Sequence
 
 from tarragonwind.core.entries import UpstreamStart
+from tarragonwind.core.request_keys import is_request_key
 
 CRASHES_TO_CONVICT = 3
-"""Crashes of upstreams that convict a part which was never answered."""
+"""Crashes of upstreams that convict a key which was never answered."""
 
 CRASHES_TO_CONVICT_ANSWERED = 6
-"""Crashes, without an answer in between, that convict a part which was answered once."""
+"""Crashes, without an answer in between, that convict a key which was answered once."""
 
 SAME_MOMENT_S = 0.25
 """Time within which broken connections may have one cause outside of the upstreams, in seconds."""
@@ -29,24 +33,24 @@
 MEMORY_S = 120.0
 """Time for which a crash counts, in seconds."""
 
-MAX_ANSWERED = 4_096
-"""Maximum number of parts whose last answer is remembered."""
+MAX_ANSWERED = 16_384
+"""Maximum number of keys whose last answer is remembered."""
 
 MAX_SUSPECTS = 1_024
-"""Maximum number of parts under suspicion; the one suspected longest ago is dropped first."""
+"""Maximum number of keys under suspicion; the one suspected longest ago is dropped first."""
 
 
 class Suspect:
-    """Hold the crashes of upstreams on one part since it was last answered.
+    """Hold the crashes of upstreams on one key since it was last answered.
 
     Attributes
     ----------
     crashes : dict of UpstreamStart to float
         Time at which each upstream crashed, in seconds.
     convicted : bool
-        Whether the part was convicted; it is convicted again at the next crash on it.
+        Whether the key was convicted; it is convicted again at the next crash on it.
     position : int
-        Last position at which a prompt had the part; later parts are more specific.
+        Last position at which a request had the key; later parts are more specific.
     """
 
     __slots__ = ("convicted", "crashes", "position")
@@ -63,7 +67,7 @@
         self.position = position
 
     def drop_starts(self, starts: Iterable[UpstreamStart]) -> None:
-        """Drop crashes that another part has caused."""
+        """Drop crashes that another key has caused."""
         for start in starts:
             self.crashes.pop(start, None)
 
@@ -84,22 +88,23 @@
         return count
 
     def count_crashes(self, now: float) -> int:
-        """Return the number of upstreams that have certainly crashed on the part."""
+        """Return the number of upstreams that have certainly crashed on the key."""
         confirmed = sum(1 for at in self.crashes.values() if now - at >= CONFIRMED_S)
         return max(self.count_moments(), confirmed)
 
 
 class Suspicions:
-    """Collect the evidence on the parts of the prompts that one pool gets."""
+    """Collect the evidence on the keys of the requests that one pool gets."""
 
-    __slots__ = ("_answered_at", "_suspects")
+    __slots__ = ("_answered_at", "_crashed_at", "_suspects")
 
     def __init__(self) -> None:
         self._suspects: OrderedDict[int, Suspect] = OrderedDict()
         self._answered_at: OrderedDict[int, float] = OrderedDict()
+        self._crashed_at: dict[UpstreamStart, float] = {}
 
-    def on_crash(self, now: float, start: UpstreamStart, parts: Sequence[int]) -> list[int]:
-        """Suspect the parts of a request that an upstream had not answered when it crashed.
+    def on_crash(self, now: float, start: UpstreamStart, keys: Sequence[int]) -> list[int]:
+        """Suspect the keys of a request that an upstream had not answered when it crashed.
 
         Parameters
         ----------
@@ -107,27 +112,28 @@
             Time in seconds.
         start : UpstreamStart
             Upstream that has crashed.
-        parts : sequence of int
-            Parts of the prompt, in order.
+        keys : sequence of int
+            Keys of the prompt's parts, in order, and of the request.
 
         Returns
         -------
         list of int
-            Parts that this crash has convicted.
+            Keys that this crash has convicted.
         """
-        known = [part for part in parts if self._is_convicted(part)]
+        known = [key for key in keys if self._is_convicted(key)]
         if known:
             return known
-        for position, part in enumerate(parts):
-            self._suspect(part).add(now, start, position)
+        self._crashed_at[start] = now
+        for position, key in enumerate(keys):
+            self._suspect(key).add(now, start, position)
         while len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
-        return self._convict_one(now, parts)
+        return self._convict(now, keys)
 
     def on_answered(
-        self, now: float, granted_at: float, start: UpstreamStart, parts: Iterable[int]
+        self, now: float, granted_at: float, start: UpstreamStart, keys: Iterable[int]
     ) -> None:
-        """Clear the parts of a request that was answered, and what is held against its upstream.
+        """Clear the keys of a request that was answered, and what is held against its upstream.
 
         Parameters
         ----------
@@ -135,53 +141,86 @@
             Time, and time of the request's grant, in seconds; the upstream has not crashed before.
         start : UpstreamStart
             Upstream that has answered.
-        parts : iterable of int
-            Parts of the answered prompt.
+        keys : iterable of int
+            Keys of the answered request.
         """
-        for part in parts:
-            self._suspects.pop(part, None)
-            self._answered_at[part] = now
-            self._answered_at.move_to_end(part)
+        for key in keys:
+            self._suspects.pop(key, None)
+            self._answered_at[key] = now
+            self._answered_at.move_to_end(key)
         while len(self._answered_at) > MAX_ANSWERED:
             self._answered_at.popitem(last=False)
-        for suspect in self._suspects.values():
-            if suspect.crashes.get(start, granted_at) < granted_at:
-                del suspect.crashes[start]
+        if start in self._crashed_at:
+            self._drop_disproved(granted_at, start)
 
     def take_confirmed(self, now: float) -> list[int]:
-        """Convict a part whose crashes are confirmed by now, if any; forget old suspects."""
-        for part, suspect in list(self._suspects.items()):
-            suspect.drop_before(now - MEMORY_S)
+        """Convict the keys whose crashes are confirmed by now; forget old suspects."""
+        oldest = now - MEMORY_S
+        self._crashed_at = {start: at for start, at in self._crashed_at.items() if at >= oldest}
+        for key, suspect in list(self._suspects.items()):
+            suspect.drop_before(oldest)
             if not suspect.crashes and not suspect.convicted:
-                del self._suspects[part]
-        return self._convict_one(now, self._suspects)
+                del self._suspects[key]
+        return self._convict(now, self._suspects)
 
-    def _suspect(self, part: int) -> Suspect:
-        suspect = self._suspects.setdefault(part, Suspect())
-        self._suspects.move_to_end(part)
+    def _suspect(self, key: int) -> Suspect:
+        suspect = self._suspects.setdefault(key, Suspect())
+        self._suspects.move_to_end(key)
         return suspect
 
-    def _is_convicted(self, part: int) -> bool:
-        suspect = self._suspects.get(part)
+    def _drop_disproved(self, granted_at: float, start: UpstreamStart) -> None:
+        """Drop the crashes of an upstream that has answered a request granted after them."""
+        for suspect in self._suspects.values():
+            if suspect.crashes.get(start, granted_at) < granted_at:
+                del suspect.crashes[start]
+        if self._crashed_at[start] < granted_at:
+            del self._crashed_at[start]
+
+    def _is_convicted(self, key: int) -> bool:
+        suspect = self._suspects.get(key)
         return suspect is not None and suspect.convicted
 
-    def _has_evidence(self, now: float, part: int) -> bool:
-        suspect = self._suspects[part]
-        needed = CRASHES_TO_CONVICT_ANSWERED if part in self._answered_at else CRASHES_TO_CONVICT
+    def _has_evidence(self, now: float, key: int) -> bool:
+        suspect = self._suspects[key]
+        needed = CRASHES_TO_CONVICT_ANSWERED if key in self._answered_at else CRASHES_TO_CONVICT
         return not suspect.convicted and suspect.count_crashes(now) >= needed
 
-    def _convict_one(self, now: float, parts: Iterable[int]) -> list[int]:
-        """Convict the likeliest part with enough evidence; its crashes then count for no other."""
-        candidates = [part for part in parts if self._has_evidence(now, part)]
+    def _convict(self, now: float, keys: Iterable[int]) -> list[int]:
+        """Convict the requests with enough evidence, and the likeliest part that they leave."""
+        candidates = [key for key in keys if self._has_evidence(now, key)]
         if not candidates:
             return []
-        part = max(candidates, key=self._likelihood)
-        convict = self._suspects[part]
-        convict.convicted = True
+        convicts = [key for key in candidates if is_request_key(key)]
+        for key in convicts:
+            self._suspects[key].convicted = True
+        caused = self._starts_of_convicted_requests()
+        parts = [
+            key
+            for key in candidates
+            if not is_request_key(key) and not self._suspects[key].crashes.keys() <= caused
+        ]
+        if parts:
+            part = max(parts, key=self._likelihood)
+            self._suspects[part].convicted = True
+            self._drop_caused_by(part)
+            convicts.append(part)
+        return convicts
+
+    def _drop_caused_by(self, convict: int) -> None:
+        """Let the crashes that a convicted part has caused count for no other key."""
+        crashes = self._suspects[convict].crashes
         for suspect in self._suspects.values():
-            if suspect is not convict:
-                suspect.drop_starts(convict.crashes)
-        return [part]
+            if not suspect.convicted:
+                suspect.drop_starts(crashes)
+
+    def _starts_of_convicted_requests(self) -> set[UpstreamStart]:
+        convicts = [key for key in self._suspects if is_request_key(key)]
+        return {
+            start
+            for key in convicts
+            if self._suspects[key].convicted
+            for start in self._suspects[key].crashes
+        }
 
     def _likelihood(self, part: int) -> tuple[float, int]:
         """Rank parts: the one answered longest ago or never first, then the later in its prompt."""
--- a/tarragonwind/errors.py
+++ b/tarragonwind/errors.py
@@ -40,6 +40,7 @@
     KEY_IN_USE = "key_in_use"
     KEY_ALREADY_RUN = "key_already_run"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     STOPPING = "stopping"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_OUTCOME_UNKNOWN = "upstream_outcome_unknown"
@@ -85,6 +86,7 @@
     ErrorKind.KEY_IN_USE: ErrorResponse(409, NotRun.UNKNOWN, retry=True),
     ErrorKind.KEY_ALREADY_RUN: ErrorResponse(409, NotRun.FALSE),
     ErrorKind.PROMPT_QUARANTINED: ErrorResponse(503, NotRun.TRUE, retry=True),
+    ErrorKind.REQUEST_QUARANTINED: ErrorResponse(503, NotRun.TRUE, retry=True),
     ErrorKind.STOPPING: ErrorResponse(503, NotRun.TRUE, retry=True),
     ErrorKind.UPSTREAM_REFUSED: ErrorResponse(503, NotRun.TRUE, retry=True),
     ErrorKind.UPSTREAM_OUTCOME_UNKNOWN: ErrorResponse(502, NotRun.UNKNOWN),
@@ -141,6 +143,7 @@
         ErrorKind.OVER_ALLOTMENT,
         ErrorKind.OVER_LIMIT,
         ErrorKind.PROMPT_QUARANTINED,
+        ErrorKind.REQUEST_QUARANTINED,
     ]
 )
 """Error kinds that the caller causes; they are logged at INFO instead of WARNING."""
--- a/tarragonwind/quarantine_replicators.py
+++ b/tarragonwind/quarantine_replicators.py
@@ -35,7 +35,7 @@
     Attributes
     ----------
     key : int
-        Key of a part of prompts.
+        Key of a request or of a part of prompts.
     left_ms : int
         Time left of its quarantine, in milliseconds.
     """
