--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -33,7 +33,11 @@
 from tarragonwind.core.request_keys import compute_request_key
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
 from tarragonwind.core.schedulers import DispatchReport, SchedulingRequest
-from tarragonwind.core.scheduling_requests import build_scheduling_request, restart_patience
+from tarragonwind.core.scheduling_requests import (
+    build_scheduling_request,
+    check_quarantines,
+    restart_patience,
+)
 from tarragonwind.core.stream_cursors import StreamCursor
 from tarragonwind.errors import CALLER_ERRORS, ErrorKind, RequestError
 from tarragonwind.futures import Future, FutureCancelled
@@ -128,7 +132,7 @@
         request_class.request_key = compute_request_key(
             self._exchange.request, request_class.organisation.name, request_class.shared_parts
         )
-        self._check_quarantine(request_class)
+        check_quarantines(self._context.scheduler, request_class)
         self._trace.start_span(SpanName.WAIT)
         now = self._context.loop.timers.now()
         self._context.check_capacity(len(self._exchange.request.body))
@@ -287,7 +291,7 @@
             return DispatchOutcome.NOT_SENT
         try:
             remaining_s = self._check_deadline(request_class)
-            self._check_quarantine(request_class)
+            check_quarantines(self._context.scheduler, request_class)
             self._claim.check()
         except RequestError:
             scheduler.on_finished(permit, DispatchReport(PermitOutcome.UNUSED))
@@ -321,18 +325,6 @@
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
         return remaining_s
 
-    def _check_quarantine(self, request_class: RequestClass) -> None:
-        """Raise `RequestError` if upstreams have crashed on the request or a part of its prompt."""
-        scheduler = self._context.scheduler
-        left_s = scheduler.quarantine_left_s(request_class.shared_parts)
-        if left_s > 0:
-            message = "upstreams have crashed on a part of this prompt"
-            raise RequestError(ErrorKind.PROMPT_QUARANTINED, message, left_s)
-        left_s = scheduler.quarantine_left_s([request_class.request_key])
-        if left_s > 0:
-            message = "upstreams have crashed on this request"
-            raise RequestError(ErrorKind.REQUEST_QUARANTINED, message, left_s)
-
     def _start_relay(self, permit: Permit, upstream: UpstreamEntry, remaining_s: float) -> Relay:
         times = self._context.times
         wait_s = min(remaining_s, times.first_byte_timeout_s)
--- a/tarragonwind/core/scheduling_requests.py
+++ b/tarragonwind/core/scheduling_requests.py
@@ -5,7 +5,8 @@
 from tarragonwind.core.classifications import RequestClass
 from tarragonwind.core.entries import RouteEntry
 from tarragonwind.core.prompt_prefixes import hash_prefixes
-from tarragonwind.core.schedulers import SchedulingRequest
+from tarragonwind.core.schedulers import Scheduler, SchedulingRequest
+from tarragonwind.errors import ErrorKind, RequestError
 
 FIRST_BYTE_MARGIN_S = 0.15
 """Time reserved for the network hops to the pool's owner and the caller, in seconds."""
@@ -51,3 +52,15 @@
     """Restart the time within which the next byte must come, as callers wait after each event."""
     if route.patience_s:
         request.first_byte_deadline = now + route.patience_s - FIRST_BYTE_MARGIN_S
+
+
+def check_quarantines(scheduler: Scheduler, request_class: RequestClass) -> None:
+    """Raise `RequestError` if upstreams have crashed on the request or a part of its prompt."""
+    left_s = scheduler.quarantine_left_s(request_class.shared_parts)
+    if left_s > 0:
+        message = "upstreams have crashed on a part of this prompt"
+        raise RequestError(ErrorKind.PROMPT_QUARANTINED, message, left_s)
+    left_s = scheduler.quarantine_left_s([request_class.request_key])
+    if left_s > 0:
+        message = "upstreams have crashed on this request"
+        raise RequestError(ErrorKind.REQUEST_QUARANTINED, message, left_s)
