Let the test's silent upstream go on when it is told to, instead of after a time

The test now waits for the second request before the upstream goes on, and the first one for a third: stricter, and without times.

--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -25,17 +25,17 @@
 PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
 TARGET_S = 0.1
 """Target of the routes; an upstream is silent after 2.5 times as long."""
-PAUSE_S = 0.8
-SHORT_PAUSE_S = 0.02
+POLL_S = 0.02
 
 
 class PausingUpstream:
-    """Answer each request with two pieces of bytes and a silence between them."""
+    """Answer each request with two pieces of bytes, the second one when it is told to go on."""
 
-    def __init__(self, first: bytes, rest: bytes, pause_s: float = PAUSE_S) -> None:
+    def __init__(self, first: bytes, rest: bytes) -> None:
         self.requests: list[bytes] = []
         self.cut = threading.Event()
-        self._first, self._rest, self._pause_s = first, rest, pause_s
+        self.goes_on = threading.Event()
+        self._first, self._rest = first, rest
         self._sock = socket.create_server(("127.0.0.1", 0))
         self.port = self._sock.getsockname()[1]
         threading.Thread(target=self._serve, daemon=True).start()
@@ -50,18 +50,23 @@
 
     def _answer(self, conn: socket.socket) -> None:
         self.requests.append(conn.recv(65_536))
-        try:
+        with conn, contextlib.suppress(ConnectionError):
             conn.sendall(self._first)
-            conn.settimeout(self._pause_s)
-            with contextlib.suppress(TimeoutError):
-                if conn.recv(1) == b"":
-                    self.cut.set()
-                    return
-            conn.sendall(self._rest)
-        except ConnectionError:
-            self.cut.set()
-        finally:
-            conn.close()
+            if self._is_kept(conn):
+                conn.sendall(self._rest)
+                return
+        self.cut.set()
+
+    def _is_kept(self, conn: socket.socket) -> bool:
+        """Wait until the upstream goes on; return False if the connection ends before."""
+        conn.settimeout(POLL_S)
+        while not self.goes_on.is_set():
+            try:
+                if conn.recv(65_536) == b"":
+                    return False
+            except TimeoutError:
+                continue
+        return True
 
     def close(self) -> None:
         self._sock.close()
@@ -145,10 +150,11 @@
 def harness(request):
     if request.param == "stream":
         silent = PausingUpstream(HEAD + EVENTS[0], b"".join(EVENTS[1:]))
-        other = PausingUpstream(HEAD + EVENTS[1], b"".join(EVENTS[2:]), SHORT_PAUSE_S)
+        other = PausingUpstream(HEAD + EVENTS[1], b"".join(EVENTS[2:]))
     else:
         silent = PausingUpstream(b"", PLAIN)
-        other = PausingUpstream(b"", PLAIN, SHORT_PAUSE_S)
+        other = PausingUpstream(b"", PLAIN)
+    other.goes_on.set()
     one = Harness(silent, other)
     one.stream = request.param == "stream"
     one.body = b"".join(EVENTS) if one.stream else b"ok"
@@ -163,7 +169,11 @@
 
 def test_a_request_that_no_other_upstream_takes_stays_with_its_silent_upstream(harness):
     harness.scheduler.refuses = True
-    assert read_answer(harness.send(harness.stream)) == (200, harness.body)
+    conn = harness.send(harness.stream)
+    requests = harness.scheduler.scheduling_requests
+    wait_until(lambda: len(requests) >= 3, "the request asks for another upstream again", 5.0)
+    harness.silent.goes_on.set()
+    assert read_answer(conn) == (200, harness.body)
     assert len(harness.silent.requests) == 1
     assert not harness.silent.cut.is_set()
     wait_until(lambda: harness.scheduler.reports, "the permit is released", 2.0)
@@ -171,7 +181,10 @@
 
 
 def test_a_request_that_waits_for_another_upstream_goes_on_when_its_own_does(harness):
-    assert read_answer(harness.send(harness.stream)) == (200, harness.body)
+    conn = harness.send(harness.stream)
+    wait_until(lambda: harness.scheduler.held, "the request asks for another upstream", 5.0)
+    harness.silent.goes_on.set()
+    assert read_answer(conn) == (200, harness.body)
     assert len(harness.scheduler.scheduling_requests) == 2
     assert harness.scheduler.scheduling_requests[1].avoid == ["up-1"]
     wait_until(lambda: harness.scheduler.cancelled, "the request for a permit is cancelled", 2.0)
