Move the sliding windows of allotments into a module of their own

No change of behaviour: core/usage_windows.py holds the windows, totals and received totals, core/allotments.py the decisions.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -10,19 +10,21 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from tarragonwind.core.entries import OrganisationEntry
+from tarragonwind.core.usage_windows import (
+    WINDOW_FRACTIONS,
+    ZERO_TOTALS,
+    ReceivedTotals,
+    Totals,
+    UsageWindow,
+    add_totals,
+)
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message, message
 
-BUCKET_WIDTH_S = 0.1
-"""Width of the buckets of a sliding window."""
-WINDOW_FRACTIONS = (1.0, 0.5, 0.25, 0.125)
-"""Lengths of the windows as fractions of the longest. The short windows prevent the tokens of the
-longest window from being used at once."""
 REPORT_THRESHOLD = 0.25
 """Fraction of an equal share of the allotment below which a host does not report."""
 TOTALS_MAX_AGE_S = 1.0
@@ -89,60 +91,6 @@
     rows: list[list]
 
 
-Totals = tuple[int, ...]
-"""Tokens in each window, the longest first."""
-ZERO_TOTALS: Totals = (0,) * len(WINDOW_FRACTIONS)
-
-
-def add_totals(left: Totals, right: Totals) -> Totals:
-    """Return the sum for each window."""
-    return tuple(one + other for one, other in zip(left, right, strict=True))
-
-
-class UsageWindow:
-    """Sum tokens over sliding windows."""
-
-    __slots__ = ("_buckets", "_window_s")
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._buckets: deque[list[float]] = deque()
-
-    def add(self, now: float, tokens: int) -> None:
-        """Add tokens."""
-        if not self._buckets or now - self._buckets[-1][0] >= BUCKET_WIDTH_S:
-            self._buckets.append([now, 0.0])
-        self._buckets[-1][1] += tokens
-
-    def refund(self, taken_at: float, tokens: int) -> None:
-        """Remove tokens that were added at a time, unless they have left the longest window.
-
-        Removed later, they would outlast the tokens that they make up for.
-        """
-        for bucket in reversed(self._buckets):
-            if bucket[0] <= taken_at:
-                bucket[1] -= tokens
-                return
-
-    def totals(self, now: float) -> Totals:
-        """Return the tokens in each window and drop buckets that have left the longest window."""
-        while self._buckets and self._buckets[0][0] <= now - self._window_s - BUCKET_WIDTH_S:
-            self._buckets.popleft()
-        return tuple(
-            int(sum(amount for at, amount in self._buckets if at > now - fraction * self._window_s))
-            for fraction in WINDOW_FRACTIONS
-        )
-
-
-@dataclass(slots=True)
-class _ReceivedTotals:
-    """Hold totals from another host, their time of receipt and the own totals at that time."""
-
-    totals: Totals
-    received_at: float
-    own: Totals = ZERO_TOTALS
-
-
 def full_fleet_share(now: float) -> float:
     """Return 1.0: the reachable hosts are the whole fleet."""
     return 1.0
@@ -195,8 +143,8 @@
         self._fleet_share = fleet_share
         self._windows: dict[str, UsageWindow] = {}
         self._limits: dict[str, tuple[float, ...]] = {}
-        self._other_totals: dict[str, _ReceivedTotals] = {}
-        self._reports: dict[str, dict[str, _ReceivedTotals]] = {}
+        self._other_totals: dict[str, ReceivedTotals] = {}
+        self._reports: dict[str, dict[str, ReceivedTotals]] = {}
         self._live: tuple[str, ...] = (name,)
 
     def set_live(self, live: Iterable[str]) -> None:
@@ -254,7 +202,7 @@
         rows: list[list] = []
         for name, *totals in msg.rows:
             counts = self._reports.setdefault(name, {})
-            counts[host] = _ReceivedTotals(tuple(totals), now)
+            counts[host] = ReceivedTotals(tuple(totals), now)
             others = self._sum_reports(now, name, host)
             own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
             rows.append([name, *add_totals(others, own)])
@@ -264,7 +212,7 @@
         """Store the totals of the other hosts."""
         for name, *totals in msg.rows:
             own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
-            self._other_totals[name] = _ReceivedTotals(tuple(totals), now, own)
+            self._other_totals[name] = ReceivedTotals(tuple(totals), now, own)
 
     def _exceeds_report_threshold(self, name: str, totals: Totals) -> bool:
         limits = self._limits.get(name)
@@ -293,7 +241,7 @@
         )
 
     def _used_with_old_totals(
-        self, own: Totals, received: _ReceivedTotals, limits: tuple[float, ...]
+        self, own: Totals, received: ReceivedTotals, limits: tuple[float, ...]
     ) -> tuple[float, ...]:
         """Return the usage if the others use their part of what was left at the last totals."""
         others_fraction = self._others_fraction()
--- /dev/null
+++ b/tarragonwind/core/usage_windows.py
@@ -0,0 +1,65 @@
+"""Count tokens in sliding windows of several lengths."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+BUCKET_WIDTH_S = 0.1
+"""Width of the buckets of a sliding window."""
+WINDOW_FRACTIONS = (1.0, 0.5, 0.25, 0.125)
+"""Lengths of the windows as fractions of the longest. The short windows prevent the tokens of the
+longest window from being used at once."""
+
+Totals = tuple[int, ...]
+"""Tokens in each window, the longest first."""
+ZERO_TOTALS: Totals = (0,) * len(WINDOW_FRACTIONS)
+
+
+def add_totals(left: Totals, right: Totals) -> Totals:
+    """Return the sum for each window."""
+    return tuple(one + other for one, other in zip(left, right, strict=True))
+
+
+class UsageWindow:
+    """Sum tokens over sliding windows."""
+
+    __slots__ = ("_buckets", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._buckets: deque[list[float]] = deque()
+
+    def add(self, now: float, tokens: int) -> None:
+        """Add tokens."""
+        if not self._buckets or now - self._buckets[-1][0] >= BUCKET_WIDTH_S:
+            self._buckets.append([now, 0.0])
+        self._buckets[-1][1] += tokens
+
+    def refund(self, taken_at: float, tokens: int) -> None:
+        """Remove tokens that were added at a time, unless they have left the longest window.
+
+        Removed later, they would outlast the tokens that they make up for.
+        """
+        for bucket in reversed(self._buckets):
+            if bucket[0] <= taken_at:
+                bucket[1] -= tokens
+                return
+
+    def totals(self, now: float) -> Totals:
+        """Return the tokens in each window and drop buckets that have left the longest window."""
+        while self._buckets and self._buckets[0][0] <= now - self._window_s - BUCKET_WIDTH_S:
+            self._buckets.popleft()
+        return tuple(
+            int(sum(amount for at, amount in self._buckets if at > now - fraction * self._window_s))
+            for fraction in WINDOW_FRACTIONS
+        )
+
+
+@dataclass(slots=True)
+class ReceivedTotals:
+    """Hold totals from another host, their time of receipt and the own totals at that time."""
+
+    totals: Totals
+    received_at: float
+    own: Totals = ZERO_TOTALS
