Count the tokens of lost hosts until they have left the window

What callers saw: nothing; the allotment of one organisation was exceeded after hosts had been lost (QUOTA). Cause: the host that sums up dropped a count 2.5 s after its last report. A fleet of over 16 hosts detects the loss in 2.6 to 3.4 s, so for up to a second the whole limit applied without these tokens; and when the lease expired, or the host started again without its counts, the share came back while its tokens were still in the window.

Now a last report counts until its tokens can't be in the window any more: what remains of it is bounded by the shorter windows that it contains. From the detection on, only what the lost hosts have used beyond their own share is added, since the share is already subtracted from the limit. A host that returns counts with the larger of its new report and what remains of the old one. So that an old report doesn't stand in for a host that has become idle, a host that has reported goes on until its totals are zero. UsageReport and UsageTotals are unchanged on the wire.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -32,9 +32,6 @@
 TOTALS_FRESH_S = 0.3
 """Age of the aggregator's totals up to which a host may use all that is left. Beyond it, all hosts
 may be without totals, and each may use its part."""
-REPORT_MAX_AGE_S = 2.5
-"""Maximum age of a host's report. Longer than the detection of a lost host, because from the
-detection on the limit is reduced by the share of that host."""
 STARTUP_BURST_FRACTION = 0.5
 """Fraction of the burst admitted during the first window, as usage before the start is unknown."""
 TOLERANCE_FRACTION = 0.25
@@ -117,9 +114,11 @@
         "_fleet_share",
         "_limits",
         "_live",
+        "_lost",
         "_name",
         "_other_totals",
         "_owner_of",
+        "_reported",
         "_reports",
         "_settings",
         "_started_at",
@@ -145,11 +144,15 @@
         self._limits: dict[str, tuple[float, ...]] = {}
         self._other_totals: dict[str, ReceivedTotals] = {}
         self._reports: dict[str, dict[str, ReceivedTotals]] = {}
-        self._live: tuple[str, ...] = (name,)
+        self._reported: set[str] = set()
+        self._live: frozenset[str] = frozenset([name])
+        self._lost: set[str] = set()
 
     def set_live(self, live: Iterable[str]) -> None:
         """Set the live hosts."""
-        self._live = tuple(live) or (self._name,)
+        previous = self._live
+        self._live = frozenset(live) or frozenset([self._name])
+        self._lost |= previous - self._live
 
     def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Count the tokens of a request against its organisation's allotment.
@@ -162,8 +165,10 @@
         if not organisation.tokens_per_s:
             return
         name = organisation.name
-        limits = self._window_limits(now, organisation)
-        self._limits[name] = limits
+        whole_limits = self._window_limits(now, organisation)
+        self._limits[name] = whole_limits
+        share = self._fleet_share(now)
+        limits = tuple(share * limit for limit in whole_limits)
         window = self._window(name)
         own = window.totals(now)
         used = self._used(now, name, own, limits)
@@ -191,34 +196,63 @@
             totals = self._windows[name].totals(now)
             if not any(totals):
                 del self._windows[name]
-                continue
             aggregator = self._owner_of(name)
-            if aggregator != self._name and self._exceeds_report_threshold(name, totals):
+            if aggregator != self._name and self._needs_report(now, name, totals):
                 rows.setdefault(aggregator, []).append([name, *totals])
         return {host: UsageReport(host_rows) for host, host_rows in rows.items()}
 
     def on_report(self, now: float, host: str, msg: UsageReport) -> UsageTotals:
         """Store a host's counts and return the totals of the other hosts."""
+        if host in self._lost:
+            self._keep_earlier_reports(host)
         rows: list[list] = []
         for name, *totals in msg.rows:
             counts = self._reports.setdefault(name, {})
-            counts[host] = ReceivedTotals(tuple(totals), now)
-            others = self._sum_reports(now, name, host)
-            own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
-            rows.append([name, *add_totals(others, own)])
+            earlier = self._earlier_report(now, counts.get(host))
+            counts[host] = ReceivedTotals(tuple(totals), now, earlier=earlier)
+            usage = self._fleet_usage(now, name)
+            others = (max(0, int(used) - own) for used, own in zip(usage, totals, strict=True))
+            rows.append([name, *others])
         return UsageTotals(rows)
 
+    def _earlier_report(self, now: float, previous: ReceivedTotals | None) -> ReceivedTotals | None:
+        earlier = previous.earlier if previous is not None else None
+        if earlier is None or now - earlier.received_at >= self._window_s:
+            return None
+        return earlier
+
+    def _keep_earlier_reports(self, host: str) -> None:
+        """Let the last reports of a host that was lost count beside its next ones.
+
+        The host may have restarted without its counts.
+        """
+        self._lost.discard(host)
+        for counts in self._reports.values():
+            if host in counts:
+                previous = counts[host]
+                counts[host] = ReceivedTotals(ZERO_TOTALS, previous.received_at, earlier=previous)
+
     def on_totals(self, now: float, msg: UsageTotals) -> None:
         """Store the totals of the other hosts."""
         for name, *totals in msg.rows:
             own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
             self._other_totals[name] = ReceivedTotals(tuple(totals), now, own)
 
-    def _exceeds_report_threshold(self, name: str, totals: Totals) -> bool:
+    def _needs_report(self, now: float, name: str, totals: Totals) -> bool:
+        """Return whether to report totals: from the threshold on, until they are zero again."""
+        if not any(totals):
+            reported = name in self._reported
+            self._reported.discard(name)
+            return reported
+        if name not in self._reported and self._exceeds_report_threshold(now, name, totals):
+            self._reported.add(name)
+        return name in self._reported
+
+    def _exceeds_report_threshold(self, now: float, name: str, totals: Totals) -> bool:
         limits = self._limits.get(name)
         if limits is None:
             return True
-        threshold = REPORT_THRESHOLD / max(1, len(self._live))
+        threshold = REPORT_THRESHOLD * self._fleet_share(now) / len(self._live)
         return any(count > threshold * limit for count, limit in zip(totals, limits, strict=True))
 
     def _used(
@@ -226,13 +260,13 @@
     ) -> tuple[float, ...]:
         """Return the usage to compare with an organisation's limits on this host."""
         if self._owner_of(name) == self._name:
-            return add_totals(own, self._sum_reports(now, name, self._name))
+            return self._fleet_usage(now, name)
         received = self._other_totals.get(name)
         if received is not None and now - received.received_at <= TOTALS_FRESH_S:
             return add_totals(own, received.totals)
         if received is not None and now - received.received_at <= TOTALS_MAX_AGE_S:
             return self._used_with_old_totals(own, received, limits)
-        if not self._exceeds_report_threshold(name, own):
+        if not self._exceeds_report_threshold(now, name, own):
             return own
         # Without recent totals, this host enforces an equal share of the limit.
         others_fraction = self._others_fraction()
@@ -257,10 +291,10 @@
 
     def _others_fraction(self) -> float:
         """Return the part of the other live hosts in an equal division."""
-        return 1.0 - 1.0 / max(1, len(self._live))
+        return 1.0 - 1.0 / len(self._live)
 
     def _window_limits(self, now: float, organisation: OrganisationEntry) -> tuple[float, ...]:
-        """Return the tokens that the reachable part of the fleet may admit in each window."""
+        """Return the tokens that the whole fleet may admit in each window."""
         age_s = now - self._started_at
         burst = organisation.token_burst
         if age_s < self._window_s:
@@ -270,22 +304,38 @@
         for fraction in WINDOW_FRACTIONS:
             limit = organisation.tokens_per_s * min(fraction * self._window_s, age_s) + burst
             limit += TOLERANCE_FRACTION * (limit * settings.overage + settings.slack_tokens)
-            limits.append(limit * self._fleet_share(now))
+            limits.append(limit)
         return tuple(limits)
 
-    def _sum_reports(self, now: float, name: str, excluded_host: str) -> Totals:
-        counts = self._reports.get(name, {})
-        for host in [
-            host
-            for host, received in counts.items()
-            if now - received.received_at > REPORT_MAX_AGE_S
-        ]:
-            del counts[host]
-        total = ZERO_TOTALS
-        for host, received in counts.items():
-            if host != excluded_host:
-                total = add_totals(total, received.totals)
-        return total
+    def _fleet_usage(self, now: float, name: str) -> tuple[float, ...]:
+        """Return the usage of the live hosts, and what lost hosts have used beyond their share.
+
+        The share of the lost hosts is already subtracted from the limit.
+        """
+        live = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
+        lost = ZERO_TOTALS
+        for host, received in self._recent_reports(now, name).items():
+            remaining = received.remaining(now, self._window_s)
+            if host in self._live:
+                live = add_totals(live, remaining)
+            else:
+                lost = add_totals(lost, remaining)
+        lost_share = 1.0 - self._fleet_share(now)
+        limits = self._limits.get(name, ZERO_TOTALS)
+        return tuple(
+            count + max(0.0, lost_count - lost_share * limit)
+            for count, lost_count, limit in zip(live, lost, limits, strict=True)
+        )
+
+    def _recent_reports(self, now: float, name: str) -> dict[str, ReceivedTotals]:
+        """Return the reports whose tokens can still be in a window, and drop the others."""
+        reports = {
+            host: received
+            for host, received in self._reports.get(name, {}).items()
+            if now - received.received_at < self._window_s
+        }
+        self._reports[name] = reports
+        return reports
 
     def _window(self, name: str) -> UsageWindow:
         window = self._windows.get(name)
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -58,8 +58,42 @@
 
 @dataclass(slots=True)
 class ReceivedTotals:
-    """Hold totals from another host, their time of receipt and the own totals at that time."""
+    """Hold totals from another host, their time of receipt and the own totals at that time.
+
+    Attributes
+    ----------
+    totals, own : tuple of int
+        Tokens in each window, the longest first.
+    received_at : float
+        Time of receipt, in seconds.
+    earlier : ReceivedTotals or None
+        Last totals before the host was lost, if it has returned since.
+    """
 
     totals: Totals
     received_at: float
     own: Totals = ZERO_TOTALS
+    earlier: ReceivedTotals | None = None
+
+    def remaining(self, now: float, window_s: float) -> Totals:
+        """Return the maximum of the counted tokens that can still be in each window."""
+        counts = self._remaining(now - self.received_at, window_s)
+        if self.earlier is None:
+            return counts
+        earlier = self.earlier.remaining(now, window_s)
+        return tuple(max(count, other) for count, other in zip(counts, earlier, strict=True))
+
+    def _remaining(self, age_s: float, window_s: float) -> Totals:
+        return tuple(
+            self._newer_than(fraction * window_s - age_s, window_s) for fraction in WINDOW_FRACTIONS
+        )
+
+    def _newer_than(self, age_s: float, window_s: float) -> int:
+        """Return the count of the shortest window that is at least as long as an age."""
+        if age_s <= 0:
+            return 0
+        return min(
+            count
+            for fraction, count in zip(WINDOW_FRACTIONS, self.totals, strict=True)
+            if fraction * window_s >= age_s
+        )
