Keep the share of a host that has lost its lease for 30 s in allotments

Cause: a host that is cut off from the other hosts and from the store loses its lease after 4 s and goes on admitting its share of each allotment; the others took it for dead then and used the whole limit beside it. Lost hosts now count for LOST_HOST_RETENTION_S in the division of allotments, as they did while the store was unavailable; hosts that have announced a planned stop don't. Pool owners divide as before (live_fraction), and so does its test. Cost: for 30 s after hosts have died an organisation may use only the part of its limit that the live hosts are of the fleet.

--- a/tarragonwind/core/fleet_shares.py
+++ b/tarragonwind/core/fleet_shares.py
@@ -3,7 +3,8 @@
 The fractions of all sides of a partition add up to 1, so that limits shared by the fleet are not
 exceeded. An unreachable host may be dead or partitioned. Its lease in the store distinguishes the
 two: the lease expires if the host is dead and is renewed while the host runs. While the store is
-unavailable, an unreachable host counts for `LOST_HOST_RETENTION_S`.
+unavailable, an unreachable host counts for `LOST_HOST_RETENTION_S`. Limits that must hold in each
+partition, even for hosts that have lost their lease, use `retained_fraction`.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from collections.abc import Iterable
 
 LOST_HOST_RETENTION_S = 30.0
-"""Time for which an unreachable host still counts while the store is unavailable."""
+"""Time for which an unreachable host still counts without a lease."""
 
 
 class FleetShares:
@@ -48,17 +49,28 @@
         """Return the number of hosts in the whole fleet, at least 1."""
         known = self._live | (self._leased - self._leaving)
         if self._store_unavailable:
-            known |= {
-                host
-                for host, live_at in self._last_live_at.items()
-                if now - live_at <= LOST_HOST_RETENTION_S and host not in self._leaving
-            }
+            known |= self._recently_live(now)
         return max(1, len(known))
 
+    def _recently_live(self, now: float) -> set[str]:
+        return {
+            host
+            for host, live_at in self._last_live_at.items()
+            if now - live_at <= LOST_HOST_RETENTION_S and host not in self._leaving
+        }
+
     def live_fraction(self, now: float) -> float:
         """Return the fraction of the fleet that is live on this side, above 0 and at most 1."""
         return min(1.0, len(self._live) / self.size(now))
 
+    def retained_fraction(self, now: float) -> float:
+        """Return the live fraction if lost hosts count for the retention time without a lease.
+
+        A host that is cut off from the store as well loses its lease but still serves callers.
+        """
+        known = self._live | (self._leased - self._leaving) | self._recently_live(now)
+        return min(1.0, len(self._live) / max(1, len(known)))
+
     def own_share(self, now: float) -> float:
         """Return this host's equal share of a limit that applies to the whole fleet."""
         return 1.0 / self.size(now)
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -163,7 +163,7 @@
             self.peers,
             timers,
             allotment_settings(cfg),
-            self.fleet.shares.live_fraction,
+            self.fleet.shares.retained_fraction,
         )
         self.configuration = ConfigurationWatcher(
             self.mirror,
--- a/tests/allotment_fleets.py
+++ b/tests/allotment_fleets.py
@@ -45,7 +45,7 @@
         self.handlers = {}
         self.shares = FleetShares(name)
         self.update_shares()
-        self.runner = AllotmentRunner(self, self, self, SETTINGS, self.shares.live_fraction)
+        self.runner = AllotmentRunner(self, self, self, SETTINGS, self.shares.retained_fraction)
 
     def live(self):
         return self.view
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -36,3 +36,15 @@
     assert shares.live_fraction(10.0) == 0.5
     shares.set_live(LOST_HOST_RETENTION_S + 1.0, HOSTS[:3], ())
     assert shares.live_fraction(LOST_HOST_RETENTION_S + 1.0) == 1.0
+
+
+def test_the_share_of_a_host_that_lost_its_lease_while_cut_off_is_not_used_twice():
+    near = create("a", HOSTS[:4], leased=HOSTS[:4])
+    far = create("e", HOSTS[4:], store_unavailable=True)
+    assert near.retained_fraction(10.0) + far.retained_fraction(10.0) == 1.0
+    near.set_live(LOST_HOST_RETENTION_S + 1.0, HOSTS[:4], ())
+    assert near.retained_fraction(LOST_HOST_RETENTION_S + 1.0) == 1.0
+
+
+def test_a_host_in_a_planned_stop_keeps_no_share():
+    assert create("a", HOSTS[:5], leased=HOSTS[:5], leaving=["f"]).retained_fraction(10.0) == 1.0
