Bound what hosts without fresh totals add until their last totals have left the window

Cause: one second after its last totals a host used its equal share of the limit on top of what the others had used in the same window. The host that sums up, for its part, gave all that was left to the hosts that it still heard, and a host that took over the sum knew nothing of hosts that had not reported to it yet or had been lost with the one before.

Now a host without fresh totals adds an equal part of what its last totals left, until these have left the window, and comes to its equal share one window later. The host that sums up reserves that part for each host whose report is late by two periods. A host that takes over counts the last totals that it received: for 0.6 s, or until they have left the window while hosts are lost.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -21,17 +21,20 @@
     Totals,
     UsageWindow,
     add_totals,
+    max_totals,
 )
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message, message
 
 REPORT_THRESHOLD = 0.25
 """Fraction of an equal share of the allotment below which a host does not report."""
-TOTALS_MAX_AGE_S = 1.0
-"""Maximum age of the aggregator's totals."""
 TOTALS_FRESH_S = 0.3
 """Age of the aggregator's totals up to which a host may use all that is left. Beyond it, all hosts
 may be without totals, and each may use its part."""
+REPORT_LATE_S = 0.5
+"""Age of a live host's report from which that host may be without totals."""
+AGGREGATOR_CHANGE_S = 0.6
+"""Age of the previous aggregator's totals up to which its hosts may not have reported here yet."""
 STARTUP_BURST_FRACTION = 0.5
 """Fraction of the burst admitted during the first window, as usage before the start is unknown."""
 TOLERANCE_FRACTION = 0.25
@@ -209,12 +212,21 @@
         for name, *totals in msg.rows:
             counts = self._reports.setdefault(name, {})
             earlier = self._earlier_report(now, counts.get(host))
-            counts[host] = ReceivedTotals(tuple(totals), now, earlier=earlier)
+            received = ReceivedTotals(tuple(totals), now, earlier=earlier)
+            counts[host] = received
             usage = self._fleet_usage(now, name)
+            received.part_left = self._part_left(now, name, usage)
             others = (max(0, int(used) - own) for used, own in zip(usage, totals, strict=True))
             rows.append([name, *others])
         return UsageTotals(rows)
 
+    def _part_left(self, now: float, name: str, usage: tuple[float, ...]) -> int:
+        """Return what a host may add to the longest window if it gets no further totals."""
+        limits = self._limits.get(name)
+        if limits is None:
+            return 0
+        return int(max(0.0, self._fleet_share(now) * limits[0] - usage[0]) / len(self._live))
+
     def _earlier_report(self, now: float, previous: ReceivedTotals | None) -> ReceivedTotals | None:
         earlier = previous.earlier if previous is not None else None
         if earlier is None or now - earlier.received_at >= self._window_s:
@@ -264,34 +276,36 @@
         received = self._other_totals.get(name)
         if received is not None and now - received.received_at <= TOTALS_FRESH_S:
             return add_totals(own, received.totals)
-        if received is not None and now - received.received_at <= TOTALS_MAX_AGE_S:
-            return self._used_with_old_totals(own, received, limits)
-        if not self._exceeds_report_threshold(now, name, own):
+        if received is None and not self._exceeds_report_threshold(now, name, own):
             return own
-        # Without recent totals, this host enforces an equal share of the limit.
-        others_fraction = self._others_fraction()
+        bounds = self._bounds_without_fresh_totals(now, received, limits)
         return tuple(
-            count + others_fraction * limit for count, limit in zip(own, limits, strict=True)
+            count + limit - bound for count, limit, bound in zip(own, limits, bounds, strict=True)
         )
 
-    def _used_with_old_totals(
-        self, own: Totals, received: ReceivedTotals, limits: tuple[float, ...]
-    ) -> tuple[float, ...]:
-        """Return the usage if the others use their part of what was left at the last totals."""
-        others_fraction = self._others_fraction()
-        known = zip(received.totals, received.own, strict=True)
-        left = [
-            max(0.0, limit - others - own_then)
-            for limit, (others, own_then) in zip(limits, known, strict=True)
-        ]
-        return tuple(
-            count + others + others_fraction * rest
-            for count, others, rest in zip(own, received.totals, left, strict=True)
-        )
+    def _bounds_without_fresh_totals(
+        self, now: float, received: ReceivedTotals | None, limits: tuple[float, ...]
+    ) -> list[float]:
+        """Return the tokens that this host may admit in each window if all are without totals.
 
-    def _others_fraction(self) -> float:
-        """Return the part of the other live hosts in an equal division."""
-        return 1.0 - 1.0 / len(self._live)
+        While the tokens of the last totals are in a window, the host adds an equal part of what
+        they left. One window later, what hosts above their equal share admitted has left it too.
+        """
+        equal_part = 1.0 / len(self._live)
+        if received is None:
+            return [limit * equal_part for limit in limits]
+        age_s = now - received.received_at
+        bounds = []
+        known = zip(WINDOW_FRACTIONS, limits, received.own, received.totals, strict=True)
+        for fraction, limit, own_then, others in known:
+            equal_share = limit * equal_part
+            bound = own_then + max(0.0, limit - others - own_then) * equal_part
+            if age_s >= 2.0 * fraction * self._window_s:
+                bound = equal_share
+            elif age_s >= fraction * self._window_s:
+                bound = min(bound, equal_share)
+            bounds.append(bound)
+        return bounds
 
     def _window_limits(self, now: float, organisation: OrganisationEntry) -> tuple[float, ...]:
         """Return the tokens that the whole fleet may admit in each window."""
@@ -312,21 +326,37 @@
 
         The share of the lost hosts is already subtracted from the limit.
         """
-        live = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
-        lost = ZERO_TOTALS
+        own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
+        live, known = own, own
         for host, received in self._recent_reports(now, name).items():
             remaining = received.remaining(now, self._window_s)
+            if now - received.received_at > REPORT_LATE_S:
+                remaining = (remaining[0] + received.part_left, *remaining[1:])
+            known = add_totals(known, remaining)
             if host in self._live:
                 live = add_totals(live, remaining)
-            else:
-                lost = add_totals(lost, remaining)
         lost_share = 1.0 - self._fleet_share(now)
-        limits = self._limits.get(name, ZERO_TOTALS)
+        limits = self._limits.get(name)
+        if limits is None and lost_share > 0.0:
+            return live
+        known = max_totals(known, add_totals(own, self._previous_others(now, name, lost_share)))
         return tuple(
-            count + max(0.0, lost_count - lost_share * limit)
-            for count, lost_count, limit in zip(live, lost, limits, strict=True)
+            max(count, known_count - lost_share * limit)
+            for count, known_count, limit in zip(live, known, limits or ZERO_TOTALS, strict=True)
         )
 
+    def _previous_others(self, now: float, name: str, lost_share: float) -> Totals:
+        """Return what can remain of the last totals from the previous aggregator.
+
+        They contain hosts that have not reported here yet, and hosts that were lost with it.
+        """
+        received = self._other_totals.get(name)
+        if received is None:
+            return ZERO_TOTALS
+        if lost_share <= 0.0 and now - received.received_at > AGGREGATOR_CHANGE_S:
+            return ZERO_TOTALS
+        return received.remaining(now, self._window_s)
+
     def _recent_reports(self, now: float, name: str) -> dict[str, ReceivedTotals]:
         """Return the reports whose tokens can still be in a window, and drop the others."""
         reports = {
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -21,6 +21,11 @@
     return tuple(one + other for one, other in zip(left, right, strict=True))
 
 
+def max_totals(left: Totals, right: Totals) -> Totals:
+    """Return the maximum for each window."""
+    return tuple(max(one, other) for one, other in zip(left, right, strict=True))
+
+
 class UsageWindow:
     """Sum tokens over sliding windows."""
 
@@ -66,6 +71,8 @@
         Tokens in each window, the longest first.
     received_at : float
         Time of receipt, in seconds.
+    part_left : int
+        Tokens that the host may add to the longest window if it receives no further totals.
     earlier : ReceivedTotals or None
         Last totals before the host was lost, if it has returned since.
     """
@@ -73,6 +80,7 @@
     totals: Totals
     received_at: float
     own: Totals = ZERO_TOTALS
+    part_left: int = 0
     earlier: ReceivedTotals | None = None
 
     def remaining(self, now: float, window_s: float) -> Totals:
@@ -80,8 +88,7 @@
         counts = self._remaining(now - self.received_at, window_s)
         if self.earlier is None:
             return counts
-        earlier = self.earlier.remaining(now, window_s)
-        return tuple(max(count, other) for count, other in zip(counts, earlier, strict=True))
+        return max_totals(counts, self.earlier.remaining(now, window_s))
 
     def _remaining(self, age_s: float, window_s: float) -> Totals:
         return tuple(
