Divide only the longest window among hosts without fresh totals

What callers saw: requests of an organisation far below its limit were refused, with nothing wrong, when its load moved to hosts that had served little of it, and after hosts had been lost. Cause: a host without totals, also one that waits for the answer to its first report, used its equal part of each window; that of the shortest (1 s) of a fleet of 20 hosts is two or three requests here. The short windows only spread the use of the longest, which the limit follows from; so only that is divided.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -278,34 +278,29 @@
             return add_totals(own, received.totals)
         if received is None and not self._exceeds_report_threshold(now, name, own):
             return own
-        bounds = self._bounds_without_fresh_totals(now, received, limits)
-        return tuple(
-            count + limit - bound for count, limit, bound in zip(own, limits, bounds, strict=True)
-        )
+        bound = self._bound_without_fresh_totals(now, received, limits[0])
+        return (own[0] + limits[0] - bound, *own[1:])
 
-    def _bounds_without_fresh_totals(
-        self, now: float, received: ReceivedTotals | None, limits: tuple[float, ...]
-    ) -> list[float]:
-        """Return the tokens that this host may admit in each window if all are without totals.
+    def _bound_without_fresh_totals(
+        self, now: float, received: ReceivedTotals | None, limit: float
+    ) -> float:
+        """Return the tokens that this host may admit in the longest window without fresh totals.
 
-        While the tokens of the last totals are in a window, the host adds an equal part of what
+        While the tokens of the last totals are in the window, the host adds an equal part of what
         they left. One window later, what hosts above their equal share admitted has left it too.
+        The equal share of a shorter window can be less than one request.
         """
         equal_part = 1.0 / len(self._live)
         if received is None:
-            return [limit * equal_part for limit in limits]
+            return limit * equal_part
+        own_then = received.own[0]
+        bound = own_then + max(0.0, limit - received.totals[0] - own_then) * equal_part
         age_s = now - received.received_at
-        bounds = []
-        known = zip(WINDOW_FRACTIONS, limits, received.own, received.totals, strict=True)
-        for fraction, limit, own_then, others in known:
-            equal_share = limit * equal_part
-            bound = own_then + max(0.0, limit - others - own_then) * equal_part
-            if age_s >= 2.0 * fraction * self._window_s:
-                bound = equal_share
-            elif age_s >= fraction * self._window_s:
-                bound = min(bound, equal_share)
-            bounds.append(bound)
-        return bounds
+        if age_s >= 2.0 * self._window_s:
+            return limit * equal_part
+        if age_s >= self._window_s:
+            return min(bound, limit * equal_part)
+        return bound
 
     def _window_limits(self, now: float, organisation: OrganisationEntry) -> tuple[float, ...]:
         """Return the tokens that the whole fleet may admit in each window."""
