Add the failing test of a stream that is given up for an upstream that can not be reached

A grant says that an upstream has room, not that it can be reached: an owner also grants the probe of an ejected upstream when no other has room. The connection could be opened first, and the silent dispatch ended once it stands.

--- a/tests/test_standby_handovers.py
+++ b/tests/test_standby_handovers.py
@@ -83,3 +83,10 @@
     harness.scheduler.quarantine_left_s = lambda _parts: 5.0
     grant(harness, "up-2")
     assert read_answer(conn) == (200, BODY)
+
+
+def test_a_stream_is_not_given_up_for_an_upstream_that_can_not_be_reached(harness):
+    replace_upstream(harness, "up-2", port=find_closed_port())
+    conn = harness.send(stream=True)
+    grant(harness, "up-2")
+    assert read_answer(conn) == (200, BODY)
