Add the failing test of a stream that the time limit of a first byte cuts after it has moved

RequestHandler._start_relay limits the wait for the head by what is left of the request's deadline, although the caller has had its first byte. Only dialects whose deadline isn't that of the whole response are concerned (deadline_is_total is always set on the users' platform).

--- a/tests/test_standby_handovers.py
+++ b/tests/test_standby_handovers.py
@@ -1,5 +1,6 @@
 """Test that a stream leaves its silent upstream only for one that can take it."""
 
+import contextlib
 import dataclasses
 import socket
 
@@ -11,6 +12,7 @@
     EVENTS,
     HEAD,
     SHORT_PAUSE_S,
+    TARGET_S,
     Harness,
     PausingUpstream,
     read_answer,
@@ -90,3 +92,14 @@
     conn = harness.send(stream=True)
     grant(harness, "up-2")
     assert read_answer(conn) == (200, BODY)
+
+
+def test_a_stream_that_moves_is_not_cut_by_the_time_limit_of_its_first_byte():
+    silent = PausingUpstream(HEAD + EVENTS[0], b"".join(EVENTS[1:]), LONG_PAUSE_S)
+    other = PausingUpstream(b"", HEAD + b"".join(EVENTS[1:]), 4 * TARGET_S)
+    with contextlib.closing(Harness(silent, other)) as harness:
+        for route in harness.gateway.context.catalogue().routes:
+            route.deadline_s = 5 * TARGET_S
+        conn = harness.send(stream=True)
+        grant(harness, "up-2")
+        assert read_answer(conn) == (200, BODY)
