Add the failing test of a request that is sent on before its silent upstream is cut off

Two upstreams have the request for the time of a dispatch. Before the permit was held in advance, an await usually lay between the two.

--- a/tests/test_standby_handovers.py
+++ b/tests/test_standby_handovers.py
@@ -103,3 +103,37 @@
         conn = harness.send(stream=True)
         grant(harness, "up-2")
         assert read_answer(conn) == (200, BODY)
+
+
+def test_a_silent_upstream_is_cut_off_before_another_one_gets_the_request(harness):
+    client = harness.gateway.context.client
+    start, order = client.exchange, []
+
+    def exchange(address, req, sink):
+        order.append("sent")
+        one = start(address, req, sink)
+        if len(order) == 1:
+            cancel = one._conn.close
+
+            def close():
+                order.append("closed")
+                cancel()
+
+            one._conn = CloseRecorder(one._conn, close)
+        return one
+
+    client.exchange = exchange
+    conn = harness.send(stream=True)
+    grant(harness, "up-2")
+    assert read_answer(conn) == (200, BODY)
+    assert order[:3] == ["sent", "closed", "sent"]
+
+
+class CloseRecorder:
+    """Stand in for a connection, and call `close` in place of its own."""
+
+    def __init__(self, conn, close) -> None:
+        self._conn, self.close = conn, close
+
+    def __getattr__(self, name):
+        return getattr(self._conn, name)
