Add the failing test of a reset that destroys the response before it

Connection._shut_down_writing waits 1 s whatever the peer has acknowledged. While input was discarded the close was orderly and the kernel went on sending; since input is left unread, the close resets. close_idle (Connection.close at once) has the same edge. The unacknowledged bytes (SIOCOUTQ, or tcp_info as in _acked_bytes) tell when the close is safe.

--- a/tests/test_requests_behind_a_close.py
+++ b/tests/test_requests_behind_a_close.py
@@ -5,11 +5,15 @@
 import pytest
 
 from standins.fleets import wait_until
+from tarragonwind.adapters.connections import LINGER_S
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.ports import Address
 from tests.support import LoopRunner
-from tests.test_idle_connections import REQUEST, open_connection, was_reset
+from tests.test_idle_connections import REQUEST, open_connection, read_all, was_reset
+
+BODY_BYTES = 512 * 1024
+"""More than a caller's receive buffer takes, and less than both buffers of a connection."""
 
 
 @pytest.fixture
@@ -43,3 +47,13 @@
     runner.call(end_response)
     reset = was_reset(caller)
     assert reset or len(served) == 2
+
+
+def test_a_request_behind_an_announced_close_does_not_cut_the_response_before_it(stopping):
+    runner, server, served, caller = stopping
+    runner.call(lambda: served[0].answer(200, [], b"x" * BODY_BYTES))
+    wait_until(lambda: not server.unsent_bytes, "the kernel has taken the response")
+    caller.sendall(REQUEST)
+    time.sleep(1.5 * LINGER_S)
+    got = read_all(caller)
+    assert len(got.partition(b"\r\n\r\n")[2]) == BODY_BYTES
