Add the failing test of a kept connection beside two upstreams at one address

The old entry of a dark upstream stays registered until its lease ends, and its successor at the same address may register before. If the old one is the later in the mapping, it hides the new one.

--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -87,3 +87,12 @@
     send.during_request.append(lambda: connections.on_catalogue(successor))
     first = send()
     assert send() != first
+
+
+@pytest.mark.parametrize("old_first", [True, False])
+def test_a_kept_connection_is_not_used_for_one_that_shares_its_address_for_a_time(kept, old_first):
+    connections, entry, send = kept
+    first = send()
+    entries = [entry, dataclasses.replace(entry, name="i-2")]
+    connections.on_catalogue(join(*(entries if old_first else reversed(entries))))
+    assert send() != first
