Let an ejected upstream be probed again after a probe that came back unused

Found by the review of LOST: a standby permit that is returned unused can be the probe, and the silent dispatch kept its upstream's count above 0, so it stayed out of use until one of its requests ended.

--- a/tarragonwind/core/upstream_loads.py
+++ b/tarragonwind/core/upstream_loads.py
@@ -199,8 +199,8 @@
         self._history.append((now, self.in_flight))
         self.in_flight -= 1
         self.work -= cost_tokens
-        if self.ejected and self.in_flight == 0:
-            self._probing = False
+        # The permit may have been the probe, and may come back unused.
+        self._probing = False
 
     def failure_rate(self, now: float) -> float:
         """Return the moving average of the failure rate, 0 to 1."""
