--- a/tarragonwind/upstream_connections.py
+++ b/tarragonwind/upstream_connections.py
@@ -21,16 +21,18 @@
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
-        self._starts: dict[Address, UpstreamStart] = {}
+        self._starts: dict[Address, set[UpstreamStart]] = {}
 
     def on_catalogue(self, catalogue: Catalogue) -> None:
-        """Close the connections to each address that has changed hands."""
-        starts = {
-            Address(entry.host, entry.port): entry.start
-            for entry in catalogue.contents("upstream").values()
-            if isinstance(entry, UpstreamEntry)
-        }
-        for address, start in self._starts.items():
-            if starts.get(address) != start:
+        """Close the connections to each address that has changed hands.
+
+        Two upstreams may be registered at one address, the one that is gone until its entry ends.
+        """
+        starts: dict[Address, set[UpstreamStart]] = {}
+        for entry in catalogue.contents("upstream").values():
+            if isinstance(entry, UpstreamEntry):
+                starts.setdefault(Address(entry.host, entry.port), set()).add(entry.start)
+        for address, known in self._starts.items():
+            if starts.get(address) != known:
                 self._client.close_idle(address)
         self._starts = starts
