--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -240,7 +240,7 @@
         self._timers.call_later(CLOSE_STALL_S, check)
 
     def _shut_down_writing(self) -> None:
-        self._timers.call_later(LINGER_S, self.close)
+        self._timers.call_later(LINGER_S, self._close_if_acked)
         try:
             if self._resets_on_close:
                 self._set_linger(ORDERLY_CLOSE)
@@ -248,6 +248,16 @@
         except OSError:
             self.close()
 
+    def _close_if_acked(self, waited_s: float = LINGER_S) -> None:
+        """Close, unless unread input would make that a reset that destroys unacknowledged bytes."""
+        if self.closed:
+            return
+        unacked = 0 < self._acked_bytes() < self.sent_bytes
+        if not (unacked and self.has_input() and waited_s < CLOSE_STALL_S):
+            self.close()
+            return
+        self._timers.call_later(LINGER_S, lambda: self._close_if_acked(waited_s + LINGER_S))
+
     def reset(self) -> None:
         """Close with RST, so that the peer sees an error instead of an orderly close."""
         if not self.closed:
