Leave a silent upstream only for one that can be used and reached, and only where the response can go on

Now the checks come before the dispatch is given up, a connection to the other upstream is opened first, a response that has begun is left only if it can be resumed, and the silent upstream is cut off before the request is sent on.

--- a/tarragonwind/adapters/dispatch_reports.py
+++ b/tarragonwind/adapters/dispatch_reports.py
@@ -7,6 +7,7 @@
 from tarragonwind.core.dispatches import PERMIT_OUTCOMES, DispatchOutcome
 from tarragonwind.core.permit_messages import Outcome
 from tarragonwind.core.schedulers import DispatchReport
+from tarragonwind.errors import ErrorKind, RequestError
 
 MAX_LOGGED_PARTS = 8
 """Maximum number of prompt parts in a log line."""
@@ -35,6 +36,19 @@
     )
 
 
+def create_dispatch_error(outcome: DispatchOutcome, reason: str) -> RequestError:
+    """Return the error of a request whose last dispatch has failed."""
+    if outcome in (DispatchOutcome.NOT_SENT, DispatchOutcome.MISDIRECTED):
+        return RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
+    if outcome is DispatchOutcome.REFUSED:
+        return RequestError(ErrorKind.UPSTREAM_REFUSED, "the upstream refused the request")
+    if outcome is DispatchOutcome.DEADLINE_PASSED:
+        return RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
+    return RequestError(
+        ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no whole answer: {reason}"
+    )
+
+
 def describe_response_end(relay: Relay | None) -> str:
     """Return the log fields that tell how the upstream's response was framed and how it ended."""
     if relay is None:
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -416,6 +416,10 @@
         exchange = self.exchange(address, req, sink)
         return exchange.cancel
 
+    def has_idle(self, address: Address) -> bool:
+        """Return whether a connection to an address is pooled."""
+        return bool(self._idle.get(address))
+
     def take_idle(self, address: Address) -> Connection | None:
         """Return a usable connection from the pool, or None."""
         pool = self._idle.get(address, [])
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -417,8 +417,9 @@
         streaming = self._lifecycle.state is LifecycleState.STREAMING
         if self._cursor is not None:
             self._cursor.drop_partial()
-        self._finish(DispatchOutcome.BROKEN if streaming else DispatchOutcome.FAILED_BEFORE_ANSWER)
+        # The request may be dispatched again as soon as the relay has finished.
         self._cancel_exchange()
+        self._finish(DispatchOutcome.BROKEN if streaming else DispatchOutcome.FAILED_BEFORE_ANSWER)
 
     def _schedule_stall_check(self, limit_s: float) -> None:
         if limit_s:
@@ -433,6 +434,8 @@
         limit_s = (
             self._options.event_stall_s if self._last_data_at else self._options.first_byte_stall_s
         )
+        if not limit_s:
+            return
         if self._paused or silent_s < limit_s - TIMER_TOLERANCE_S:
             self._schedule_stall_check(limit_s if self._paused else limit_s - silent_s)
             return
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from tarragonwind.adapters.allotment_charges import AllotmentCharge
 from tarragonwind.adapters.caller_dialects import (
     ForwardContext,
     Headers,
@@ -14,12 +15,14 @@
 )
 from tarragonwind.adapters.caller_exchanges import CallerExchange, ExchangeEvents
 from tarragonwind.adapters.dispatch_reports import (
+    create_dispatch_error,
     describe_dispatch,
     describe_key,
     describe_parts,
     describe_response_end,
 )
 from tarragonwind.adapters.gateway_contexts import GatewayContext
+from tarragonwind.adapters.pooled_connects import connect_ahead
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, Relay
 from tarragonwind.adapters.request_claims import RequestClaim
@@ -87,7 +90,7 @@
         self._cursor: StreamCursor | None = None
         self._buffered_response: BufferedResponse | None = None
         self._relay: Relay | None = None
-        self._allotment_taken_at: float | None = None
+        self._charge = AllotmentCharge(context.allotments)
         self._budget_taken = False
         self._permit: Permit | None = None
         self._standby: StandbyPermit | None = None
@@ -114,7 +117,8 @@
                 self._standby.withdraw()
             not_run = not self._sent or self._lifecycle.refusal_proven
             self._claim.settle(self._response_complete, not_run)
-            self._refund_allotment()
+            if not self._sent:
+                self._charge.refund()
             if self._admission is not None:
                 self._context.limits.end(self._context.loop.timers.now(), self._admission)
             self._record_metrics()
@@ -139,11 +143,7 @@
         self._admission = self._context.limits.admit(
             now, request_class.organisation, request_class.route
         )
-        if self._context.allotments is not None:
-            self._context.allotments.take(
-                now, request_class.organisation, request_class.allotment_tokens
-            )
-            self._allotment_taken_at = now
+        self._charge.take(now, request_class)
         await self._claim.take(request_class)
         if request_class.idempotency_key and self._exchange.disconnected:
             raise FutureCancelled
@@ -209,15 +209,7 @@
         if outcome is DispatchOutcome.FAILURE_ANSWER and self._buffered_response is not None:
             self._send_buffered(self._buffered_response)
             return
-        if outcome in (DispatchOutcome.NOT_SENT, DispatchOutcome.MISDIRECTED):
-            raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream could be reached")
-        if outcome is DispatchOutcome.REFUSED:
-            raise RequestError(ErrorKind.UPSTREAM_REFUSED, "the upstream refused the request")
-        if outcome is DispatchOutcome.DEADLINE_PASSED:
-            raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before an answer")
-        raise RequestError(
-            ErrorKind.UPSTREAM_OUTCOME_UNKNOWN, f"the upstream gave no whole answer: {self._reason}"
-        )
+        raise create_dispatch_error(outcome, self._reason)
 
     def _send_buffered(self, buffered_response: BufferedResponse) -> None:
         """Send the caller an error response that was buffered for a possible retry."""
@@ -227,19 +219,6 @@
             buffered_response.status, buffered_response.headers, bytes(buffered_response.body)
         )
 
-    def _refund_allotment(self) -> None:
-        """Refund the allotment tokens of a request that was sent to no upstream."""
-        allotments = self._context.allotments
-        request_class = self._request_class
-        if allotments is None or request_class is None or self._sent:
-            return
-        if self._allotment_taken_at is not None:
-            allotments.refund(
-                request_class.organisation,
-                request_class.allotment_tokens,
-                self._allotment_taken_at,
-            )
-
     async def _obtain_permit(self, scheduling_request: SchedulingRequest) -> Permit:
         """Take the permit for another upstream that is held already, or else wait for one."""
         self._lifecycle.advance(LifecycleState.WAITING)
@@ -318,8 +297,22 @@
         entry = catalogue.entry(f"upstream/{permit.upstream}") if catalogue else None
         return entry if isinstance(entry, UpstreamEntry) else None
 
+    def _connect_ahead(self, permit: Permit) -> Future[bool]:
+        upstream = self._find_upstream(permit)
+        assert upstream is not None
+        return connect_ahead(self._context.client, Address(upstream.host, upstream.port))
+
+    def _may_use(self, request_class: RequestClass, permit: Permit) -> bool:
+        scheduler = self._context.scheduler
+        quarantined = scheduler.quarantine_left_s(request_class.quarantine_keys) > 0
+        found = self._find_upstream(permit) is not None
+        return found and not quarantined and scheduler.may_dispatch(permit)
+
     def _check_deadline(self, request_class: RequestClass) -> float:
         """Return the seconds to the deadline; raise `RequestError` if it has passed."""
+        if self._exchange.started and not request_class.deadline_is_total:
+            # The deadline was that of the first byte.
+            return self._context.times.first_byte_timeout_s
         remaining_s = self._started_at + request_class.timeout_s - self._context.loop.timers.now()
         if remaining_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before dispatch")
@@ -384,7 +377,13 @@
             return retry
 
         def may_leave() -> bool:
-            return self._retry_policy.may_retry_failures and not self._exchange.disconnected
+            resumable = not self._exchange.started or self._cursor is not None
+            may_retry = resumable and self._retry_policy.may_retry_failures
+            return may_retry and not self._exchange.disconnected
+
+        def is_usable(other: Permit) -> bool:
+            failed = other.upstream in (permit.upstream, *scheduling_request.avoid)
+            return not failed and self._may_use(request_class, other)
 
         return StandbyPermit(
             self._context.scheduler,
@@ -392,6 +391,8 @@
             permit,
             create_request,
             may_leave,
+            is_usable,
+            self._connect_ahead,
             lambda: self._take_retry_budget(permit.pool),
             self.name,
         )
--- a/tarragonwind/adapters/standby_permits.py
+++ b/tarragonwind/adapters/standby_permits.py
@@ -12,6 +12,7 @@
 from tarragonwind.core.permit_requests import Permit
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
 from tarragonwind.errors import RequestError
+from tarragonwind.futures import Future
 
 
 class StandbyPermit:
@@ -31,6 +32,10 @@
         Returns the scheduling request of a retry.
     may_leave : callable
         Returns whether the request may be dispatched to another upstream.
+    is_usable : callable
+        Returns whether this host may dispatch the request under a permit.
+    connect : callable
+        Returns a future of whether the upstream of a permit can be reached.
     take_budget : callable
         Charges the retry budget; returns False if it is used up.
     name : str
@@ -39,7 +44,9 @@
 
     __slots__ = (
         "_asking",
+        "_connect",
         "_create_request",
+        "_is_usable",
         "_may_leave",
         "_name",
         "_permit",
@@ -58,6 +65,8 @@
         permit: Permit,
         create_request: Callable[[], SchedulingRequest],
         may_leave: Callable[[], bool],
+        is_usable: Callable[[Permit], bool],
+        connect: Callable[[Permit], Future[bool]],
         take_budget: Callable[[], bool],
         name: str,
     ) -> None:
@@ -67,13 +76,15 @@
         self._permit = permit
         self._create_request = create_request
         self._may_leave = may_leave
+        self._is_usable = is_usable
+        self._connect = connect
         self._take_budget = take_budget
         self._reported = False
         self._asking = False
         self._permit_id = 0
         self._standby: Permit | None = None
         relay.on_stalled = self._on_stalled
-        relay.on_recovered = self.stop_asking
+        relay.on_recovered = self.withdraw
 
     def take(self) -> Permit | None:
         """Return the standby permit and leave it to the caller; None if none is held."""
@@ -106,7 +117,7 @@
                 self._permit.upstream,
                 may_leave,
             )
-        if may_leave and not self._asking:
+        if may_leave and not self._asking and self._standby is None:
             self._ask()
 
     def _ask(self) -> None:
@@ -121,7 +132,16 @@
     def _on_granted(self, permit: Permit) -> None:
         self._asking = False
         self._standby = permit
-        if permit.upstream != self._permit.upstream and self._take_budget():
+        if not self._is_usable(permit):
+            self.withdraw()
+            return
+        self._connect(permit).add_callback(lambda fut: self._on_connect_ended(permit, fut.result()))
+
+    def _on_connect_ended(self, permit: Permit, connected: bool) -> None:
+        if self._standby is not permit:
+            # It was withdrawn in the meantime.
+            return
+        if connected and self._is_usable(permit) and self._take_budget():
             self._relay.abandon("the upstream was silent")
         else:
             self.withdraw()
--- a/tests/test_joined_responses.py
+++ b/tests/test_joined_responses.py
@@ -25,7 +25,7 @@
     ids=["length", "chunked"],
 )
 def test_a_second_response_is_not_joined_to_one_that_has_begun_and_can_not_be_resumed(first, rest):
-    silent = PausingUpstream(first, rest)
+    silent = PausingUpstream(first, rest, PAUSE_S)
     other = PausingUpstream(first, rest, SHORT_PAUSE_S)
     with contextlib.closing(Harness(silent, other)) as harness:
         conn = harness.send(stream=False)
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -3,8 +3,10 @@
 import contextlib
 import http.client
 import json
+import math
 import socket
 import threading
+import time
 
 import pytest
 
@@ -26,16 +28,21 @@
 TARGET_S = 0.1
 """Target of the routes; an upstream is silent after 2.5 times as long."""
 POLL_S = 0.02
+PAUSE_S = 0.8
+SHORT_PAUSE_S = 0.02
 
 
 class PausingUpstream:
-    """Answer each request with two pieces of bytes, the second one when it is told to go on."""
+    """Answer each request with two pieces of bytes, the second one when it is told to go on.
 
-    def __init__(self, first: bytes, rest: bytes) -> None:
+    With `pause_s` it goes on by itself after that time, in seconds.
+    """
+
+    def __init__(self, first: bytes, rest: bytes, pause_s: float = math.inf) -> None:
         self.requests: list[bytes] = []
         self.cut = threading.Event()
         self.goes_on = threading.Event()
-        self._first, self._rest = first, rest
+        self._first, self._rest, self._pause_s = first, rest, pause_s
         self._sock = socket.create_server(("127.0.0.1", 0))
         self.port = self._sock.getsockname()[1]
         threading.Thread(target=self._serve, daemon=True).start()
@@ -60,7 +67,8 @@
     def _is_kept(self, conn: socket.socket) -> bool:
         """Wait until the upstream goes on; return False if the connection ends before."""
         conn.settimeout(POLL_S)
-        while not self.goes_on.is_set():
+        ends_at = time.monotonic() + self._pause_s
+        while not self.goes_on.is_set() and time.monotonic() < ends_at:
             try:
                 if conn.recv(65_536) == b"":
                     return False
