Check in the soak that connections are open within their idle limit

A host that closes an idle connection too early, or by a limit that is no longer in force, showed in the soak only as requests without an answer, which were allowed. A request on a connection whose idle time stays below four fifths of every limit that may be in force (a configuration takes up to 2 s to spread) now has to get an answer, unless its host was disturbed or stopped or the time was over.

A series of configurations ends with a limit of 8 to 10 s that stays for 6 s, and the usual limit is 4 s, so that connections outlast the limit under which they became idle. Callers reuse connections strictly below four fifths of the limit.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -166,7 +166,8 @@
     def choose_wait(self, host: str) -> float:
         """Return how long to leave the connection to a host idle, mostly the longest time."""
         share = 1.0 if self.rng.random() < LONGEST_WAIT_SHARE else self.rng.random()
-        return max(0.0, self.used_at[host] + share * self.max_idle_s() - time.time())
+        longest_s = self.max_idle_s() - WAKE_UP_S
+        return max(0.0, self.used_at[host] + share * longest_s - time.time())
 
     def send_request(self, record: CallerRecord) -> None:
         """Send one request, closing its connection after an error."""
@@ -191,7 +192,7 @@
                 address, self.site.ports["callers"], timeout=TIMEOUT_S
             )
             self.conns[host] = conn
-        elif time.time() - self.used_at[host] > self.max_idle_s() + WAKE_UP_S:
+        elif time.time() - self.used_at[host] > self.max_idle_s():
             conn.close()
         return conn
 
--- a/soak/configuration_changes.py
+++ b/soak/configuration_changes.py
@@ -16,6 +16,9 @@
 LONG_GAP_S = (0.6, 1.2)
 """Shortest and longest time between two versions of a series, in seconds."""
 SHORT_GAP_SHARE = 0.6
+RAISED_IDLE_MS = (8_000, 10_000)
+RAISED_S = 6.0
+"""Time for which the idle limit stays raised at the end of a series, in seconds."""
 LOAD_ROUTES = ("r-draft", "r-lookup", "r-stamp")
 
 FIELD_CHANGES: dict[str, ChangeMaker] = {}
@@ -77,7 +80,8 @@
 def generate_series(rng: random.Random) -> list[tuple[float, Changes]]:
     """Return versions that change all kinds of fields in random order, then restore all.
 
-    Each version holds the changes of those before it.
+    Each version holds the changes of those before it. At last the idle limit is raised for longer
+    than connections are idle, and restored.
 
     Returns
     -------
@@ -92,7 +96,8 @@
         for change in FIELD_CHANGES[name](rng):
             changes = merge_changes(changes, change)
             series.append((choose_gap(rng), changes))
-    return [*series, (choose_gap(rng), {})]
+    raised = {"limits": {"idleTimeoutMs": rng.randint(*RAISED_IDLE_MS)}}
+    return [*series, (choose_gap(rng), {}), (choose_gap(rng), raised), (RAISED_S, {})]
 
 
 def choose_gap(rng: random.Random) -> float:
--- a/soak/histories.py
+++ b/soak/histories.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import zip_longest
 from typing import Any
@@ -82,10 +84,12 @@
         """Return whether a host, a back end's link or the store was disturbed in a time."""
         return any(one.host == host and one.touches(begin, end) for one in self.disturbances)
 
+    def version_spans(self) -> Iterator[tuple[WrittenVersion, float]]:
+        """Return each configuration, and until when it may have been in force on some host."""
+        for version, following in zip_longest(self.versions, self.versions[1:]):
+            yield version, math.inf if following is None else following.at + SPREAD_S
+
     def versions_in_force(self, begin: float, end: float) -> list[WrittenVersion]:
         """Return the configurations that may have been in force on some host in a time."""
-        return [
-            version
-            for version, following in zip_longest(self.versions, self.versions[1:])
-            if version.at <= end and (following is None or following.at + SPREAD_S >= begin)
-        ]
+        spans = self.version_spans()
+        return [version for version, until in spans if version.at <= end and until >= begin]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,7 @@
     check_sound_requests,
 )
 from soak.histories import CONTACT_S, History
+from soak.kept_connections import check_kept_connections
 from soak.lost_requests import check_lost_requests
 
 CRASHES_ALLOWED = 5
@@ -45,6 +46,7 @@
         check_leaving,
         check_holds,
         check_lost_requests,
+        check_kept_connections,
         check_crashing_request,
         check_sound_requests,
     )
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -26,7 +26,7 @@
 PATIENT_CALLERS = 4
 SLOTS = 3
 """Requests that each back end takes at a time, few enough for a surge to fill them."""
-BASE_IDLE_MS = 2_500
+BASE_IDLE_MS = 4_000
 """Idle limit of callers' connections outside of changes, in milliseconds."""
 RECOVERY_S = 6.0
 """Length of the recovery phase, which follows the faults, in seconds."""
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -379,3 +379,53 @@
     assert invariants(sound_history(kind, half, MIN_SOUND_COUNT)) == []
     assert invariants(sound_history(kind, 0, 0)) == []
     assert invariants(sound_history(kind, half - 1, MIN_SOUND_COUNT, late_s=-1.0)) == []
+
+
+def kept_history(idle_s=3.0, versions=WRITTEN[:1], **more):
+    """Return a history of a request on a kept connection that gets no answer and has not run."""
+    sent = CallerRecord("a", "safe", "h1", sent_at=20.0, ended_at=20.1, idle_s=idle_s)
+    return History([sent], [], versions=list(versions), **more)
+
+
+RAISED = [WrittenVersion(1.0, 4.0, 3.0), WrittenVersion(17.5, 4.0, 9.0)]
+LOWERED = [WrittenVersion(1.0, 4.0, 9.0), WrittenVersion(19.5, 4.0, 3.0)]
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        kept_history(),
+        kept_history(versions=[WrittenVersion(1.0, 4.0, 4.0)]),
+        kept_history(versions=RAISED, idle_s=2.0),
+        kept_history(versions=RAISED, idle_s=2.7),
+        kept_history(versions=LOWERED, idle_s=2.2),
+        kept_history(disturbances=[Disturbance("h2", 19.0, 21.0), Disturbance("", 19.0, 21.0)]),
+        kept_history(disturbances=[Disturbance("h1", 1.0, 16.9 - CONTACT_S)]),
+    ],
+)
+def test_a_connection_that_is_closed_within_its_idle_limit_is_found(history):
+    assert invariants(history) == ["a connection is open within its idle limit"]
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        kept_history(idle_s=0.0),
+        kept_history(versions=[WrittenVersion(1.0, 4.0, 3.8)]),
+        kept_history(versions=RAISED, idle_s=3.0),
+        kept_history(versions=LOWERED, idle_s=2.4),
+        kept_history(disturbances=[stop(17.5)]),
+        kept_history(disturbances=[Disturbance("h1", 1.0, 17.1 - CONTACT_S)]),
+    ],
+)
+def test_connections_that_may_be_closed_are_no_violation(history):
+    assert invariants(history) == []
+
+
+def test_a_request_on_a_kept_connection_that_has_run_or_was_answered_is_another_matter():
+    history = kept_history()
+    history.lines.append({"event": "run", "source": "b1", "attempt-id": "a", "at": 20.05})
+    assert invariants(history) == [LOST]
+    history = kept_history()
+    history.records[0].status = 503
+    assert invariants(history) == []
