End the processes of a soak run when it is terminated

A run that got SIGTERM ended at once and left its hosts, stand-ins and proxies behind (sixteen processes after one run that was ended by hand). It now exits, which stops the fleet.

The new test failed before: six back ends were left.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -138,6 +139,8 @@
     seconds : float
         Length of the fault phase of each run in seconds.
     """
+    # An exit, unlike the signal's own effect, stops the processes that the run has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
     failed = [number for number in range(first, first + seeds) if run_seed(number, float(seconds))]
     print(f"{seeds - len(failed)} of {seeds} seeds passed; failed: {failed}")
--- a/tests/test_soak_runs.py
+++ b/tests/test_soak_runs.py
@@ -74,3 +74,31 @@
         process.kill()
         process.wait()
     assert started == ["front-0"]
+
+
+def test_a_run_that_is_terminated_leaves_no_process_behind():
+    seed = 987_654
+    arguments = [sys.executable, "-m", "soak.runs", "--seed", str(seed), "--seconds", "60"]
+    process = subprocess.Popen(arguments, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
+    try:
+        process.stderr.readline()
+        started = find_processes(f"soak-{seed}-")
+        process.terminate()
+        process.wait(30)
+        assert started
+        assert find_processes(f"soak-{seed}-") == []
+    finally:
+        process.kill()
+        process.wait()
+
+
+def find_processes(text):
+    """Return the ids of the processes whose command line contains a text."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            if text in path.read_text():
+                found.append(int(path.parent.name))
+        except OSError:
+            continue
+    return found
