Bound the idle time of a connection in the soak by when its last request was sent

The host had answered the request before 1.32 s earlier than its caller, whose thread was late, had read the response: the connection had been idle for 4.47 s. The time since the request before was sent is known to be no shorter than the idle time, so callers wait, and the check judges, by that.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -91,7 +91,8 @@
         Wall-clock times at which the request was sent, and at which its response or connection
         ended, 0 before that.
     idle_s : float
-        Time for which its connection had been idle, 0 for a new one.
+        Time since the previous request on its connection was sent, 0 for a new connection. The
+        connection was idle for no longer, even if the caller read the response late.
     path, tenant : str
         Path of the request, and the tenant that sent it.
     """
@@ -135,7 +136,7 @@
     shapes: Mapping[str, RequestShape] = field(default_factory=lambda: LOAD_SHAPES)
     pause_s: float = PAUSE_S
     patient: bool = False
-    used_at: dict[str, float] = field(default_factory=dict)
+    sent_at: dict[str, float] = field(default_factory=dict)
 
     def run(self) -> None:
         """Send requests until stopped."""
@@ -167,21 +168,22 @@
         """Return how long to leave the connection to a host idle, mostly the longest time."""
         share = 1.0 if self.rng.random() < LONGEST_WAIT_SHARE else self.rng.random()
         longest_s = self.max_idle_s() - WAKE_UP_S
-        return max(0.0, self.used_at[host] + share * longest_s - time.time())
+        return max(0.0, self.sent_at[host] + share * longest_s - time.time())
 
     def send_request(self, record: CallerRecord) -> None:
         """Send one request, closing its connection after an error."""
         conn = self.find_conn(record.host)
         record.sent_at = time.time()
         if conn.sock is not None:
-            record.idle_s = record.sent_at - self.used_at[record.host]
+            record.idle_s = record.sent_at - self.sent_at[record.host]
         try:
             self.exchange(conn, record)
         except (OSError, http.client.HTTPException):
             conn.close()
             del self.conns[record.host]
         finally:
-            record.ended_at = self.used_at[record.host] = time.time()
+            record.ended_at = time.time()
+            self.sent_at[record.host] = record.sent_at
 
     def find_conn(self, host: str) -> http.client.HTTPConnection:
         """Return the connection to a host; one that has been idle for too long is closed."""
@@ -192,7 +194,7 @@
                 address, self.site.ports["callers"], timeout=TIMEOUT_S
             )
             self.conns[host] = conn
-        elif time.time() - self.used_at[host] > self.max_idle_s():
+        elif time.time() - self.sent_at[host] > self.max_idle_s():
             conn.close()
         return conn
 
--- a/soak/kept_connections.py
+++ b/soak/kept_connections.py
@@ -15,7 +15,7 @@
         Violation(
             "a connection is open within its idle limit",
             record.attempt,
-            f"idle for {record.idle_s:.3f} s at {record.host}, sent at {record.sent_at:.3f}",
+            f"idle for at most {record.idle_s:.3f} s at {record.host}, sent {record.sent_at:.3f}",
         )
         for record in history.records
         if record.idle_s and record.ended_at and record.status == NO_ANSWER
