--- a/tarragonwind/core/suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -73,6 +73,8 @@
 
     def drop_before(self, at: float) -> None:
         """Drop crashes that are older than a time."""
+        if all(crashed_at >= at for crashed_at in self.crashes.values()):
+            return
         self.crashes = {
             start: crashed_at for start, crashed_at in self.crashes.items() if crashed_at >= at
         }
@@ -183,7 +185,9 @@
     def _has_evidence(self, now: float, key: int) -> bool:
         suspect = self._suspects[key]
         needed = CRASHES_TO_CONVICT_ANSWERED if key in self._answered_at else CRASHES_TO_CONVICT
-        return not suspect.convicted and suspect.count_crashes(now) >= needed
+        if suspect.convicted or len(suspect.crashes) < needed:
+            return False
+        return suspect.count_crashes(now) >= needed
 
     def _convict(self, now: float, keys: Iterable[int]) -> list[int]:
         """Convict the requests with enough evidence, and the likeliest part that they leave."""
