--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -83,7 +83,7 @@
         "_sent",
         "_sink",
         "_status",
-        "_use",
+        "_generation",
         "address",
         "framing",
     )
@@ -94,7 +94,7 @@
         self.address = address
         self.framing: Framing | None = None
         self._client = client
-        self._use = client.use_of(address)
+        self._generation = client.generation_of(address)
         self._req = req
         self._sink = sink
         self._headers: list[tuple[bytes, bytes]] = []
@@ -301,7 +301,7 @@
             return
         self._ended = True
         assert self._conn is not None
-        current = self._client.use_of(self.address) == self._use
+        current = self._client.generation_of(self.address) == self._generation
         if reuse and current and not self._conn.closed and not self._conn.unsent:
             keep_alive_s = parse_keep_alive_timeout(self._headers)
             self._client.keep_idle(self.address, self._conn, keep_alive_s)
@@ -383,7 +383,7 @@
         self.connect_timeout_s = connect_timeout_s
         self._max_idle = max_idle
         self._idle: dict[Address, list[IdleConnection]] = {}
-        self._uses: dict[Address, int] = {}
+        self._generations: dict[Address, int] = {}
         loop.timers.call_every(IDLE_SWEEP_S, self._close_expired)
 
     def exchange(self, address: Address, req: HttpRequest, sink: ResponseSink) -> ClientExchange:
@@ -462,13 +462,13 @@
 
     def close_idle(self, address: Address) -> None:
         """Close the pooled connections to an address; those in use now are not pooled again."""
-        self._uses[address] = self.use_of(address) + 1
+        self._generations[address] = self.generation_of(address) + 1
         for idle in self._idle.pop(address, []):
             idle.conn.close()
 
-    def use_of(self, address: Address) -> int:
-        """Return how often `close_idle` was called for an address."""
-        return self._uses.get(address, 0)
+    def generation_of(self, address: Address) -> int:
+        """Return a number that grows with each `close_idle` of an address."""
+        return self._generations.get(address, 0)
 
     def drop_idle(self, idle: IdleConnection) -> None:
         """Remove a connection from the pool."""
