--- a/tarragonwind/core/suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -122,10 +122,13 @@
         list of int
             Keys that this crash has convicted.
         """
+        crashed_at = self._crashed_at.setdefault(start, now)
         known = [key for key in keys if self._is_convicted(key)]
         if known:
             return known
-        self._crashed_at[start] = now
+        if now - crashed_at >= SAME_MOMENT_S:
+            # It has not answered since it crashed, so this request found it gone.
+            return []
         for position, key in enumerate(keys):
             self._suspect(key).add(now, start, position)
         while len(self._suspects) > MAX_SUSPECTS:
--- a/tests/test_request_suspicions.py
+++ b/tests/test_request_suspicions.py
@@ -137,3 +137,39 @@
     assert pool.convicted == [BAD]
     pool.crash_one([BAD], [SOUND])
     assert pool.convicted == [BAD, BAD]
+
+
+def test_resets_of_an_upstream_that_has_crashed_already_are_no_evidence(pool):
+    pool.crash_one([BAD])
+    crashed = (f"u{pool.starts}", 1)
+    for _ in range(CRASHES_TO_CONVICT):
+        pool.now += 1.0
+        pool.convicted += pool.suspicions.on_crash(pool.now, crashed, [SOUND])
+    for _ in range(CRASHES_TO_CONVICT - 1):
+        pool.crash_one([BAD], [SOUND])
+    pool.wait(CONFIRMED_S)
+    assert pool.convicted == [BAD]
+
+
+def test_resets_of_an_upstream_that_a_convicted_request_has_crashed_are_no_evidence(pool):
+    for _ in range(CRASHES_TO_CONVICT):
+        pool.crash_one([BAD])
+    for _ in range(CRASHES_TO_CONVICT):
+        pool.crash_one([BAD])
+        pool.now += 1.0
+        start = (f"u{pool.starts}", 1)
+        pool.convicted += pool.suspicions.on_crash(pool.now, start, [SOUND])
+    pool.wait(CONFIRMED_S)
+    assert SOUND not in pool.convicted
+
+
+def test_an_upstream_that_has_answered_since_it_was_reset_can_crash_again(pool):
+    for number in range(CRASHES_TO_CONVICT):
+        start = (f"v{number}", 1)
+        pool.now += 1.0
+        pool.suspicions.on_crash(pool.now, start, [SOUND])
+        pool.now += 1.0
+        pool.answer(SOUND, start=start)
+        pool.now += 1.0
+        pool.convicted += pool.suspicions.on_crash(pool.now, start, [BAD])
+    assert pool.convicted == [BAD]
