Keep a hot load without trouble within the tolerance of its allotment

Cause: a bucket left the window when its first token did, 0.1 s before its last; and a quarter of the tolerance was given away, which leaves too little for what hosts admit between two reports (0.25 s of the load, 0.12 of the limit). Ruled out: lost reports; there are none in the test. Loads at 0.93 of the limit are still not refused.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -37,7 +37,7 @@
 """Age of the previous aggregator's totals up to which its hosts may not have reported here yet."""
 STARTUP_BURST_FRACTION = 0.5
 """Fraction of the burst admitted during the first window, as usage before the start is unknown."""
-TOLERANCE_FRACTION = 0.25
+TOLERANCE_FRACTION = 0.15
 """Fraction of the tolerance that is admitted, so that a delayed count does not cause refusals below
 the limit. The rest covers what other hosts admit until they receive the count."""
 MIN_RETRY_AFTER_S = 0.2
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -56,10 +56,13 @@
         while self._buckets and self._buckets[0][0] <= now - self._window_s - BUCKET_WIDTH_S:
             self._buckets.popleft()
         return tuple(
-            int(sum(amount for at, amount in self._buckets if at > now - fraction * self._window_s))
+            self._sum_since(now - BUCKET_WIDTH_S - fraction * self._window_s)
             for fraction in WINDOW_FRACTIONS
         )
 
+    def _sum_since(self, start: float) -> int:
+        return int(sum(amount for at, amount in self._buckets if at > start))
+
 
 @dataclass(slots=True)
 class ReceivedTotals:
--- a/tests/test_allotment_partitions.py
+++ b/tests/test_allotment_partitions.py
@@ -128,6 +128,10 @@
     assert largest_share([play_trouble(trouble)]) <= ALLOWED_SHARE
 
 
+def test_a_hot_load_without_trouble_stays_within_the_tolerance():
+    assert largest_share(start_hot_load(seed, 30.0) for seed in SEEDS) <= ALLOWED_SHARE
+
+
 @pytest.mark.parametrize("busy_weight", [1.0, 30.0])
 def test_load_below_the_limit_that_moves_between_hosts_is_not_refused(busy_weight):
     for seed in SEEDS:
