--- a/tarragonwind/allotments.py
+++ b/tarragonwind/allotments.py
@@ -63,7 +63,7 @@
         self.ledger.refund(organisation, tokens, taken_at)
 
     def _on_members(self) -> None:
-        self.ledger.set_live(self._members.live())
+        self.ledger.set_live(self._timers.now(), self._members.live())
 
     def _report(self) -> None:
         now = self._timers.now()
@@ -71,7 +71,9 @@
             self._peers.send(host, msg)
 
     def _on_report(self, sender: str, msg: UsageReport) -> None:
-        self._peers.send(sender, self.ledger.on_report(self._timers.now(), sender, msg))
+        totals = self.ledger.on_report(self._timers.now(), sender, msg)
+        if totals.rows:
+            self._peers.send(sender, totals)
 
     def _on_totals(self, sender: str, msg: UsageTotals) -> None:
         self.ledger.on_totals(self._timers.now(), msg)
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -12,7 +12,9 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 
+from tarragonwind.core.aggregator_changes import AggregatorChanges
 from tarragonwind.core.entries import OrganisationEntry
 from tarragonwind.core.usage_windows import (
     WINDOW_FRACTIONS,
@@ -33,8 +35,6 @@
 may be without totals, and each may use its part."""
 REPORT_LATE_S = 0.5
 """Age of a live host's report from which that host may be without totals."""
-AGGREGATOR_CHANGE_S = 0.6
-"""Age of the previous aggregator's totals up to which its hosts may not have reported here yet."""
 STARTUP_BURST_FRACTION = 0.5
 """Fraction of the burst admitted during the first window, as usage before the start is unknown."""
 TOLERANCE_FRACTION = 0.15
@@ -85,10 +85,14 @@
     Attributes
     ----------
     rows : list of list
-        Organisation and tokens in each window, the longest first.
+        Organisation, whether all live hosts have reported since a change of the aggregator, and
+        tokens in each window, the longest first.
+    fleet_share : float
+        Reachable fraction of the fleet that the sender allows for, above 0 and at most 1.
     """
 
     rows: list[list]
+    fleet_share: float = 1.0
 
 
 def full_fleet_share(now: float) -> float:
@@ -114,6 +118,7 @@
     """
 
     __slots__ = (
+        "_changes",
         "_fleet_share",
         "_limits",
         "_live",
@@ -142,6 +147,7 @@
         self._window_s = settings.window_s
         self._started_at = now
         self._owner_of = owner_of
+        self._changes = AggregatorChanges(name, now, owner_of)
         self._fleet_share = fleet_share
         self._windows: dict[str, UsageWindow] = {}
         self._limits: dict[str, tuple[float, ...]] = {}
@@ -151,11 +157,14 @@
         self._live: frozenset[str] = frozenset([name])
         self._lost: set[str] = set()
 
-    def set_live(self, live: Iterable[str]) -> None:
+    def set_live(self, now: float, live: Iterable[str]) -> None:
         """Set the live hosts."""
         previous = self._live
         self._live = frozenset(live) or frozenset([self._name])
+        if self._live == previous:
+            return
         self._lost |= previous - self._live
+        self._changes.on_live_changed(now, previous - self._live, self._live - previous)
 
     def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Count the tokens of a request against its organisation's allotment.
@@ -170,7 +179,7 @@
         name = organisation.name
         whole_limits = self._window_limits(now, organisation)
         self._limits[name] = whole_limits
-        share = self._fleet_share(now)
+        share = self._admitted_share(now, name)
         limits = tuple(share * limit for limit in whole_limits)
         window = self._window(name)
         own = window.totals(now)
@@ -205,7 +214,10 @@
         return {host: UsageReport(host_rows) for host, host_rows in rows.items()}
 
     def on_report(self, now: float, host: str, msg: UsageReport) -> UsageTotals:
-        """Store a host's counts and return the totals of the other hosts."""
+        """Store a host's counts and return the totals of the other hosts.
+
+        Organisations that another host aggregates are left out.
+        """
         if host in self._lost:
             self._keep_earlier_reports(host)
         rows: list[list] = []
@@ -216,9 +228,11 @@
             counts[host] = received
             usage = self._fleet_usage(now, name)
             received.part_left = self._part_left(now, name, usage)
-            others = (max(0, int(used) - own) for used, own in zip(usage, totals, strict=True))
-            rows.append([name, *others])
-        return UsageTotals(rows)
+            if self._changes.aggregates(name):
+                settled = self._changes.is_settled(now, name)
+                others = (max(0, int(used) - own) for used, own in zip(usage, totals, strict=True))
+                rows.append([name, settled, *others])
+        return UsageTotals(rows, self._fleet_share(now))
 
     def _part_left(self, now: float, name: str, usage: tuple[float, ...]) -> int:
         """Return what a host may add to the longest window if it gets no further totals."""
@@ -246,9 +260,11 @@
 
     def on_totals(self, now: float, msg: UsageTotals) -> None:
         """Store the totals of the other hosts."""
-        for name, *totals in msg.rows:
+        for name, complete, *totals in msg.rows:
             own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
-            self._other_totals[name] = ReceivedTotals(tuple(totals), now, own)
+            self._other_totals[name] = ReceivedTotals(
+                tuple(totals), now, own, fleet_share=msg.fleet_share, complete=complete
+            )
 
     def _needs_report(self, now: float, name: str, totals: Totals) -> bool:
         """Return whether to report totals: from the threshold on, until they are zero again."""
@@ -271,16 +287,33 @@
         self, now: float, name: str, own: Totals, limits: tuple[float, ...]
     ) -> tuple[float, ...]:
         """Return the usage to compare with an organisation's limits on this host."""
-        if self._owner_of(name) == self._name:
+        if self._changes.is_settled(now, name):
             return self._fleet_usage(now, name)
         received = self._other_totals.get(name)
-        if received is not None and now - received.received_at <= TOTALS_FRESH_S:
+        if (
+            received is not None
+            and received.complete
+            and now - received.received_at <= TOTALS_FRESH_S
+        ):
             return add_totals(own, received.totals)
         if received is None and not self._exceeds_report_threshold(now, name, own):
             return own
         bound = self._bound_without_fresh_totals(now, received, limits[0])
         return (own[0] + limits[0] - bound, *own[1:])
 
+    def _admitted_share(self, now: float, name: str) -> float:
+        """Return the fraction of an organisation's limits that the reachable hosts may use.
+
+        Totals are compared with the share of the fleet that they allow for.
+        """
+        share = self._fleet_share(now)
+        received = self._other_totals.get(name)
+        if received is None or now - received.received_at >= self._window_s:
+            return share
+        if self._changes.is_settled(now, name):
+            return share
+        return min(share, received.fleet_share)
+
     def _bound_without_fresh_totals(
         self, now: float, received: ReceivedTotals | None, limit: float
     ) -> float:
@@ -335,11 +368,44 @@
         if limits is None and lost_share > 0.0:
             return live
         known = max_totals(known, add_totals(own, self._previous_others(now, name, lost_share)))
+        unreported = self._unreported(now, name)
+        live, known = add_totals(live, unreported), add_totals(known, unreported)
         return tuple(
             max(count, known_count - lost_share * limit)
             for count, known_count, limit in zip(live, known, limits or ZERO_TOTALS, strict=True)
         )
 
+    def _unreported(self, now: float, name: str) -> Totals:
+        """Return what hosts that have not reported here yet may have used.
+
+        Hosts that have returned may have used their share apart from the others. After a change of
+        the aggregator, each host may have used its part of what the last totals left.
+        """
+        limits = self._limits.get(name)
+        settled = self._changes.is_settled(now, name)
+        returned = self._changes.returned_hosts(now)
+        if limits is None or (settled and not returned):
+            return ZERO_TOTALS
+        share = limits[0] / len(self._live)
+        part = 0.0 if settled else self._last_part(now, name, limits)
+        reports = self._reports.get(name, {})
+        tokens = 0.0
+        for host in self._live:
+            reported_at = reports[host].received_at if host in reports else -inf
+            if reported_at < returned.get(host, -inf):
+                tokens += share
+            elif host != self._name and now - reported_at > REPORT_LATE_S:
+                tokens += part
+        return (int(tokens), *ZERO_TOTALS[1:])
+
+    def _last_part(self, now: float, name: str, limits: tuple[float, ...]) -> float:
+        """Return what each host could add to the last totals from the previous aggregator."""
+        received = self._other_totals.get(name)
+        if received is None:
+            return 0.0
+        left = received.fleet_share * limits[0] - received.totals[0] - received.own[0]
+        return max(0.0, left) * self._fleet_share(now) / len(self._live)
+
     def _previous_others(self, now: float, name: str, lost_share: float) -> Totals:
         """Return what can remain of the last totals from the previous aggregator.
 
@@ -348,7 +414,7 @@
         received = self._other_totals.get(name)
         if received is None:
             return ZERO_TOTALS
-        if lost_share <= 0.0 and now - received.received_at > AGGREGATOR_CHANGE_S:
+        if lost_share <= 0.0 and self._changes.is_settled(now, name):
             return ZERO_TOTALS
         return received.remaining(now, self._window_s)
 
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -78,6 +78,10 @@
         Tokens that the host may add to the longest window if it receives no further totals.
     earlier : ReceivedTotals or None
         Last totals before the host was lost, if it has returned since.
+    fleet_share : float
+        Reachable fraction of the fleet that the totals allow for, above 0 and at most 1.
+    complete : bool
+        Whether all live hosts had reported since a change of the aggregator.
     """
 
     totals: Totals
@@ -85,6 +89,8 @@
     own: Totals = ZERO_TOTALS
     part_left: int = 0
     earlier: ReceivedTotals | None = None
+    fleet_share: float = 1.0
+    complete: bool = True
 
     def remaining(self, now: float, window_s: float) -> Totals:
         """Return the maximum of the counted tokens that can still be in each window."""
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -71,7 +71,7 @@
             return
         self.reported_at = self.now
         for name, ledger in self.ledgers.items():
-            ledger.set_live(self.live_hosts(name))
+            ledger.set_live(self.now, self.live_hosts(name))
         for name, ledger in self.ledgers.items():
             for owner, msg in ledger.reports(self.now).items():
                 if self.reaches(name, owner) and self.rng.random() >= self.loss:
