Keep the counts of a host that restarts before the others notice

Callers saw: QUOTA, up to 1.217 of the limit (1.14 allowed), when a quarter of the hosts loses its memory and is back after 0.56 s under a hot load. Cause: the loss was never noticed, so the reports after the restart replaced those from before it. Ruled out: the change of the aggregator (no cut, no loss in these examples; 6 of 60 hypothesis examples failed with that fix alone). Change: a report carries its sender's start time; after a change the earlier report counts until it has left the window. 60 examples: 1.217 before, 1.108 after.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -72,9 +72,12 @@
     ----------
     rows : list of list
         Organisation and tokens in each window, the longest first.
+    started_at : float
+        Start time on the sender's clock, which tells its counts from those before a restart.
     """
 
     rows: list[list]
+    started_at: float = 0.0
 
 
 @message(71)
@@ -130,6 +133,7 @@
         "_reports",
         "_settings",
         "_started_at",
+        "_starts",
         "_window_s",
         "_windows",
     )
@@ -156,6 +160,7 @@
         self._reported: set[str] = set()
         self._live: frozenset[str] = frozenset([name])
         self._lost: set[str] = set()
+        self._starts: dict[str, float] = {}
 
     def set_live(self, now: float, live: Iterable[str]) -> None:
         """Set the live hosts."""
@@ -211,14 +216,16 @@
             aggregator = self._owner_of(name)
             if aggregator != self._name and self._needs_report(now, name, totals):
                 rows.setdefault(aggregator, []).append([name, *totals])
-        return {host: UsageReport(host_rows) for host, host_rows in rows.items()}
+        return {host: UsageReport(host_rows, self._started_at) for host, host_rows in rows.items()}
 
     def on_report(self, now: float, host: str, msg: UsageReport) -> UsageTotals:
         """Store a host's counts and return the totals of the other hosts.
 
         Organisations that another host aggregates are left out.
         """
-        if host in self._lost:
+        restarted = self._starts.get(host, msg.started_at) != msg.started_at
+        self._starts[host] = msg.started_at
+        if restarted or host in self._lost:
             self._keep_earlier_reports(host)
         rows: list[list] = []
         for name, *totals in msg.rows:
