Wake an idle host for work that is due, not at fixed short intervals

Cause: an idle host woke 47 times a second (24 hosts on the stand-ins): for the checks of permit requests (20), signals (10), allotments (5) and other timers, each at its own phase, at about 0.25 ms of processor time a wake-up. Change: signals wake the loop through a socket pair; the checks of permit requests run each 0.25 s unless a request waits or the host owns a pool; periodic timers are due at multiples of their period, so that they share wake-ups. Ruled out by profile: the callbacks themselves (under a tenth).

--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -9,6 +9,7 @@
 
 import heapq
 import itertools
+import math
 import select
 import time
 from collections.abc import Callable
@@ -22,6 +23,8 @@
 POLL_WRITE = select.EPOLLOUT
 IDLE_WAIT_S = 10.0
 """Longest wait of one poll, in seconds."""
+PERIOD_ROUNDING = 1e-6
+"""Fraction of a period by which a due time may be rounded down."""
 
 
 class SocketHandler:
@@ -84,12 +87,17 @@
 
 
 class TimerService(Component):
-    """Run timers that are due, from a heap ordered by monotonic time."""
+    """Run timers that are due, from a heap ordered by monotonic time.
+
+    Periodic timers are due at multiples of their period since the start of the service, so that
+    timers of equal or related periods share the wake-ups of an idle process.
+    """
 
     channel = "timers"
 
     def __init__(self) -> None:
         super().__init__()
+        self._started_at = self.now()
         self._heap: list[tuple[float, int, ScheduledTimer]] = []
         self._sequence = itertools.count()
 
@@ -108,11 +116,15 @@
         return timer
 
     def call_every(self, period_s: float, callback: Callable[[], None]) -> ScheduledTimer:
-        """Call `callback` every `period_s` seconds."""
+        """Call `callback` every `period_s` seconds, for the first time within one period."""
         timer = ScheduledTimer(callback, period_s)
-        self._push(self.now() + period_s, timer)
+        self._push(self._next_due(self.now(), period_s), timer)
         return timer
 
+    def _next_due(self, now: float, period_s: float) -> float:
+        periods = math.floor((now - self._started_at) / period_s + PERIOD_ROUNDING)
+        return self._started_at + (periods + 1) * period_s
+
     def _push(self, due: float, timer: ScheduledTimer) -> None:
         heapq.heappush(self._heap, (due, next(self._sequence), timer))
 
@@ -132,11 +144,11 @@
         """Call the callback of each timer that is due."""
         now = self.now()
         while self._heap and self._heap[0][0] <= now:
-            due, _, timer = heapq.heappop(self._heap)
+            _, _, timer = heapq.heappop(self._heap)
             if timer.cancelled:
                 continue
             if timer.period_s:
-                self._push(max(due + timer.period_s, now), timer)
+                self._push(self._next_due(now, timer.period_s), timer)
             try:
                 timer.callback()
             except Exception:
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -274,6 +274,10 @@
         """Return the number of permits in use."""
         return sum(len(state.held) for state in self._pools.values())
 
+    def uses_local_shares(self) -> bool:
+        """Return whether the local share of any pool is used."""
+        return any(state.local is not None for state in self._pools.values())
+
     def uses_local_share(self, pool: str) -> bool:
         """Return whether the local share of a pool is used because its owner is unresponsive."""
         state = self._pools.get(pool)
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -18,6 +18,7 @@
 from tarragonwind.adapters.memberships import create_membership
 from tarragonwind.adapters.operators import OperatorServer, create_operator_server
 from tarragonwind.adapters.peers import TrafficCounters, create_peers
+from tarragonwind.adapters.signal_wakers import SignalWaker
 from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.allotments import AllotmentRunner
@@ -46,8 +47,6 @@
 from tarragonwind.upstream_connections import UpstreamConnections
 from tarragonwind.upstream_reports import UpstreamReports
 
-SIGNAL_POLL_S = 0.1
-"""Interval at which received signals are handled on the event loop, in seconds."""
 LOG_FLUSH_S = 0.5
 """Interval at which buffered log lines are written again, in seconds."""
 
@@ -192,7 +191,7 @@
     def _start(self) -> None:
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        self._loop.timers.call_every(SIGNAL_POLL_S, self._poll_signals)
+        SignalWaker(self._loop.poller, self._handle_signals)
         self._loop.timers.call_every(self._cfg.telemetry.export_period_s / 2, self._update_gauges)
         self.membership.start()
         if self.host_list is not None:
@@ -232,7 +231,7 @@
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
         self._signals += 1
 
-    def _poll_signals(self) -> None:
+    def _handle_signals(self) -> None:
         if self._signals == self._signals_handled:
             return
         self._signals_handled = self._signals
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -19,6 +19,7 @@
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.adapters.memberships import create_membership
 from tarragonwind.adapters.peers import create_peers
+from tarragonwind.adapters.signal_wakers import SignalWaker
 from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.stores import create_store
 from tarragonwind.allotments import AllotmentRunner
@@ -62,8 +63,6 @@
 MAX_ACCEPT_DELAY_S = 1.5
 """Longest time that callers wait for the first configuration, in seconds. After it, connections are
 accepted and requests are refused with Retry-After, before the connect timeout of the callers."""
-SIGNAL_POLL_S = 0.1
-"""Interval at which received signals are handled on the event loop, in seconds."""
 SETTINGS_POLL_S = 5.0
 """Interval at which the settings file is checked for changes made without a SIGHUP, in seconds."""
 LOG_FLUSH_S = 0.5
@@ -212,7 +211,7 @@
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_signal)
-        self._loop.timers.call_every(SIGNAL_POLL_S, self._poll_signals)
+        SignalWaker(self._loop.poller, self._handle_signals)
         self._loop.timers.call_every(SETTINGS_POLL_S, self._poll_settings)
         self.membership.start()
         self.mirror.start()
@@ -258,7 +257,7 @@
         else:
             self._stop_signals += 1
 
-    def _poll_signals(self) -> None:
+    def _handle_signals(self) -> None:
         if self._reload_signals != self._reload_signals_handled:
             self._reload_signals_handled = self._reload_signals
             self._reload()
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -41,6 +41,8 @@
 
 TICK_PERIOD_S = 0.05
 """Interval of the checks of deadlines and unresponsive owners, in seconds."""
+IDLE_TICK_PERIOD_S = 0.25
+"""Interval of these checks while no request waits on this host, in seconds."""
 
 REFUSAL_MESSAGES: dict[ErrorKind, str] = {
     ErrorKind.SHED: "capacity is short and more important requests come first",
@@ -139,7 +141,8 @@
             peers.subscribe(to_client, self._on_client_message)
         members.subscribe(self._on_members_changed)
         versions.subscribe_version_change(self._on_versions_changed)
-        timers.call_every(TICK_PERIOD_S, self._tick)
+        self._is_ticking = False
+        timers.call_every(IDLE_TICK_PERIOD_S, self._tick_idle)
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new catalogue."""
@@ -185,7 +188,9 @@
         def refused(kind: ErrorKind, retry_after_s: float) -> None:
             on_refused(RequestError(kind, REFUSAL_MESSAGES[kind], retry_after_s))
 
-        return self.client.request_permit(self._timers.now(), permit_request, granted, refused)
+        permit_id = self.client.request_permit(self._timers.now(), permit_request, granted, refused)
+        self._start_ticking()
+        return permit_id
 
     def estimate(self, request: SchedulingRequest) -> CostEstimate:
         """Estimate the cost of a request for its upstream."""
@@ -356,6 +361,27 @@
     def _on_versions_changed(self, pool: str) -> None:
         self.owners.on_versions_changed(self._timers.now(), pool)
 
+    def _start_ticking(self) -> None:
+        """Check at the short interval until no request waits."""
+        if not self._is_ticking and self._has_waiting():
+            self._is_ticking = True
+            self._timers.call_later(TICK_PERIOD_S, self._tick_busy)
+
+    def _has_waiting(self) -> bool:
+        """Return whether a request of this host waits or this host owns a pool."""
+        client = self.client
+        return bool(client.waiting() or client.uses_local_shares() or self.owners.active_pools())
+
+    def _tick_busy(self) -> None:
+        self._is_ticking = False
+        self._tick()
+        self._start_ticking()
+
+    def _tick_idle(self) -> None:
+        if not self._is_ticking:
+            self._tick()
+            self._start_ticking()
+
     def _tick(self) -> None:
         now = self._timers.now()
         self.owners.tick(now)
