Carry out the rollouts that an operator orders

Cause: the platform daemon selected among all versions alike; the product's moves were not connected to the platform. The owner of a pool records start, old version and planned end in one transaction with the state 'running'; until then the new version gets nothing. Ruled out: a timetable of our own; the steps, tests and facts of the moves stay as they are, and MoveRunner takes any writer of verdicts. Shown by tests/test_rollouts.py (16, over a store in memory): good, failing and slow versions, restart, a new order, the same order again, one taken back, no upstreams yet.

--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from loguru import logger
 
 from tarragonwind.catalogue_errors import CatalogueError
-from tarragonwind.catalogue_writers import CatalogueWriter
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.entries import MoveEntry, PoolEntry
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
@@ -19,7 +19,7 @@
 from tarragonwind.core.verdicts import MoveOutcome, MoveVerdict
 from tarragonwind.core.version_selectors import VersionSelector
 from tarragonwind.errors import EntryError, StoreError
-from tarragonwind.futures import spawn
+from tarragonwind.futures import Future, spawn
 from tarragonwind.ports import Members, Peers, Timers
 
 OUTCOMES: dict[MoveResult, MoveOutcome] = {
@@ -37,6 +37,13 @@
     is_shared: bool
 
 
+class VerdictWriter(Protocol):
+    """Record the verdicts on moves."""
+
+    def record_verdict(self, verdict: MoveVerdict) -> Future[MoveVerdict]:
+        """Record a verdict unless the move has one; return the recorded one."""
+
+
 class MoveRunner(VerdictRecorder, VersionSelector):
     """Send and receive a move table's messages, and record its results in the store.
 
@@ -50,7 +57,7 @@
         Clock and timers.
     rng : random.Random
         Random number generator.
-    writer : CatalogueWriter
+    writer : VerdictWriter
         Writer that records verdicts.
     incarnation : int
         Number of this process, larger than that of any earlier one of the host.
@@ -62,7 +69,7 @@
         peers: Peers,
         timers: Timers,
         rng: random.Random,
-        writer: CatalogueWriter,
+        writer: VerdictWriter,
         incarnation: int,
     ) -> None:
         self.table = MoveTable(members, incarnation, self)
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -25,9 +25,9 @@
 from tarragonwind.allotments import AllotmentRunner
 from tarragonwind.configuration_watchers import ConfigurationWatcher
 from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.retry_budgets import RetryBudget
 from tarragonwind.core.upstream_loads import LoadSettings
-from tarragonwind.core.version_selectors import UnrestrictedVersionSelector
 from tarragonwind.daemon_settings import (
     allotment_settings,
     http_limits,
@@ -39,6 +39,7 @@
 from tarragonwind.graceful_shutdowns import GracefulShutdown
 from tarragonwind.host_leases import FleetMonitor, HostLease, pack_address
 from tarragonwind.logs import configure_logs
+from tarragonwind.platform import rollouts as platform_rollouts
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
 from tarragonwind.platform.configurations import (
@@ -50,6 +51,8 @@
 from tarragonwind.platform.upstreams import UPSTREAM_PREFIX, decode_upstream
 from tarragonwind.ports import Address
 from tarragonwind.quarantine_replicators import QuarantineReplicator
+from tarragonwind.rollout_states import RolloutCodec
+from tarragonwind.rollouts import RolloutRunner
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.settings import Settings
 from tarragonwind.store_mirrors import MirrorReplicator, StoreMirror
@@ -83,6 +86,14 @@
 """Engines prefill a prompt far faster than they generate, and batching slows them down little. The
 long half-life keeps the measured speed of an engine over periods without requests."""
 
+ROLLOUT_CODEC = RolloutCodec(
+    platform_rollouts.ORDER_PREFIX,
+    platform_rollouts.STATUS_PREFIX,
+    platform_rollouts.decode_order,
+    platform_rollouts.decode_status,
+    platform_rollouts.encode_status,
+)
+
 
 class PlatformDaemon:
     """Run one host on the platform.
@@ -136,12 +147,22 @@
             self.membership.add_discovered_host,
             rng,
         )
+        self.rollouts = RolloutRunner(
+            self.mirror,
+            ROLLOUT_CODEC,
+            self.store,
+            self.membership,
+            self.peers,
+            timers,
+            rng,
+            self._upstreams_of,
+        )
         self.scheduler = PermitScheduler(
             self.membership,
             self.peers,
             timers,
             rng,
-            UnrestrictedVersionSelector(),
+            self.rollouts,
             ENGINE_LOAD_SETTINGS,
             self.fleet.shares,
             lambda key: self.quarantines.announce(key),
@@ -236,6 +257,10 @@
     def _count_store_call(self, kind: str) -> None:
         self.telemetry.store_calls.add(1, kind)
 
+    def _upstreams_of(self, pool: str) -> tuple[UpstreamEntry, ...]:
+        catalogue = self.configuration.catalogue
+        return () if catalogue is None else catalogue.upstreams_of(pool)
+
     def _catalogue_in_force(self) -> Catalogue | None:
         return self.configuration.catalogue
 
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,225 @@
+"""Test rollouts that an operator orders: who serves, what is published, and what ends them."""
+
+import json
+import random
+
+import pytest
+
+from bench.virtual_clocks import VirtualTimers
+from tarragonwind.adapters.memory_stores import MemoryStore
+from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.core.move_trials import Outcome
+from tarragonwind.core.rollouts import RolloutRecord, pack_record, unpack_record
+from tarragonwind.platform import rollouts as platform_rollouts
+from tarragonwind.platform.fields import DecodeError
+from tarragonwind.platform_daemons import ROLLOUT_CODEC
+from tarragonwind.ports import Delete, Put
+from tarragonwind.rollouts import RolloutRunner
+from tarragonwind.store_mirrors import StoreMirror
+from tests.test_schedulers import LoopbackPeers, OneMember
+
+POOL = "drafting"
+DURATION_S = 20.0
+ANSWER_S = 0.2
+SLOW_ANSWER_S = 1.2
+
+
+class RolloutSite:
+    """Run the rollouts of one host under a steady load, over a store in memory."""
+
+    def __init__(self, **versions):
+        self.timers = VirtualTimers()
+        self.rng = random.Random(3)
+        self.store = MemoryStore(self.timers, lambda kind: None)
+        self.upstreams = ()
+        self.set_upstreams(**versions)
+        self.sent = []
+        self.start_host()
+
+    def start_host(self):
+        """Start the host, or start it again without memory."""
+        mirror = StoreMirror("", self.store, self.timers, self.rng)
+        self.runner = RolloutRunner(
+            mirror,
+            ROLLOUT_CODEC,
+            self.store,
+            OneMember(),
+            LoopbackPeers(self.timers),
+            self.timers,
+            self.rng,
+            lambda pool: self.upstreams,
+        )
+        mirror.start()
+        self.timers.advance(0.5)
+
+    def set_upstreams(self, **counts):
+        self.upstreams = tuple(
+            UpstreamEntry(
+                name=f"{version}-{number}",
+                owner="o",
+                pool=POOL,
+                version=version,
+                host="10.0.0.1",
+                port=80,
+                data_centre="a",
+                slots=4,
+                tokens_per_s=100.0,
+                state=UpstreamState.LIVE,
+            )
+            for version, count in counts.items()
+            for number in range(count)
+        )
+
+    def order(self, target, duration_s=DURATION_S):
+        doc = {"service": POOL, "target": target, "durationS": duration_s}
+        self.store.commit([], [Put(f"op/rollout/{POOL}", json.dumps(doc).encode())])
+        self.timers.advance(0.05)
+
+    def status(self):
+        fut = self.store.get(f"status/rollout/{POOL}")
+        self.timers.advance(0.01)
+        item = fut.result()
+        return None if item is None else json.loads(item.value)
+
+    def load(self, seconds, rate=40.0, bad=None, slow=None):
+        """Serve requests; a part of the answers of a version fails or is slow."""
+        end = self.timers.now() + seconds
+        while self.timers.now() < end:
+            version = self.runner.choose_version(self.timers.now(), self.rng, POOL, "trade")
+            self.sent.append((self.timers.now(), version))
+            trial = self.runner.start(POOL, "trade", version, 0.3)
+            failed = version == bad and self.rng.random() < 0.4
+            answer_s = SLOW_ANSWER_S if version == slow else ANSWER_S * self.rng.uniform(0.8, 1.2)
+            if trial is not None:
+                self.timers.call_later(
+                    answer_s / 2, lambda trial=trial: self.runner.first_byte(trial)
+                )
+                outcome = Outcome.FAILED if failed else Outcome.OK
+                self.timers.call_later(
+                    answer_s,
+                    lambda trial=trial, outcome=outcome: self.runner.finish(trial, outcome, 10),
+                )
+            self.timers.advance(1.0 / rate)
+
+    def share(self, version, since=0.0):
+        """Return the fraction of the requests since a time that a version got."""
+        versions = [each for at, each in self.sent if at >= since]
+        return versions.count(version) / max(1, len(versions))
+
+
+def test_without_an_order_any_version_serves():
+    site = RolloutSite(v1=3, v2=1)
+    site.load(1.0)
+    assert site.share("") == 1.0
+    assert site.status() is None
+
+
+def test_a_good_version_gets_all_requests_and_completes_in_time():
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(1.0)
+    assert site.status() == {"state": "running", "target": "v2"}
+    site.load(DURATION_S - 2.0)
+    assert site.status() == {"state": "completed", "target": "v2"}
+    since = site.timers.now()
+    site.load(1.0)
+    assert site.share("v2", since) == 1.0
+
+
+@pytest.mark.parametrize("fault", ["bad", "slow"])
+def test_a_bad_version_is_rolled_back_before_it_gets_a_tenth(fault):
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(DURATION_S, **{fault: "v2"})
+    assert site.status() == {"state": "rolled_back", "target": "v2"}
+    assert site.share("v2") <= 0.1
+    since = site.timers.now()
+    site.load(3.0)
+    assert site.share("v1", since) == 1.0
+    assert site.runner.is_withheld(POOL, "v2")
+
+
+def test_a_version_gets_nothing_before_the_start_is_recorded():
+    site = RolloutSite(v1=4, v2=4)
+    site.runner._members.owner_of = lambda key: "entry-2"
+    site.order("v2")
+    site.load(3.0)
+    assert site.share("v1") == 1.0
+    assert site.runner.is_withheld(POOL, "v2")
+    assert site.status() is None
+
+
+def test_the_old_version_serves_all_while_the_new_one_has_no_upstreams():
+    site = RolloutSite(v1=4)
+    site.order("v2")
+    site.load(3.0)
+    assert site.share("v1") == 1.0
+    assert site.status() == {"state": "running", "target": "v2"}
+
+
+@pytest.mark.parametrize("fault", ["bad", None])
+def test_a_result_stands_after_a_restart(fault):
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(DURATION_S, bad="v2" if fault else None)
+    site.start_host()
+    since = site.timers.now()
+    site.load(3.0)
+    assert site.share("v1" if fault else "v2", since) == 1.0
+    assert site.status()["state"] == ("rolled_back" if fault else "completed")
+
+
+def test_a_new_order_after_a_rollback_is_carried_out():
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(DURATION_S, bad="v2")
+    site.set_upstreams(v1=4, v3=4)
+    site.order("v3")
+    site.load(DURATION_S)
+    assert site.status() == {"state": "completed", "target": "v3"}
+
+
+def test_the_same_version_may_be_ordered_again():
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(DURATION_S, bad="v2")
+    site.order("v2")
+    site.load(1.0)
+    assert site.status() == {"state": "running", "target": "v2"}
+    site.load(DURATION_S - 2.0)
+    assert site.status() == {"state": "completed", "target": "v2"}
+
+
+def test_an_order_that_is_taken_back_is_rolled_back():
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(2.0)
+    site.store.commit([], [Delete(f"op/rollout/{POOL}")])
+    site.load(3.0)
+    since = site.timers.now()
+    site.load(2.0)
+    assert site.status() == {"state": "rolled_back", "target": "v2"}
+    assert site.share("v1", since) == 1.0
+
+
+def test_upstreams_that_were_replaced_without_an_order_serve_after_a_completed_rollout():
+    site = RolloutSite(v1=4, v2=4)
+    site.order("v2")
+    site.load(DURATION_S)
+    site.set_upstreams(v4=4)
+    since = site.timers.now()
+    site.load(1.0)
+    assert site.share("v4", since) == 1.0
+
+
+def test_a_record_is_read_as_it_was_written():
+    record = RolloutRecord(7, "v1", "v2", 10.0, 28.0)
+    assert unpack_record(pack_record(record)) == record
+    with pytest.raises(ValueError):
+        unpack_record(b"\x93\x01\x02\x03")
+
+
+@pytest.mark.parametrize("doc", [b"[]", b"{}", b'{"state": "odd", "target": "v2"}'])
+def test_malformed_states_are_rejected(doc):
+    with pytest.raises(DecodeError):
+        platform_rollouts.decode_status(doc)
