Let changes of the store gather longer in a large fleet

Cause: each host's watch returns for each batch of changes, 0.2 s apart, also for changes that another host has already passed on. Change: a watch leaves out what the mirror has from elsewhere, and changes gather for 0.2 s up to 30 hosts, 0.01 s more for each further host, 1.2 s at most; all hosts still watch.

--- a/tarragonwind/platform/stores.py
+++ b/tarragonwind/platform/stores.py
@@ -36,9 +36,6 @@
 LONG_POLL_S = 2.5
 """Longest wait of one watch call, in seconds. With the margin, a stalled connection is detected
 within 3 s, the time after which a host must apply what the store has accepted."""
-WATCH_BATCH_DELAY_S = 0.2
-"""Delay before the next watch call, so that changes arrive in batches, in seconds. It is a tenth of
-the time within which a change must be in force."""
 LONG_POLL_MARGIN_S = 0.5
 """Time added to `LONG_POLL_S` for the timeout of a watch call, in seconds."""
 NOT_APPLIED_STATUSES = frozenset([429, 503])
@@ -191,6 +188,7 @@
             revision = from_revision - 1
             end_with_era(self._era or 0)
             while not ended[0]:
+                revision = max(revision, watch.known_revision)
                 try:
                     doc = await self._wait_for_changes(prefix, revision)
                     events = [decode_event(event) for event in decode_list(doc, "events")]
@@ -202,17 +200,13 @@
                     break
                 if events and not ended[0]:
                     on_events(events)
-                    await self._wait_for_batch(WATCH_BATCH_DELAY_S)
+                    await delay(self._timers, watch.batch_delay_s)
             self._era_listeners.remove(end_with_era)
 
         watch.cancel = cancel
         spawn(run())
         return watch
 
-    def _wait_for_batch(self, seconds: float) -> Future[None]:
-        """Wait between watch calls, so that a series of changes takes few calls."""
-        return delay(self._timers, seconds)
-
     async def _wait_for_changes(self, prefix: str, revision: int) -> dict[str, Any]:
         target = (
             f"/kv-watch?pathPrefix={quote(prefix, safe='/')}&after={revision}"
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -272,9 +272,10 @@
             self.gateway.start()
 
     def _on_fleet_changed(self) -> None:
-        """Update the fleet size by which the shared retry budget is divided."""
-        now = self._loop.timers.now()
-        self.gateway.context.retries.host_count = self.fleet.shares.size(now)
+        """Update what depends on the fleet size: the share of the retry budget and the watch."""
+        size = self.fleet.shares.size(self._loop.timers.now())
+        self.gateway.context.retries.host_count = size
+        self.mirror.set_fleet_size(size)
 
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
         if number == signal.SIGHUP:
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -116,9 +116,15 @@
     ----------
     cancel : callable
         Cancels the watch and closes its connection.
+    known_revision : int
+        Revision up to which the watcher has the changes from elsewhere; they may be left out.
+    batch_delay_s : float
+        Time for which a store that is polled lets changes gather, in seconds.
     """
 
     cancel: Callable[[], None] = field(default=lambda: None)
+    known_revision: int = 0
+    batch_delay_s: float = 0.0
 
 
 class Store(ABC):
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -30,11 +30,27 @@
 """Mean delay between attempts to read from an unavailable store, in seconds."""
 REWATCH_DELAY_S = 0.05
 """Mean delay between the end of a watch and the read that follows it, in seconds."""
+MIN_BATCH_DELAY_S = 0.2
+"""Time for which a watch lets changes gather in a small fleet, in seconds."""
+MAX_BATCH_DELAY_S = 1.2
+"""Time for which a watch lets changes gather in the largest fleets, in seconds."""
+BATCH_DELAY_PER_HOST_S = 0.01
+"""Part of this time for each host above `SMALL_FLEET_HOSTS`, in seconds: the more hosts watch, the
+sooner one of them passes a change on to the others."""
+SMALL_FLEET_HOSTS = 30
+"""Fleet size up to which changes gather for `MIN_BATCH_DELAY_S`."""
 REQUEST_PERIOD_S = 0.25
 """Minimum interval between two requests of one mirror to other hosts, in seconds."""
 POSITION_FORMAT = struct.Struct(">QQ")
 """Era and revision of the copy's position, as piggybacked on probes."""
 
+
+def batch_delay_s(fleet_size: int) -> float:
+    """Return the time for which a watch lets changes gather in a fleet of a size, in seconds."""
+    hosts = max(0, fleet_size - SMALL_FLEET_HOSTS)
+    return min(MAX_BATCH_DELAY_S, MIN_BATCH_DELAY_S + BATCH_DELAY_PER_HOST_S * hosts)
+
+
 ChangeListener = Callable[[list[MirrorItem]], None]
 
 
@@ -79,6 +95,8 @@
         self._rng = rng
         self._listeners: list[ChangeListener] = []
         self._watch: Watch | None = None
+        self._watch_era = 0
+        self._batch_delay_s = MIN_BATCH_DELAY_S
         self._stopped = False
 
     def subscribe(self, listener: ChangeListener) -> None:
@@ -95,6 +113,12 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    def set_fleet_size(self, size: int) -> None:
+        """Let changes gather for a time that suits a fleet of `size` hosts."""
+        self._batch_delay_s = batch_delay_s(size)
+        if self._watch is not None:
+            self._watch.batch_delay_s = self._batch_delay_s
+
     def notify_listeners(self, changes: list[MirrorItem], source: str) -> None:
         """Log changes of the copy and pass them to the listeners."""
         if not changes:
@@ -119,7 +143,10 @@
 
     def apply_changes(self, changes: list[MirrorItem], source: str) -> None:
         """Apply changes of the store."""
-        self.notify_listeners(self.state.apply_changes(changes), source)
+        applied = self.state.apply_changes(changes)
+        if self._watch is not None and self._watch_era == self.state.position.era:
+            self._watch.known_revision = self.state.position.revision
+        self.notify_listeners(applied, source)
 
     async def _run(self) -> None:
         while not self._stopped:
@@ -154,8 +181,13 @@
         def end(reason: str) -> None:
             ended.set_result(reason)
 
-        self._watch = self._store.watch(self.prefix, position.revision + 1, apply_events, end, era)
-        return await ended
+        watch = self._store.watch(self.prefix, position.revision + 1, apply_events, end, era)
+        watch.batch_delay_s = self._batch_delay_s
+        self._watch = watch
+        self._watch_era = era
+        reason = await ended
+        self._watch = None
+        return reason
 
     def _jitter(self) -> float:
         return self._rng.uniform(0.75, 1.25)
--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -2,9 +2,13 @@
 
 import random
 
+import pytest
+
 from tarragonwind.adapters.loops import create_loop
 from tarragonwind.adapters.store_backends import StoreDependencies, StoreSettings
 from tarragonwind.adapters.stores import create_store
+from tarragonwind.core.mirror_states import MirrorItem
+from tarragonwind.core.store_positions import StorePosition
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
 from tarragonwind.ports import Delete, KeyValue, Put, RangeResult, Watch
@@ -120,6 +124,7 @@
     def __init__(self, *results):
         self.results = list(results)
         self.ends = []
+        self.watches = []
 
     def read_range(self, prefix):
         fut = Future()
@@ -128,7 +133,8 @@
 
     def watch(self, prefix, from_revision, on_events, on_end, era=0):
         self.ends.append(on_end)
-        return Watch()
+        self.watches.append(Watch())
+        return self.watches[-1]
 
 
 def read(era, revision, **values):
@@ -163,3 +169,33 @@
         store.ends[-1]("ended")
     assert seen == [b"new", b"newest"]
     mirror.stop()
+
+
+@pytest.mark.parametrize(
+    ("hosts", "delay_s"), [(1, 0.2), (30, 0.2), (70, 0.6), (195, 1.2), (320, 1.2)]
+)
+def test_changes_gather_longer_in_a_large_fleet(hosts, delay_s):
+    loop = create_loop()
+    store = EraStore(read(1, 5, a=b"1"))
+    mirror, _ = create(loop, store, Wire(loop).join("h1"))
+    mirror.set_fleet_size(hosts)
+    mirror.start()
+    run_until(loop, lambda: store.watches)
+    assert store.watches[-1].batch_delay_s == pytest.approx(delay_s)
+    mirror.stop()
+
+
+def test_a_watch_leaves_out_what_another_host_has_passed_on():
+    loop = create_loop()
+    wire = Wire(loop)
+    store = EraStore(read(1, 5, a=b"1"))
+    mirror, _ = create(loop, store, wire.join("h1"))
+    mirror.start()
+    run_until(loop, lambda: store.watches)
+    changes = [MirrorItem("a", b"2", StorePosition(1, 7))]
+    mirror.apply_changes(changes, "h2")
+    assert store.watches[-1].known_revision == 7
+    mirror.apply_snapshot(changes, StorePosition(2, 3), "h2")
+    mirror.apply_changes([MirrorItem("a", b"3", StorePosition(2, 9))], "h2")
+    assert store.watches[-1].known_revision == 7
+    mirror.stop()
