Build validators when they are first used

By -X importtime, tarragonwind.settings and core.entries took 28 and 25 ms of their own, mostly to build validators of models that a host on the platform never uses. Ruled out: the exporter's imports, which a scrape needs and which would stall the loop if they came later.

--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -14,7 +14,7 @@
 TIER_COUNT = 4
 """Number of tiers; tier 0 is the highest."""
 
-ENTRY_CONFIG = ConfigDict(extra="forbid")
+ENTRY_CONFIG = ConfigDict(extra="forbid", defer_build=True)
 
 EntryName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Owner = Annotated[str, Field(min_length=1, max_length=200)]
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -12,7 +12,7 @@
 
 from tarragonwind.ports import Address
 
-SECTION_CONFIG = ConfigDict(extra="forbid")
+SECTION_CONFIG = ConfigDict(extra="forbid", defer_build=True)
 
 
 def _check_ip(value: str) -> str:
