Compare the first answers of a new version with times from before its order

Cause, from the log: 20 requests a second on eight hosts; a host judged times only once it had 20 of the old version since the start of the move, so the share grew by its timetable on requests whose times nobody judged. Change: each host keeps the times of the versions that serve, also without a move, 64 versions at most, and a move begins with those. The new test fails before: no first time was judged.

--- a/tarragonwind/core/host_moves.py
+++ b/tarragonwind/core/host_moves.py
@@ -8,7 +8,7 @@
 from tarragonwind.core.evidence import CellKey, LoadLevel, Side
 from tarragonwind.core.move_messages import MoveReport, MoveShare
 from tarragonwind.core.move_steps import LAST_SMALL_STEP, STEPS
-from tarragonwind.core.move_trials import Trial, TrialCounter
+from tarragonwind.core.move_trials import LatencyHistory, Trial, TrialCounter
 from tarragonwind.core.moves import (
     PAUSE_GAP_S,
     REPORT_MAX_AGE_PERIODS,
@@ -50,6 +50,15 @@
 class HostMove:
     """Hold the state of one move on one host.
 
+    Parameters
+    ----------
+    entry : MoveEntry
+        Current catalogue entry.
+    now : float
+        Seconds since the epoch.
+    history : LatencyHistory
+        Times of the old version on this host.
+
     Attributes
     ----------
     entry : MoveEntry
@@ -83,11 +92,11 @@
         "result_why",
     )
 
-    def __init__(self, entry: MoveEntry, now: float) -> None:
+    def __init__(self, entry: MoveEntry, now: float, history: LatencyHistory) -> None:
         self.entry = entry
         self.move_id = move_identity(entry)
         self.judge = MoveJudge(entry, now)
-        self.counter = TrialCounter()
+        self.counter = TrialCounter(history)
         self.result: MoveResult | None = None
         self.result_why = ""
         self.acknowledged: dict[str, tuple[int, int]] = {}
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from tarragonwind.core.entries import MoveEntry
-from tarragonwind.core.evidence import load_level
+from tarragonwind.core.evidence import CellKey, Side, load_level
 from tarragonwind.core.host_moves import HostMove
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
 from tarragonwind.core.move_steps import COMPLETE_STEP, FIRST_LOADED_STEP
-from tarragonwind.core.move_trials import Outcome, Trial
+from tarragonwind.core.move_trials import LatencyHistory, Outcome, Trial
 from tarragonwind.core.moves import (
     REPORT_MAX_AGE_PERIODS,
     MoveResult,
@@ -45,6 +45,9 @@
 MAX_REMOVED = 1_000
 """Maximum number of removed moves whose facts are kept in case the entry comes back."""
 
+MAX_HISTORIES = 64
+"""Maximum number of versions whose times are kept; the oldest is dropped first."""
+
 FORWARD_COUNT = 2
 """Number of hosts to which a new fact is forwarded."""
 
@@ -76,7 +79,15 @@
     Each `now` is in seconds since the epoch; host clocks must agree within half a second.
     """
 
-    __slots__ = ("_incarnation", "_members", "_moves", "_pools", "_recorder", "_removed")
+    __slots__ = (
+        "_histories",
+        "_incarnation",
+        "_members",
+        "_moves",
+        "_pools",
+        "_recorder",
+        "_removed",
+    )
 
     def __init__(self, members: Members, incarnation: int, recorder: VerdictRecorder) -> None:
         self._members = members
@@ -85,6 +96,7 @@
         self._moves: dict[str, HostMove] = {}
         self._removed: dict[str, HostMove] = {}
         self._pools: dict[str, str] = {}
+        self._histories: dict[tuple[str, str], LatencyHistory] = {}
 
     @property
     def report_period_s(self) -> float:
@@ -108,7 +120,9 @@
         self._moves = {}
         for entry in sorted(moves, key=lambda move: (move.starts_at, move.name)):
             move_id = move_identity(entry)
-            move = known.get(move_id) or HostMove(entry, now)
+            move = known.get(move_id) or HostMove(
+                entry, now, self._history(entry.pool, entry.from_version)
+            )
             move.set_entry(entry)
             self._moves[move_id] = move
         gone = [move_id for move_id in known if move_id not in self._moves]
@@ -148,20 +162,40 @@
     def start(
         self, now: float, pool: str, route: str, version: str, in_flight_fraction: float
     ) -> Trial | None:
-        """Track a dispatched request; return None if its outcome is not evidence."""
+        """Track a dispatched request; return None if its outcome is not evidence.
+
+        Without a move, only its times are added to the history of its version.
+        """
+        level = load_level(in_flight_fraction)
         _, move = self._serving(pool)
-        if move is None:
-            return None
-        return move.start(now, route, version, load_level(in_flight_fraction))
+        if move is not None:
+            return move.start(now, route, version, level)
+        key = CellKey(0, Side.OLD, route, level)
+        return Trial("", key, now, history=self._history(pool, version))
+
+    def _history(self, pool: str, version: str) -> LatencyHistory:
+        """Return the times of a version on this host."""
+        history = self._histories.get((pool, version))
+        if history is None:
+            while len(self._histories) >= MAX_HISTORIES:
+                del self._histories[next(iter(self._histories))]
+            history = self._histories[pool, version] = LatencyHistory()
+        return history
 
     def first_byte(self, now: float, trial: Trial) -> None:
         """Count the first response byte of a tracked request."""
+        if trial.history is not None:
+            trial.add_first_byte(now)
+            return
         move = self._moves.get(trial.move_id)
         if move is not None:
             move.counter.first_byte(now, trial)
 
     def finish(self, now: float, trial: Trial, outcome: Outcome, tokens: int = 0) -> None:
         """Count the end of a tracked request, with the number of tokens in its response."""
+        if trial.history is not None:
+            trial.add_tokens(now, tokens)
+            return
         move = self._moves.get(trial.move_id)
         if move is not None:
             move.counter.finish(now, trial, outcome, tokens)
--- a/tarragonwind/core/move_trials.py
+++ b/tarragonwind/core/move_trials.py
@@ -27,6 +27,39 @@
     """Ended for a reason unrelated to the version, such as a caller disconnect."""
 
 
+class LatencyHistory:
+    """Hold the times of a version by route and load level, also from before a move."""
+
+    __slots__ = ("_baselines",)
+
+    def __init__(self) -> None:
+        self._baselines: dict[BaselineKey, LatencyBaseline] = {}
+
+    def limit_s(self, key: CellKey, signal: Signal) -> float | None:
+        """Return the time above which a request is slow, None without enough samples."""
+        for baseline in self._baselines_of(key, signal):
+            limit_s = baseline.limit_s()
+            if limit_s is not None:
+                return limit_s
+        return None
+
+    def add(self, now: float, key: CellKey, signal: Signal, time_s: float) -> None:
+        """Add a time of the version, in seconds."""
+        for baseline in self._baselines_of(key, signal):
+            baseline.add(now, time_s)
+
+    def _baselines_of(self, key: CellKey, signal: Signal) -> list[LatencyBaseline]:
+        """Return the baselines for a request, the most specific first."""
+        found = []
+        for group in ((key.route, key.level), (key.route, None), (None, None)):
+            baseline_key = (*group, signal)
+            baseline = self._baselines.get(baseline_key)
+            if baseline is None:
+                baseline = self._baselines[baseline_key] = LatencyBaseline()
+            found.append(baseline)
+        return found
+
+
 @dataclass(slots=True, eq=False)
 class Trial:
     """Hold one dispatched request of a move.
@@ -34,7 +67,7 @@
     Attributes
     ----------
     move_id : str
-        Move for which it is counted.
+        Move for which it is counted, empty without one.
     key : CellKey
         Cell in which it is counted.
     started_at : float
@@ -43,6 +76,8 @@
         Time of the first response byte, in seconds since the epoch; None before it.
     judged : bool
         Whether the time to its first byte was counted, as slow or not.
+    history : LatencyHistory or None
+        Where its times are added if it is not evidence for a move.
     """
 
     move_id: str
@@ -50,11 +85,29 @@
     started_at: float
     first_byte_at: float | None = None
     judged: bool = False
+    history: LatencyHistory | None = None
+
+    def add_first_byte(self, now: float) -> None:
+        """Add the time to the first byte to the history, once."""
+        if self.history is not None and self.first_byte_at is None:
+            self.first_byte_at = now
+            self.history.add(now, self.key, Signal.FIRST_BYTE, now - self.started_at)
+
+    def add_tokens(self, now: float, tokens: int) -> None:
+        """Add the time per token of a streamed response to the history."""
+        if self.history is not None and self.first_byte_at is not None and tokens > 1:
+            token_s = (now - self.first_byte_at) / (tokens - 1)
+            self.history.add(now, self.key, Signal.PER_TOKEN, token_s)
 
 
 class TrialCounter:
     """Turn the requests of one move on one host into counts.
 
+    Parameters
+    ----------
+    history : LatencyHistory
+        Times of the old version.
+
     Attributes
     ----------
     evidence : HostEvidence
@@ -63,13 +116,13 @@
         Whether the new version had a failure or a slow first byte since the last report.
     """
 
-    __slots__ = ("_baselines", "_open", "evidence", "urgent")
+    __slots__ = ("_history", "_open", "evidence", "urgent")
 
-    def __init__(self) -> None:
+    def __init__(self, history: LatencyHistory) -> None:
         self.evidence = HostEvidence()
         self.urgent = False
         self._open: dict[int, Trial] = {}
-        self._baselines: dict[BaselineKey, LatencyBaseline] = {}
+        self._history = history
 
     def start(self, now: float, move_id: str, key: CellKey) -> Trial:
         """Start to track a dispatched request."""
@@ -83,10 +136,10 @@
             return
         trial.first_byte_at = now
         time_s = now - trial.started_at
-        limit_s = self._limit_s(trial, Signal.FIRST_BYTE)
+        limit_s = self._history.limit_s(trial.key, Signal.FIRST_BYTE)
         if not trial.judged and limit_s is not None:
             self._count_first_byte(trial, time_s > limit_s)
-        self._add_to_baselines(now, trial, Signal.FIRST_BYTE, time_s)
+        self._add_to_history(now, trial, Signal.FIRST_BYTE, time_s)
 
     def finish(self, now: float, trial: Trial, outcome: Outcome, tokens: int) -> None:
         """Count the end of a request, once."""
@@ -105,7 +158,7 @@
         for trial in self._open.values():
             if trial.judged or trial.first_byte_at is not None:
                 continue
-            limit_s = self._limit_s(trial, Signal.FIRST_BYTE)
+            limit_s = self._history.limit_s(trial.key, Signal.FIRST_BYTE)
             if limit_s is not None and now - trial.started_at > limit_s:
                 self._count_first_byte(trial, True)
 
@@ -117,36 +170,15 @@
         self.urgent = self.urgent or (is_slow and trial.key.side is Side.NEW)
 
     def _count_time_per_token(self, now: float, trial: Trial, cell: Cell, token_s: float) -> None:
-        limit_s = self._limit_s(trial, Signal.PER_TOKEN)
+        limit_s = self._history.limit_s(trial.key, Signal.PER_TOKEN)
         if limit_s is not None:
             cell.per_token_trials += 1
             cell.per_token_slow += token_s > limit_s
-        self._add_to_baselines(now, trial, Signal.PER_TOKEN, token_s)
+        self._add_to_history(now, trial, Signal.PER_TOKEN, token_s)
 
     def _changed_cell(self, trial: Trial) -> Cell:
         return self.evidence.mark_changed(trial.key)
 
-    def _baselines_of(self, trial: Trial, signal: Signal) -> list[LatencyBaseline]:
-        """Return the baselines for a request, the most specific first."""
-        found = []
-        key = trial.key
-        for group in ((key.route, key.level), (key.route, None), (None, None)):
-            baseline_key = (*group, signal)
-            baseline = self._baselines.get(baseline_key)
-            if baseline is None:
-                baseline = self._baselines[baseline_key] = LatencyBaseline()
-            found.append(baseline)
-        return found
-
-    def _limit_s(self, trial: Trial, signal: Signal) -> float | None:
-        """Return the time above which a request is slow, None without enough samples."""
-        for baseline in self._baselines_of(trial, signal):
-            limit_s = baseline.limit_s()
-            if limit_s is not None:
-                return limit_s
-        return None
-
-    def _add_to_baselines(self, now: float, trial: Trial, signal: Signal, time_s: float) -> None:
+    def _add_to_history(self, now: float, trial: Trial, signal: Signal, time_s: float) -> None:
         if trial.key.side is Side.OLD:
-            for baseline in self._baselines_of(trial, signal):
-                baseline.add(now, time_s)
+            self._history.add(now, trial.key, signal, time_s)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,6 +8,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.memory_stores import MemoryStore
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState
+from tarragonwind.core.evidence import Side
 from tarragonwind.core.move_trials import Outcome
 from tarragonwind.core.rollouts import RolloutRecord, pack_record, unpack_record
 from tarragonwind.platform import rollouts as platform_rollouts
@@ -20,8 +21,11 @@
 
 POOL = "drafting"
 DURATION_S = 20.0
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+"""Requests that a bad version may get, as a share of all and beside it."""
 ANSWER_S = 0.2
-SLOW_ANSWER_S = 1.2
+SLOWDOWN = 6.0
 
 
 class RolloutSite:
@@ -85,28 +89,97 @@
         """Serve requests; a part of the answers of a version fails or is slow."""
         end = self.timers.now() + seconds
         while self.timers.now() < end:
-            version = self.runner.choose_version(self.timers.now(), self.rng, POOL, "trade")
-            self.sent.append((self.timers.now(), version))
-            trial = self.runner.start(POOL, "trade", version, 0.3)
-            failed = version == bad and self.rng.random() < 0.4
-            answer_s = SLOW_ANSWER_S if version == slow else ANSWER_S * self.rng.uniform(0.8, 1.2)
-            if trial is not None:
-                self.timers.call_later(
-                    answer_s / 2, lambda trial=trial: self.runner.first_byte(trial)
-                )
-                outcome = Outcome.FAILED if failed else Outcome.OK
-                self.timers.call_later(
-                    answer_s,
-                    lambda trial=trial, outcome=outcome: self.runner.finish(trial, outcome, 10),
-                )
+            self.serve(bad=bad, slow=slow)
             self.timers.advance(1.0 / rate)
 
+    def serve(self, **faults):
+        """Serve one request."""
+        version = self.runner.choose_version(self.timers.now(), self.rng, POOL, "trade")
+        self.serve_version(version, **faults)
+
+    def serve_version(self, version, bad=None, slow=None):
+        """Serve one request by a version, two fifths of whose answers fail or are slow."""
+        runner = self.runner
+        spoiled = self.rng.random() < 0.4
+        answer_s = ANSWER_S * self.rng.uniform(0.5, 1.5)
+        if spoiled and version == slow:
+            answer_s *= SLOWDOWN
+        self.sent.append((self.timers.now(), version))
+        trial = runner.start(POOL, "trade", version or "v1", 0.3)
+        if trial is None:
+            return
+        outcome = Outcome.FAILED if spoiled and version == bad else Outcome.OK
+        self.timers.call_later(answer_s / 2, lambda: runner.first_byte(trial))
+        self.timers.call_later(answer_s, lambda: runner.finish(trial, outcome, 10))
+
     def share(self, version, since=0.0):
         """Return the fraction of the requests since a time that a version got."""
         versions = [each for at, each in self.sent if at >= since]
         return versions.count(version) / max(1, len(versions))
 
 
+class FleetMember(OneMember):
+    """Membership of one of several hosts that are all live; the first one owns every pool."""
+
+    def __init__(self, name, names):
+        self.name = name
+        self.names = names
+
+    def live(self):
+        return self.names
+
+    def owner_of(self, key):
+        return self.names[0] if "deputy" not in key else self.names[1]
+
+
+class FleetPeers(LoopbackPeers):
+    """Deliver messages to the other hosts of a fleet in the next timer run."""
+
+    def __init__(self, timers, name, fleet):
+        super().__init__(timers)
+        self.name = name
+        self.fleet = fleet
+
+    def send(self, host, msg):
+        receiver = self.fleet[host]
+        self.timers.call_later(0.001, lambda: receiver.receive(self.name, msg))
+        return True
+
+
+class RolloutFleetSite(RolloutSite):
+    """Run the rollouts of several hosts, each of which serves a part of a low load."""
+
+    names = tuple(f"entry-{number}" for number in range(1, 7))
+
+    def start_host(self):
+        self.runners = []
+        peers = {}
+        for name in self.names:
+            peers[name] = FleetPeers(self.timers, name, peers)
+        for name in self.names:
+            mirror = StoreMirror("", self.store, self.timers, self.rng)
+            runner = RolloutRunner(
+                mirror,
+                ROLLOUT_CODEC,
+                self.store,
+                FleetMember(name, self.names),
+                peers[name],
+                self.timers,
+                self.rng,
+                lambda pool: self.upstreams,
+            )
+            mirror.start()
+            self.runners.append(runner)
+        self.timers.advance(0.5)
+
+    def serve(self, **faults):
+        """Serve one request on a random host; the owner of the pool chooses its version."""
+        owner = self.runners[0]
+        self.runner = self.rng.choice(self.runners)
+        version = owner.choose_version(self.timers.now(), self.rng, POOL, "trade") or "v1"
+        self.serve_version(version, **faults)
+
+
 def test_without_an_order_any_version_serves():
     site = RolloutSite(v1=3, v2=1)
     site.load(1.0)
@@ -139,6 +212,45 @@
     assert site.runner.is_withheld(POOL, "v2")
 
 
+@pytest.mark.parametrize("fault", ["bad", "slow"])
+@pytest.mark.parametrize("rate", [8.0, 20.0])
+def test_a_bad_version_gets_few_requests_of_a_small_load_on_several_hosts(fault, rate):
+    for seed in range(1, 6):
+        site = RolloutFleetSite(v1=4, v2=4)
+        site.rng.seed(seed)
+        site.order("v2")
+        site.load(DURATION_S, rate=rate, **{fault: "v2"})
+        sent = len(site.sent)
+        assert site.share("v2") * sent <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
+
+
+@pytest.mark.parametrize("rate", [20.0, 60.0])
+def test_a_good_version_completes_in_time_on_several_hosts(rate):
+    for seed in range(1, 6):
+        site = RolloutFleetSite(v1=4, v2=4)
+        site.rng.seed(seed)
+        site.order("v2")
+        site.load(DURATION_S, rate=rate)
+        assert site.status() == {"state": "completed", "target": "v2"}
+
+
+def count_judged_times(site):
+    """Return the requests of the new version whose time to first byte was judged."""
+    (move,) = site.runner.moves.table.active_moves()
+    cells = move.judge.evidence.totals
+    return sum(cell.first_byte_trials for key, cell in cells.items() if key.side is Side.NEW)
+
+
+def test_the_first_times_of_a_version_are_compared_with_those_from_before_the_order():
+    site = RolloutSite(v1=4, v2=4)
+    site.load(10.0, rate=5.0)
+    site.order("v2")
+    site.load(1.9, rate=5.0)
+    sent = sum(version == "v2" for _, version in site.sent)
+    assert sent > 0
+    assert count_judged_times(site) == sent
+
+
 def test_a_version_gets_nothing_before_the_start_is_recorded():
     site = RolloutSite(v1=4, v2=4)
     site.runner._members.owner_of = lambda key: "entry-2"
