Take a rollout back in time that was not shown to be good

Change: at 0.97 of the ordered time the owner takes back what has not completed. A good version completes by 0.9, so it loses nothing that it had. Ruled out: a lower threshold of evidence, which takes back good versions. Test: a version without upstreams is rolled back within the time; red before.

--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -242,6 +242,15 @@
         outgoing += self._gossip(rng)
         return outgoing
 
+    def take_back(self, name: str, why: str) -> list[Outgoing]:
+        """Take back the active move with a name; return the messages to broadcast."""
+        outgoing: list[Outgoing] = []
+        for move in self.active_moves():
+            if move.entry.name == name:
+                move.judge.take_back(why)
+                outgoing += self._broadcast_facts(move)
+        return outgoing
+
     def on_report(self, now: float, sender: str, msg: MoveReport) -> list[Outgoing]:
         """Merge a host's report and return the replies to it."""
         move = self._moves.get(msg.move_id)
--- a/tarragonwind/core/rollouts.py
+++ b/tarragonwind/core/rollouts.py
@@ -28,6 +28,9 @@
 DURATION_FRACTION = 0.9
 """Fraction of the ordered time in which the move is planned to end, so that its result is recorded
 in time."""
+GIVE_UP_FRACTION = 0.97
+"""Fraction of the ordered time after which a rollout that has not completed is taken back."""
+GIVE_UP_WHY = "the new version was not shown to serve as well as the old one in time"
 
 
 class RolloutState(enum.Enum):
@@ -92,6 +95,12 @@
     return RolloutRecord(revision, from_version, order.to_version, now, done_by)
 
 
+def give_up_at(record: RolloutRecord) -> float:
+    """Return when a rollout that has not completed is taken back, in seconds since the epoch."""
+    duration_s = (record.done_by - record.starts_at) / DURATION_FRACTION
+    return record.starts_at + GIVE_UP_FRACTION * duration_s
+
+
 def pack_record(record: RolloutRecord) -> bytes:
     """Encode a record."""
     return bytes(
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -140,6 +140,11 @@
         """Count the end of a tracked request."""
         self.table.finish(self._timers.wall(), trial, outcome, tokens)
 
+    def take_back(self, name: str, why: str) -> None:
+        """Take back the active move with a name."""
+        self._send(self.table.take_back(name, why))
+        self._notify_version_changes()
+
     def count_by_state(self) -> dict[str, int]:
         """Return the number of moves by result, ``not_settled`` for those without one."""
         counts = {"not_settled": 0, "done": 0, "taken_back": 0}
--- a/tarragonwind/rollouts.py
+++ b/tarragonwind/rollouts.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from math import inf
 
 from loguru import logger
 
@@ -11,6 +12,7 @@
 from tarragonwind.core.entries import Entry, UpstreamEntry
 from tarragonwind.core.move_trials import Outcome, Trial
 from tarragonwind.core.rollouts import (
+    GIVE_UP_WHY,
     RolloutRecord,
     RolloutState,
     RolloutStatus,
@@ -19,6 +21,7 @@
     create_record,
     create_verdict,
     end_version,
+    give_up_at,
     live_versions,
     pack_record,
     serving_version,
@@ -33,8 +36,10 @@
 from tarragonwind.rollout_states import RECORD_PREFIX, PoolRollout, RolloutCodec, RolloutStates
 from tarragonwind.store_mirrors import StoreMirror
 
+TICK_PERIOD_S = 0.25
+"""Interval of the checks of rollouts that are pending or overdue, in seconds."""
 RECORD_RETRY_S = 1.0
-"""Interval of the attempts to record how an order is carried out, in seconds."""
+"""Time between two attempts to record how an order is carried out, in seconds."""
 
 
 class RolloutRunner(VersionSelector, VerdictWriter):
@@ -78,13 +83,13 @@
         self._members = members
         self._timers = timers
         self._upstreams_of = upstreams_of
-        self._recording: set[str] = set()
+        self._recorded_at: dict[str, float] = {}
         self._listeners: list[Callable[[str], None]] = []
         self._number = 0
         incarnation = int(timers.wall() * 1_000)
         self.moves = MoveRunner(members, peers, timers, rng, self, incarnation)
         self._states = RolloutStates(mirror, codec, self._on_changed)
-        timers.call_every(RECORD_RETRY_S, self._record_pending)
+        timers.call_every(TICK_PERIOD_S, self._tick)
 
     def choose_version(self, now: float, rng: random.Random, pool: str, route: str) -> str:
         """Return a version, or `ANY_VERSION` for a pool without a rollout."""
@@ -197,21 +202,35 @@
         previous = end_version(rollout.record, rollout.state) if rollout.record else ""
         return serving_version(self._upstreams_of(pool), rollout.order.to_version, previous)
 
+    def _tick(self) -> None:
+        if self._states.pools:
+            self._record_pending()
+            self._take_back_overdue()
+
     def _record_pending(self) -> None:
+        now = self._timers.now()
         for pool, rollout in self._states.pools.items():
-            if not rollout.is_pending or pool in self._recording:
+            if not rollout.is_pending or self._members.owner_of(pool) != self._members.name:
                 continue
-            if self._members.owner_of(pool) == self._members.name:
-                self._recording.add(pool)
+            if now - self._recorded_at.get(pool, -inf) >= RECORD_RETRY_S:
+                self._recorded_at[pool] = now
                 spawn(self._record_start(pool, rollout))
 
+    def _take_back_overdue(self) -> None:
+        """Take back the rollouts of this host's pools that have not completed in time."""
+        now = self._timers.wall()
+        for pool, rollout in self._states.pools.items():
+            record = rollout.record
+            if record is None or rollout.is_pending or rollout.state is not RolloutState.RUNNING:
+                continue
+            if now >= give_up_at(record) and self._members.owner_of(pool) == self._members.name:
+                self.moves.take_back(pool, GIVE_UP_WHY)
+
     async def _record_start(self, pool: str, rollout: PoolRollout) -> None:
         try:
             await self._write_start(pool, rollout)
         except StoreError as exc:
             logger.warning("event=rollout_not_recorded pool={} why={!r}", pool, str(exc))
-        finally:
-            self._recording.discard(pool)
 
     async def _write_start(self, pool: str, rollout: PoolRollout) -> None:
         from_version = self._old_version(pool, rollout)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -234,6 +234,14 @@
         assert site.status() == {"state": "completed", "target": "v2"}
 
 
+def test_a_version_that_is_not_shown_to_be_good_in_time_is_rolled_back_in_time():
+    site = RolloutSite(v1=4)
+    site.order("v2")
+    site.load(DURATION_S - 0.1, rate=10.0)
+    assert site.status() == {"state": "rolled_back", "target": "v2"}
+    assert site.share("v1") == 1.0
+
+
 def count_judged_times(site):
     """Return the requests of the new version whose time to first byte was judged."""
     (move,) = site.runner.moves.table.active_moves()
