Import the metrics libraries at the first scrape

Cause, by -X importtime: of 0.41 s of imports 0.06 s are the exporter of the metrics page with an HTTP server and 0.03 s the SDK, which only a scrape or a configured exporter needs; 0.01 s the types of the operator API. Change: the series count in plain dictionaries, as before; durations wait in a buffer of 4,096 for the first reader; the providers moved into a module that a first scrape or an exporter imports. With an exporter all is attached at start. Ruled out: importing them later on a timer (the same time, and it would block the loop among requests).

--- a/bench/telemetry.py
+++ b/bench/telemetry.py
@@ -25,12 +25,8 @@
 from tarragonwind.adapters.loops import create_loop
 from tarragonwind.logs import configure_logs
 from tarragonwind.settings import HostSettings, LogLevel, LogSettings, TelemetrySettings
-from tarragonwind.telemetry import (
-    MAX_SPANS_PER_EXPORT,
-    Telemetry,
-    create_telemetry,
-    create_unexported_telemetry,
-)
+from tarragonwind.telemetry import Telemetry, create_telemetry, create_unexported_telemetry
+from tarragonwind.telemetry_providers import MAX_SPANS_PER_EXPORT
 from tarragonwind.telemetry_traces import SpanName
 
 HOST = HostSettings(name="bench", data_centre="loopback")
--- a/tarragonwind/daemon_operators.py
+++ b/tarragonwind/daemon_operators.py
@@ -29,6 +29,7 @@
 )
 from tarragonwind.core.member_views import Health, Member
 from tarragonwind.core.moves import MoveResult, MoveStatus, move_identity
+from tarragonwind.core.upstream_statuses import UpstreamReport
 from tarragonwind.errors import EntryError, StoreError
 from tarragonwind.futures import Future, spawn
 from tarragonwind.move_runners import MoveRunner
@@ -49,7 +50,6 @@
     OperatorErrorKind,
     OperatorService,
     Readiness,
-    UpstreamReport,
     WriteOutcome,
 )
 from tarragonwind.ports import Timers
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -71,10 +71,8 @@
         self._signals_handled = 0
         rng = random.Random(secrets.randbits(64))
         incarnation = int(loop.timers.wall() * 1000)
-        self.metrics = MetricsPage()
-        self.telemetry = create_telemetry(
-            cfg.telemetry, cfg.host, rng, loop.timers.now, [self.metrics.reader]
-        )
+        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, loop.timers.now)
+        self.metrics = MetricsPage(self.telemetry)
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -121,10 +121,8 @@
         self._reload_signals_handled = 0
         rng = random.Random(secrets.randbits(64))
         timers = loop.timers
-        self.metrics = MetricsPage()
-        self.telemetry = create_telemetry(
-            cfg.telemetry, cfg.host, rng, timers.now, [self.metrics.reader]
-        )
+        self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, timers.now)
+        self.metrics = MetricsPage(self.telemetry)
         self.client = HttpClient(
             loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
         )
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -33,10 +33,10 @@
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings
+from tarragonwind.core.upstream_statuses import UpstreamReport
 from tarragonwind.core.version_selectors import VersionSelector
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
-from tarragonwind.operator_services import UpstreamReport
 from tarragonwind.ports import Members, Peers, Timers
 
 TICK_PERIOD_S = 0.05
--- a/tarragonwind/telemetry.py
+++ b/tarragonwind/telemetry.py
@@ -2,26 +2,27 @@
 
 from __future__ import annotations
 
+import importlib
 import random
 import time
-from collections.abc import Callable, Sequence
-
-from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
-from opentelemetry.sdk.metrics.export import MetricReader, PeriodicExportingMetricReader
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import SpanProcessor, TracerProvider
-from opentelemetry.sdk.trace.export import BatchSpanProcessor
-from opentelemetry.sdk.trace.sampling import ALWAYS_ON
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from tarragonwind.core.entries import TIER_COUNT
 from tarragonwind.settings import HostSettings, TelemetrySettings
-from tarragonwind.telemetry_exporters import ExporterPair, create_exporters
-from tarragonwind.telemetry_instruments import InstrumentFactory, InstrumentKind
+from tarragonwind.telemetry_instruments import InstrumentKind, Instruments
 from tarragonwind.telemetry_traces import HeaderPairs, RequestTrace, TraceSampler, extract_context
 
+if TYPE_CHECKING:
+    from opentelemetry.sdk.metrics import MeterProvider
+    from opentelemetry.sdk.metrics.export import MetricReader
+    from opentelemetry.sdk.trace import TracerProvider
+
+    from tarragonwind.telemetry_exporters import ExporterPair
+
+SDK_MODULE = "tarragonwind.telemetry_providers"
+"""Module that imports the SDK; it is imported by the first reader or exporter."""
 SERVICE_NAME = "tarragonwind"
-SPAN_EXPORT_PERIOD_S = 1.0
-MAX_SPANS_PER_EXPORT = 256
 
 
 class Telemetry:
@@ -29,8 +30,10 @@
 
     Parameters
     ----------
-    meters : MeterProvider
-        Meter provider of the SDK.
+    cfg : TelemetrySettings
+        Settings of the export.
+    host : HostSettings
+        Host that the metrics describe.
     tracers : TracerProvider or None
         Tracer provider of the SDK; None disables tracing.
     sampler : TraceSampler
@@ -59,13 +62,20 @@
     """
 
     def __init__(
-        self, meters: MeterProvider, tracers: TracerProvider | None, sampler: TraceSampler
+        self,
+        cfg: TelemetrySettings,
+        host: HostSettings,
+        tracers: TracerProvider | None,
+        sampler: TraceSampler,
     ) -> None:
-        self._meters = meters
+        self._cfg = cfg
+        self._host = host
+        self._providers: list[MeterProvider] = []
         self._tracers = tracers
         self._tracer = tracers.get_tracer(SERVICE_NAME) if tracers else None
         self._sampler = sampler
-        factory = InstrumentFactory(meters.get_meter(SERVICE_NAME))
+        self._instruments = Instruments()
+        factory = self._instruments
         counter, gauge = InstrumentKind.COUNTER, InstrumentKind.GAUGE
         self.requests = factory.create(
             counter, "requests", "{request}", "Ended requests", "tier", "outcome", "kind"
@@ -100,6 +110,17 @@
         self.live_hosts = factory.create(gauge, "hosts.live", "{host}", "Live daemons")
         self.permits = factory.create(gauge, "permits", "{permit}", "Permits held")
 
+    @property
+    def has_readers(self) -> bool:
+        """Return whether any reader or exporter is attached."""
+        return bool(self._providers)
+
+    def attach_readers(self, readers: list[MetricReader]) -> None:
+        """Let readers of the SDK collect the metrics, with the durations buffered until now."""
+        provider = load_sdk().create_meters(self._host, readers)
+        self._instruments.attach(provider.get_meter(SERVICE_NAME))
+        self._providers.append(provider)
+
     def start_request(self, headers: HeaderPairs) -> RequestTrace:
         """Start the trace of a request, continuing the trace context in its header fields."""
         parent = extract_context(headers)
@@ -114,23 +135,31 @@
     def close(self) -> None:
         """Export queued data and stop the SDK's threads; call this after the loop has stopped."""
         self.flush()
-        self._meters.shutdown()
+        for provider in self._providers:
+            provider.shutdown()
         if self._tracers is not None:
             self._tracers.shutdown()
 
 
+def load_sdk() -> Any:
+    """Import the module that creates providers of the SDK."""
+    return importlib.import_module(SDK_MODULE)
+
+
 def create_telemetry(
     cfg: TelemetrySettings,
     host: HostSettings,
     rng: random.Random,
     now: Callable[[], float],
-    readers: Sequence[MetricReader] = (),
 ) -> Telemetry:
     """Create the telemetry with the exporters enabled in the settings.
 
-    Without an exporter, instruments still count but only `readers` see them, and nothing is traced.
+    Without an exporter, instruments still count for readers attached later; nothing is traced.
     """
-    return assemble_telemetry(cfg, host, create_exporters(cfg), list(readers), rng, now)
+    if not (cfg.otlp_endpoint or cfg.console):
+        return Telemetry(cfg, host, None, TraceSampler(cfg.trace_fraction, rng, now))
+    exporters = importlib.import_module("tarragonwind.telemetry_exporters")
+    return assemble_telemetry(cfg, host, exporters.create_exporters(cfg), [], rng, now)
 
 
 def create_unexported_telemetry() -> Telemetry:
@@ -148,45 +177,8 @@
     now: Callable[[], float],
 ) -> Telemetry:
     """Create telemetry from the given exporters and additional metric readers."""
-    resource = Resource(
-        {
-            "service.name": SERVICE_NAME,
-            "service.instance.id": host.name,
-            "tarragonwind.data_centre": host.data_centre,
-        }
-    )
-    periodic = [
-        PeriodicExportingMetricReader(
-            pair.metrics,
-            export_interval_millis=cfg.export_period_s * 1_000,
-            export_timeout_millis=cfg.export_timeout_s * 1_000,
-        )
-        for pair in pairs
-    ]
-    meters = MeterProvider(
-        [*periodic, *readers],
-        resource,
-        exemplar_filter=AlwaysOffExemplarFilter(),
-        shutdown_on_exit=False,
-    )
-    tracers = _create_tracers(cfg, resource, pairs) if pairs else None
-    return Telemetry(meters, tracers, TraceSampler(cfg.trace_fraction, rng, now))
-
-
-def _create_tracers(
-    cfg: TelemetrySettings, resource: Resource, pairs: list[ExporterPair]
-) -> TracerProvider:
-    tracers = TracerProvider(ALWAYS_ON, resource, shutdown_on_exit=False)
-    for pair in pairs:
-        tracers.add_span_processor(_create_processor(cfg, pair))
-    return tracers
-
-
-def _create_processor(cfg: TelemetrySettings, pair: ExporterPair) -> SpanProcessor:
-    return BatchSpanProcessor(
-        pair.spans,
-        max_queue_size=cfg.max_queued_spans,
-        schedule_delay_millis=SPAN_EXPORT_PERIOD_S * 1_000,
-        max_export_batch_size=min(MAX_SPANS_PER_EXPORT, cfg.max_queued_spans),
-        export_timeout_millis=cfg.export_timeout_s * 1_000,
-    )
+    sdk = load_sdk()
+    tracers = sdk.create_tracers(cfg, host, pairs) if pairs else None
+    telemetry = Telemetry(cfg, host, tracers, TraceSampler(cfg.trace_fraction, rng, now))
+    telemetry.attach_readers([*sdk.create_periodic_readers(cfg, pairs), *readers])
+    return telemetry
--- a/tarragonwind/telemetry_instruments.py
+++ b/tarragonwind/telemetry_instruments.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import enum
+import importlib
+from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from opentelemetry.metrics import CallbackOptions, Histogram, Meter, Observation
+if TYPE_CHECKING:
+    from opentelemetry.metrics import CallbackOptions, Histogram, Meter, Observation
 
 DURATION_BOUNDS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
 """Bucket boundaries of the duration histograms, in seconds."""
 
 RECORDS_PER_FLUSH = 32
 """Durations buffered before they are passed to the SDK's histogram."""
+MAX_BUFFERED_DURATIONS = 4_096
+"""Durations of each histogram kept for a first reader; the oldest are dropped."""
 
 
 class MetricSeries:
@@ -47,82 +54,111 @@
 
     def observe(self, _options: CallbackOptions) -> Iterable[Observation]:
         """Yield the current values; called in the thread of the SDK's reader."""
+        create = importlib.import_module("opentelemetry.metrics").Observation
         # The event loop may add a key during the iteration, so iterate over a copy.
         for labels, value in list(self._sums.items()):
-            yield Observation(value, dict(zip(self._label_names, labels, strict=True)))
+            yield create(value, dict(zip(self._label_names, labels, strict=True)))
 
 
 class TierHistogram:
-    """Record durations by tier, passed to the SDK in batches.
+    """Record durations by tier, passed to the SDK in batches once a histogram is attached.
 
     Parameters
     ----------
-    histogram : opentelemetry.metrics.Histogram
-        Histogram of the SDK.
     tier_count : int
         Number of tiers.
     """
 
-    __slots__ = ("_attributes", "_buffer", "_histogram")
+    __slots__ = ("_attributes", "_buffer", "_histograms")
 
-    def __init__(self, histogram: Histogram, tier_count: int) -> None:
-        self._histogram = histogram
+    def __init__(self, tier_count: int) -> None:
+        self._histograms: list[Histogram] = []
         self._attributes = [{"tier": tier} for tier in range(tier_count)]
-        self._buffer: list[tuple[float, int]] = []
+        self._buffer: deque[tuple[float, int]] = deque(maxlen=MAX_BUFFERED_DURATIONS)
+
+    def attach(self, histogram: Histogram) -> None:
+        """Pass the durations from now on, and the buffered ones, to a histogram of the SDK."""
+        self._histograms.append(histogram)
 
     def record(self, duration_s: float, tier: int) -> None:
         """Buffer one duration, in seconds, and flush when the batch is full."""
         self._buffer.append((duration_s, tier))
-        if len(self._buffer) >= RECORDS_PER_FLUSH:
+        if self._histograms and len(self._buffer) >= RECORDS_PER_FLUSH:
             self.flush()
 
     def flush(self) -> None:
         """Pass the buffered durations to the SDK."""
-        buffered = self._buffer
-        self._buffer = []
+        if not self._histograms:
+            return
+        buffered = list(self._buffer)
+        self._buffer.clear()
         for duration_s, tier in buffered:
-            self._histogram.record(duration_s, self._attributes[tier])
+            for histogram in self._histograms:
+                histogram.record(duration_s, self._attributes[tier])
 
 
 class InstrumentKind(enum.Enum):
-    """Distinguish monotonic counters from gauges."""
+    """Distinguish monotonic counters, gauges and histograms."""
 
     COUNTER = "counter"
     GAUGE = "gauge"
+    HISTOGRAM = "histogram"
 
 
-class InstrumentFactory:
-    """Create instruments whose names start with ``tarragonwind.``.
+@dataclass(frozen=True, slots=True)
+class InstrumentDescription:
+    """Describe an instrument of the SDK and the series or histogram that it reports."""
 
-    Parameters
-    ----------
-    meter : opentelemetry.metrics.Meter
-        Meter of the SDK.
+    kind: InstrumentKind
+    name: str
+    unit: str
+    description: str
+    values: MetricSeries | TierHistogram
+
+
+class Instruments:
+    """Create series whose names start with ``tarragonwind.`` and attach them to the SDK's meters.
+
+    The SDK is imported by the first reader or exporter, as it lengthens the start of a host.
     """
 
-    __slots__ = ("_meter",)
+    __slots__ = ("_descriptions",)
 
-    def __init__(self, meter: Meter) -> None:
-        self._meter = meter
+    def __init__(self) -> None:
+        self._descriptions: list[InstrumentDescription] = []
 
     def create(
         self, kind: InstrumentKind, name: str, unit: str, description: str, *labels: str
     ) -> MetricSeries:
-        """Create an observable instrument and return the series that it reports."""
+        """Return the series of an observable instrument."""
         series = MetricSeries(labels)
         full_name = f"tarragonwind.{name}"
-        if kind is InstrumentKind.COUNTER:
-            self._meter.create_observable_counter(full_name, [series.observe], unit, description)
-        else:
-            self._meter.create_observable_gauge(full_name, [series.observe], unit, description)
+        self._descriptions.append(InstrumentDescription(kind, full_name, unit, description, series))
         return series
 
     def create_histogram(self, name: str, description: str, tier_count: int) -> TierHistogram:
-        """Create a histogram of durations by tier."""
-        histogram = self._meter.create_histogram(
-            f"tarragonwind.{name}",
-            unit="s",
-            description=description,
-            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        """Return a histogram of durations by tier."""
+        histogram = TierHistogram(tier_count)
+        full_name = f"tarragonwind.{name}"
+        self._descriptions.append(
+            InstrumentDescription(InstrumentKind.HISTOGRAM, full_name, "s", description, histogram)
         )
-        return TierHistogram(histogram, tier_count)
+        return histogram
+
+    def attach(self, meter: Meter) -> None:
+        """Create the instruments of a meter of the SDK, which may be one of several."""
+        for each in self._descriptions:
+            if isinstance(each.values, TierHistogram):
+                each.values.attach(
+                    meter.create_histogram(
+                        each.name,
+                        unit=each.unit,
+                        description=each.description,
+                        explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+                    )
+                )
+                continue
+            create = meter.create_observable_gauge
+            if each.kind is InstrumentKind.COUNTER:
+                create = meter.create_observable_counter  # type: ignore[assignment]
+            create(each.name, [each.values.observe], each.unit, each.description)
--- a/tarragonwind/telemetry_pages.py
+++ b/tarragonwind/telemetry_pages.py
@@ -2,24 +2,44 @@
 
 from __future__ import annotations
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics.export import MetricReader
-from prometheus_client import CollectorRegistry, generate_latest
+import importlib
+from typing import TYPE_CHECKING
+
+from tarragonwind.telemetry import Telemetry
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
 
 
 class MetricsPage:
     """Collect and render the metrics on each scrape.
 
-    Attributes
+    Its libraries are imported at the first scrape, or at once if metrics are exported as well.
+
+    Parameters
     ----------
-    reader : MetricReader
-        Metric reader to pass to `create_telemetry`.
+    telemetry : Telemetry
+        Metrics of the host.
     """
 
-    def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        self.reader: MetricReader = PrometheusMetricReader(registry=self._registry)
+    def __init__(self, telemetry: Telemetry) -> None:
+        self._telemetry = telemetry
+        self._registry: CollectorRegistry | None = None
+        if telemetry.has_readers:
+            self._open()
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        registry = self._open()
+        self._telemetry.flush()
+        text: bytes = importlib.import_module("prometheus_client").generate_latest(registry)
+        return text
+
+    def _open(self) -> CollectorRegistry:
+        """Attach a reader to the telemetry, once, and return its registry."""
+        if self._registry is None:
+            self._registry = importlib.import_module("prometheus_client").CollectorRegistry()
+            exporter = importlib.import_module("opentelemetry.exporter.prometheus")
+            reader = exporter.PrometheusMetricReader(registry=self._registry)
+            self._telemetry.attach_readers([reader])
+        return self._registry
--- a/tarragonwind/tools/commands.py
+++ b/tarragonwind/tools/commands.py
@@ -11,6 +11,7 @@
 import fire
 
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState, dump_entry, parse_entry
+from tarragonwind.core.upstream_statuses import UpstreamReport
 from tarragonwind.operator_services import (
     CatalogueItem,
     DaemonReport,
@@ -18,7 +19,6 @@
     HostReport,
     OperatorError,
     OperatorErrorKind,
-    UpstreamReport,
 )
 from tarragonwind.settings_files import SettingsError, read_settings
 from tarragonwind.tools.catalogue_commands import (
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -5,6 +5,7 @@
 
 from tarragonwind.adapters.loops import create_loop
 from tarragonwind.adapters.operators import create_operator_server
+from tarragonwind.core.upstream_statuses import UpstreamReport
 from tarragonwind.futures import Future
 from tarragonwind.operator_services import (
     CatalogueItem,
@@ -22,7 +23,6 @@
     OperatorErrorKind,
     OperatorService,
     Readiness,
-    UpstreamReport,
     WriteOutcome,
 )
 from tarragonwind.settings import OperatorSettings
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -4,6 +4,8 @@
 import json
 import random
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -20,7 +22,8 @@
 from tarragonwind.settings import HostSettings, TelemetrySettings
 from tarragonwind.telemetry import assemble_telemetry, create_telemetry
 from tarragonwind.telemetry_exporters import ExporterPair, create_exporters
-from tarragonwind.telemetry_instruments import RECORDS_PER_FLUSH
+from tarragonwind.telemetry_instruments import MAX_BUFFERED_DURATIONS, RECORDS_PER_FLUSH
+from tarragonwind.telemetry_pages import MetricsPage
 from tarragonwind.telemetry_traces import (
     MAX_CALLER_TRACES_PER_S,
     SpanName,
@@ -232,3 +235,37 @@
         processor = telemetry._tracers._active_span_processor._span_processors[0]
         assert len(processor._batch_processor._queue) <= 64
         telemetry.close()
+
+
+def test_a_first_scrape_shows_what_was_counted_before_it():
+    telemetry = create_telemetry(TelemetrySettings(), HOST, random.Random(1), time.monotonic)
+    page = MetricsPage(telemetry)
+    telemetry.sheds.add(3, 1)
+    for _ in range(RECORDS_PER_FLUSH + 5):
+        telemetry.wait.record(0.25, 0)
+    lines = page.render().decode().splitlines()
+    assert any(line.startswith("tarragonwind_sheds") and line.endswith(" 3.0") for line in lines)
+    counts = [line for line in lines if line.startswith("tarragonwind_wait_seconds_count")]
+    assert [float(line.rsplit(" ", 1)[1]) for line in counts] == [RECORDS_PER_FLUSH + 5]
+    telemetry.wait.record(0.25, 0)
+    assert f"{RECORDS_PER_FLUSH + 6}.0" in page.render().decode()
+    telemetry.close()
+
+
+def test_durations_without_a_reader_take_bounded_memory():
+    telemetry = create_telemetry(TelemetrySettings(), HOST, random.Random(1), time.monotonic)
+    for number in range(MAX_BUFFERED_DURATIONS + 10):
+        telemetry.wait.record(float(number), 0)
+    assert len(telemetry.wait._buffer) == MAX_BUFFERED_DURATIONS
+
+
+def test_a_daemon_starts_without_libraries_that_only_a_scrape_needs():
+    code = (
+        "import sys; from tarragonwind import platform_start; platform_start.import_daemon(); "
+        "print([name for name in sys.modules "
+        "if name.startswith(('prometheus', 'opentelemetry.sdk'))])"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "[]"
