Take an overdue rollout back early enough to be seen in time

Cause: the end of 0.97 of the time leaves half a second, and the record of the result is tried again after 2 s and read by the operator at intervals. Change: the end is 0.93, and moves are planned for 0.85 of the time, so that a good version still completes before it. Ruled out: the gossip between hosts; all hosts had the result 6 ms after it was recorded.

--- a/tarragonwind/core/rollouts.py
+++ b/tarragonwind/core/rollouts.py
@@ -25,10 +25,10 @@
 
 OWNER = "operator"
 """Owner recorded on the derived entries."""
-DURATION_FRACTION = 0.9
+DURATION_FRACTION = 0.85
 """Fraction of the ordered time in which the move is planned to end, so that its result is recorded
 in time."""
-GIVE_UP_FRACTION = 0.97
+GIVE_UP_FRACTION = 0.93
 """Fraction of the ordered time after which a rollout that has not completed is taken back."""
 GIVE_UP_WHY = "the new version was not shown to serve as well as the old one in time"
 
