--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -243,11 +243,14 @@
         return outgoing
 
     def take_back(self, name: str, why: str) -> list[Outgoing]:
-        """Take back the active move with a name; return the messages to broadcast."""
+        """Take back the active move with a name; return the messages to broadcast.
+
+        The reason that is recorded also tells what the move was waiting for.
+        """
         outgoing: list[Outgoing] = []
         for move in self.active_moves():
             if move.entry.name == name:
-                move.judge.take_back(why)
+                move.judge.take_back(f"{why}: {move.judge.why}")
                 outgoing += self._broadcast_facts(move)
         return outgoing
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -239,6 +239,8 @@
     site.order("v2")
     site.load(DURATION_S - 0.1, rate=10.0)
     assert site.status() == {"state": "rolled_back", "target": "v2"}
+    (move,) = site.runner.moves.table.statuses(site.timers.wall())
+    assert "too little traffic" in move.why
     assert site.share("v1") == 1.0
 
 
