--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -40,6 +40,8 @@
 TOLERANCE_FRACTION = 0.15
 """Fraction of the tolerance that is admitted, so that a delayed count does not cause refusals below
 the limit. The rest covers what other hosts admit until they receive the count."""
+STARTUP_TOLERANCE_FRACTION = 0.25
+"""This fraction in the first window after a start, in which the limits are far lower."""
 MIN_RETRY_AFTER_S = 0.2
 """Minimum retry-after time of a refusal."""
 
@@ -346,13 +348,15 @@
         """Return the tokens that the whole fleet may admit in each window."""
         age_s = now - self._started_at
         burst = organisation.token_burst
+        tolerance = TOLERANCE_FRACTION
         if age_s < self._window_s:
             burst *= STARTUP_BURST_FRACTION
+            tolerance = STARTUP_TOLERANCE_FRACTION
         settings = self._settings
         limits = []
         for fraction in WINDOW_FRACTIONS:
             limit = organisation.tokens_per_s * min(fraction * self._window_s, age_s) + burst
-            limit += TOLERANCE_FRACTION * (limit * settings.overage + settings.slack_tokens)
+            limit += tolerance * (limit * settings.overage + settings.slack_tokens)
             limits.append(limit)
         return tuple(limits)
 
