Derive the limits after a start from how long the fleet's usage is known

Callers saw, by tests over the simulated network: a host that starts again alone refused 3 to 7 requests of an organisation at 0.8 of its limit, 0 to 3 at half of it; and with all hosts back after 0.3 to 0.6 s under a hot organisation up to 1.183 of the limit was admitted, where 1.14 are allowed. Cause: the limits of the first window followed the host's own age, though the aggregator's totals contain all that was used, and gave half of the burst, though what was used before a restart of all is covered by the overage and slack only. Change: a host counts from the time since which its aggregator has; while that is less than a window, the slack's 0.8 or a quarter of the burst comes on top; counts of a host from before its restart are added to its next ones, not compared. Both new tests failed before.

--- a/tarragonwind/core/aggregator_changes.py
+++ b/tarragonwind/core/aggregator_changes.py
@@ -65,9 +65,12 @@
 
     def is_settled(self, now: float, name: str) -> bool:
         """Return whether this host aggregates an organisation's counts and has all reports."""
+        return self.counted_s(now, name) >= AGGREGATOR_SETTLE_S
+
+    def counted_s(self, now: float, name: str) -> float:
+        """Return for how long this host has aggregated an organisation's counts, in seconds."""
         assignment = self._assign(self._live_changed_at, name)
-        settled_at = assignment.changed_at + AGGREGATOR_SETTLE_S
-        return assignment.aggregator == self._name and now >= settled_at
+        return now - assignment.changed_at if assignment.aggregator == self._name else 0.0
 
     def returned_hosts(self, now: float) -> dict[str, float]:
         """Return the times of the returns of hosts that may not have reported since."""
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from tarragonwind.core.aggregator_changes import AggregatorChanges
+from tarragonwind.core.aggregator_changes import AGGREGATOR_SETTLE_S, AggregatorChanges
 from tarragonwind.core.entries import OrganisationEntry
 from tarragonwind.core.usage_windows import (
     WINDOW_FRACTIONS,
@@ -35,13 +35,13 @@
 may be without totals, and each may use its part."""
 REPORT_LATE_S = 0.5
 """Age of a live host's report from which that host may be without totals."""
-STARTUP_BURST_FRACTION = 0.5
-"""Fraction of the burst admitted during the first window, as usage before the start is unknown."""
+STARTUP_BURST_FRACTION = 0.25
+"""Minimum fraction of the burst admitted from the start on, while earlier usage is unknown."""
+STARTUP_SLACK_FRACTION = 0.8
+"""Fraction of the slack admitted then, as the overage covers what the hosts admit at once."""
 TOLERANCE_FRACTION = 0.15
 """Fraction of the tolerance that is admitted, so that a delayed count does not cause refusals below
 the limit. The rest covers what other hosts admit until they receive the count."""
-STARTUP_TOLERANCE_FRACTION = 0.25
-"""This fraction in the first window after a start, in which the limits are far lower."""
 MIN_RETRY_AFTER_S = 0.2
 """Minimum retry-after time of a refusal."""
 
@@ -90,8 +90,8 @@
     Attributes
     ----------
     rows : list of list
-        Organisation, whether all live hosts have reported since a change of the aggregator, and
-        tokens in each window, the longest first.
+        Organisation, time for which the sender has aggregated its counts in seconds, and tokens in
+        each window, the longest first.
     fleet_share : float
         Reachable fraction of the fleet that the sender allows for, above 0 and at most 1.
     """
@@ -127,7 +127,6 @@
         "_fleet_share",
         "_limits",
         "_live",
-        "_lost",
         "_name",
         "_other_totals",
         "_owner_of",
@@ -161,7 +160,6 @@
         self._reports: dict[str, dict[str, ReceivedTotals]] = {}
         self._reported: set[str] = set()
         self._live: frozenset[str] = frozenset([name])
-        self._lost: set[str] = set()
         self._starts: dict[str, float] = {}
 
     def set_live(self, now: float, live: Iterable[str]) -> None:
@@ -170,7 +168,6 @@
         self._live = frozenset(live) or frozenset([self._name])
         if self._live == previous:
             return
-        self._lost |= previous - self._live
         self._changes.on_live_changed(now, previous - self._live, self._live - previous)
 
     def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
@@ -225,9 +222,8 @@
 
         Organisations that another host aggregates are left out.
         """
-        restarted = self._starts.get(host, msg.started_at) != msg.started_at
-        self._starts[host] = msg.started_at
-        if restarted or host in self._lost:
+        if self._starts.setdefault(host, msg.started_at) != msg.started_at:
+            self._starts[host] = msg.started_at
             self._keep_earlier_reports(host)
         rows: list[list] = []
         for name, *totals in msg.rows:
@@ -238,9 +234,9 @@
             usage = self._fleet_usage(now, name)
             received.part_left = self._part_left(now, name, usage)
             if self._changes.aggregates(name):
-                settled = self._changes.is_settled(now, name)
+                counted_s = self._changes.counted_s(now, name)
                 others = (max(0, int(used) - own) for used, own in zip(usage, totals, strict=True))
-                rows.append([name, settled, *others])
+                rows.append([name, counted_s, *others])
         return UsageTotals(rows, self._fleet_share(now))
 
     def _part_left(self, now: float, name: str, usage: tuple[float, ...]) -> int:
@@ -257,11 +253,7 @@
         return earlier
 
     def _keep_earlier_reports(self, host: str) -> None:
-        """Let the last reports of a host that was lost count beside its next ones.
-
-        The host may have restarted without its counts.
-        """
-        self._lost.discard(host)
+        """Let the last reports of a host that has restarted count beside its next ones."""
         for counts in self._reports.values():
             if host in counts:
                 previous = counts[host]
@@ -269,10 +261,14 @@
 
     def on_totals(self, now: float, msg: UsageTotals) -> None:
         """Store the totals of the other hosts."""
-        for name, complete, *totals in msg.rows:
+        for name, counted_s, *totals in msg.rows:
             own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
             self._other_totals[name] = ReceivedTotals(
-                tuple(totals), now, own, fleet_share=msg.fleet_share, complete=complete
+                tuple(totals),
+                now,
+                own,
+                fleet_share=msg.fleet_share,
+                counted_s=counted_s,
             )
 
     def _needs_report(self, now: float, name: str, totals: Totals) -> bool:
@@ -301,7 +297,7 @@
         received = self._other_totals.get(name)
         if (
             received is not None
-            and received.complete
+            and received.counted_s >= AGGREGATOR_SETTLE_S
             and now - received.received_at <= TOTALS_FRESH_S
         ):
             return add_totals(own, received.totals)
@@ -346,20 +342,43 @@
 
     def _window_limits(self, now: float, organisation: OrganisationEntry) -> tuple[float, ...]:
         """Return the tokens that the whole fleet may admit in each window."""
-        age_s = now - self._started_at
-        burst = organisation.token_burst
-        tolerance = TOLERANCE_FRACTION
-        if age_s < self._window_s:
-            burst *= STARTUP_BURST_FRACTION
-            tolerance = STARTUP_TOLERANCE_FRACTION
         settings = self._settings
+        counted_s = self._counted_s(now, organisation.name)
+        if counted_s < self._window_s:
+            return self._startup_limits(organisation, counted_s)
+        is_new = now - self._started_at < self._window_s
+        tolerance = 0.0 if is_new else TOLERANCE_FRACTION
         limits = []
         for fraction in WINDOW_FRACTIONS:
-            limit = organisation.tokens_per_s * min(fraction * self._window_s, age_s) + burst
+            limit = organisation.tokens_per_s * fraction * self._window_s + organisation.token_burst
             limit += tolerance * (limit * settings.overage + settings.slack_tokens)
             limits.append(limit)
         return tuple(limits)
 
+    def _startup_limits(
+        self, organisation: OrganisationEntry, counted_s: float
+    ) -> tuple[float, ...]:
+        """Return the limits while only the usage of the last `counted_s` seconds is known."""
+        extra = max(
+            STARTUP_BURST_FRACTION * organisation.token_burst,
+            STARTUP_SLACK_FRACTION * self._settings.slack_tokens,
+        )
+        lengths = (min(fraction * self._window_s, counted_s) for fraction in WINDOW_FRACTIONS)
+        return tuple(organisation.tokens_per_s * length_s + extra for length_s in lengths)
+
+    def _counted_s(self, now: float, name: str) -> float:
+        """Return for how long the usage of the fleet is known here, in seconds.
+
+        The totals of an aggregator contain all that was used since it became one.
+        """
+        since = self._started_at
+        received = self._other_totals.get(name)
+        if received is None or received.counted_s < AGGREGATOR_SETTLE_S:
+            return now - since
+        if now - received.received_at <= TOTALS_FRESH_S:
+            since = min(since, received.received_at - received.counted_s)
+        return now - since
+
     def _fleet_usage(self, now: float, name: str) -> tuple[float, ...]:
         """Return the usage of the live hosts, and what lost hosts have used beyond their share.
 
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -77,11 +77,11 @@
     part_left : int
         Tokens that the host may add to the longest window if it receives no further totals.
     earlier : ReceivedTotals or None
-        Last totals before the host was lost, if it has returned since.
+        Last totals before the host restarted, if it has.
     fleet_share : float
         Reachable fraction of the fleet that the totals allow for, above 0 and at most 1.
-    complete : bool
-        Whether all live hosts had reported since a change of the aggregator.
+    counted_s : float
+        Time for which the other host had aggregated the counts then, in seconds.
     """
 
     totals: Totals
@@ -90,14 +90,14 @@
     part_left: int = 0
     earlier: ReceivedTotals | None = None
     fleet_share: float = 1.0
-    complete: bool = True
+    counted_s: float = 0.0
 
     def remaining(self, now: float, window_s: float) -> Totals:
         """Return the maximum of the counted tokens that can still be in each window."""
         counts = self._remaining(now - self.received_at, window_s)
         if self.earlier is None:
             return counts
-        return max_totals(counts, self.earlier.remaining(now, window_s))
+        return add_totals(counts, self.earlier.remaining(now, window_s))
 
     def _remaining(self, age_s: float, window_s: float) -> Totals:
         return tuple(
--- a/tests/test_allotment_partitions.py
+++ b/tests/test_allotment_partitions.py
@@ -73,6 +73,38 @@
     assert largest_share(cut_hosts(seed, alone, store) for seed in SEEDS) <= ALLOWED_SHARE
 
 
+def restart_all_hosts(seed, hot_s, away_s):
+    """Lose all hosts under a hot organisation, and start them again without memory."""
+    fleet = start_hot_load(seed, hot_s)
+    fleet.lose(list(fleet.names))
+    fleet.timers.advance(away_s)
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.load(9.0, HOT_LOAD)
+    return fleet
+
+
+@pytest.mark.parametrize("away_s", [0.3, 0.6, 1.5])
+@pytest.mark.parametrize("hot_s", [1.0, 2.5])
+def test_hosts_that_all_start_again_allow_for_what_was_used_before(hot_s, away_s):
+    fleets = [restart_all_hosts(seed, hot_s, away_s) for seed in SEEDS]
+    assert largest_share(fleets) <= ALLOWED_SHARE
+
+
+@pytest.mark.parametrize("load", [0.5, 0.8])
+def test_a_host_that_starts_again_alone_refuses_nothing_below_the_limit(load):
+    for seed in SEEDS:
+        fleet = AllotmentFleet(SIZE, seed)
+        fleet.load(9.0, load)
+        aggregator = fleet.hosts["h00"].owner_of("officina")
+        lost = fleet.rng.choice([name for name in fleet.names if name != aggregator])
+        fleet.lose([lost])
+        fleet.load(0.8, load)
+        fleet.start(lost)
+        fleet.load(9.0, load)
+        assert fleet.refused == 0
+
+
 def move_load_without_totals(seed, hot_s):
     """Cut off the host that sums up, and move the load to hosts that have used little."""
     fleet = start_hot_load(seed, hot_s, busy_weight=20.0)
