--- a/tarragonwind/core/upstream_statuses.py
+++ b/tarragonwind/core/upstream_statuses.py
@@ -18,7 +18,7 @@
     in_progress, slots : int
         Requests in progress, and requests that the upstream can serve concurrently.
     tokens_per_s : float
-        Measured throughput.
+        Throughput in tokens per second.
     failures : int
         Failed requests to the upstream since the daemon started.
     report_age_s : float
--- a/tarragonwind/rollouts.py
+++ b/tarragonwind/rollouts.py
@@ -101,9 +101,9 @@
         if rollout.record is None:
             return ANY_VERSION
         version = self.moves.choose_version(now, rng, pool, route)
-        return self._serveable_version(pool, rollout, rollout.record, version)
+        return self._servable_version(pool, rollout, rollout.record, version)
 
-    def _serveable_version(
+    def _servable_version(
         self, pool: str, rollout: PoolRollout, record: RolloutRecord, version: str
     ) -> str:
         """Return a chosen version, or another one if none of its upstreams is live."""
--- a/tarragonwind/telemetry_instruments.py
+++ b/tarragonwind/telemetry_instruments.py
@@ -148,17 +148,20 @@
     def attach(self, meter: Meter) -> None:
         """Create the instruments of a meter of the SDK, which may be one of several."""
         for each in self._descriptions:
-            if isinstance(each.values, TierHistogram):
-                each.values.attach(
-                    meter.create_histogram(
-                        each.name,
-                        unit=each.unit,
-                        description=each.description,
-                        explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
-                    )
+            values = each.values
+            if isinstance(values, TierHistogram):
+                histogram = meter.create_histogram(
+                    each.name,
+                    unit=each.unit,
+                    description=each.description,
+                    explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+                )
+                values.attach(histogram)
+            elif each.kind is InstrumentKind.COUNTER:
+                meter.create_observable_counter(
+                    each.name, [values.observe], each.unit, each.description
+                )
+            else:
+                meter.create_observable_gauge(
+                    each.name, [values.observe], each.unit, each.description
                 )
-                continue
-            create = meter.create_observable_gauge
-            if each.kind is InstrumentKind.COUNTER:
-                create = meter.create_observable_counter  # type: ignore[assignment]
-            create(each.name, [each.values.observe], each.unit, each.description)
