Let the demo's test interrupt it also where the shell ignores SIGINT

Traced: a shell without job control starts a background job with SIGINT ignored (SigIgn 7 in /proc), Python then installs no handler, and the signal that the test sends does nothing. With SIGINT ignored the test failed again alone, with the default it passed. The test now sets the disposition that it relies on; what it checks is unchanged.

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -26,10 +26,17 @@
         return False
 
 
+def restore_interrupt():
+    """Let SIGINT end the process, also where a shell in the background has it ignored."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
 @pytest.mark.parametrize("end", ["TERM", "INT", "death"])
 def test_a_fleet_that_stays_is_stopped_with_all_its_processes(end):
     command = [sys.executable, "-m", "standins.demo", "--stay"]
-    demo = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    demo = subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True, preexec_fn=restore_interrupt
+    )
     demo.stdout.readline()
     pids = children(demo.pid)
     assert len(pids) >= FLEET_SIZE
