Wake the loop for signals from the first handled one on

Found by reading: between the installation of the signal handlers and that of the wake-up a SIGTERM was counted and woke nothing, since signals are no longer polled; the host would have run on until the next signal. The wake-up now comes first; until the handlers stand, signals end the process as before. No test shows it (the window is a few microseconds); tests of wake-ups, daemons, planned stops and the demo pass.

--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -187,9 +187,10 @@
         self.telemetry.close()
 
     def _start(self) -> None:
+        # Before the handlers: a signal that is counted first would wake nothing.
+        SignalWaker(self._loop.poller, self._handle_signals)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        SignalWaker(self._loop.poller, self._handle_signals)
         self._loop.timers.call_every(self._cfg.telemetry.export_period_s / 2, self._update_gauges)
         self.membership.start()
         if self.host_list is not None:
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -227,10 +227,11 @@
         self.telemetry.close()
 
     def _start(self) -> None:
+        # Before the handlers: a signal that is counted first would wake nothing.
+        SignalWaker(self._loop.poller, self._handle_signals)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_signal)
-        SignalWaker(self._loop.poller, self._handle_signals)
         self._loop.timers.call_every(SETTINGS_POLL_S, self._poll_settings)
         self.membership.start()
         self.mirror.start()
