--- a/tarragonwind/adapters/allotment_charges.py
+++ b/tarragonwind/adapters/allotment_charges.py
@@ -26,12 +26,7 @@
         """Charge the tokens, or raise `RequestError` when the allotment is used up."""
         if self._allotments is None:
             return
-        self._allotments.take(
-            now,
-            request_class.organisation,
-            request_class.allotment_tokens,
-            request_class.timeout_s,
-        )
+        self._allotments.take(now, request_class.organisation, request_class.allotment_tokens)
         self._request_class = request_class
         self._taken_at = now
 
--- a/tarragonwind/adapters/gateway_contexts.py
+++ b/tarragonwind/adapters/gateway_contexts.py
@@ -23,9 +23,7 @@
 class Allotments(Protocol):
     """Enforce the token allotments of organisations over all hosts."""
 
-    def take(
-        self, now: float, organisation: OrganisationEntry, tokens: int, timeout_s: float
-    ) -> None:
+    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Charge a request's tokens, or raise `RequestError` when the allotment is used up."""
 
     def refund(self, organisation: OrganisationEntry, tokens: int, taken_at: float) -> None:
--- a/tarragonwind/allotments.py
+++ b/tarragonwind/allotments.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import inf
 
 from tarragonwind.core.allotments import (
     AllotmentLedger,
@@ -55,11 +54,9 @@
         peers.subscribe(UsageTotals, self._on_totals)
         timers.call_every(REPORT_PERIOD_S, self._report)
 
-    def take(
-        self, now: float, organisation: OrganisationEntry, tokens: int, timeout_s: float = inf
-    ) -> None:
+    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Count the tokens of a request against its organisation's allotment, or refuse it."""
-        self.ledger.take(now, organisation, tokens, timeout_s)
+        self.ledger.take(now, organisation, tokens)
 
     def refund(self, organisation: OrganisationEntry, tokens: int, taken_at: float) -> None:
         """Refund the tokens of a request that was not dispatched, as of the time of its `take`."""
--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -16,7 +16,6 @@
 
 from tarragonwind.core.aggregator_changes import AGGREGATOR_SETTLE_S, AggregatorChanges
 from tarragonwind.core.entries import OrganisationEntry
-from tarragonwind.core.return_times import ReturnTimes
 from tarragonwind.core.usage_windows import (
     WINDOW_FRACTIONS,
     ZERO_TOTALS,
@@ -133,7 +132,6 @@
         "_owner_of",
         "_reported",
         "_reports",
-        "_return_times",
         "_settings",
         "_started_at",
         "_starts",
@@ -163,7 +161,6 @@
         self._reported: set[str] = set()
         self._live: frozenset[str] = frozenset([name])
         self._starts: dict[str, float] = {}
-        self._return_times: dict[str, ReturnTimes] = {}
 
     def set_live(self, now: float, live: Iterable[str]) -> None:
         """Set the live hosts."""
@@ -173,22 +170,9 @@
             return
         self._changes.on_live_changed(now, previous - self._live, self._live - previous)
 
-    def take(
-        self, now: float, organisation: OrganisationEntry, tokens: int, timeout_s: float = inf
-    ) -> None:
+    def take(self, now: float, organisation: OrganisationEntry, tokens: int) -> None:
         """Count the tokens of a request against its organisation's allotment.
 
-        Parameters
-        ----------
-        now : float
-            Current time, in seconds.
-        organisation : OrganisationEntry
-            Organisation that sends the request.
-        tokens : int
-            Tokens of the request.
-        timeout_s : float
-            Time limit of the request, in seconds.
-
         Raises
         ------
         RequestError
@@ -206,22 +190,15 @@
         used = self._used(now, name, own, limits)
         excess = max(count + tokens - limit for count, limit in zip(used, limits, strict=True))
         if excess > 0 and any(used):
-            min_wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
-            rate = organisation.tokens_per_s * self._own_fraction(own, used)
-            return_times = self._return_times.setdefault(name, ReturnTimes())
+            wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
             raise RequestError(
                 ErrorKind.OVER_ALLOTMENT,
                 f"the request's {tokens} tokens exceed the allotment: own {own[0]}, "
                 f"used {used[0]:.0f}, limit {limits[0]:.0f}",
-                return_times.add(now, min_wait_s, tokens, rate, timeout_s),
+                wait_s,
             )
         window.add(now, tokens)
 
-    def _own_fraction(self, own: Totals, used: tuple[float, ...]) -> float:
-        """Return this host's part of an organisation's usage, at least an equal one."""
-        equal_part = 1.0 / len(self._live)
-        return max(equal_part, min(1.0, own[0] / used[0])) if used[0] > 0 else equal_part
-
     def refund(self, organisation: OrganisationEntry, tokens: int, taken_at: float) -> None:
         """Refund the tokens of a request that was not dispatched, as of the time of its `take`."""
         window = self._windows.get(organisation.name)
@@ -235,7 +212,6 @@
             totals = self._windows[name].totals(now)
             if not any(totals):
                 del self._windows[name]
-                self._return_times.pop(name, None)
             aggregator = self._owner_of(name)
             if aggregator != self._name and self._needs_report(now, name, totals):
                 rows.setdefault(aggregator, []).append([name, *totals])
