Poll on in the loop without an event of circuits for each poll

Cause: each wake-up of the loop fired one generate_events event, which circuits queues, dispatches to two handlers and completes: about a third of the processor time of an idle host and of a relayed event of a stream.

The poller now goes on by itself: it runs the timers that are due, polls and calls the socket handlers, until circuits has an event, a task or a stop to act on. Events that handlers or timers fire, signals and stops still reach circuits before the next wait (tests/test_loops.py; the one that counts circuits' events failed before).

--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -1,8 +1,9 @@
 """Provide the daemon's event loop: an epoll poller with direct callbacks, and a timer service.
 
-`circuits` queues an event for each ready socket, which is too slow for relayed streams. The poller
-here keeps that path for circuits' own components, but calls a method directly for sockets that are
-registered with a `SocketHandler`.
+`circuits` queues an event for each ready socket and for each poll, which is too slow for relayed
+streams. The poller here keeps that path for circuits' own components, but calls a method directly
+for sockets that are registered with a `SocketHandler`, and goes on polling until circuits has
+something to dispatch.
 """
 
 from __future__ import annotations
@@ -42,9 +43,10 @@
 
     channel = "direct-poller"
 
-    def __init__(self) -> None:
+    def __init__(self, timers: TimerService) -> None:
         super().__init__(channel=self.channel)
         self._socket_handlers: dict[int, SocketHandler] = {}
+        self._timers = timers
 
     def add_handler(self, fileno: int, socket_handler: SocketHandler, events: int) -> None:
         """Call `socket_handler` when `fileno` is ready for `events`."""
@@ -60,6 +62,19 @@
         if self._socket_handlers.pop(fileno, None) is not None:
             self._poller.unregister(fileno)
 
+    def _generate_events(self, event: Any) -> None:
+        super()._generate_events(event)
+        while not self._circuits_has_work():
+            wait_s = self._timers.run_due()
+            if self._circuits_has_work():
+                return
+            for fileno, events in self._poller.poll(wait_s):
+                self._process(fileno, events)
+
+    def _circuits_has_work(self) -> bool:
+        root = self.root
+        return len(root) > 0 or bool(root._tasks) or not root.running
+
     def _process(self, fileno: int, event: int) -> None:
         socket_handler = self._socket_handlers.get(fileno)
         if socket_handler is None:
@@ -130,18 +145,17 @@
 
     @handler("generate_events", priority=9)
     def _on_generate_events(self, event: Any) -> None:
-        self.run_due()
-        while self._heap and self._heap[0][2].cancelled:
-            heapq.heappop(self._heap)
-        wait_s = IDLE_WAIT_S
-        if self._heap:
-            wait_s = min(wait_s, max(0.0, self._heap[0][0] - self.now()))
-        if not self.root.running:
-            wait_s = 0.0
-        event.reduce_time_left(wait_s)
-
-    def run_due(self) -> None:
-        """Call the callback of each timer that is due."""
+        wait_s = self.run_due()
+        event.reduce_time_left(wait_s if self.root.running else 0.0)
+
+    def run_due(self) -> float:
+        """Call the callback of each timer that is due.
+
+        Returns
+        -------
+        float
+            Time until the next timer is due, in seconds, at most `IDLE_WAIT_S`.
+        """
         now = self.now()
         while self._heap and self._heap[0][0] <= now:
             _, _, timer = heapq.heappop(self._heap)
@@ -153,6 +167,11 @@
                 timer.callback()
             except Exception:
                 logger.exception("event=timer_failed")
+        while self._heap and self._heap[0][2].cancelled:
+            heapq.heappop(self._heap)
+        if not self._heap:
+            return IDLE_WAIT_S
+        return min(IDLE_WAIT_S, max(0.0, self._heap[0][0] - self.now()))
 
 
 class Loop:
@@ -172,8 +191,8 @@
 
     def __init__(self, root: Component) -> None:
         self.root = root
-        self.poller = DirectPoller().register(root)
         self.timers = TimerService().register(root)
+        self.poller = DirectPoller(self.timers).register(root)
 
     def run(self) -> None:
         """Run until `stop` is called."""
--- /dev/null
+++ b/tests/test_loops.py
@@ -0,0 +1,149 @@
+"""Test the event loop: circuits' events, sockets and timers in one thread."""
+
+import os
+import signal
+import socket
+import time
+
+import pytest
+from circuits import Component, Event, handler
+
+from tarragonwind.adapters.loops import POLL_READ, SocketHandler, create_loop
+
+BYTES = 50
+LIMIT_S = 5.0
+
+
+class Fired(Event):
+    """Tell the recorder of a socket's byte or of a timer."""
+
+
+class Recorder(Component):
+    """Count circuits' events."""
+
+    channel = "*"
+
+    def __init__(self):
+        super().__init__()
+        self.fired = 0
+        self.polls = 0
+
+    @handler("Fired")
+    def _on_fired(self):
+        self.fired += 1
+
+    @handler("generate_events", priority=10)
+    def _on_generate_events(self, event):
+        self.polls += 1
+
+
+class Echo(SocketHandler):
+    """Read one byte at a time and call back."""
+
+    def __init__(self, loop, on_byte):
+        self.loop = loop
+        self.on_byte = on_byte
+        self.reader, self.writer = socket.socketpair()
+        loop.poller.add_handler(self.reader.fileno(), self, POLL_READ)
+
+    def on_ready(self, events):
+        self.reader.recv(1)
+        self.on_byte()
+
+    def close(self):
+        self.loop.poller.remove_handler(self.reader.fileno())
+        self.reader.close()
+        self.writer.close()
+
+
+@pytest.fixture
+def loop():
+    loop = create_loop()
+    loop.timers.call_later(LIMIT_S, loop.stop)
+    return loop
+
+
+@pytest.fixture
+def recorder(loop):
+    return Recorder().register(loop.root)
+
+
+def test_circuits_dispatches_what_a_socket_handler_fires(loop, recorder):
+    def on_byte():
+        loop.root.fire(Fired(), "*")
+        if recorder.fired < BYTES:
+            echo.writer.send(b"x")
+        else:
+            loop.stop()
+
+    echo = Echo(loop, on_byte)
+    echo.writer.send(b"x")
+    loop.run()
+    echo.close()
+    assert recorder.fired >= BYTES
+
+
+def test_circuits_dispatches_what_a_timer_fires_before_the_next_timer(loop, recorder):
+    seen = []
+    loop.timers.call_later(0.05, lambda: loop.root.fire(Fired(), "*"))
+    loop.timers.call_later(0.15, lambda: (seen.append(recorder.fired), loop.stop()))
+    loop.run()
+    assert seen == [1]
+
+
+def test_sockets_and_timers_need_no_event_of_circuits(loop, recorder):
+    reads = []
+
+    def on_byte():
+        reads.append(None)
+        if len(reads) < BYTES:
+            echo.writer.send(b"x")
+        else:
+            loop.stop()
+
+    echo = Echo(loop, on_byte)
+    loop.timers.call_later(0.05, lambda: echo.writer.send(b"x"))
+    loop.run()
+    echo.close()
+    assert len(reads) == BYTES
+    assert recorder.polls < BYTES / 5
+
+
+def test_timers_run_on_time_while_sockets_are_always_ready(loop):
+    echo = Echo(loop, lambda: echo.writer.send(b"x"))
+    echo.writer.send(b"x")
+    begin = loop.timers.now()
+    ended = []
+    loop.timers.call_later(0.1, lambda: (ended.append(loop.timers.now()), loop.stop()))
+    loop.run()
+    echo.close()
+    assert 0.1 <= ended[0] - begin < 0.2
+
+
+def test_a_failure_of_a_handler_or_a_timer_does_not_end_the_loop(loop):
+    calls = []
+
+    def fail():
+        calls.append(None)
+        raise ValueError("expected by the test")
+
+    echo = Echo(loop, fail)
+    echo.writer.send(b"x")
+    loop.timers.call_later(0.05, fail)
+    loop.timers.call_later(0.1, loop.stop)
+    loop.run()
+    echo.close()
+    assert len(calls) == 2
+
+
+def test_a_signal_ends_an_idle_loop_at_once(loop):
+    loop.timers.call_later(0.1, lambda: os.kill(os.getpid(), signal.SIGTERM))
+    begin = time.monotonic()
+    handlers = {number: signal.getsignal(number) for number in (signal.SIGINT, signal.SIGTERM)}
+    try:
+        with pytest.raises(SystemExit):
+            loop.run()
+    finally:
+        for number, previous in handlers.items():
+            signal.signal(number, previous)
+    assert time.monotonic() - begin < 1.0
