Hold new requests after a pause until the copy of the store is current

Callers saw: a host that had been stopped for 6 s (SIGSTOP) served eight requests with a key that had been withdrawn 6 s before; 5 s are allowed.

Cause: after the pause the sockets of callers and the one with the store's changes are ready at the same time, and callers may be read first. A watch that lets changes gather also reads the last ones up to 1.2 s later.

The loop now notices that a poll, or what ran before it, took 1 s too long, and tells so before it reads a socket. New requests are then held until one read of a short key shows that the copy has the store's revision, or all keys are read again; at most 1 s, after which the store counts as unreachable. Both daemons have it.

Requests that were read before the pause are not held: their permits and times are checked as before.

--- a/tarragonwind/adapters/gateway_contexts.py
+++ b/tarragonwind/adapters/gateway_contexts.py
@@ -16,6 +16,7 @@
 from tarragonwind.core.retry_budgets import RetryBudget, RetryBudgetSettings
 from tarragonwind.core.schedulers import Scheduler
 from tarragonwind.errors import ErrorKind, RequestError
+from tarragonwind.futures import Future
 from tarragonwind.settings import LimitSettings, UpstreamSettings
 from tarragonwind.telemetry import Telemetry, create_unexported_telemetry
 
@@ -73,6 +74,8 @@
         Token allotments of organisations over all hosts; None if not configured.
     on_upstream_leaving : callable
         Called with the entry of an upstream that has announced its leaving in a response.
+    hold : callable
+        Returns a future that new requests wait for, or None if they need not wait.
     sheds : list of int
         Number of requests shed since the start, by tier.
     stopping : bool
@@ -97,6 +100,7 @@
     retries: RetryBudget = field(default_factory=lambda: RetryBudget(RetryBudgetSettings()))
     allotments: Allotments | None = None
     on_upstream_leaving: Callable[[UpstreamEntry], None] = lambda entry: None
+    hold: Callable[[], Future[None] | None] = lambda: None
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     stopping: bool = False
     waiting_requests: int = 0
--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -24,6 +24,8 @@
 POLL_WRITE = select.EPOLLOUT
 IDLE_WAIT_S = 10.0
 """Longest wait of one poll, in seconds."""
+PAUSE_S = 1.0
+"""Delay of a poll from which the process counts as paused, in seconds."""
 PERIOD_ROUNDING = 1e-6
 """Fraction of a period by which a due time may be rounded down."""
 
@@ -47,6 +49,15 @@
         super().__init__(channel=self.channel)
         self._socket_handlers: dict[int, SocketHandler] = {}
         self._timers = timers
+        self._polled_at: float | None = None
+        self._resume_listeners: list[Callable[[float], None]] = []
+
+    def subscribe_resumed(self, listener: Callable[[float], None]) -> None:
+        """Call `listener` with the length of each pause of the process, in seconds, after it.
+
+        It is called before the sockets that became ready during the pause are read.
+        """
+        self._resume_listeners.append(listener)
 
     def add_handler(self, fileno: int, socket_handler: SocketHandler, events: int) -> None:
         """Call `socket_handler` when `fileno` is ready for `events`."""
@@ -63,13 +74,31 @@
             self._poller.unregister(fileno)
 
     def _generate_events(self, event: Any) -> None:
-        super()._generate_events(event)
+        self._poll(event.time_left)
         while not self._circuits_has_work():
             wait_s = self._timers.run_due()
             if self._circuits_has_work():
                 return
-            for fileno, events in self._poller.poll(wait_s):
-                self._process(fileno, events)
+            self._poll(wait_s)
+
+    def _poll(self, wait_s: float) -> None:
+        begin = self._timers.now()
+        ready = self._poller.poll(wait_s)
+        self._detect_pause(begin, wait_s)
+        for fileno, events in ready:
+            self._process(fileno, events)
+
+    def _detect_pause(self, begin: float, wait_s: float) -> None:
+        """Call the listeners if this poll, or what ran before it, took much too long."""
+        now = self._timers.now()
+        busy_s = begin - self._polled_at if self._polled_at is not None else 0.0
+        late_s = busy_s + max(0.0, now - begin - wait_s)
+        self._polled_at = now
+        if late_s < PAUSE_S:
+            return
+        logger.warning("event=process_was_paused late_s={:.3f}", late_s)
+        for listener in self._resume_listeners:
+            listener(late_s)
 
     def _circuits_has_work(self) -> bool:
         root = self.root
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -127,6 +127,7 @@
     async def _run(self) -> None:
         if self._context.stopping:
             raise RequestError(ErrorKind.STOPPING, "this host is stopping; ask again")
+        await self._wait_while_held()
         catalogue = self._context.catalogue()
         if catalogue is None:
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
@@ -156,6 +157,12 @@
             self._cursor = StreamCursor(request_class.after_event)
         await self._dispatch_until_ended(request_class, scheduling_request)
 
+    async def _wait_while_held(self) -> None:
+        while (held := self._context.hold()) is not None:
+            await held
+            if self._exchange.disconnected:
+                raise FutureCancelled
+
     async def _dispatch_until_ended(
         self, request_class: RequestClass, scheduling_request: SchedulingRequest
     ) -> None:
--- a/tarragonwind/catalogue_watchers.py
+++ b/tarragonwind/catalogue_watchers.py
@@ -162,6 +162,16 @@
         self._polling = spawn(self._poll())
         self._polling.add_callback(self._after_poll)
 
+    async def catch_up(self) -> None:
+        """Return when all changes that the store had accepted before the call are applied.
+
+        Raises
+        ------
+        StoreError
+            If the store can't be read.
+        """
+        await self._catch_up(await self._reader.read_head())
+
     def _after_poll(self, task: Future[None]) -> None:
         if self._stopped:
             return
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -38,6 +38,7 @@
 from tarragonwind.graceful_shutdowns import GracefulShutdown
 from tarragonwind.logs import configure_logs
 from tarragonwind.move_runners import MoveRunner
+from tarragonwind.pause_guards import PauseGuard
 from tarragonwind.pool_orders import PoolOrderRunners
 from tarragonwind.ports import Address
 from tarragonwind.schedulers import PermitScheduler
@@ -95,6 +96,8 @@
         self.allotments = AllotmentRunner(
             self.membership, self.peers, loop.timers, allotment_settings(cfg)
         )
+        self.pause_guard = PauseGuard(self.catalogue.watcher.catch_up, loop.timers)
+        loop.poller.subscribe_resumed(self.pause_guard.on_resumed)
         self.gateway = self._create_gateway(f"{cfg.host.name}-{incarnation:x}")
         self.stop = GracefulShutdown(
             self.gateway, self.membership, loop.timers, cfg.stop, self._end
@@ -121,6 +124,7 @@
             id_prefix,
             retries=RetryBudget(retry_budget_settings(cfg)),
             allotments=self.allotments,
+            hold=self.pause_guard.held,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
         return Gateway(address, http_limits(cfg.callers), context)
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -39,6 +39,7 @@
 from tarragonwind.graceful_shutdowns import GracefulShutdown
 from tarragonwind.host_leases import FleetMonitor, HostLease, pack_address
 from tarragonwind.logs import configure_logs
+from tarragonwind.pause_guards import PauseGuard
 from tarragonwind.platform import rollouts as platform_rollouts
 from tarragonwind.platform import stores as platform_stores
 from tarragonwind.platform.callers import PlatformDialect
@@ -192,6 +193,8 @@
             timers,
         )
         self.configuration.subscribe(self._on_catalogue)
+        self.pause_guard = PauseGuard(lambda: self.mirror.catch_up(key), timers)
+        loop.poller.subscribe_resumed(self.pause_guard.on_resumed)
         self.departures = UpstreamDepartures(
             self.membership, self.peers, self.configuration.mark_leaving
         )
@@ -216,6 +219,7 @@
             retries=RetryBudget(retry_budget_settings(cfg)),
             allotments=self.allotments,
             on_upstream_leaving=self.departures.announce,
+            hold=self.pause_guard.held,
         )
         address = Address(cfg.callers.listen_host, cfg.callers.listen_port)
         return Gateway(address, http_limits(cfg.callers), context, sock)
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -148,25 +148,51 @@
             self._watch.known_revision = self.state.position.revision
         self.notify_listeners(applied, source)
 
+    async def catch_up(self, key: str) -> None:
+        """Return when the copy has all that the store had accepted before the call.
+
+        A copy that has not been loaded yet is left to the first read.
+
+        Parameters
+        ----------
+        key : str
+            Key with a short value, whose read tells the revision of the store.
+
+        Raises
+        ------
+        StoreError
+            If the store can't be read.
+        """
+        if not self.state.loaded:
+            return
+        head = await self._store.read_range(key)
+        if StorePosition(head.era, head.revision) > self.state.position:
+            await self._read_all()
+
     async def _run(self) -> None:
         while not self._stopped:
             try:
-                result = await self._store.read_range(self.prefix)
+                position = await self._read_all()
             except StoreError as exc:
                 self._mark_unavailable(str(exc))
                 await delay(self._timers, RETRY_DELAY_S * self._jitter())
                 continue
             self._mark_available()
-            position = StorePosition(result.era, result.revision)
-            items = [
-                MirrorItem(one.key, one.value, StorePosition(result.era, one.mod_revision))
-                for one in result.items
-            ]
-            self.apply_snapshot(items, position, "store")
             reason = await self._watch_from(position)
             logger.info("event=watch_ended prefix={} reason={!r}", self.prefix, reason)
             await delay(self._timers, REWATCH_DELAY_S * self._jitter())
 
+    async def _read_all(self) -> StorePosition:
+        """Read and apply all keys; return the position of the store at that time."""
+        result = await self._store.read_range(self.prefix)
+        position = StorePosition(result.era, result.revision)
+        items = [
+            MirrorItem(one.key, one.value, StorePosition(result.era, one.mod_revision))
+            for one in result.items
+        ]
+        self.apply_snapshot(items, position, "store")
+        return position
+
     async def _watch_from(self, position: StorePosition) -> str:
         ended: Future[str] = Future()
         era = position.era
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -8,7 +8,7 @@
 import pytest
 from circuits import Component, Event, handler
 
-from tarragonwind.adapters.loops import POLL_READ, SocketHandler, create_loop
+from tarragonwind.adapters.loops import PAUSE_S, POLL_READ, SocketHandler, create_loop
 
 BYTES = 50
 LIMIT_S = 5.0
@@ -147,3 +147,26 @@
         for number, previous in handlers.items():
             signal.signal(number, previous)
     assert time.monotonic() - begin < 1.0
+
+
+def test_a_pause_is_told_before_the_sockets_that_became_ready_in_it_are_read(loop):
+    order = []
+    loop.poller.subscribe_resumed(lambda late_s: order.append(round(late_s)))
+    echo = Echo(loop, lambda: (order.append("read"), loop.stop()))
+
+    def pause():
+        echo.writer.send(b"x")
+        time.sleep(PAUSE_S + 0.2)
+
+    loop.timers.call_later(0.05, pause)
+    loop.run()
+    echo.close()
+    assert order == [1, "read"]
+
+
+def test_idle_waits_are_no_pause(loop):
+    pauses = []
+    loop.poller.subscribe_resumed(pauses.append)
+    loop.timers.call_later(PAUSE_S + 0.5, loop.stop)
+    loop.run()
+    assert not pauses
--- /dev/null
+++ b/tests/test_pause_guards.py
@@ -0,0 +1,93 @@
+"""Test that new requests are held after a pause until the copy of the store is current."""
+
+import random
+
+from bench.virtual_clocks import VirtualTimers
+from tarragonwind.errors import StoreError
+from tarragonwind.futures import Future
+from tarragonwind.pause_guards import MAX_HOLD_S, PauseGuard
+from tarragonwind.ports import Put
+from tarragonwind.store_mirrors import StoreMirror
+from tests.store_fakes import FaultyStore, settle
+
+
+class Copy:
+    """Catch up when told to, or fail."""
+
+    def __init__(self):
+        self.calls = 0
+        self.answer = Future()
+
+    async def catch_up(self):
+        self.calls += 1
+        await self.answer
+
+
+def create():
+    timers = VirtualTimers()
+    copy = Copy()
+    return timers, copy, PauseGuard(copy.catch_up, timers)
+
+
+def test_requests_are_held_until_the_copy_is_current():
+    _, copy, guard = create()
+    assert guard.held() is None
+    guard.on_resumed(2.0)
+    held = guard.held()
+    assert held is not None and not held.done()
+    copy.answer.set_result(None)
+    assert held.done() and guard.held() is None
+
+
+def test_a_failed_read_is_tried_again():
+    timers, copy, guard = create()
+    guard.on_resumed(2.0)
+    failed, copy.answer = copy.answer, Future()
+    failed.set_exception(StoreError("reset"))
+    held = guard.held()
+    assert held is not None
+    copy.answer.set_result(None)
+    timers.advance(0.2)
+    assert copy.calls == 2 and held.done()
+
+
+def test_requests_are_released_where_the_store_stays_unreachable():
+    timers, _, guard = create()
+    guard.on_resumed(2.0)
+    held = guard.held()
+    timers.advance(MAX_HOLD_S - 0.1)
+    assert not held.done()
+    timers.advance(0.2)
+    assert held.done() and guard.held() is None
+
+
+def test_a_second_pause_begins_a_hold_that_the_end_of_the_first_does_not_end():
+    timers, copy, guard = create()
+    guard.on_resumed(2.0)
+    first = guard.held()
+    timers.advance(MAX_HOLD_S / 2)
+    first_answer, copy.answer = copy.answer, Future()
+    guard.on_resumed(2.0)
+    second = guard.held()
+    first_answer.set_result(None)
+    assert first.done() and guard.held() is second and not second.done()
+    copy.answer.set_result(None)
+    assert second.done() and guard.held() is None
+
+
+def test_a_mirror_catches_up_with_what_its_watch_has_not_brought():
+    timers = VirtualTimers()
+    store = FaultyStore(timers)
+    mirror = StoreMirror("", store, timers, random.Random(1))
+    settle(timers, store.commit([], [Put("hosts/h0", b"h0"), Put("keys/k", b"in use")]))
+    mirror.start()
+    timers.advance(0.5)
+    store.freeze_watches()
+    settle(timers, store.commit([], [Put("keys/k", b"withdrawn")]))
+    timers.advance(0.5)
+    assert mirror.state.items["keys/k"].value == b"in use"
+    guard = PauseGuard(lambda: mirror.catch_up("hosts/h0"), timers)
+    guard.on_resumed(2.0)
+    timers.advance(0.5)
+    assert guard.held() is None
+    assert mirror.state.items["keys/k"].value == b"withdrawn"
