--- a/tests/test_paused_hosts.py
+++ b/tests/test_paused_hosts.py
@@ -1,5 +1,6 @@
 """Pause a host for seconds while what it knows lapses, with requests that wait meanwhile."""
 
+import signal
 import threading
 import time
 from contextlib import contextmanager
@@ -135,3 +136,14 @@
         assert statuses_of([sender]) <= {503, 504}
         late = [line for _, line in journal_lines(site, f"w-{number}") if line["at"] > sent_at + 2]
         assert not late
+
+
+def test_a_planned_stop_during_a_pause_cuts_off_no_request(site):
+    site.start(engines=1, services=2, hosts=2)
+    with paused(site):
+        senders = send_all(site, "s")
+        time.sleep(SENT_BEFORE_END_S)
+        site.fleet.processes["front-1"].process.send_signal(signal.SIGTERM)
+        time.sleep(PAUSE_S / 3)
+    assert statuses_of(senders) <= {200, 503}
+    assert site.fleet.processes["front-1"].process.wait(10) == 0
