End a stream whose upstream sends bytes but ends no event

Callers saw: an upstream that stalls inside an event and sends a byte now and then kept the caller and its slot for ever, as each byte began the idle time anew. On the users' platform the request's deadline ends it; the product's own deadline is that of the first byte.

Progress of an event stream is now the end of an event. Plain answers have no such parts; for them each byte still counts.

--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -127,6 +127,7 @@
         "_dispatched_at",
         "_exchange",
         "_last_data_at",
+        "_last_progress_at",
         "_lifecycle",
         "_options",
         "_paused",
@@ -177,6 +178,7 @@
         self._exchange: ClientExchange | None = None
         self._dispatched_at = timers.now()
         self._last_data_at = 0.0
+        self._last_progress_at = 0.0
         self._paused = False
         self._stream_id = ""
         self._resumes = 0
@@ -231,6 +233,7 @@
         """Start the caller's response, unless the upstream refused the request."""
         self.status = status
         self._on_data_arrived()
+        self._last_progress_at = self._last_data_at
         self.notice = self._options.read_notice(status, headers)
         self.on_notice(self.notice)
         kind = self._options.classify_response(status, headers)
@@ -280,8 +283,8 @@
         if not self.first_byte_s:
             self.first_byte_s = self._last_data_at - self._dispatched_at
             self.on_first_byte()
-        if self.tail is not None:
-            self.tail.feed(data)
+        if self.tail is None or self.tail.feed(data):
+            self._last_progress_at = self._last_data_at
         if self.buffered_response is not None:
             self._buffer(self.buffered_response, data)
             return
@@ -398,7 +401,7 @@
         """Resume reading the upstream after back-pressure."""
         if self._paused and self._exchange is not None:
             self._paused = False
-            self._last_data_at = self._timers.now()
+            self._last_data_at = self._last_progress_at = self._timers.now()
             self._exchange.resume()
 
     def on_caller_disconnected(self) -> None:
@@ -459,9 +462,10 @@
             self._finish(DispatchOutcome.DEADLINE_PASSED)
             self._cancel_exchange()
             return
-        silent_s = self._timers.now() - self._last_data_at
+        # An upstream that sends single bytes of an event has stalled too.
+        stalled_s = self._timers.now() - self._last_progress_at
         bounded = self._options.deadline_is_total
-        if not bounded and (self._paused or silent_s < self._options.idle_timeout_s):
+        if not bounded and (self._paused or stalled_s < self._options.idle_timeout_s):
             self._restart_timer()
             return
         self.reason = "the answer took too long" if bounded else "the answer stalled"
--- a/tarragonwind/core/stream_cursors.py
+++ b/tarragonwind/core/stream_cursors.py
@@ -22,11 +22,12 @@
     def __init__(self) -> None:
         self._last_bytes = b""
 
-    def feed(self, data: bytes) -> None:
-        """Append data of the stream."""
-        self._last_bytes = (self._last_bytes + data[-LONGEST_EVENT_END_BYTES:])[
-            -LONGEST_EVENT_END_BYTES:
-        ]
+    def feed(self, data: bytes) -> bool:
+        """Append data of the stream; return whether an event ends in it."""
+        known = len(self._last_bytes)
+        joined = self._last_bytes + data
+        self._last_bytes = joined[-LONGEST_EVENT_END_BYTES:]
+        return any(match.end() > known for match in _BLANK_LINE.finditer(joined))
 
     @property
     def empty(self) -> bool:
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -343,7 +343,8 @@
     first_byte_timeout_s : float
         Timeout from dispatch to the first byte of the response, in seconds.
     idle_timeout_s : float
-        Longest time between two bytes of a response, in seconds.
+        Longest time between two bytes of a response, and between the ends of two events of an event
+        stream, in seconds.
     kept_connections : int
         Maximum number of idle connections kept open to each upstream.
     """
