Count the idle time of a connection from the last byte of its response

Callers saw: a caller that read a response for longer than the idle limit found its kept connection closed when it sent the next request, up to one limit after it had read the last byte.

Cause: the timer looked only whether bytes were unsent at that moment, and closed when the last of them had gone out just before. Now a response that has made progress since the last look counts as being sent.

--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -156,6 +156,7 @@
             self._go_on_reading()
         else:
             self._progress_at = self._server.loop.timers.now()
+            self._sent_at_stall_check = self._conn.sent_bytes
             self._begin_phase(ReadPhase.IDLE)
 
     def close(self) -> None:
@@ -241,13 +242,14 @@
             self._close_when_sent()
 
     def _awaits_caller(self) -> bool:
-        """Return whether the last response is being sent, to a caller that has not stalled."""
-        if not self._conn.unsent:
-            return False
+        """Return whether the last response was being sent, to a caller that has not stalled."""
         now = self._server.loop.timers.now()
         if self._conn.sent_bytes != self._sent_at_stall_check:
             self._sent_at_stall_check = self._conn.sent_bytes
             self._progress_at = now
+            return True
+        if not self._conn.unsent:
+            return False
         return now - self._progress_at < self._server.limits.stall_timeout_s
 
     def _start_stall_timer(self) -> None:
--- a/tests/test_unsent_responses.py
+++ b/tests/test_unsent_responses.py
@@ -16,6 +16,8 @@
 BODY_BYTES = 16 * 1024 * 1024
 """More than the socket buffers of both sides take."""
 IDLE_S = 0.3
+PAUSE_S = 0.1
+"""Time from a response that was read whole to the next request: well within the idle limit."""
 BUFFER_BYTES = 64 * 1024
 
 
@@ -88,12 +90,16 @@
     assert caller.is_whole(caller.read_response())
 
 
-def test_a_request_after_a_response_that_outlasted_the_idle_limit_is_answered(served, server):
+@pytest.mark.parametrize("before_s", [0.0, 0.01, 0.02, 0.03, 0.05, 0.1])
+def test_a_request_after_a_response_that_outlasted_the_idle_limit_is_answered(
+    served, server, before_s
+):
     server.limits.idle_timeout_s = IDLE_S
     caller = SlowCaller(server.address.port)
     caller.send()
     wait_until(lambda: served.count == 1, "the response is being sent")
-    time.sleep(2 * IDLE_S)
+    time.sleep(2 * IDLE_S - before_s)
     assert caller.is_whole(caller.read_response())
+    time.sleep(PAUSE_S)
     caller.send()
     assert caller.is_whole(caller.read_response())
