Read at a stop what callers had sent before it

Cause: the listening socket was closed with what waited in it, and idle connections were closed without a look at their input, which makes the close a reset. Now a stop first accepts what waits in the backlog; an idle connection is closed when it has no unread input, and a new one after 0.25 s without a request.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -422,7 +422,14 @@
 
     def on_ready(self, events: int) -> None:
         """Accept up to `ACCEPT_BATCH` waiting connections."""
-        for _ in range(ACCEPT_BATCH):
+        self._accept(ACCEPT_BATCH)
+
+    def accept_waiting(self) -> None:
+        """Accept all connections that wait in the backlog; closing the socket would reset them."""
+        self._accept(LISTEN_BACKLOG)
+
+    def _accept(self, limit: int) -> None:
+        for _ in range(limit):
             try:
                 sock, peer = self._sock.accept()
             except OSError:
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -83,9 +83,9 @@
         self.context.stopping = True
         self._server.stop()
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
-        self._server.close_idle()
+    def close_idle(self) -> int:
+        """Close the connections without a request; return how many wait for theirs to be read."""
+        return self._server.close_idle()
 
     @property
     def in_progress(self) -> int:
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -20,11 +20,15 @@
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.ports import Address, Timer
 
+FIRST_REQUEST_S = 0.25
+"""Time that a new connection has for its first request once the server stops, in seconds."""
+
 
 class CallerConnection(ConnectionEvents):
     """Read requests from one caller's connection and respond to them in order."""
 
     __slots__ = (
+        "_accepted_at",
         "_conn",
         "_current",
         "_error",
@@ -32,6 +36,7 @@
         "_phase",
         "_phase_began",
         "_progress_at",
+        "_requested",
         "_sent_at_stall_check",
         "_server",
         "_timer",
@@ -50,6 +55,8 @@
         self._phase = ReadPhase.IDLE
         self._phase_began = 0.0
         self._progress_at = 0.0
+        self._accepted_at = server.loop.timers.now()
+        self._requested = False
         self._begin_phase(ReadPhase.IDLE)
 
     @property
@@ -76,6 +83,12 @@
         busy = self._current is not None or self._parser.ready or self.reading
         return not busy and not self._conn.unsent
 
+    @property
+    def expects_request(self) -> bool:
+        """Return whether a request has been received and not read, or the first one is due."""
+        age_s = self._server.loop.timers.now() - self._accepted_at
+        return self._conn.has_input() or (not self._requested and age_s < FIRST_REQUEST_S)
+
     def write(self, data: bytes) -> None:
         """Send response bytes, and start the stall timer if the caller reads too slowly."""
         self._conn.write(data)
@@ -184,6 +197,7 @@
         if self._current is not None or self._conn.closed:
             return
         self._stop_timer()
+        self._requested = True
         if self._parser.ready:
             exchange = CallerExchange(self, self._parser.ready.popleft())
             self._current = exchange
@@ -340,21 +354,32 @@
         self.stopping = True
 
     def stop(self) -> None:
-        """Refuse new connections and keep serving the open ones.
+        """Refuse new connections and keep serving the open ones, with those in the backlog.
 
         Idle connections stay open, since a request may already be on its way.
         """
         self.stopping = True
+        self._listener.accept_waiting()
         self._listener.close()
 
-    def close_idle(self) -> None:
+    def close_idle(self) -> int:
         """Close the connections that have no request or response in progress.
 
         A request that arrives at the same time is not read, so its caller can infer that it has
         not run.
+
+        Returns
+        -------
+        int
+            Number of idle connections left open, as a request is to be read there first.
         """
+        left_open = 0
         for conn in [conn for conn in self._connections if conn.idle]:
-            conn.close()
+            if conn.expects_request:
+                left_open += 1
+            else:
+                conn.close()
+        return left_open
 
     def remove_connection(self, conn: CallerConnection) -> None:
         """Remove a closed connection."""
--- a/tarragonwind/graceful_shutdowns.py
+++ b/tarragonwind/graceful_shutdowns.py
@@ -69,11 +69,11 @@
 
     def _stop_accepting(self) -> None:
         self._gateway.stop()
-        self._gateway.close_idle()
         self._wait_for_requests(self._timers.now() + self._cfg.grace_s)
 
     def _wait_for_requests(self, deadline: float) -> None:
-        unfinished = self._gateway.in_progress or self._gateway.unsent_bytes
+        unread = self._gateway.close_idle()
+        unfinished = unread or self._gateway.in_progress or self._gateway.unsent_bytes
         if unfinished and self._timers.now() < deadline:
             self._timers.call_later(POLL_S, lambda: self._wait_for_requests(deadline))
             return
