--- a/tarragonwind/pause_guards.py
+++ b/tarragonwind/pause_guards.py
@@ -55,8 +55,11 @@
             except StoreError as exc:
                 logger.warning("event=store_unread_after_pause reason={!r}", str(exc))
                 await delay(self._timers, RETRY_DELAY_S)
-                continue
-            self._release(held)
+            except Exception:
+                logger.exception("event=catch_up_failed")
+                return
+            else:
+                self._release(held)
 
     def _release(self, held: Future[None], failure: str = "") -> None:
         if held.done():
--- a/tests/test_pause_guards.py
+++ b/tests/test_pause_guards.py
@@ -2,6 +2,8 @@
 
 import random
 
+from loguru import logger
+
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
@@ -61,6 +63,18 @@
     assert held.done() and guard.held() is None
 
 
+def test_an_unexpected_failure_is_logged_and_ends_the_hold_at_its_limit():
+    timers, copy, guard = create()
+    lines = []
+    sink = logger.add(lines.append)
+    guard.on_resumed(2.0)
+    copy.answer.set_exception(ValueError("expected by the test"))
+    timers.advance(MAX_HOLD_S + 0.1)
+    logger.remove(sink)
+    assert copy.calls == 1 and guard.held() is None
+    assert any("event=catch_up_failed" in line for line in lines)
+
+
 def test_a_second_pause_begins_a_hold_that_the_end_of_the_first_does_not_end():
     timers, copy, guard = create()
     guard.on_resumed(2.0)
