Give the fleets of several test processes ports that no host uses

The hosts' logs (kept) show the cause: "Address already in use", 127.0.0.11 to 13, port 23096, the one of the metrics page.

Cause: a port counted as free when nobody listened on 127.0.0.1, where the hosts of these fleets do not listen, so that two test processes whose sequences of numbers had met could take the same one; and the metrics page takes the number after the peers' port, which was not looked at. No fault of the program.

--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -20,6 +20,8 @@
 import yaml
 
 LOOPBACK = "127.0.0.1"
+HOST_ADDRESSES = tuple(f"127.0.0.{11 + number}" for number in range(8))
+"""Loopback addresses of entry hosts that share their port numbers."""
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 PORT_STEP = 97
@@ -111,19 +113,37 @@
         return json.loads(self.body)
 
 
+def is_free(port: int) -> bool:
+    """Return whether no process listens on a port of one of the loopback addresses."""
+    try:
+        for address in (LOOPBACK, *HOST_ADDRESSES):
+            socket.create_server((address, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def free_port() -> int:
-    """Find a port of the loopback address that no process listens on.
+    """Find a port that no process listens on, at the loopback address or that of a host.
 
     Only ports below the system's ephemeral range are tried, so that no outgoing connection takes
     the port before the process that is to listen on it has started.
     """
     for _ in range(LAST_PORT - FIRST_PORT):
         port = next(_PORTS)
-        with contextlib.suppress(OSError), socket.create_server((LOOPBACK, port)):
+        if is_free(port):
             return port
     raise FleetError(f"no free port from {FIRST_PORT} to {LAST_PORT - 1} on {LOOPBACK}")
 
 
+def consecutive_ports() -> tuple[int, int]:
+    """Find two consecutive ports that no process listens on."""
+    first = free_port()
+    while (second := free_port()) != first + 1:
+        first = second
+    return first, second
+
+
 def call(
     port: int,
     method: str,
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -12,7 +12,16 @@
 from pathlib import Path
 from typing import Any
 
-from standins.fleets import Fleet, FleetProcess, call, free_port, set_faults, wait_until
+from standins.fleets import (
+    HOST_ADDRESSES,
+    Fleet,
+    FleetProcess,
+    call,
+    consecutive_ports,
+    free_port,
+    set_faults,
+    wait_until,
+)
 
 AUTHORITY = "fleet.example"
 KEYS = {"officina": "key-officina", "cantiere": "key-cantiere"}
@@ -87,11 +96,10 @@
             self.start_back_end(f"i-engine{number}", "drafting")
         for number in range(services):
             self.start_back_end(f"i-service{number}", "registry")
-        names = ("callers", "ready", "peers", "metrics", "operators")
-        self.ports = {name: free_port() for name in names}
-        self.ports["metrics"] = self.ports["peers"] + 1
+        self.ports = {name: free_port() for name in ("callers", "ready", "operators")}
+        self.ports["peers"], self.ports["metrics"] = consecutive_ports()
         for number in range(hosts):
-            self.addresses[f"front-{number}"] = f"127.0.0.{11 + number}"
+            self.addresses[f"front-{number}"] = HOST_ADDRESSES[number]
         for name in self.addresses:
             self.start_host(name)
         for name in self.addresses:
