Wait for the end of a hold in the context of the gateway

A caller that leaves while its request is held is noticed where one that leaves while its key is claimed is; a test shows that such a request gets no permit.

--- a/tarragonwind/adapters/gateway_contexts.py
+++ b/tarragonwind/adapters/gateway_contexts.py
@@ -107,6 +107,11 @@
     waiting_bytes: int = 0
     dispatched_requests: int = 0
 
+    async def wait_while_held(self) -> None:
+        """Return when new requests are not held."""
+        while (held := self.hold()) is not None:
+            await held
+
     def check_capacity(self, body_bytes: int) -> None:
         """Raise `RequestError` if another request would exceed the limits of this host."""
         limits = self.host_limits
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -127,7 +127,7 @@
     async def _run(self) -> None:
         if self._context.stopping:
             raise RequestError(ErrorKind.STOPPING, "this host is stopping; ask again")
-        await self._wait_while_held()
+        await self._context.wait_while_held()
         catalogue = self._context.catalogue()
         if catalogue is None:
             raise RequestError(ErrorKind.NO_CATALOGUE, "no catalogue is in force yet")
@@ -146,7 +146,7 @@
         )
         self._charge.take(now, request_class)
         await self._claim.take(request_class)
-        if request_class.idempotency_key and self._exchange.disconnected:
+        if self._exchange.disconnected:
             raise FutureCancelled
         scheduling_request = build_scheduling_request(request_class, self._started_at)
         self._context.retries.record_request(now, scheduling_request.pool)
@@ -157,12 +157,6 @@
             self._cursor = StreamCursor(request_class.after_event)
         await self._dispatch_until_ended(request_class, scheduling_request)
 
-    async def _wait_while_held(self) -> None:
-        while (held := self._context.hold()) is not None:
-            await held
-            if self._exchange.disconnected:
-                raise FutureCancelled
-
     async def _dispatch_until_ended(
         self, request_class: RequestClass, scheduling_request: SchedulingRequest
     ) -> None:
--- a/tests/test_pause_guards.py
+++ b/tests/test_pause_guards.py
@@ -1,16 +1,22 @@
 """Test that new requests are held after a pause until the copy of the store is current."""
 
+import json
 import random
+import socket
+import time
 
 from loguru import logger
 
 from bench.virtual_clocks import VirtualTimers
+from standins.fleets import wait_until
 from tarragonwind.errors import StoreError
 from tarragonwind.futures import Future
 from tarragonwind.pause_guards import MAX_HOLD_S, PauseGuard
 from tarragonwind.ports import Put
 from tarragonwind.store_mirrors import StoreMirror
 from tests.store_fakes import FaultyStore, settle
+from tests.support import TOKEN
+from tests.test_gateways import GatewayHarness, chat
 
 
 class Copy:
@@ -105,3 +111,22 @@
     timers.advance(0.5)
     assert guard.held() is None
     assert mirror.state.items["keys/k"].value == b"withdrawn"
+
+
+def test_a_request_whose_caller_leaves_while_it_is_held_is_not_sent():
+    harness = GatewayHarness()
+    held = Future()
+    holds = [held]
+    harness.gateway.context.hold = lambda: holds[-1] if holds else None
+    caller = socket.create_connection(("127.0.0.1", harness.gateway.address.port))
+    body = json.dumps(chat()).encode()
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n"
+    caller.sendall(head.encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+    wait_until(lambda: harness.gateway.in_progress == 1, "the request is held")
+    caller.close()
+    time.sleep(0.1)
+    holds.clear()
+    harness.runner.call(lambda: held.set_result(None))
+    wait_until(lambda: harness.gateway.in_progress == 0, "the request has ended")
+    assert harness.scheduler.scheduling_requests == []
+    harness.close()
