--- a/tests/test_catalogue_replicators.py
+++ b/tests/test_catalogue_replicators.py
@@ -9,6 +9,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.catalogue_replicators import broadcast_children
 from tarragonwind.catalogue_watchers import STORE_WATCHER_COUNT
+from tarragonwind.futures import spawn
 from tests.catalogue_samples import organisation, pool
 from tests.store_fakes import FaultyStore, settle
 
@@ -51,6 +52,18 @@
     assert len(watchers(fleet)) == STORE_WATCHER_COUNT
 
 
+def test_a_daemon_catches_up_with_the_store_when_it_is_asked_to(fleet, store):
+    behind = fleet.hosts["host-005"]
+    behind.service.watcher.stop()
+    fleet.partitioned_hosts.add(behind.name)
+    before = behind.number
+    writer = fleet.hosts["host-000"].service.writer
+    changes = settle(store.timers, writer.put(organisation("a"), "ana"))
+    assert behind.number == before < changes[-1].number
+    settle(store.timers, spawn(behind.service.watcher.catch_up()), 0.2)
+    assert behind.number == changes[-1].number
+
+
 def test_the_broadcast_tree_reaches_each_daemon_once():
     live = tuple(f"h{index:03}" for index in range(320))
     for origin in (live[0], live[123], live[-1]):
