Log the steps of a move and the evidence at its judge

The judge logs the tallies of both versions every 5 s and each host logs a changed step, so that the three hypotheses can be told apart.

--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -226,16 +226,20 @@
             return []
         return self._broadcast_facts(move)
 
+    def moves(self) -> list[HostMove]:
+        """Return all moves of the catalogue."""
+        return list(self._moves.values())
+
     def active_moves(self) -> list[HostMove]:
         """Return the moves in progress."""
-        return [move for move in self._moves.values() if self._is_active(move)]
+        return [move for move in self._moves.values() if self.is_active(move)]
 
     def tick(self, now: float, rng: random.Random) -> list[Outgoing]:
         """Return the due reports, shares and facts; call this every `TICK_PERIOD_S`."""
         outgoing: list[Outgoing] = []
         for move in list(self._moves.values()):
             move.detect_pause(now)
-            if self._is_active(move):
+            if self.is_active(move):
                 outgoing += self._tick_move(now, move)
             elif move.judge.taken_back and move.result is None:
                 self._record(now, move)
@@ -303,7 +307,8 @@
                 return version, move
         return version, None
 
-    def _is_active(self, move: HostMove) -> bool:
+    def is_active(self, move: HostMove) -> bool:
+        """Return whether a move is the one in progress in its pool."""
         return self._serving(move.entry.pool)[1] is move
 
     def _waiting_reason(self, now: float, move: HostMove) -> str:
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -305,6 +305,22 @@
                 reporting += 1
         return reporting >= MIN_REPORTING_FRACTION * len(live)
 
+    def describe_evidence(self) -> str:
+        """Return the tallies of both versions by signal, as fields of a log line."""
+        fields = []
+        for signal in Signal:
+            new = self._total(Side.NEW, signal)
+            old = self._total(Side.OLD, signal)
+            fields.append(f"{signal.name.lower()}={new.hits}/{new.trials},{old.hits}/{old.trials}")
+        return " ".join(fields)
+
+    def _total(self, side: Side, signal: Signal) -> Tally:
+        total = Tally(0, 0)
+        for key, cell in self.evidence.totals.items():
+            if key.side is side:
+                total = total + cell.tally(signal)
+        return total
+
     def is_suspect(self) -> bool:
         """Return whether the evidence of a regression is near its threshold."""
         return self.finding.excess > -SUSPICION_GAP
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -26,6 +26,8 @@
     MoveResult.DONE: MoveOutcome.DONE,
     MoveResult.TAKEN_BACK: MoveOutcome.TAKEN_BACK,
 }
+EVIDENCE_LOG_PERIOD_S = 5.0
+"""Time between two log lines of the evidence on a move at its judge, in seconds."""
 RESULTS = {outcome: result for result, outcome in OUTCOMES.items()}
 
 
@@ -74,6 +76,7 @@
     ) -> None:
         self.table = MoveTable(members, incarnation, self)
         self._name = members.name
+        self._members = members
         self._peers = peers
         self._timers = timers
         self._rng = rng
@@ -82,6 +85,7 @@
         self._recording: set[str] = set()
         self._version_listeners: list[Callable[[str], None]] = []
         self._serving: dict[str, ServingState] = {}
+        self._logged: dict[str, tuple[int, str, int]] = {}
         peers.subscribe(MoveReport, self._on_report)
         peers.subscribe(MoveShare, self._on_share)
         peers.subscribe(MoveFacts, self._on_facts)
@@ -213,8 +217,32 @@
 
     def _tick(self) -> None:
         self._send(self.table.tick(self._timers.wall(), self._rng))
+        self._log_changes()
         self._notify_version_changes()
 
+    def _log_changes(self) -> None:
+        """Log the moves whose step or rollback has changed; at the judge, also their evidence."""
+        period = int(self._timers.now() / EVIDENCE_LOG_PERIOD_S)
+        logged = {}
+        for move in self.table.moves():
+            is_judged_here = self.table.is_active(move) and self._owns(move.entry.pool)
+            state = (move.judge.step, move.judge.taken_back, period if is_judged_here else 0)
+            logged[move.move_id] = state
+            if state == self._logged.get(move.move_id, (0, "", 0)):
+                continue
+            logger.info(
+                "event=move_step move={} step={} taken_back={} why={!r} {}",
+                move.entry.name,
+                move.judge.step,
+                bool(move.judge.taken_back),
+                move.judge.taken_back or move.judge.why,
+                move.judge.describe_evidence(),
+            )
+        self._logged = logged
+
+    def _owns(self, pool: str) -> bool:
+        return self._members.owner_of(pool) == self._name
+
     def _send(self, outgoing: list[Outgoing]) -> None:
         for out in outgoing:
             self._peers.send(out.host, out.msg)
