Add failing tests of bad versions that stay in doubt, and list them

A simulated fleet of six hosts with an old version that has troubles too: a slow version got up to 503 requests where 180 are allowed, up to 198 of them later than 5 s after its 50th bad answer, and some completed. With five of six hosts cut off from all upstreams for 6 of 9 s, failing and slow versions got too many as well.

--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -235,7 +235,7 @@
                 move.entry.name,
                 move.judge.step,
                 bool(move.judge.taken_back),
-                move.judge.taken_back or move.judge.why,
+                move.judge.taken_back or (move.judge.why if is_judged_here else move.judge_why),
                 move.judge.describe_evidence(),
             )
         self._logged = logged
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -10,12 +10,14 @@
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState
 from tarragonwind.core.evidence import Side
 from tarragonwind.core.move_trials import Outcome
+from tarragonwind.core.permit_messages import Outcome as PermitOutcome
 from tarragonwind.core.rollouts import RolloutRecord, pack_record, unpack_record
 from tarragonwind.platform import rollouts as platform_rollouts
 from tarragonwind.platform.fields import DecodeError
 from tarragonwind.platform_daemons import ROLLOUT_CODEC
 from tarragonwind.ports import Delete, Put
 from tarragonwind.rollouts import RolloutRunner
+from tarragonwind.schedulers import trial_outcome
 from tarragonwind.store_mirrors import StoreMirror
 from tests.test_schedulers import LoopbackPeers, OneMember
 
@@ -180,6 +182,71 @@
         self.serve_version(version, **faults)
 
 
+class BusyFleetSite(RolloutFleetSite):
+    """Run rollouts where answers of the old version fail or are slow too, beside other faults."""
+
+    usual_share = 0.15
+    late_s = 5.0
+    limit = 50
+
+    def __init__(self, **versions):
+        super().__init__(**versions)
+        self.spoiled_at = []
+
+    def is_spoiled(self, version, faulty):
+        spoiled = self.rng.random() < (0.5 if version == faulty else self.usual_share)
+        if spoiled and version == faulty:
+            self.spoiled_at.append(self.timers.now())
+        return spoiled
+
+    def serve_version(self, version, bad=None, slow=None):
+        """Serve one request; half of the answers of a faulty version are spoiled."""
+        runner = self.runner
+        spoiled = self.is_spoiled(version, bad or slow)
+        answer_s = ANSWER_S * self.rng.uniform(0.5, 1.5) * (SLOWDOWN if spoiled and slow else 1.0)
+        self.sent.append((self.timers.now(), version))
+        trial = runner.start(POOL, "trade", version, 0.3)
+        if trial is not None:
+            outcome = Outcome.FAILED if spoiled and bad else Outcome.OK
+            self.timers.call_later(answer_s / 2, lambda: runner.first_byte(trial))
+            self.timers.call_later(answer_s, lambda: runner.finish(trial, outcome, 10))
+
+    def count_late(self, version):
+        """Return the requests to a version long after its answers were known to be bad."""
+        if len(self.spoiled_at) < self.limit:
+            return 0
+        known_at = self.spoiled_at[self.limit - 1] + self.late_s
+        return sum(at > known_at for at, each in self.sent if each == version)
+
+
+class CutFleetSite(RolloutFleetSite):
+    """Run rollouts beside hosts that are cut off from all upstreams from time to time."""
+
+    cut_s = 6.0
+    period_s = 9.0
+    deadline_s = 1.0
+
+    def serve(self, **faults):
+        is_cut_time = self.timers.now() % self.period_s < self.cut_s
+        owner = self.runners[0]
+        number = self.rng.randrange(len(self.runners))
+        version = owner.choose_version(self.timers.now(), self.rng, POOL, "trade") or "v1"
+        self.runner = self.runners[number]
+        if is_cut_time and number in self.cut_hosts:
+            self.serve_nothing(version)
+        else:
+            self.serve_version(version, **faults)
+
+    def serve_nothing(self, version):
+        """Send a request that gets no answer by its deadline."""
+        runner = self.runner
+        self.sent.append((self.timers.now(), version))
+        trial = runner.start(POOL, "trade", version, 0.3)
+        if trial is not None:
+            outcome = trial_outcome(PermitOutcome.TIMED_OUT)
+            self.timers.call_later(self.deadline_s, lambda: runner.finish(trial, outcome, 0))
+
+
 def test_without_an_order_any_version_serves():
     site = RolloutSite(v1=3, v2=1)
     site.load(1.0)
@@ -224,6 +291,34 @@
         assert site.share("v2") * sent <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
 
 
+@pytest.mark.parametrize("cut_hosts", [(0, 1, 2), (3, 4, 5), (1, 2, 3, 4, 5)])
+@pytest.mark.parametrize("fault", ["bad", "slow"])
+def test_requests_without_an_answer_at_cut_off_hosts_hide_no_bad_version(fault, cut_hosts):
+    for seed in range(1, 6):
+        site = CutFleetSite(v1=4, v2=4)
+        site.cut_hosts = cut_hosts
+        site.rng.seed(seed)
+        site.order("v2", 30.0)
+        site.load(30.0, rate=20.0, **{fault: "v2"})
+        sent = len(site.sent)
+        assert site.share("v2") * sent <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
+
+
+@pytest.mark.parametrize("rate", [15.0, 40.0])
+@pytest.mark.parametrize("fault", ["bad", "slow"])
+def test_a_version_in_doubt_gets_few_requests_while_the_old_one_has_troubles_too(fault, rate):
+    for seed in range(1, 11):
+        site = BusyFleetSite(v1=4, v2=4)
+        site.rng.seed(seed)
+        site.load(4.0, rate=rate, **{fault: "v2"})
+        site.order("v2", 32.0)
+        site.load(32.0, rate=rate, **{fault: "v2"})
+        sent = sum(at >= 4.0 for at, _ in site.sent)
+        exposed = sum(version == "v2" for _, version in site.sent)
+        assert exposed <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
+        assert site.count_late("v2") == 0
+
+
 @pytest.mark.parametrize("rate", [20.0, 60.0])
 def test_a_good_version_completes_in_time_on_several_hosts(rate):
     for seed in range(1, 6):
