Give a version in doubt the share of the first step again

Doubt stopped the next step and left the share where it was, and the sequential test needs more certainty than doubt. Now the owner's judge tells with each share whether it doubts the version; hosts then give it the first step's share until the doubt is gone. The step stays, so a doubt that proves wrong costs no time.

--- a/tarragonwind/core/host_moves.py
+++ b/tarragonwind/core/host_moves.py
@@ -7,7 +7,7 @@
 from tarragonwind.core.entries import MoveEntry, MoveState
 from tarragonwind.core.evidence import CellKey, LoadLevel, Side
 from tarragonwind.core.move_messages import MoveReport, MoveShare
-from tarragonwind.core.move_steps import LAST_SMALL_STEP, STEPS
+from tarragonwind.core.move_steps import FIRST_STEP, LAST_SMALL_STEP, STEPS
 from tarragonwind.core.move_trials import LatencyHistory, Trial, TrialCounter
 from tarragonwind.core.moves import (
     PAUSE_GAP_S,
@@ -69,6 +69,8 @@
         Recorded result, None if there is none.
     result_why : str
         Reason recorded with the result.
+    in_doubt : bool
+        Whether the owner's judge doubts the new version, which then gets the first step's share.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "acknowledged",
         "counter",
         "entry",
+        "in_doubt",
         "judge",
         "judge_why",
         "judging_until",
@@ -109,6 +112,7 @@
         self.judging_until = float("-inf")
         self._share_credits: dict[str, ShareCredit] = {}
         self._judge_seen_at = float("-inf")
+        self.in_doubt = False
         self._last_tick_at = now
         self._resumed_at = float("-inf")
 
@@ -146,9 +150,13 @@
         self.report_often = msg.report_often
         if is_owner:
             self.judge_why = msg.why
+            self.in_doubt = msg.in_doubt
 
     def share(self, now: float, report_period_s: float) -> float:
-        """Return the fraction of requests to route to the new version."""
+        """Return the fraction of requests to route to the new version.
+
+        While its judge doubts the version, it gets the share of the first step.
+        """
         if self.judge.taken_back or self.result is MoveResult.TAKEN_BACK:
             return 0.0
         if self.result is MoveResult.DONE:
@@ -157,7 +165,8 @@
             return 0.0
         if self.judge.step <= LAST_SMALL_STEP and self.lacks_judge(now, report_period_s):
             return 0.0
-        return STEPS[self.judge.step].share
+        step = min(self.judge.step, FIRST_STEP) if self.in_doubt else self.judge.step
+        return STEPS[step].share
 
     def draw(self, now: float, rng: random.Random, route: str, report_period_s: float) -> bool:
         """Return whether to route the next request of a route to the new version."""
--- a/tarragonwind/core/move_messages.py
+++ b/tarragonwind/core/move_messages.py
@@ -63,6 +63,8 @@
         Why the move is at this step.
     report_often : bool
         Whether the host should report at the minimum period.
+    in_doubt : bool
+        Whether the new version gets the share of the first step instead.
     """
 
     move_id: str
@@ -72,6 +74,7 @@
     acknowledged: int
     why: str
     report_often: bool
+    in_doubt: bool = False
 
 
 @message(52)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -382,7 +382,7 @@
             judge.why = COMPLETE_WHY
             if judge.can_complete(now, live, self.report_period_s):
                 self._record(now, move)
-        if judge.step == step:
+        if judge.step == step and bool(judge.doubt) == move.in_doubt:
             return []
         others = [host for host in live if host != self._members.name]
         return [Outgoing(host, self._create_share(move, host, 0)) for host in others]
@@ -417,7 +417,8 @@
             step_since=judge.step_since,
             acknowledged=acknowledged,
             why=judge.why,
-            report_often=judge.is_suspect(),
+            report_often=judge.is_suspect() or bool(judge.doubt),
+            in_doubt=bool(judge.doubt),
         )
 
     def _facts_of(self, move: HostMove) -> MoveFacts:
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -139,6 +139,8 @@
         Why the move was taken back, empty if it was not; never cleared.
     why : str
         Why the move is at its current step.
+    doubt : str
+        Why the new version seems worse than its step allows, empty if it does not.
     """
 
     __slots__ = (
@@ -147,6 +149,7 @@
         "_evaluated_at",
         "_reports",
         "_valid_from",
+        "doubt",
         "evidence",
         "finding",
         "incarnation",
@@ -165,6 +168,7 @@
         self.step_since = now
         self.taken_back = ""
         self.why = "not started"
+        self.doubt = ""
         self.finding: Finding = NO_FINDING
         period_s = max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move))
         expected = math.ceil(duration_s(move) / period_s)
@@ -210,6 +214,7 @@
         self.finding = self._find(now)
         if self.finding.excess >= 0.0:
             self.take_back(self.finding.why)
+        self.doubt = self._doubt(self.step)
 
     def _find(self, now: float) -> Finding:
         totals = self.evidence.totals
@@ -247,10 +252,10 @@
 
     def can_complete(self, now: float, live: Collection[str], report_period_s: float) -> bool:
         """Return whether "done" may be recorded: all traffic moved, no sign of a regression."""
-        if self.taken_back or self.step != COMPLETE_STEP or self.is_suspect():
+        if self.taken_back or self.step != COMPLETE_STEP:
             return False
         has_dwelt = now - self.step_since >= MIN_DWELL_FRACTION * duration_s(self.move)
-        if not has_dwelt or self._worse_signal(COMPLETE_STEP):
+        if not has_dwelt or self._doubt(COMPLETE_STEP):
             return False
         return self.has_enough_reports(now, live, report_period_s, COMPLETE_STEP)
 
@@ -261,13 +266,11 @@
             return "not started"
         if not self.has_enough_reports(now, live, report_period_s, 0):
             return "too few hosts have reported"
-        if self.is_suspect():
-            return f"under suspicion: {self.finding.why}"
         if step == FIRST_STEP:
             return ""
-        worse = self._worse_signal(step)
-        if worse:
-            return worse
+        doubt = self._doubt(step)
+        if doubt:
+            return doubt
         if now - self.step_since < MIN_DWELL_FRACTION * duration_s(self.move):
             return f"step {self.step} of {COMPLETE_STEP} in force"
         trials = self._trials()
@@ -351,6 +354,12 @@
                 total = total.plus(cell)
         return total
 
+    def _doubt(self, step: int) -> str:
+        """Return why the new version seems worse than a step allows, empty if it does not."""
+        if self.is_suspect():
+            return f"under suspicion: {self.finding.why}"
+        return self._worse_signal(step)
+
     def _worse_signal(self, step: int) -> str:
         """Return which signal is worse than a step's margin allows, empty if none is."""
         for signal in Signal:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -486,3 +486,15 @@
     table = sim.fleet.tables["host-0"]
     assert table.on_report(1.0, "host-1", MoveReport("other", 1, 1, 1.0, 0, 0.0, "", [])) == []
     assert table.apply_result(1.0, "other", MoveResult.DONE, "") == []
+
+
+def test_a_version_in_doubt_falls_back_to_the_first_share_on_every_host():
+    sim = SimulatedTraffic(rate=15.0)
+    sim.run_until(lambda: sim.has_step(4))
+    sim.failed["v2"] = 0.15
+    owner = sim.owner()
+    sim.run_until(lambda: sim.judge(owner).doubt)
+    sim.fleet.run_until(sim.fleet.now + 0.3)
+    assert not sim.judge(owner).taken_back
+    shares = {sim.fleet.tables[host].share(sim.fleet.now, POOL) for host in sim.running()}
+    assert shares == {STEPS[1].share}
