Bound the limit for slow requests by the old version's median

A request counted as slow above the old version's 0.9 quantile. When a tenth of the old version's answers or more are slow for other reasons, such as hosts that are cut off and engines that hang, that quantile lies among the slow times, and a slow version's answers are no longer slower than it. Three times the median is the most that the limit can be now: other troubles rarely reach the median.

--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -17,6 +17,9 @@
 SLOW_RATIO = 1.1
 """Minimum ratio to the `SLOW_QUANTILE` for a request to count as slow."""
 
+SLOW_MEDIAN_RATIO = 3.0
+"""Ratio to the median above which a request always counts as slow."""
+
 SLOW_MIN_EXCESS_S = 0.002
 """Minimum difference from the `SLOW_QUANTILE` that matters to callers, in seconds."""
 
@@ -276,6 +279,20 @@
         return math.inf
 
 
+def slow_limit_s(times: LatencyHistogram) -> float:
+    """Return the time above which a request counts as slow, in seconds.
+
+    A part of the old version's own times may be slow for other reasons. Its median is not, so
+    that a few multiples of it bound the limit.
+    """
+    high_s = times.quantile(SLOW_QUANTILE)
+    median_s = times.quantile(0.5)
+    return min(
+        max(high_s * SLOW_RATIO, high_s + SLOW_MIN_EXCESS_S),
+        max(median_s * SLOW_MEDIAN_RATIO, median_s + SLOW_MIN_EXCESS_S),
+    )
+
+
 class LatencyBaseline:
     """Track a high quantile of the old version's recent times as the limit for slow requests."""
 
@@ -307,7 +324,6 @@
             return None
         if self._limit_s is None or self._added * 16 >= total:
             merged = self._current.merge(self._previous)
-            slow_s = merged.quantile(SLOW_QUANTILE)
-            self._limit_s = max(slow_s * SLOW_RATIO, slow_s + SLOW_MIN_EXCESS_S)
+            self._limit_s = slow_limit_s(merged)
             self._added = 0
         return self._limit_s
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from tarragonwind.core.evidence import (
+    SLOW_MEDIAN_RATIO,
     SLOW_MIN_EXCESS_S,
     SLOW_RATIO,
     Cell,
@@ -95,3 +96,10 @@
     for second in range(400):
         baseline.add(float(second), 0.001)
     assert baseline.limit_s() == pytest.approx(0.001 + SLOW_MIN_EXCESS_S, rel=0.11)
+
+
+def test_slow_times_of_the_old_version_do_not_raise_the_limit_to_their_own():
+    baseline = LatencyBaseline()
+    for number in range(100):
+        baseline.add(float(number), 1.2 if number % 5 == 0 else 0.2)
+    assert baseline.limit_s() == pytest.approx(0.2 * SLOW_MEDIAN_RATIO, rel=0.11)
