Count missing responses apart from the failures that an upstream answers

A request that a cut host sends gets no answer whichever version it was for, but counted as failed and slow: both versions looked bad, and the excess of the bad one disappeared. A request without a complete response now counts under a signal of its own, `unanswered`, so failures and slow times hold only what upstreams answered. As cuts move it for both versions, it raises doubt at 2.5 standard errors where the others do at 1.5.

A message has two counts more, so hosts of one fleet need one version.

--- a/tarragonwind/adapters/dispatch_reports.py
+++ b/tarragonwind/adapters/dispatch_reports.py
@@ -4,7 +4,7 @@
 
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, Relay
 from tarragonwind.core.classifications import RequestClass
-from tarragonwind.core.dispatches import PERMIT_OUTCOMES, DispatchOutcome
+from tarragonwind.core.dispatches import COMPLETE_OUTCOMES, PERMIT_OUTCOMES, DispatchOutcome
 from tarragonwind.core.permit_messages import Outcome
 from tarragonwind.core.schedulers import DispatchReport
 from tarragonwind.errors import ErrorKind, RequestError
@@ -33,6 +33,7 @@
         relay.event_count,
         relay.notice.hold_s,
         relay.notice.limit_per_s is not None,
+        dispatch_outcome in COMPLETE_OUTCOMES,
     )
 
 
--- a/tarragonwind/core/dispatches.py
+++ b/tarragonwind/core/dispatches.py
@@ -44,6 +44,10 @@
 }
 """Permit outcome that is reported to the scheduler for each dispatch outcome."""
 
+COMPLETE_OUTCOMES = frozenset(
+    [DispatchOutcome.WHOLE, DispatchOutcome.REFUSED, DispatchOutcome.FAILURE_ANSWER]
+)
+"""Outcomes with a complete response of the upstream."""
 UNSENT_OUTCOMES = frozenset([DispatchOutcome.NOT_SENT, DispatchOutcome.MISDIRECTED])
 """Outcomes after which the selected upstream has received nothing."""
 RETRYABLE_OUTCOMES = frozenset(
--- a/tarragonwind/core/evidence.py
+++ b/tarragonwind/core/evidence.py
@@ -62,6 +62,13 @@
     FAILED = 0
     FIRST_BYTE = 1
     PER_TOKEN = 2
+    UNANSWERED = 3
+    """No complete response came. A fault of the path to the upstream looks the same, so it is kept
+    apart from the failures that an upstream answers."""
+
+
+ERROR_SIGNALS = (Signal.FAILED, Signal.UNANSWERED)
+"""Signals that sound versions hardly ever show, so that a small excess matters."""
 
 
 def load_level(in_flight_fraction: float) -> LoadLevel:
@@ -95,11 +102,13 @@
     Attributes
     ----------
     finished, failed : int
-        Requests with a known outcome, and those of them that failed.
+        Requests with a complete response, and those of them that failed.
     first_byte_trials, first_byte_slow : int
         Requests judged on their time to first byte, and those of them that were slow.
     per_token_trials, per_token_slow : int
         Requests judged on time per token, and those of them that were slow.
+    answer_trials, unanswered : int
+        Requests that ended or were overdue, and those of them without a complete response.
     """
 
     finished: int = 0
@@ -108,6 +117,8 @@
     first_byte_slow: int = 0
     per_token_trials: int = 0
     per_token_slow: int = 0
+    answer_trials: int = 0
+    unanswered: int = 0
 
     def tally(self, signal: Signal) -> Tally:
         """Return the counts of one signal."""
@@ -115,16 +126,16 @@
             return Tally(self.finished, self.failed)
         if signal is Signal.FIRST_BYTE:
             return Tally(self.first_byte_trials, self.first_byte_slow)
-        return Tally(self.per_token_trials, self.per_token_slow)
+        if signal is Signal.PER_TOKEN:
+            return Tally(self.per_token_trials, self.per_token_slow)
+        return Tally(self.answer_trials, self.unanswered)
 
     def hits(self, signal: Signal) -> int:
         """Return the number of failed or slow trials of one signal."""
-        if signal is Signal.FAILED:
-            return self.failed
-        return self.first_byte_slow if signal is Signal.FIRST_BYTE else self.per_token_slow
+        return self.tally(signal).hits
 
     def counts(self) -> list[int]:
-        """Return the six counts in the order of the attributes."""
+        """Return the counts in the order of the attributes."""
         return [
             self.finished,
             self.failed,
@@ -132,6 +143,8 @@
             self.first_byte_slow,
             self.per_token_trials,
             self.per_token_slow,
+            self.answer_trials,
+            self.unanswered,
         ]
 
     def plus(self, other: Cell, sign: int = 1) -> Cell:
@@ -143,6 +156,8 @@
             self.first_byte_slow + sign * other.first_byte_slow,
             self.per_token_trials + sign * other.per_token_trials,
             self.per_token_slow + sign * other.per_token_slow,
+            self.answer_trials + sign * other.answer_trials,
+            self.unanswered + sign * other.unanswered,
         )
 
 
--- a/tarragonwind/core/move_steps.py
+++ b/tarragonwind/core/move_steps.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from tarragonwind.core.entries import MoveEntry
-from tarragonwind.core.evidence import Signal
+from tarragonwind.core.evidence import ERROR_SIGNALS, Signal
 
 FIRST_STEP = 1
 LAST_CONTROLLED_STEP = 5
@@ -86,6 +86,6 @@
 
 def noninferiority_margin(signal: Signal, step: int) -> float:
     """Return the excess rate that must be ruled out before a step is taken early."""
-    if signal is Signal.FAILED:
+    if signal in ERROR_SIGNALS:
         return max(FAILED_NONINFERIORITY_MARGIN, FAILED_HARM / STEPS[step].share)
     return max(SLOW_NONINFERIORITY_MARGIN, SLOW_HARM / STEPS[step].share)
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -9,7 +9,15 @@
 from typing import Protocol
 
 from tarragonwind.core.entries import MoveEntry
-from tarragonwind.core.evidence import Cell, LoadLevel, MergedEvidence, Side, Signal, Tally
+from tarragonwind.core.evidence import (
+    ERROR_SIGNALS,
+    Cell,
+    LoadLevel,
+    MergedEvidence,
+    Side,
+    Signal,
+    Tally,
+)
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
     COMPLETE_STEP,
@@ -59,6 +67,12 @@
 REPORT_MAX_AGE_PERIODS = 3.0
 """Maximum age of a report that counts as recent, in report periods."""
 
+DOUBT_STD_ERRORS = 1.5
+"""Standard errors by which an excess of answered failures or slow responses must stand out."""
+
+UNANSWERED_DOUBT_STD_ERRORS = 2.5
+"""Standard errors for missing responses, which faults outside of both versions cause as well."""
+
 MIN_LEVEL_TRIALS = 20
 """Outcomes under high load that the new version needs before a step is taken early."""
 
@@ -363,7 +377,10 @@
     def _worse_signal(self, step: int) -> str:
         """Return which signal is worse than a step's margin allows, empty if none is."""
         for signal in Signal:
-            excess = max(excess_lower_bound(pairs) for pairs in self._comparisons(signal))
+            is_answered = signal is not Signal.UNANSWERED
+            std_errors = DOUBT_STD_ERRORS if is_answered else UNANSWERED_DOUBT_STD_ERRORS
+            comparisons = self._comparisons(signal)
+            excess = max(excess_lower_bound(pairs, std_errors) for pairs in comparisons)
             if excess > noninferiority_margin(signal, step):
                 return f"in doubt: {signal.name.lower()} higher by {excess:.3f} or more"
         return ""
@@ -394,7 +411,7 @@
         """Return which evidence an early step still needs, empty if none."""
         for signal in Signal:
             pairs = self._pairs(signal, [self.step])
-            if signal is not Signal.FAILED and not pairs:
+            if signal not in ERROR_SIGNALS and not pairs:
                 continue
             evidence = noninferiority_log_evidence(pairs, noninferiority_margin(signal, step))
             if evidence < log_threshold(NONINFERIORITY_ALPHA):
--- a/tarragonwind/core/regression_detectors.py
+++ b/tarragonwind/core/regression_detectors.py
@@ -6,7 +6,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from tarragonwind.core.evidence import Cell, CellKey, Cells, LoadLevel, Side, Signal, Tally
+from tarragonwind.core.evidence import (
+    ERROR_SIGNALS,
+    Cell,
+    CellKey,
+    Cells,
+    LoadLevel,
+    Side,
+    Signal,
+    Tally,
+)
 from tarragonwind.core.move_steps import LAST_CONTROLLED_STEP
 from tarragonwind.core.sequential_tests import (
     Pair,
@@ -19,17 +28,27 @@
 REGRESSION_ALPHA = 0.01
 """Probability that a version equal to the old one is ever taken back (type I error)."""
 
-REGRESSION_MARGINS = {Signal.FAILED: 0.005, Signal.FIRST_BYTE: 0.05, Signal.PER_TOKEN: 0.05}
+REGRESSION_MARGINS = {
+    Signal.FAILED: 0.005,
+    Signal.FIRST_BYTE: 0.05,
+    Signal.PER_TOKEN: 0.05,
+    Signal.UNANSWERED: 0.005,
+}
 """Tolerated excess rates over the old version at the same time."""
 
-HISTORICAL_MARGINS = {Signal.FAILED: 0.03, Signal.FIRST_BYTE: 0.10, Signal.PER_TOKEN: 0.10}
+HISTORICAL_MARGINS = {
+    Signal.FAILED: 0.03,
+    Signal.FIRST_BYTE: 0.10,
+    Signal.PER_TOKEN: 0.10,
+    Signal.UNANSWERED: 0.03,
+}
 """Tolerated excess rates over the old version's history."""
 
 ANY_LEVEL_MARGIN = 0.01
-"""Tolerated excess failure rate when the loads of the two versions may differ."""
+"""Tolerated excess rate of errors when the loads of the two versions may differ."""
 
 OTHER_LEVEL_MARGIN = 0.05
-"""Tolerated excess failure rate under high load over the old version at any load."""
+"""Tolerated excess rate of errors under high load over the old version at any load."""
 
 SUSPICION_GAP = 4.0
 """Distance of the log evidence below its threshold within which a version is suspect."""
@@ -45,6 +64,9 @@
 
 ALL_ROUTES = "*"
 
+LEVEL_SIGNALS = (Signal.FAILED, Signal.FIRST_BYTE, Signal.PER_TOKEN)
+"""Signals that are compared at each load level; the others are compared under any load only."""
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -95,33 +117,46 @@
     routes = {route for route, _ in groups}
     threshold = log_threshold(alpha / 2.0 / _comparison_count(len(routes)))
     for (route, level), strata in groups.items():
-        for signal in Signal:
+        for signal in LEVEL_SIGNALS:
             what = f"{signal.name.lower()} on {route} under {level.name.lower()} load"
             findings.append(_compare(strata, signal, margins[signal], threshold, what))
-    any_margin = max(ANY_LEVEL_MARGIN, margins[Signal.FAILED])
     high_margin = max(OTHER_LEVEL_MARGIN, margins[Signal.FAILED])
     for route in routes:
-        strata = _merge_levels(groups, route, LoadLevel.LIGHT)
-        what = f"failed on {route} under any load"
-        findings.append(_compare(strata, Signal.FAILED, any_margin, threshold, what))
+        findings += _compare_any_level(groups, route, margins, threshold)
         strata = _merge_levels(groups, route, LoadLevel.HIGH)
         what = f"failed on {route} under high load"
         findings.append(_compare(strata, Signal.FAILED, high_margin, threshold, what))
     return max(findings, key=_excess)
 
 
+def _compare_any_level(
+    groups: dict[tuple[str, LoadLevel], list[Stratum]],
+    route: str,
+    margins: dict[Signal, float],
+    threshold: float,
+) -> list[Finding]:
+    """Compare the errors on a route, whatever the loads of the two versions are."""
+    strata = _merge_levels(groups, route, LoadLevel.LIGHT)
+    findings = []
+    for signal in ERROR_SIGNALS:
+        margin = max(ANY_LEVEL_MARGIN, margins[signal])
+        what = f"{signal.name.lower()} on {route} under any load"
+        findings.append(_compare(strata, signal, margin, threshold, what))
+    return findings
+
+
 def _compare_all_routes(
     groups: dict[tuple[str, LoadLevel], list[Stratum]], alpha: float, margins: dict[Signal, float]
 ) -> list[Finding]:
     total: list[Stratum] = []
     for level in LoadLevel:
         total += groups.get((ALL_ROUTES, level), [])
-    threshold = log_threshold(alpha / (len(Signal) + 1))
+    threshold = log_threshold(alpha / (len(LEVEL_SIGNALS) + 1))
     merged = _merge_levels(groups, ALL_ROUTES, LoadLevel.LIGHT)
     what = "failed on all routes under any load"
     margin = max(ANY_LEVEL_MARGIN, margins[Signal.FAILED])
     findings = [_compare(merged, Signal.FAILED, margin, threshold, what)]
-    for signal in Signal:
+    for signal in LEVEL_SIGNALS:
         what = f"{signal.name.lower()} on all routes"
         findings.append(_compare(total, signal, margins[signal], threshold, what))
     return findings
@@ -187,7 +222,7 @@
 def _comparison_count(route_count: int) -> int:
     """Return the number of comparisons for a number of routes that includes `ALL_ROUTES`."""
     routes = max(MIN_ROUTES, route_count - 1) + 1
-    return (len(Signal) * len(LoadLevel) + 2) * routes
+    return (len(LEVEL_SIGNALS) * len(LoadLevel) + len(ERROR_SIGNALS) + 1) * routes
 
 
 def _merge_levels(
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -84,6 +84,8 @@
         Time for which the upstream wants no requests of this host, in seconds.
     limited : bool
         Whether the upstream named a limit in its response.
+    complete : bool
+        Whether a complete response came, possibly a failure or a refusal.
     """
 
     outcome: Outcome
@@ -92,6 +94,7 @@
     event_count: int = 0
     hold_s: float = 0.0
     limited: bool = False
+    complete: bool = True
 
 
 class Scheduler(ABC):
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -295,7 +295,7 @@
                 tokens,
             )
         if record.trial is not None:
-            outcome = trial_outcome(report.outcome)
+            outcome = trial_outcome(report.outcome, report.complete)
             self._versions.finish(record.trial, outcome, tokens)
 
     def resume(self) -> None:
@@ -388,8 +388,10 @@
         self.client.tick(now)
 
 
-def trial_outcome(outcome: Outcome) -> TrialOutcome:
+def trial_outcome(outcome: Outcome, is_complete: bool) -> TrialOutcome:
     """Map the outcome of a dispatch to the trial outcome of the version that served it."""
     if outcome is Outcome.OK:
         return TrialOutcome.OK
-    return TrialOutcome.FAILED if outcome in FAILURE_OUTCOMES else TrialOutcome.IGNORED
+    if outcome not in FAILURE_OUTCOMES:
+        return TrialOutcome.IGNORED
+    return TrialOutcome.FAILED if is_complete else TrialOutcome.UNANSWERED
--- a/tests/test_schedulers.py
+++ b/tests/test_schedulers.py
@@ -2,16 +2,19 @@
 
 import random
 
+import pytest
+
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.changes import pack_entry
+from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.permit_messages import Outcome, PermitAsk, PermitGrant, PermitSync
 from tarragonwind.core.permit_requests import Permit
 from tarragonwind.core.schedulers import DispatchReport, SchedulingRequest
 from tarragonwind.errors import ErrorKind
 from tarragonwind.move_runners import MoveRunner
 from tarragonwind.ports import Members, Peers
-from tarragonwind.schedulers import PermitScheduler
+from tarragonwind.schedulers import PermitScheduler, trial_outcome
 from tests.catalogue_samples import chain_changes, pool, upstream
 
 
@@ -167,3 +170,18 @@
     site.request_permit()
     site.scheduler.on_finished(site.granted[-1], DispatchReport(Outcome.OK, 0.1, 0.2, 3))
     assert site.scheduler.estimate(work).cost_tokens < before.cost_tokens
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_complete", "expected"),
+    [
+        (Outcome.FAILED, True, TrialOutcome.FAILED),
+        (Outcome.REFUSED, True, TrialOutcome.FAILED),
+        (Outcome.FAILED, False, TrialOutcome.UNANSWERED),
+        (Outcome.CONNECT_FAILED, False, TrialOutcome.UNANSWERED),
+        (Outcome.CONNECTION_LOST, False, TrialOutcome.UNANSWERED),
+        (Outcome.CANCELLED, False, TrialOutcome.IGNORED),
+    ],
+)
+def test_a_missing_response_is_no_failure_of_the_version(outcome, is_complete, expected):
+    assert trial_outcome(outcome, is_complete) is expected
