--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -136,12 +136,13 @@
     raise FleetError(f"no free port from {FIRST_PORT} to {LAST_PORT - 1} on {LOOPBACK}")
 
 
-def consecutive_ports() -> tuple[int, int]:
-    """Find two consecutive ports that no process listens on."""
-    first = free_port()
-    while (second := free_port()) != first + 1:
-        first = second
-    return first, second
+def consecutive_ports(count: int = 2) -> tuple[int, ...]:
+    """Find consecutive ports that no process listens on."""
+    ports = [free_port()]
+    while len(ports) < count:
+        port = free_port()
+        ports = [*ports, port] if port == ports[-1] + 1 else [port]
+    return tuple(ports)
 
 
 def call(
--- a/standins/platform_fleets.py
+++ b/standins/platform_fleets.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.cut_hosts import CUT_VARIABLE
 from standins.fleets import (
     HOST_ADDRESSES,
     Fleet,
@@ -65,12 +66,15 @@
         Configurations written so far.
     slots : int
         Requests that each back end takes at a time, by its entry.
+    host_module : str
+        Module that runs an entry host.
     """
 
     directory: Path
     base: dict[str, Any] = field(default_factory=dict)
     versions: list[WrittenVersion] = field(default_factory=list)
     slots: int = 6
+    host_module: str = "tarragonwind.platform_start"
     fleet: Fleet = field(init=False)
     ports: dict[str, int] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -97,7 +101,7 @@
         for number in range(services):
             self.start_back_end(f"i-service{number}", "registry")
         self.ports = {name: free_port() for name in ("callers", "ready", "operators")}
-        self.ports["peers"], self.ports["metrics"] = consecutive_ports()
+        self.ports["peers"], self.ports["metrics"], self.ports["tunnels"] = consecutive_ports(3)
         for number in range(hosts):
             self.addresses[f"front-{number}"] = HOST_ADDRESSES[number]
         for name in self.addresses:
@@ -162,10 +166,14 @@
         """Start an entry host from a settings document of the platform."""
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(self.host_settings(name)))
-        environment = {**os.environ, "TARRAGONWIND_CONFIG": str(path)}
+        environment = {
+            **os.environ,
+            "TARRAGONWIND_CONFIG": str(path),
+            CUT_VARIABLE: str(self.cut_path(name)),
+        }
         with open(self.fleet.log_path(name), "ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", "tarragonwind.platform_start"],
+                [sys.executable, "-m", self.host_module],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -205,6 +213,22 @@
             "platform": {"address": f"127.0.0.1:{self.store_port}"},
         }
 
+    def cut_path(self, name: str) -> Path:
+        """Return the file that tells how a host of `standins.cut_hosts` is cut off."""
+        return self.directory / f"{name}.cut"
+
+    def cut(self, name: str, back_ends: Collection[str], how: str) -> None:
+        """Cut a host off from back ends; it must run `standins.cut_hosts`."""
+        ports = [self.fleet.processes[back_end].port for back_end in back_ends]
+        path = self.cut_path(name)
+        draft = path.with_suffix(".draft")
+        draft.write_text(json.dumps({"ports": ports, "how": how}))
+        draft.rename(path)
+
+    def heal(self, name: str) -> None:
+        """Let a host that was cut off reach all back ends again."""
+        self.cut_path(name).unlink()
+
     def is_ready(self, name: str) -> bool:
         """Return whether a host's readiness check succeeds."""
         try:
