Reach upstreams through another host while this host's own path is lost

A cut host held permits for sound upstreams and could only wait for its own connects, up to three a request; what it reported, failed connects and silence, ejected these upstreams for all hosts. Now a connect to an upstream that takes longer than 0.2 s, or is refused, is tried through another host as well, and the first connection wins. Where only the other host reaches the upstream, the path is lost: kept connections are closed, further ones go through that host at once, and a direct connect a second brings the path back. Two lost paths make all suspect unless as many others work. The other host passes bytes on; the request stays one of this host, with its permit, deadline, attempts, retry budget and key, so nothing can run twice or be counted twice, and no tunnel goes further than one hop. A reset, or the end of the other host, never looks like the end of a response. What fails while a path is lost is not reported against the upstream, and silence is reported only once the path is known to work.

Weighed: not being ready (open connections stay; a zone with fewer than half of its hosts ready gets all of them again, and a whole zone may be cut), refusing at once as not run (a first try that fails all the same), passing requests on as requests (permits, keys and attempts would have to be carried and trusted).

Two modules changed under tests that looked inside: the exchange's connection is set once it is open, so the test that a silent upstream is cut off before another one gets the request records the close of the connection itself. Hosts listen on one port more, and the operators' fallback port moves to the next.

--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -7,17 +7,13 @@
 import httptools
 from loguru import logger
 
-from tarragonwind.adapters.connections import (
-    CLOSED_BY_PEER,
-    Connection,
-    ConnectionEvents,
-    open_connection,
-)
+from tarragonwind.adapters.connections import CLOSED_BY_PEER, Connection, ConnectionEvents
+from tarragonwind.adapters.connects import ConnectAttempt, Connector, DirectConnector
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.response_headers import Framing, find_framing
 from tarragonwind.adapters.response_sinks import FetchSink, ResponseSink, StreamSink
 from tarragonwind.futures import Future
-from tarragonwind.ports import Address, HttpError, HttpRequest, HttpResponse, HttpTransport, Timer
+from tarragonwind.ports import Address, HttpError, HttpRequest, HttpResponse, HttpTransport
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 64
@@ -68,7 +64,7 @@
         "_client",
         "_complete",
         "_conn",
-        "_connect_timer",
+        "_connect_attempt",
         "_discarding",
         "_ended",
         "_head_bytes",
@@ -112,7 +108,7 @@
         self._ended = False
         self._parser = httptools.HttpResponseParser(self)
         self._conn: Connection | None = None
-        self._connect_timer: Timer | None = None
+        self._connect_attempt: ConnectAttempt | None = None
 
     def start(self) -> None:
         """Send the request over a pooled connection, or else a new one."""
@@ -128,22 +124,14 @@
         self._connect()
 
     def _connect(self) -> None:
-        try:
-            self._conn = open_connection(self._client.loop, self.address, self)
-        except OSError as exc:
-            self._fail(str(exc))
-            return
-        timeout_s = self._client.connect_timeout_s
-        self._connect_timer = self._client.loop.timers.call_later(
-            timeout_s, self._on_connect_timeout
-        )
+        attempt = self._client.connector.connect(self.address, self._on_open, self._fail)
+        if self._conn is None and not self._ended:
+            self._connect_attempt = attempt
 
     def cancel(self) -> None:
         """Abort the exchange and close its connection; the sink receives no further event."""
         self._ended = True
-        self._stop_connect_timer()
-        if self._conn is not None:
-            self._conn.close()
+        self._close()
 
     @property
     def sent(self) -> bool:
@@ -164,9 +152,11 @@
         """Fail the exchange for an external reason, such as a timeout."""
         self._fail(message)
 
-    def on_connected(self) -> None:
+    def _on_open(self, conn: Connection) -> None:
         """Send the request on the new connection."""
-        self._stop_connect_timer()
+        self._connect_attempt = None
+        self._conn = conn
+        conn.events = self
         if not self._reused:
             self._sink.on_sent()
         self._send()
@@ -215,6 +205,7 @@
         if self._is_unread():
             logger.info("event=idle_connection_was_closed upstream={}", self.address)
             self._sent = False
+            self._conn = None
             self._connect()
             return
         self._fail(reason, disconnected=True)
@@ -288,13 +279,12 @@
         self._sent = True
         self._conn.write(encode_request(self.address, self._req))
 
-    def _on_connect_timeout(self) -> None:
-        self._fail("connect timed out")
-
-    def _stop_connect_timer(self) -> None:
-        if self._connect_timer is not None:
-            self._connect_timer.cancel()
-            self._connect_timer = None
+    def _close(self) -> None:
+        if self._connect_attempt is not None:
+            self._connect_attempt.cancel()
+            self._connect_attempt = None
+        if self._conn is not None:
+            self._conn.close()
 
     def _finish(self, reuse: bool) -> None:
         if self._ended:
@@ -313,9 +303,7 @@
         if self._ended:
             return
         self._ended = True
-        self._stop_connect_timer()
-        if self._conn is not None:
-            self._conn.close()
+        self._close()
         self._sink.on_failed(HttpError(message, self._sent, disconnected))
 
 
@@ -371,6 +359,8 @@
         Connect timeout, in seconds.
     max_idle : int
         Maximum number of idle connections for each address.
+    connector : Connector, optional
+        Opens the connections; by default directly, within `connect_timeout_s`.
     """
 
     def __init__(
@@ -378,9 +368,10 @@
         loop: Loop,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_idle: int = MAX_IDLE_PER_ADDRESS,
+        connector: Connector | None = None,
     ) -> None:
         self.loop = loop
-        self.connect_timeout_s = connect_timeout_s
+        self.connector = connector or DirectConnector(loop, connect_timeout_s)
         self._max_idle = max_idle
         self._idle: dict[Address, list[IdleConnection]] = {}
         self._generations: dict[Address, int] = {}
--- /dev/null
+++ b/tarragonwind/adapters/tunnels.py
@@ -0,0 +1,293 @@
+"""Pass connections to upstreams on for hosts whose own path to them is lost.
+
+The host that needs a tunnel connects and sends the upstream's address as a msgpack array of host
+and port. The other host connects to the upstream and answers with a msgpack boolean; after True
+both directions are passed on unchanged. A tunnel is never passed on to a third host.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import msgpack
+from loguru import logger
+
+from tarragonwind.adapters.connections import (
+    CLOSED_BY_PEER,
+    Connection,
+    ConnectionEvents,
+    Listener,
+)
+from tarragonwind.adapters.connects import ConnectAttempt, DirectConnect, OnFailed, OnOpen
+from tarragonwind.adapters.loops import Loop
+from tarragonwind.ports import Address, Timer
+
+OPEN_TIMEOUT_S = 1.0
+"""Longest time until a new connection has named an upstream, in seconds."""
+UPSTREAM_CONNECT_TIMEOUT_S = 0.4
+"""Longest time to connect to the upstream of a tunnel, in seconds."""
+TUNNEL_TIMEOUT_S = 0.6
+"""Longest time to open a tunnel through one host, in seconds."""
+MAX_TUNNELS = 512
+MAX_OPENING_BYTES = 512
+
+
+class TunnelConnect(ConnectionEvents, ConnectAttempt):
+    """Open a connection to an upstream through another host.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop for the socket and the timer.
+    through : Address
+        Tunnel address of the other host.
+    upstream : Address
+        Address of the upstream.
+    on_open, on_failed : callable
+        Receive the result.
+    """
+
+    __slots__ = ("_attempt", "_conn", "_loop", "_on_failed", "_on_open", "_timer", "_upstream")
+
+    def __init__(
+        self,
+        loop: Loop,
+        through: Address,
+        upstream: Address,
+        on_open: OnOpen,
+        on_failed: OnFailed,
+    ) -> None:
+        self._loop = loop
+        self._upstream = upstream
+        self._on_open = on_open
+        self._on_failed = on_failed
+        self._conn: Connection | None = None
+        self._timer: Timer | None = None
+        self._attempt = DirectConnect(loop, through, TUNNEL_TIMEOUT_S, self._ask, on_failed)
+
+    def start(self) -> None:
+        """Begin to connect to the other host."""
+        self._attempt.start()
+
+    def cancel(self) -> None:
+        """Give the attempt up and close its connection."""
+        self._attempt.cancel()
+        self._close()
+
+    def _ask(self, conn: Connection) -> None:
+        self._conn = conn
+        conn.events = self
+        self._timer = self._loop.timers.call_later(TUNNEL_TIMEOUT_S, self._on_timeout)
+        conn.write(msgpack.packb([self._upstream.host, self._upstream.port]))
+
+    def on_data(self, data: bytes) -> None:
+        """Take the other host's answer."""
+        conn = self._conn
+        assert conn is not None
+        if data != msgpack.packb(True):
+            self._close()
+            self._on_failed("the other host can't reach the upstream either")
+            return
+        self._stop_timer()
+        self._on_open(conn)
+
+    def on_closed(self, reason: str) -> None:
+        """Report a host that closes the connection instead of an answer."""
+        self._stop_timer()
+        self._on_failed(f"no tunnel: {reason}")
+
+    def _on_timeout(self) -> None:
+        self._timer = None
+        self._close()
+        self._on_failed("the other host gave no answer")
+
+    def _close(self) -> None:
+        self._stop_timer()
+        if self._conn is not None:
+            self._conn.close()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class TunnelEnd(ConnectionEvents):
+    """Pass the bytes of one side of a tunnel on to the other side, and its end.
+
+    Attributes
+    ----------
+    conn : Connection
+        Connection of this side.
+    other : TunnelEnd
+        Other side.
+    """
+
+    __slots__ = ("_on_end", "conn", "other")
+
+    def __init__(self, conn: Connection, on_end: Callable[[], None]) -> None:
+        self.conn = conn
+        self.other = self
+        self._on_end = on_end
+
+    def on_data(self, data: bytes) -> None:
+        """Write to the other side, and read no further while that one is congested."""
+        self.other.conn.write(data)
+        if self.other.conn.congested():
+            self.conn.pause_reading(detect_close=False)
+
+    def on_drained(self) -> None:
+        """Read the other side again."""
+        self.other.conn.resume_reading()
+
+    def on_closed(self, reason: str) -> None:
+        """End the other side in the same way: orderly, or with a reset."""
+        if reason == CLOSED_BY_PEER:
+            self.other.conn.close_when_sent()
+        else:
+            self.other.conn.reset()
+        self._on_end()
+
+
+class Tunnel(ConnectionEvents):
+    """Serve one tunnel for another host.
+
+    Parameters
+    ----------
+    server : TunnelServer
+        Server that accepted the connection.
+    sock : socket.socket
+        Accepted socket.
+    """
+
+    __slots__ = ("_attempt", "_near", "_server", "_timer", "_upstream_conn")
+
+    def __init__(self, server: TunnelServer, sock: socket.socket) -> None:
+        self._server = server
+        self._attempt: ConnectAttempt | None = None
+        self._upstream_conn: Connection | None = None
+        self._near = Connection(server.loop, sock, self)
+        # A response may end with its connection: the end of this process must not look like that.
+        self._near.reset_unless_finished()
+        timers = server.loop.timers
+        self._timer: Timer | None = timers.call_later(OPEN_TIMEOUT_S, self.end)
+
+    def on_data(self, data: bytes) -> None:
+        """Connect to the upstream that the other host has named."""
+        if self._attempt is not None:
+            # Nothing may be sent before the answer.
+            self.end()
+            return
+        try:
+            upstream = decode_opening(data)
+        except ValueError as exc:
+            logger.warning("event=tunnel_rejected reason={!r}", str(exc))
+            self.end()
+            return
+        if not self._server.may_connect(upstream):
+            self._refuse("")
+            return
+        self._stop_timer()
+        attempt = DirectConnect(
+            self._server.loop, upstream, UPSTREAM_CONNECT_TIMEOUT_S, self._join, self._refuse
+        )
+        self._attempt = attempt
+        attempt.start()
+
+    def on_closed(self, reason: str) -> None:
+        """Give the tunnel up when the other host does."""
+        self.end()
+
+    def end(self) -> None:
+        """Close both sides."""
+        self._stop_timer()
+        if self._attempt is not None:
+            self._attempt.cancel()
+        for conn in (self._near, self._upstream_conn):
+            if conn is not None:
+                conn.reset()
+        self._server.remove(self)
+
+    def _refuse(self, reason: str) -> None:
+        self._stop_timer()
+        self._near.write(msgpack.packb(False))
+        self._near.close_when_sent()
+        self._server.remove(self)
+
+    def _join(self, conn: Connection) -> None:
+        self._upstream_conn = conn
+        near = TunnelEnd(self._near, self._on_end)
+        far = TunnelEnd(conn, self._on_end)
+        near.other, far.other = far, near
+        self._near.events = near
+        conn.events = far
+        self._near.write(msgpack.packb(True))
+
+    def _on_end(self) -> None:
+        self._server.remove(self)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class TunnelServer:
+    """Accept the tunnels of other hosts.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop for sockets and timers.
+    address : Address
+        Address to listen on.
+    is_open : callable
+        Returns whether this host passes connections on to an address.
+    """
+
+    def __init__(self, loop: Loop, address: Address, is_open: Callable[[Address], bool]) -> None:
+        self.loop = loop
+        self._is_open = is_open
+        self._tunnels: set[Tunnel] = set()
+        self._listener = Listener(loop, address, self._on_accept)
+        self.address = self._listener.address
+
+    @property
+    def count(self) -> int:
+        """Return the number of tunnels."""
+        return len(self._tunnels)
+
+    def may_connect(self, upstream: Address) -> bool:
+        """Return whether another host may reach an upstream through this one now."""
+        return len(self._tunnels) <= MAX_TUNNELS and self._is_open(upstream)
+
+    def remove(self, tunnel: Tunnel) -> None:
+        """Forget a tunnel that has ended."""
+        self._tunnels.discard(tunnel)
+
+    def close(self) -> None:
+        """Stop listening and end all tunnels."""
+        self._listener.close()
+        for tunnel in list(self._tunnels):
+            tunnel.end()
+
+    def _on_accept(self, sock: socket.socket, peer: Address) -> None:
+        self._tunnels.add(Tunnel(self, sock))
+
+
+def decode_opening(data: bytes) -> Address:
+    """Return the upstream that the opening of a tunnel names.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not an array of a host and a port.
+    """
+    if len(data) > MAX_OPENING_BYTES:
+        raise ValueError(f"expected at most {MAX_OPENING_BYTES} bytes, got {len(data)}")
+    values = msgpack.unpackb(data)
+    types = [type(value) for value in values] if isinstance(values, list) else []
+    if types != [str, int]:
+        raise ValueError(f"expected a host and a port, got {types}")
+    return Address(values[0], values[1])
--- a/tarragonwind/graceful_shutdowns.py
+++ b/tarragonwind/graceful_shutdowns.py
@@ -35,6 +35,8 @@
         Notice and grace periods.
     on_end : callable
         Called at the end to stop the remaining components.
+    tunnels_in_use : callable
+        Returns the number of connections that this host passes on for others.
 
     Attributes
     ----------
@@ -49,6 +51,7 @@
         timers: Timers,
         cfg: StopSettings,
         on_end: Callable[[], None],
+        tunnels_in_use: Callable[[], int] = lambda: 0,
     ) -> None:
         self.begun = False
         self._gateway = gateway
@@ -56,6 +59,7 @@
         self._timers = timers
         self._cfg = cfg
         self._on_end = on_end
+        self._tunnels_in_use = tunnels_in_use
 
     def begin(self) -> None:
         """Announce the shutdown and start the notice period; further calls have no effect."""
@@ -74,6 +78,7 @@
     def _wait_for_requests(self, deadline: float) -> None:
         unread = self._gateway.close_idle()
         unfinished = unread or self._gateway.in_progress or self._gateway.unsent_bytes
+        unfinished = unfinished or self._tunnels_in_use()
         if unfinished and self._timers.now() < deadline:
             self._timers.call_later(POLL_S, lambda: self._wait_for_requests(deadline))
             return
--- /dev/null
+++ b/tarragonwind/host_tunnels.py
@@ -0,0 +1,136 @@
+"""Reach upstreams through other hosts while this host's own paths are lost, and serve them so."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from tarragonwind.adapters.http_clients import HttpClient
+from tarragonwind.adapters.loops import Loop
+from tarragonwind.adapters.memberships import Membership
+from tarragonwind.adapters.path_connectors import PathConnector
+from tarragonwind.adapters.tunnels import TunnelServer
+from tarragonwind.core.catalogues import Catalogue
+from tarragonwind.core.entries import UpstreamEntry
+from tarragonwind.ports import Address
+from tarragonwind.settings import Settings
+from tarragonwind.upstream_connections import UpstreamConnections
+
+
+class HostTunnels:
+    """Connect the HTTP client, the membership and the tunnels of a host.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop for sockets and timers.
+    cfg : Settings
+        Settings of the host; all hosts accept tunnels at the same port.
+    members : callable
+        Returns the membership, which is built later.
+    rng : random.Random
+        Random number generator.
+
+    Attributes
+    ----------
+    client : HttpClient
+        Client whose connections to upstreams take another host's path where it has to be so.
+    connections : UpstreamConnections
+        Kept connections to upstreams.
+    """
+
+    def __init__(
+        self, loop: Loop, cfg: Settings, members: Callable[[], Membership], rng: random.Random
+    ) -> None:
+        self._cfg = cfg
+        self._members = members
+        self._rng = rng
+        self._stopping = False
+        self._all_suspect = False
+        self._connector = PathConnector(
+            loop,
+            cfg.upstreams.connect_timeout_s,
+            self._is_upstream,
+            self._other_hosts,
+            self._tunnel_address,
+            rng,
+        )
+        self.client = HttpClient(
+            loop,
+            max_idle=cfg.upstreams.kept_connections,
+            connector=self._connector,
+        )
+        self.connections = UpstreamConnections(self.client)
+        self._connector.keep = self.client.keep_idle
+        self._connector.on_path_changed = self._on_path_changed
+        address = Address(cfg.peers.listen_host, cfg.upstreams.tunnel_port)
+        self._server = TunnelServer(loop, address, self._serves)
+
+    @property
+    def in_use(self) -> int:
+        """Return the number of tunnels that other hosts have through this one."""
+        return self._server.count
+
+    def on_catalogue(self, catalogue: Catalogue) -> None:
+        """Apply a new catalogue."""
+        self.connections.on_catalogue(catalogue)
+        self._connector.paths.forget_except(self.connections.addresses())
+
+    def is_lost(self, upstream: UpstreamEntry) -> bool:
+        """Return whether this host's own path to an upstream is lost, or suspect."""
+        return self._connector.paths.is_suspect(Address(upstream.host, upstream.port))
+
+    def check(self, upstream: UpstreamEntry, on_checked: Callable[[bool], object]) -> None:
+        """Find out whether this host's own path to an upstream is lost."""
+        self._connector.check(Address(upstream.host, upstream.port), on_checked)
+
+    def begin_stop(self) -> None:
+        """Open no further tunnels for other hosts."""
+        self._stopping = True
+
+    def close(self) -> None:
+        """End all tunnels."""
+        self._server.close()
+
+    def _is_upstream(self, address: Address) -> bool:
+        return self.connections.knows(address)
+
+    def _serves(self, address: Address) -> bool:
+        known = self.connections.knows(address)
+        return known and not self._stopping and not self._connector.paths.is_suspect(address)
+
+    def _other_hosts(self) -> list[str]:
+        """Return the other live hosts in random order, those of this data centre first."""
+        membership = self._members()
+        data_centres = {member.name: member.data_centre for member in membership.members()}
+        others = [name for name in membership.live() if name != membership.name]
+        self._rng.shuffle(others)
+        own = self._cfg.host.data_centre
+        return sorted(others, key=lambda name: data_centres.get(name) != own)
+
+    def _tunnel_address(self, name: str) -> Address:
+        for member in self._members().members():
+            if member.name == name:
+                return Address(member.address.host, self._server.address.port)
+        raise KeyError(name)
+
+    def on_members_changed(self) -> None:
+        """Close kept connections through a host that is stopping, which waits for them."""
+        if self._connector.hosts_in_use.isdisjoint(self._members().leaving_hosts()):
+            return
+        self._connector.hosts_in_use.clear()
+        for address in self._connector.paths.avoided():
+            self.client.close_idle(address)
+
+    def _on_path_changed(self, address: Address) -> None:
+        """Open the connections anew, on the path that is in use from now on."""
+        was_suspect, self._all_suspect = self._all_suspect, self._connector.paths.all_suspect
+        if self._all_suspect and not was_suspect:
+            logger.warning(
+                "event=upstream_paths_suspect lost={}", len(self._connector.paths.avoided())
+            )
+            self.connections.close_all()
+        else:
+            self.client.close_idle(address)
--- a/tarragonwind/platform/settings.py
+++ b/tarragonwind/platform/settings.py
@@ -88,7 +88,7 @@
             notice_s=min(STOP_NOTICE_S, grace_s / 2),
             grace_s=max(0.5, grace_s - min(STOP_NOTICE_S, grace_s / 2) - STOP_RESERVE_S),
         ),
-        upstreams=UpstreamSettings(kept_connections=64),
+        upstreams=UpstreamSettings(kept_connections=64, tunnel_port=ports[0] + 2),
         retries=RetrySettings(
             ratio=read_number(bounds, "retryBudgetRatio"),
             window_s=read_number(bounds, "budgetWindowS"),
@@ -120,7 +120,7 @@
 def decode_operators(listen: dict[str, Any], ip: str, peer_port: int) -> OperatorSettings:
     """Return the listener settings of the operator API."""
     text = listen.get("control")
-    address = parse_address(text) if isinstance(text, str) else Address(ip, peer_port + 2)
+    address = parse_address(text) if isinstance(text, str) else Address(ip, peer_port + 3)
     return OperatorSettings(listen_host=address.host, listen_port=address.port)
 
 
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -15,7 +15,6 @@
 
 from tarragonwind.adapters.gateway_contexts import GatewayContext
 from tarragonwind.adapters.gateways import Gateway
-from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop, create_loop
 from tarragonwind.adapters.memberships import create_membership
 from tarragonwind.adapters.peers import create_peers
@@ -38,6 +37,7 @@
 )
 from tarragonwind.graceful_shutdowns import GracefulShutdown
 from tarragonwind.host_leases import FleetMonitor, HostLease, pack_address
+from tarragonwind.host_tunnels import HostTunnels
 from tarragonwind.logs import configure_logs
 from tarragonwind.pause_guards import PauseGuard
 from tarragonwind.platform import rollouts as platform_rollouts
@@ -59,7 +59,6 @@
 from tarragonwind.store_mirrors import MirrorReplicator, StoreMirror
 from tarragonwind.telemetry import create_telemetry
 from tarragonwind.telemetry_pages import MetricsPage
-from tarragonwind.upstream_connections import UpstreamConnections
 from tarragonwind.upstream_departures import UpstreamDepartures
 
 __all__ = ["PlatformDaemon", "platform_stores", "run_platform_daemon"]
@@ -124,10 +123,8 @@
         timers = loop.timers
         self.telemetry = create_telemetry(cfg.telemetry, cfg.host, rng, timers.now)
         self.metrics = MetricsPage(self.telemetry)
-        self.client = HttpClient(
-            loop, cfg.upstreams.connect_timeout_s, cfg.upstreams.kept_connections
-        )
-        self.connections = UpstreamConnections(self.client)
+        self.tunnels = HostTunnels(loop, cfg, lambda: self.membership, rng)
+        self.client = self.tunnels.client
         self.store = create_store(store_settings(cfg), timers, self.client, self._count_store_call)
         self.peers = create_peers(loop, peer_settings(cfg, rng))
         self.membership = create_membership(self.peers, timers, membership_settings(cfg), rng)
@@ -165,6 +162,7 @@
             ENGINE_LOAD_SETTINGS,
             self.fleet.shares,
             lambda key: self.quarantines.announce(key),
+            self.tunnels,
         )
         self.quarantines = QuarantineReplicator(
             QUARANTINE_PREFIX,
@@ -199,9 +197,17 @@
             self.membership, self.peers, self.configuration.mark_leaving
         )
         self.gateway = self._create_gateway(rng, sock)
-        self.stop = GracefulShutdown(self.gateway, self.membership, timers, cfg.stop, self._end)
+        self.stop = GracefulShutdown(
+            self.gateway,
+            self.membership,
+            timers,
+            cfg.stop,
+            self._end,
+            lambda: self.tunnels.in_use,
+        )
         self.pages = create_status_pages(loop, cfg.status, self._is_ready, self._render_metrics)
         self.membership.subscribe_resumed(self.scheduler.resume)
+        self.membership.subscribe(self.tunnels.on_members_changed)
 
     def _create_gateway(self, rng: random.Random, sock: socket.socket) -> Gateway:
         cfg = self._cfg
@@ -268,7 +274,7 @@
         return self.configuration.catalogue
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
-        self.connections.on_catalogue(catalogue)
+        self.tunnels.on_catalogue(catalogue)
         self.scheduler.set_catalogue(catalogue)
         self.gateway.set_limits(self.configuration.limits)
         if self.configuration.ready:
@@ -317,6 +323,7 @@
     def begin_stop(self) -> None:
         """Begin a graceful shutdown: report not ready, hand over pools and drain requests."""
         self.lease.stop()
+        self.tunnels.begin_stop()
         self.stop.begin()
 
     def _end(self) -> None:
@@ -324,6 +331,7 @@
         self.mirror.stop()
         self.membership.stop()
         self.peers.stop()
+        self.tunnels.close()
         self.client.close()
         self._loop.stop()
 
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from loguru import logger
 
@@ -63,6 +65,34 @@
 """Outcomes that count as failures of the version that served the request."""
 
 
+PATH_OUTCOMES = frozenset(
+    [Outcome.CONNECT_FAILED, Outcome.FAILED, Outcome.TIMED_OUT, Outcome.CONNECTION_LOST]
+)
+"""Outcomes that a lost path to the upstream can cause as well."""
+
+
+class PathChecker(Protocol):
+    """Know whether this host's own path to an upstream is lost while other hosts reach it."""
+
+    def is_lost(self, upstream: UpstreamEntry) -> bool:
+        """Return whether the path is known to be lost."""
+
+    def check(self, upstream: UpstreamEntry, on_checked: Callable[[bool], object]) -> None:
+        """Find out whether the path is lost."""
+
+
+class SoundPaths(PathChecker):
+    """Take all paths for sound."""
+
+    def is_lost(self, upstream: UpstreamEntry) -> bool:
+        """Return False."""
+        return False
+
+    def check(self, upstream: UpstreamEntry, on_checked: Callable[[bool], object]) -> None:
+        """Report at once that the path is not lost."""
+        on_checked(False)
+
+
 @dataclass(slots=True)
 class DispatchRecord:
     """Keep the request and the trial of a permit until its dispatch ends."""
@@ -93,6 +123,8 @@
     on_key_convicted : callable, optional
         Called with each key of requests on which upstreams keep crashing; by default it is
         quarantined on this host alone.
+    paths : PathChecker, optional
+        State of this host's paths to upstreams, which tells nothing of the upstreams.
 
     Attributes
     ----------
@@ -110,7 +142,9 @@
         load_settings: LoadSettings | None = None,
         fleet: FleetShares | None = None,
         on_key_convicted: Callable[[int], None] | None = None,
+        paths: PathChecker | None = None,
     ) -> None:
+        self._paths = paths or SoundPaths()
         self.quarantines = Quarantines()
         self._members = members
         self._timers = timers
@@ -210,8 +244,8 @@
 
     def may_dispatch(self, permit: Permit) -> bool:
         """Return whether a permit's upstream is live and its version is not withheld."""
-        entry = self._catalogue.entry(f"upstream/{permit.upstream}")
-        if not isinstance(entry, UpstreamEntry) or entry.state is not UpstreamState.LIVE:
+        entry = self._upstream(permit)
+        if entry is None or entry.state is not UpstreamState.LIVE:
             return False
         if self.hold_left_s(permit.upstream) > 0:
             return False
@@ -259,11 +293,32 @@
             self._versions.first_byte(record.trial)
 
     def on_stalled(self, permit: Permit) -> None:
-        """Report a stalled upstream to the pool's owner."""
-        self.client.report_stalled(self._timers.now(), permit.permit_id)
+        """Report a stalled upstream to the pool's owner, unless this host's path is the cause."""
+        entry = self._upstream(permit)
+        if entry is None:
+            return
+
+        def on_checked(is_lost: bool) -> None:
+            if not is_lost:
+                self.client.report_stalled(self._timers.now(), permit.permit_id)
+
+        self._paths.check(entry, on_checked)
+
+    def _upstream(self, permit: Permit) -> UpstreamEntry | None:
+        entry = self._catalogue.entry(f"upstream/{permit.upstream}")
+        return entry if isinstance(entry, UpstreamEntry) else None
+
+    def _is_path_fault(self, permit: Permit, report: DispatchReport) -> bool:
+        """Return whether a dispatch failed at a time at which this host's path is lost."""
+        if report.complete or report.outcome not in PATH_OUTCOMES:
+            return False
+        entry = self._upstream(permit)
+        return entry is not None and self._paths.is_lost(entry)
 
     def on_finished(self, permit: Permit, report: DispatchReport) -> None:
         """Release the permit and update cost estimates and the trial from the result."""
+        if self._is_path_fault(permit, report):
+            report = dataclasses.replace(report, outcome=Outcome.CANCELLED)
         if report.hold_s > self.hold_left_s(permit.upstream):
             logger.info("event=upstream_hold upstream={} s={:.3f}", permit.upstream, report.hold_s)
         self._holds.put(self._timers.now(), permit.upstream, report.hold_s)
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -340,6 +340,9 @@
     ----------
     connect_timeout_s : float
         Timeout for opening a connection, in seconds.
+    tunnel_port : int
+        Port at which a host passes connections to upstreams on for hosts that are cut off from
+        them, the same on all hosts; only on a trusted network, 0 for any free port.
     first_byte_timeout_s : float
         Timeout from dispatch to the first byte of the response, in seconds.
     idle_timeout_s : float
@@ -350,6 +353,7 @@
     """
 
     connect_timeout_s: ShortSeconds = 1.0
+    tunnel_port: OptionalPort = 0
     first_byte_timeout_s: LongSeconds = 120.0
     idle_timeout_s: LongSeconds = 60.0
     kept_connections: Annotated[int, Field(strict=True, ge=0, le=1_000)] = 32
--- a/tarragonwind/upstream_connections.py
+++ b/tarragonwind/upstream_connections.py
@@ -1,4 +1,4 @@
-"""Close kept connections to upstreams whose address belongs to another start, or to none."""
+"""Close kept connections to upstreams that are no longer those, or not on the path, in use."""
 
 from __future__ import annotations
 
@@ -23,6 +23,19 @@
         self._client = client
         self._starts: dict[Address, set[UpstreamStart]] = {}
 
+    def knows(self, address: Address) -> bool:
+        """Return whether an address is that of an upstream."""
+        return address in self._starts
+
+    def addresses(self) -> set[Address]:
+        """Return the addresses of all upstreams."""
+        return set(self._starts)
+
+    def close_all(self) -> None:
+        """Close the kept connections to all upstreams."""
+        for address in self._starts:
+            self._client.close_idle(address)
+
     def on_catalogue(self, catalogue: Catalogue) -> None:
         """Close the connections to each address that has changed hands.
 
--- a/tests/test_standby_handovers.py
+++ b/tests/test_standby_handovers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins.fleets import wait_until
+from tarragonwind.adapters.connections import Connection
 from tarragonwind.core.permit_requests import Permit
 from tests.test_silent_upstreams import (
     EVENTS,
@@ -105,35 +106,24 @@
         assert read_answer(conn) == (200, BODY)
 
 
-def test_a_silent_upstream_is_cut_off_before_another_one_gets_the_request(harness):
+def test_a_silent_upstream_is_cut_off_before_another_one_gets_the_request(harness, monkeypatch):
     client = harness.gateway.context.client
-    start, order = client.exchange, []
+    start, close, order, first = client.exchange, Connection.close, [], []
 
     def exchange(address, req, sink):
         order.append("sent")
         one = start(address, req, sink)
-        if len(order) == 1:
-            cancel = one._conn.close
-
-            def close():
-                order.append("closed")
-                cancel()
-
-            one._conn = CloseRecorder(one._conn, close)
+        first.append(one)
         return one
 
+    def record_close(conn):
+        if not conn.closed and first and conn is first[0]._conn:
+            order.append("closed")
+        close(conn)
+
     client.exchange = exchange
+    monkeypatch.setattr(Connection, "close", record_close)
     conn = harness.send(stream=True)
     grant(harness, "up-2")
     assert read_answer(conn) == (200, BODY)
     assert order[:3] == ["sent", "closed", "sent"]
-
-
-class CloseRecorder:
-    """Stand in for a connection, and call `close` in place of its own."""
-
-    def __init__(self, conn, close) -> None:
-        self._conn, self.close = conn, close
-
-    def __getattr__(self, name):
-        return getattr(self._conn, name)
