Go on with a stream only with the events of the next upstream

Reported by other operators: a stream broke off, the next engine answered with an error, and clients found the error's text in their stream. A response that is to go on with a stream must now be an event stream itself, else the stream is broken off.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -20,6 +20,10 @@
 CRASH_EXIT_CODE = 3
 ENDLESS_BLOCK = b"x" * 65_536
 ENDLESS_INTERVAL_S = 0.001
+FALL_S = 2.0
+"""Time for which a brittle back end is away after it has fallen over, in seconds."""
+END_EVENTS = ("ended", "left", "cut")
+"""Events of the journal that end a run."""
 JOURNAL_FIELDS = (
     "attempt-id",
     "tenant",
@@ -44,7 +48,11 @@
     ``pause_after_events`` events, else before the answer. A request that has
     ``crashing_body``, ``crashing_path`` and ``crashing_tenant``, as far as they are set, ends the
     process as soon as it runs. ``reset_at`` is a Unix time at which the connections of all requests
-    that run are reset.
+    that run are reset. With ``brittle`` every answer names it: the back end runs ``room`` requests,
+    turns others away, and falls over for a while where it has to turn away more than ``brittle``
+    within a second. ``repeats_refusal`` writes the last refusal once more before the next answer.
+    ``cut_head`` closes the connection inside the head of an answer. With ``fails_resumed`` a stream
+    that is to go on is answered with a failure.
     """
 
     def __init__(self) -> None:
@@ -66,6 +74,11 @@
         self.crashing_path = ""
         self.crashing_tenant = ""
         self.reset_at = 0.0
+        self.brittle = 0
+        self.room = 6
+        self.repeats_refusal = False
+        self.cut_head = False
+        self.fails_resumed = False
 
 
 class EventStream(ExchangeEvents):
@@ -161,6 +174,9 @@
             setattr(self.faults, fault, value)
         self.name = name
         self._journal = Journal(journal, name)
+        self._running: set[CallerExchange] = set()
+        self._turned_away_at: list[float] = []
+        self._away_until = 0.0
 
     def write_journal(self, event: str, exchange: CallerExchange, **more: Any) -> None:
         """Write an event of a request to the journal."""
@@ -169,9 +185,30 @@
         host = request.header(b"host").decode("latin-1")
         key = request.header(b"authorization").decode("latin-1")
         self._journal.write(event, host=host, target=request.target, key=key, **fields, **more)
+        if event == "run":
+            self._running.add(exchange)
+        elif event in END_EVENTS:
+            self._running.discard(exchange)
+
+    def _turn_away(self, exchange: CallerExchange, base: Headers) -> None:
+        """Refuse a request for want of room, and fall over after too many."""
+        now = time.time()
+        self._turned_away_at = [at for at in self._turned_away_at if now - at < 1.0] + [now]
+        self.write_journal("no_room", exchange)
+        exchange.answer(503, [*base, (b"Not-Executed", b"1")], b"")
+        if len(self._turned_away_at) > self.faults.brittle:
+            self.write_journal("fell_over", exchange)
+            self._away_until = now + FALL_S
+            for running in list(self._running):
+                running.abort()
+            self._running.clear()
+            self._turned_away_at.clear()
 
     def handle_other(self, exchange: CallerExchange, path: str) -> None:
         """Execute one request, or refuse it as the faults demand."""
+        if time.time() < self._away_until:
+            exchange.abort()
+            return
         base = self._common_headers(exchange)
         if self._refuse(exchange, base):
             return
@@ -203,6 +240,8 @@
             headers.append((b"Server-Leaving", b"1"))
         if self.faults.limit_per_s:
             headers.append((b"Server-Limit", b"%.1f" % self.faults.limit_per_s))
+        if self.faults.brittle:
+            headers.append((b"Server-Brittle", b"%d" % self.faults.brittle))
         return headers
 
     def _refuse(self, exchange: CallerExchange, base: Headers) -> bool:
@@ -218,6 +257,9 @@
         if self.faults.full:
             exchange.answer(503, [*base, (b"Not-Executed", b"1")], b"")
             return True
+        if self.faults.brittle and len(self._running) >= self.faults.room:
+            self._turn_away(exchange, base)
+            return True
         return False
 
     def _begin_stream(self, exchange: CallerExchange, headers: Headers) -> None:
@@ -250,6 +292,7 @@
         return self.faults.crashing_part in [row.partition(":")[0] for row in rows[:-1]]
 
     def _answer(self, exchange: CallerExchange, status: int, headers: Headers, body: bytes) -> None:
+        self._running.discard(exchange)
         if not exchange.disconnected:
             exchange.answer(status, headers, body)
             self.write_journal("ended", exchange)
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -246,7 +246,7 @@
         if is_event_stream(headers):
             self.tail = EventTail()
         if self._caller.started:
-            self._continue_response(status)
+            self._continue_response(status, headers)
             return
         if self._options.buffers_failures and status >= FIRST_FAILURE_STATUS:
             self.buffered_response = BufferedResponse(status, headers)
@@ -266,12 +266,12 @@
             self._stalled = False
             self.on_recovered()
 
-    def _continue_response(self, status: int) -> None:
-        """Continue the response of an earlier upstream if this one responded with status 200."""
-        if status == 200:
+    def _continue_response(self, status: int, headers: Headers) -> None:
+        """Continue the response of an earlier upstream if this one responds with its events."""
+        if status == 200 and is_event_stream(headers):
             self._lifecycle.advance(LifecycleState.STREAMING)
             return
-        self.reason = f"the upstream refused to go on with the stream: status {status}"
+        self.reason = f"the upstream did not go on with the events: status {status}"
         self._finish(DispatchOutcome.BROKEN)
         self._cancel_exchange()
 
