Take a refusal that names no request for none on a kept connection

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that an engine had run. Such a refusal now ends the dispatch with an unknown outcome where the connection was used before; on a new connection there is no earlier request. A connection is closed after each refusal as before, so one with this request's id can't come again on it.

--- a/tarragonwind/adapters/caller_dialects.py
+++ b/tarragonwind/adapters/caller_dialects.py
@@ -54,6 +54,8 @@
     ANSWER = "answer"
     NOT_RUN = "not_run"
     """The upstream guarantees that it has not executed the request."""
+    UNNAMED_NOT_RUN = "unnamed_not_run"
+    """The same, without a word on which request; it may repeat what was said of an earlier one."""
     MISDIRECTED = "misdirected"
     """The address belongs to another upstream than the intended one."""
 
--- a/tarragonwind/adapters/http_clients.py
+++ b/tarragonwind/adapters/http_clients.py
@@ -133,6 +133,11 @@
         self._ended = True
         self._close()
 
+    @property
+    def reused(self) -> bool:
+        """Return whether the connection was used for other requests before."""
+        return self._reused
+
     @property
     def sent(self) -> bool:
         """Return whether a byte of the request may have reached the server."""
--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -238,10 +238,7 @@
         self.on_notice(self.notice)
         kind = self._options.classify_response(status, headers)
         if kind is not ResponseKind.ANSWER:
-            self._lifecycle.refusal_proven = True
-            misdirected = kind is ResponseKind.MISDIRECTED
-            self._finish(DispatchOutcome.MISDIRECTED if misdirected else DispatchOutcome.REFUSED)
-            self._cancel_exchange()
+            self._on_refused(kind)
             return
         if is_event_stream(headers):
             self.tail = EventTail()
@@ -260,6 +257,18 @@
         self._caller.start(status, headers, length)
         self._restart_timer()
 
+    def _on_refused(self, kind: ResponseKind) -> None:
+        """End the dispatch as not run, unless the refusal may be that of an earlier request."""
+        outcome = DispatchOutcome.REFUSED
+        if kind is ResponseKind.MISDIRECTED:
+            outcome = DispatchOutcome.MISDIRECTED
+        if kind is ResponseKind.UNNAMED_NOT_RUN and self._exchange and self._exchange.reused:
+            self.reason = "a refusal on a kept connection names no request"
+            outcome = DispatchOutcome.FAILED_BEFORE_ANSWER
+        self._lifecycle.refusal_proven = outcome is not DispatchOutcome.FAILED_BEFORE_ANSWER
+        self._finish(outcome)
+        self._cancel_exchange()
+
     def _on_data_arrived(self) -> None:
         self._last_data_at = self._timers.now()
         if self._stalled:
--- a/tarragonwind/platform/callers.py
+++ b/tarragonwind/platform/callers.py
@@ -110,9 +110,10 @@
         """Classify a response head as an answer, as not run or as misdirected."""
         if status == MISDIRECTED_STATUS:
             return ResponseKind.MISDIRECTED
-        if any(name.lower() == NOT_RUN for name, _ in headers):
-            return ResponseKind.NOT_RUN
-        return ResponseKind.ANSWER
+        names = {name.lower() for name, _ in headers}
+        if NOT_RUN not in names:
+            return ResponseKind.ANSWER
+        return ResponseKind.NOT_RUN if REQUEST_ID in names else ResponseKind.UNNAMED_NOT_RUN
 
     def read_notice(self, status: int, headers: Headers) -> UpstreamNotice:
         """Return what the upstream says of itself: leaving, a pause, a limit of requests."""
