Send three keepalive probes before an idle connection between hosts is closed

With TCP_USER_TIMEOUT set (5 s), Linux closes a silent connection at the first due probe after an unanswered one, whatever TCP_KEEPCNT says. The first probe came after 15 s, so a single lost one ended a sound connection. Probes now begin after 2 s, one a second, so three fit in the 5 s. An idle connection exchanges two empty segments every 2 s instead of every 15 s.

--- a/tarragonwind/adapters/peer_conns.py
+++ b/tarragonwind/adapters/peer_conns.py
@@ -26,9 +26,13 @@
 READ_BYTES = 256 * 1024
 """Maximum number of bytes per read."""
 USER_TIMEOUT_MS = 5000
-"""TCP user timeout: the kernel closes a connection with data unacknowledged for this long."""
-KEEPALIVE_S = 15
-"""Idle time before the first TCP keepalive probe, in seconds."""
+"""TCP user timeout: the kernel closes a connection with data unacknowledged for this long. It also
+closes an idle one that was silent for this long, at the first due probe after an unanswered one."""
+KEEPALIVE_IDLE_S = 2
+"""Idle time before the first TCP keepalive probe, in seconds: several fit in the user timeout."""
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+"""Unanswered probes after which a connection is closed; the user timeout must leave room for them."""
 
 
 class ConnHandler:
@@ -296,9 +300,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S // 3)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
 AcceptCallback = Callable[[socket.socket, Address], None]
