--- a/tarragonwind/adapters/peer_conns.py
+++ b/tarragonwind/adapters/peer_conns.py
@@ -32,7 +32,7 @@
 """Idle time before the first TCP keepalive probe, in seconds: several fit in the user timeout."""
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
-"""Unanswered probes after which a connection is closed; the user timeout must leave room for them."""
+"""Unanswered probes after which a connection is closed."""
 
 
 class ConnHandler:
