--- a/tarragonwind/adapters/relays.py
+++ b/tarragonwind/adapters/relays.py
@@ -20,6 +20,7 @@
     is_event_stream,
 )
 from tarragonwind.adapters.response_sinks import ResponseSink
+from tarragonwind.adapters.resume_sinks import ResumeSink
 from tarragonwind.core.dispatches import DispatchOutcome
 from tarragonwind.core.request_lifecycles import LifecycleState, Outcome, RequestLifecycle
 from tarragonwind.core.stream_cursors import EVENT_END, EventTail, StreamCursor
@@ -42,36 +43,6 @@
     """Do nothing; default of the relay's callbacks."""
 
 
-class ResumeSink(ResponseSink):
-    """Pass the rest of an interrupted stream to the relay that resumes it."""
-
-    __slots__ = ("_accepted", "_relay")
-
-    def __init__(self, relay: Relay) -> None:
-        self._relay = relay
-        self._accepted = False
-
-    def on_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Accept the response if the upstream still has the stream."""
-        self._accepted = status == 200
-        if not self._accepted:
-            self._relay.on_resume_refused(f"the engine refused to resume: status {status}")
-
-    def on_body(self, data: bytes) -> None:
-        """Pass body bytes to the relay."""
-        if self._accepted:
-            self._relay.on_body(data)
-
-    def on_complete(self) -> None:
-        """End the relayed response."""
-        if self._accepted:
-            self._relay.on_complete()
-
-    def on_failed(self, exc: HttpError) -> None:
-        """Pass the failure to the relay, which resumes again or aborts the response."""
-        self._relay.on_stream_interrupted(str(exc))
-
-
 class Relay(ResponseSink, ExchangeEvents):
     """Send one request to one upstream and stream the response to the caller.
 
@@ -259,9 +230,8 @@
 
     def _on_refused(self, kind: ResponseKind) -> None:
         """End the dispatch as not run, unless the refusal may be that of an earlier request."""
-        outcome = DispatchOutcome.REFUSED
-        if kind is ResponseKind.MISDIRECTED:
-            outcome = DispatchOutcome.MISDIRECTED
+        misdirected = kind is ResponseKind.MISDIRECTED
+        outcome = DispatchOutcome.MISDIRECTED if misdirected else DispatchOutcome.REFUSED
         if kind is ResponseKind.UNNAMED_NOT_RUN and self._exchange and self._exchange.reused:
             self.reason = "a refusal on a kept connection names no request"
             outcome = DispatchOutcome.FAILED_BEFORE_ANSWER
--- /dev/null
+++ b/tarragonwind/adapters/resume_sinks.py
@@ -0,0 +1,43 @@
+"""Receive the rest of a stream that is resumed at its upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tarragonwind.adapters.caller_dialects import Headers
+from tarragonwind.adapters.response_headers import is_event_stream
+from tarragonwind.adapters.response_sinks import ResponseSink
+from tarragonwind.ports import HttpError
+
+if TYPE_CHECKING:
+    from tarragonwind.adapters.relays import Relay
+
+
+class ResumeSink(ResponseSink):
+    """Pass the rest of an interrupted stream to the relay that resumes it."""
+
+    __slots__ = ("_accepted", "_relay")
+
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+        self._accepted = False
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Accept the response if the upstream goes on with the events."""
+        self._accepted = status == 200 and is_event_stream(headers)
+        if not self._accepted:
+            self._relay.on_resume_refused(f"the engine refused to resume: status {status}")
+
+    def on_body(self, data: bytes) -> None:
+        """Pass body bytes to the relay."""
+        if self._accepted:
+            self._relay.on_body(data)
+
+    def on_complete(self) -> None:
+        """End the relayed response."""
+        if self._accepted:
+            self._relay.on_complete()
+
+    def on_failed(self, exc: HttpError) -> None:
+        """Pass the failure to the relay, which resumes again or aborts the response."""
+        self._relay.on_stream_interrupted(str(exc))
--- a/tests/test_response_endings.py
+++ b/tests/test_response_endings.py
@@ -214,6 +214,17 @@
     assert b"Last-Event-ID: 1\r\n" in upstream.requests[1]
 
 
+def test_an_error_page_is_no_rest_of_a_stream_that_is_resumed_at_its_upstream():
+    head = UNFRAMED[:-2] + b"Stream-Id: s1\r\n\r\n"
+    page = b"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 5\r\n\r\nerror"
+    with relay_response((head + EVENT + MID_EVENT, Ending.CLOSE), (page, Ending.CLOSE)) as (
+        harness,
+        _,
+    ):
+        seen, body = read_response(harness, 11)
+    assert (seen, body) == (False, b"")
+
+
 def test_caller_sees_a_reset_when_the_host_dies_in_a_response_without_framing():
     with relay_response((UNFRAMED + EVENT, Ending.STALL)) as (harness, _):
         sock = socket.create_connection(("127.0.0.1", harness.gateway.address.port))
