Choose the hosts for a tunnel together with their addresses

A host that left the member list between the choice and the connect would have raised an error in a timer. Found by reading the change; not seen in a play.

--- a/tarragonwind/adapters/path_connectors.py
+++ b/tarragonwind/adapters/path_connectors.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -33,6 +34,14 @@
 """Direct connects in one such interval."""
 
 
+@dataclass(frozen=True, slots=True)
+class TunnelHost:
+    """Name a host and the address at which it accepts tunnels."""
+
+    name: str
+    address: Address
+
+
 class PathConnect(ConnectAttempt):
     """Connect to one upstream, directly and through other hosts.
 
@@ -108,20 +117,16 @@
         def on_open(conn: Connection) -> None:
             self._tunnel = None
             self.cancel()
-            self._connector.on_tunnelled(self._address, host, self._tried_direct)
+            self._connector.on_tunnelled(self._address, host.name, self._tried_direct)
             self._on_open(conn)
 
         def on_failed(reason: str) -> None:
             self._tunnel = None
-            self._connector.on_tunnel_failed(host)
+            self._connector.on_tunnel_failed(host.name)
             self._on_tunnel_failed()
 
         attempt = TunnelConnect(
-            self._connector.loop,
-            self._connector.tunnel_address(host),
-            self._address,
-            on_open,
-            on_failed,
+            self._connector.loop, host.address, self._address, on_open, on_failed
         )
         self._tunnel = attempt
         attempt.start()
@@ -169,9 +174,7 @@
     is_upstream : callable
         Returns whether an address is that of an upstream; others are connected to directly.
     hosts : callable
-        Returns the names of the other hosts that may be asked, those of this data centre first.
-    tunnel_address : callable
-        Returns the address at which a host accepts tunnels.
+        Returns the other hosts that may be asked, those of this data centre first.
     rng : random.Random
         Random number generator.
 
@@ -192,14 +195,12 @@
         loop: Loop,
         timeout_s: float,
         is_upstream: Callable[[Address], bool],
-        hosts: Callable[[], list[str]],
-        tunnel_address: Callable[[str], Address],
+        hosts: Callable[[], list[TunnelHost]],
         rng: random.Random,
     ) -> None:
         self.loop = loop
         self.timeout_s = timeout_s
         self.paths = UpstreamPaths()
-        self.tunnel_address = tunnel_address
         self.on_path_changed: Callable[[Address], None] = _do_nothing
         self.keep: Callable[[Address, Connection], None] = _close
         self._is_upstream = is_upstream
@@ -241,14 +242,14 @@
         for on_checked in self._checks.pop(address, []):
             on_checked(self.paths.is_suspect(address))
 
-    def choose_hosts(self) -> list[str]:
+    def choose_hosts(self) -> list[TunnelHost]:
         """Return the hosts to ask for a tunnel, the last one that gave one first."""
         now = self.loop.timers.now()
         hosts = self._other_hosts()
         self._failed_at = {
             name: at for name, at in self._failed_at.items() if now - at < HOST_RETRY_S
         }
-        hosts.sort(key=lambda name: (name != self._preferred, name in self._failed_at))
+        hosts.sort(key=lambda host: (host.name != self._preferred, host.name in self._failed_at))
         return hosts[:MAX_TUNNEL_HOSTS]
 
     def on_direct(self, address: Address) -> None:
--- a/tarragonwind/host_tunnels.py
+++ b/tarragonwind/host_tunnels.py
@@ -10,7 +10,7 @@
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.memberships import Membership
-from tarragonwind.adapters.path_connectors import PathConnector
+from tarragonwind.adapters.path_connectors import PathConnector, TunnelHost
 from tarragonwind.adapters.tunnels import TunnelServer
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.entries import UpstreamEntry
@@ -54,7 +54,6 @@
             cfg.upstreams.connect_timeout_s,
             self._is_upstream,
             self._other_hosts,
-            self._tunnel_address,
             rng,
         )
         self.client = HttpClient(
@@ -101,20 +100,15 @@
         known = self.connections.knows(address)
         return known and not self._stopping and not self._connector.paths.is_suspect(address)
 
-    def _other_hosts(self) -> list[str]:
+    def _other_hosts(self) -> list[TunnelHost]:
         """Return the other live hosts in random order, those of this data centre first."""
         membership = self._members()
-        data_centres = {member.name: member.data_centre for member in membership.members()}
-        others = [name for name in membership.live() if name != membership.name]
-        self._rng.shuffle(others)
-        own = self._cfg.host.data_centre
-        return sorted(others, key=lambda name: data_centres.get(name) != own)
-
-    def _tunnel_address(self, name: str) -> Address:
-        for member in self._members().members():
-            if member.name == name:
-                return Address(member.address.host, self._server.address.port)
-        raise KeyError(name)
+        others = set(membership.live()) - {membership.name}
+        members = [member for member in membership.members() if member.name in others]
+        self._rng.shuffle(members)
+        members.sort(key=lambda member: member.data_centre != self._cfg.host.data_centre)
+        port = self._server.address.port
+        return [TunnelHost(member.name, Address(member.address.host, port)) for member in members]
 
     def on_members_changed(self) -> None:
         """Close kept connections through a host that is stopping, which waits for them."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,7 +8,7 @@
 
 from tarragonwind.adapters.http_clients import HttpClient
 from tarragonwind.adapters.loops import create_loop
-from tarragonwind.adapters.path_connectors import PathConnector
+from tarragonwind.adapters.path_connectors import PathConnector, TunnelHost
 from tarragonwind.adapters.tunnels import TunnelServer, decode_opening
 from tarragonwind.ports import Address, HttpError, HttpRequest
 from tests.support import run_until
@@ -31,8 +31,7 @@
             self.loop,
             0.5,
             lambda address: True,
-            lambda: ["other"],
-            lambda name: self.server.address,
+            lambda: [TunnelHost("other", self.server.address)],
             random.Random(1),
         )
         self.connector.paths.on_tunnelled(upstream, tried_direct=True)
