--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -578,7 +578,7 @@
 
 def configuration(version: int, routes: list[dict], services: list[dict], tenants: list[dict]) -> dict:
     """Return a configuration in full."""
-    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": int(os.environ.get("REVIEW_IDLE_MS", "15000"))}
     return {"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants}
 
 
