--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,9 +14,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOSTS = 3
 ENGINES = 600
-ROUNDS = 17
+ROUNDS = 15
 SLOW_X, SLOW_S = 30, 1.6
-CONTACT_S, CONFIG_S = 3.0, 2.0
+CONTACT_S, CONFIG_S, REVOKE_S = 3.0, 2.0, 5.0
 ANSWER_S = 0.004
 WRITE_AFTER_S = 0.072
 """Time from the answer with a page 1 to the operator's write, in seconds."""
@@ -107,7 +107,7 @@
     store.answer_s = ANSWER_S
     record.write("STORE answers as usual")
     healed = record.now()
-    await asyncio.sleep(max(healed + CONTACT_S, confirmed + CONFIG_S) + 0.2 - record.now())
+    await asyncio.sleep(max(healed + CONTACT_S, confirmed + max(CONFIG_S, REVOKE_S)) + 0.2 - record.now())
     runs = sent = 0
     for name, address in hosts.addresses.items():
         answer = await world.send(record, address, hosts.front, "GET", f"/lookup/{number}", f"r{number}-{name}", key)
