Tell how busy a host's loop is, with which messages, and when local shares begin

New are loop_busy with the longest round and the most frequent messages, and local_share_begun; both as metrics, too.

--- a/tarragonwind/adapters/loops.py
+++ b/tarragonwind/adapters/loops.py
@@ -20,6 +20,8 @@
 from circuits.core.pollers import EPoll
 from loguru import logger
 
+from tarragonwind.records import dataclass
+
 POLL_READ = select.EPOLLIN
 POLL_WRITE = select.EPOLLOUT
 IDLE_WAIT_S = 10.0
@@ -46,6 +48,22 @@
         raise NotImplementedError
 
 
+@dataclass(slots=True)
+class LoopLoad:
+    """Hold how long an event loop has handled events.
+
+    Attributes
+    ----------
+    total_s : float
+        Time between polls, in seconds.
+    longest_s : float
+        Longest time between two polls, in seconds.
+    """
+
+    total_s: float = 0.0
+    longest_s: float = 0.0
+
+
 class DirectPoller(EPoll):
     """Poll the sockets of circuits' components and of direct handlers with one epoll instance."""
 
@@ -56,6 +74,7 @@
         self._socket_handlers: dict[int, SocketHandler] = {}
         self._timers = timers
         self._polled_at: float | None = None
+        self._load = LoopLoad()
         self._resume_listeners: list[Callable[[float], None]] = []
 
     def subscribe_resumed(self, listener: Callable[[float], None]) -> None:
@@ -65,6 +84,12 @@
         """
         self._resume_listeners.append(listener)
 
+    def take_busy(self) -> LoopLoad:
+        """Return how long the loop has handled events since the last call."""
+        load = self._load
+        self._load = LoopLoad()
+        return load
+
     def add_handler(self, fileno: int, socket_handler: SocketHandler, events: int) -> None:
         """Call `socket_handler` when `fileno` is ready for `events`."""
         self._socket_handlers[fileno] = socket_handler
@@ -99,6 +124,8 @@
         """Call the listeners if this poll, or what ran before it, took much too long."""
         now = self._timers.now()
         busy_s = begin - self._polled_at if self._polled_at is not None else 0.0
+        self._load.total_s += busy_s
+        self._load.longest_s = max(self._load.longest_s, busy_s)
         late_s = busy_s + max(0.0, now - begin - wait_s)
         self._polled_at = now
         if late_s < PAUSE_S:
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -89,6 +89,11 @@
         Timeouts and retry intervals.
     conditions : UpstreamConditions, optional
         What this host knows of the condition of upstreams.
+
+    Attributes
+    ----------
+    local_shares_begun : int
+        How often this host has begun to use its local share of a pool.
     """
 
     def __init__(
@@ -102,6 +107,7 @@
         conditions: UpstreamConditions | None = None,
     ) -> None:
         self.conditions = ConditionReports(send, owner_of, conditions)
+        self.local_shares_begun = 0
         self._name = name
         self._send = send
         self._owner_of = owner_of
@@ -411,6 +417,7 @@
             self._local_inbox.append(msg)
             return True
 
+        self.local_shares_begun += 1
         state.local = self._create_local_owner(now, state.pool, send_local)
         self._send_sizes(now, state, state.requests())
         state.local.on_message(now, self._name, state.create_sync(now))
--- a/tarragonwind/daemons.py
+++ b/tarragonwind/daemons.py
@@ -38,6 +38,7 @@
     store_settings,
 )
 from tarragonwind.graceful_shutdowns import GracefulShutdown
+from tarragonwind.load_monitors import LoadMonitor
 from tarragonwind.logs import configure_logs
 from tarragonwind.move_runners import MoveRunner
 from tarragonwind.pause_guards import PauseGuard
@@ -121,6 +122,9 @@
         self.operators = self._create_operators()
         self.catalogue.state.subscribe(self._on_catalogue)
         self.membership.subscribe_resumed(self.scheduler.resume)
+        self.load = LoadMonitor(
+            loop.timers, loop.poller, self.peers.traffic, self.scheduler, self.telemetry
+        )
 
     def _create_gateway(self, id_prefix: str) -> Gateway:
         cfg = self._cfg
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -42,6 +42,7 @@
 from tarragonwind.graceful_shutdowns import GracefulShutdown
 from tarragonwind.host_leases import FleetMonitor, HostLease, pack_address
 from tarragonwind.host_tunnels import HostTunnels
+from tarragonwind.load_monitors import LoadMonitor
 from tarragonwind.logs import configure_logs
 from tarragonwind.mirror_replicators import MirrorReplicator
 from tarragonwind.pause_guards import PauseGuard
@@ -237,6 +238,9 @@
             loop, cfg.status, self._is_ready, self._render_metrics, self.memory
         )
         self.membership.subscribe_resumed(self.scheduler.resume)
+        self.load = LoadMonitor(
+            timers, loop.poller, self.peers.traffic, self.scheduler, self.telemetry
+        )
         self.membership.subscribe(self.tunnels.on_members_changed)
 
     def _create_gateway(self, rng: random.Random, sock: socket.socket) -> Gateway:
--- a/tarragonwind/telemetry.py
+++ b/tarragonwind/telemetry.py
@@ -76,6 +76,11 @@
     memory_decisions : MetricSeries
         Decisions for lack of memory: bodies that waited, requests refused, connections shed and
         connections refused.
+    loop_busy, loop_longest_round : MetricSeries
+        Fraction of the last second in which the event loop handled events, and its longest time
+        between two polls.
+    local_shares : MetricSeries
+        Times at which the owner of a pool was silent, so that this host used its local share.
     memory_held, memory_size, memory_waiting : MetricSeries
         Bytes that connections hold and may hold, and requests whose body waits for memory.
     """
@@ -158,6 +163,15 @@
         self.prefix_waits = factory.create(
             counter, "prefix.waits", "{request}", "Ended waits for an engine's prefix", "outcome"
         )
+        self.loop_busy = factory.create(
+            gauge, "loop.busy", "1", "Fraction of the time in which the event loop is busy"
+        )
+        self.loop_longest_round = factory.create(
+            gauge, "loop.longest_round", "s", "Longest time between two polls of the last second"
+        )
+        self.local_shares = factory.create(
+            counter, "permits.local_shares", "{share}", "Local shares begun for silent owners"
+        )
         self.engine_memory = factory.create(
             gauge, "engine.memory", "1", "Largest part of an engine's memory granted", "pool"
         )
