Let a busy owner of a pool come back: send it less, and handle what still matters first

Cause: a metastable overload of the pool's owner. A host that heard nothing for 0.3 s sent its full state, one that used its local share sent it each 0.6 s with requests that waited elsewhere, and told the owner of each permit that it had never given: a cancellation and a release a request. The owner read all that in order, in rounds of seconds, each of which ended with grants and refusals for callers that had left; rounds of 1 s and more counted as a pause, after which it forgot everything and every host sent its state again. So the answer to silence was what kept the owner silent, and grew with the number of hosts.

Hosts: states sent in doubt come at intervals that double up to 2.4 s until the owner is in step; a host on its local share withdraws its requests and tells nothing of local permits (unless the pool has strict limits); the share ends when a state is answered within 0.3 s, not with any old message. Owner: 64 messages a round; the rest waits in an inbox in which a full state or a cancellation supersedes what came before it, releases go first and requests by priority, less the time that they waited; one search for room a batch, and no upstream is checked again that did not change; requests and permits are found by host without a scan; no heartbeat to hosts that were just sent a grant.

--- a/tarragonwind/core/owner_heartbeats.py
+++ b/tarragonwind/core/owner_heartbeats.py
@@ -30,6 +30,8 @@
         Hosts that have sent their state, and lost hosts.
     query_after_s : float
         Time without the state of a host that holds permits after which it is queried, in seconds.
+    period_s : float
+        Interval of heartbeats to hosts with waiting requests, in seconds.
 
     Attributes
     ----------
@@ -42,11 +44,13 @@
     __slots__ = (
         "_hosts",
         "_ledger",
+        "_period_s",
         "_pool",
         "_query_after_s",
         "_queue",
         "_rng",
         "_send",
+        "_sent_at",
         "active",
         "epoch",
     )
@@ -60,7 +64,10 @@
         ledger: PermitLedger,
         hosts: HostTracker,
         query_after_s: float,
+        period_s: float,
     ) -> None:
+        self._period_s = period_s
+        self._sent_at: dict[str, float] = {}
         self.active = False
         self._pool = pool
         self._send = send
@@ -81,22 +88,25 @@
             self.send(host)
         return self._hosts.has_reported(host)
 
+    def note_sent(self, now: float, host: str) -> None:
+        """Record that a host was sent a message, which shows it that the owner is alive."""
+        self._sent_at[host] = now
+
     def send(self, host: str) -> None:
         """Send a heartbeat, except to a lost host, which must fall back to its local share."""
         if not self.active or self._hosts.is_lost(host):
             return
-        waiting = sum(1 for req in self._queue if req.host == host)
-        self._send(host, PermitBeat(self._pool, self.epoch, waiting))
+        self._send(host, PermitBeat(self._pool, self.epoch, self._queue.count_of(host)))
 
-    def send_to_waiting(self) -> None:
-        """Send a heartbeat to each host with waiting requests."""
+    def send_to_waiting(self, now: float) -> None:
+        """Send a heartbeat to each host with waiting requests that was sent nothing else lately."""
         if not self.active:
             return
-        counts: dict[str, int] = {}
-        for req in self._queue:
-            counts[req.host] = counts.get(req.host, 0) + 1
-        for host in sorted(counts):
-            self._send(host, PermitBeat(self._pool, self.epoch, counts[host]))
+        lately = now - self._period_s
+        self._sent_at = {host: at for host, at in self._sent_at.items() if at > lately}
+        for host, count in sorted(self._queue.counts_by_host().items()):
+            if host not in self._sent_at:
+                self._send(host, PermitBeat(self._pool, self.epoch, count))
 
     def query_silent(self, now: float) -> None:
         """Query hosts that have held permits for long and sent no state since."""
--- a/tarragonwind/core/permit_adoptions.py
+++ b/tarragonwind/core/permit_adoptions.py
@@ -41,8 +41,8 @@
     for key in ledger.keys_of(host):
         if key[1] not in held_ids and key[1] not in waiting_ids:
             ledger.release(now, key)
-    for waiting in queue:
-        if waiting.host == host and waiting.permit_id not in waiting_ids:
+    for waiting in queue.of_host(host):
+        if waiting.permit_id not in waiting_ids:
             queue.remove(waiting.key)
     for permit in permits:
         _adopt_permit(now, host, permit, ledger, queue, sizes)
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -32,10 +32,10 @@
     create_upstream_limit,
 )
 from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.sync_schedules import ClientSettings, SyncSchedule
 from tarragonwind.core.upstream_conditions import UpstreamConditions
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
-from tarragonwind.records import dataclass
 
 CLIENT_MESSAGES = (PermitGrant, PermitRefusal, PermitBeat, PermitQuery)
 """Classes of the messages that owners send to clients."""
@@ -44,31 +44,6 @@
 """Host name that stands for the local owner."""
 
 
-@dataclass(frozen=True, slots=True)
-class ClientSettings:
-    """Set the timeouts and retry intervals of a permit client.
-
-    Attributes
-    ----------
-    resync_after_s : float
-        Time without a message of the owner after which the full state is sent again, in seconds.
-    owner_timeout_s : float
-        Time without a message of the owner after which the local share is used, in seconds.
-    resync_period_s : float
-        Interval between retries of a message to the owner that could not be sent, in seconds.
-    sync_period_s : float
-        Interval of full synchronisation while requests wait or permits are held, in seconds.
-    mismatches_to_resync : int
-        Consecutive heartbeats with a wrong number of requests that trigger a synchronisation.
-    """
-
-    resync_after_s: float = 0.3
-    owner_timeout_s: float = 0.6
-    resync_period_s: float = 0.25
-    sync_period_s: float = 10.0
-    mismatches_to_resync: int = 2
-
-
 class PermitClient:
     """Request permits from pool owners and track those in use.
 
@@ -117,6 +92,7 @@
         self._pool_of: dict[int, str] = {}
         self._deadlines: list[tuple[float, int]] = []
         self._next_id = rng.getrandbits(30)
+        self._rng = rng
         self._local_inbox: deque[Message] = deque()
         self._delivering = False
 
@@ -136,8 +112,9 @@
         permit_id = self._next_id
         state = self._state_of(now, request.pool)
         if not state.pending:
-            state.owner_seen_at = max(state.owner_seen_at, now)
-        state.pending[permit_id] = PendingRequest(request, on_granted, on_refused)
+            state.schedule.on_owner_seen(now)
+        pending = PendingRequest(request, on_granted, on_refused)
+        state.pending[permit_id] = pending
         self._pool_of[permit_id] = request.pool
         heapq.heappush(self._deadlines, (request.wait_deadline, permit_id))
         if self.conditions.has_memory_limit(state.pool):
@@ -147,16 +124,18 @@
             state.local.on_message(now, self._name, msg)
             self._deliver_local(now)
         else:
+            pending.owner_knows = True
             self._send_to_owner(state, msg)
         return permit_id
 
     def cancel(self, now: float, permit_id: int) -> bool:
         """Cancel a waiting request; return whether it was waiting."""
         state = self._find(permit_id)
-        if state is None or state.pending.pop(permit_id, None) is None:
+        pending = state.pending.pop(permit_id, None) if state is not None else None
+        if state is None or pending is None:
             return False
         del self._pool_of[permit_id]
-        self._cancel_everywhere(now, state, permit_id)
+        self._cancel_everywhere(now, state, permit_id, pending)
         return True
 
     def release(
@@ -188,7 +167,8 @@
             upstream=held.permit.upstream if hold_ms else "",
             limited=limited,
         )
-        self._send_to_owner(state, msg)
+        if held.owner_knows or hold_ms:
+            self._send_to_owner(state, msg)
         if state.local is not None:
             state.local.on_message(now, self._name, msg)
             self._deliver_local(now)
@@ -256,14 +236,14 @@
                 continue
             state.owner = owner
             state.epoch = None
-            state.owner_seen_at = now
+            state.schedule.on_owner_changed(now)
             state.local = None
             self._sync(now, state)
 
     def on_resumed(self, now: float) -> None:
         """Synchronise with every owner after a pause of this process."""
         for state in self._pools.values():
-            state.owner_seen_at = now
+            state.schedule.on_owner_changed(now)
             self._sync(now, state)
         self._expire_requests(now)
 
@@ -304,6 +284,7 @@
         if state is None or (host == LOCAL_OWNER and state.local is None):
             self._return_unused(now, host, msg)
             return
+        is_withdrawn = _is_withdrawn(state, host, msg.permit_id)
         self._record_owner_seen(now, state, host)
         held = state.held.get(msg.permit_id)
         if held is not None and held.permit.upstream == msg.upstream:
@@ -312,7 +293,7 @@
         if not self.conditions.may_use(now, msg.pool, msg.upstream, is_from_owner):
             self._return_unused(now, host, msg)
             return
-        pending = state.pending.pop(msg.permit_id, None)
+        pending = None if is_withdrawn else state.pending.pop(msg.permit_id, None)
         if pending is None:
             self._return_unused(now, host, msg)
             return
@@ -321,8 +302,9 @@
             self._refuse(msg.permit_id, pending, ErrorKind.DEADLINE_PASSED, 1.0)
             return
         permit = Permit(msg.permit_id, msg.pool, msg.upstream, msg.version, host)
-        state.held[msg.permit_id] = PermitInUse(permit, pending.request)
-        self._cancel_elsewhere(now, state, host, msg.permit_id)
+        owner_knows = pending.owner_knows or host != LOCAL_OWNER
+        state.held[msg.permit_id] = PermitInUse(permit, pending.request, owner_knows)
+        self._cancel_elsewhere(now, state, host, msg.permit_id, pending)
         pending.on_granted(permit)
 
     def _on_refusal(self, now: float, host: str, msg: PermitRefusal) -> None:
@@ -331,11 +313,12 @@
             return
         if host == LOCAL_OWNER and state.local is None:
             return
+        is_withdrawn = _is_withdrawn(state, host, msg.permit_id)
         self._record_owner_seen(now, state, host)
-        pending = state.pending.pop(msg.permit_id, None)
+        pending = None if is_withdrawn else state.pending.pop(msg.permit_id, None)
         if pending is None:
             return
-        self._cancel_elsewhere(now, state, host, msg.permit_id)
+        self._cancel_elsewhere(now, state, host, msg.permit_id, pending)
         self._refuse(msg.permit_id, pending, REFUSAL_KINDS[msg.kind], msg.retry_after_ms / 1_000)
 
     def _on_heartbeat(self, now: float, host: str, msg: PermitBeat) -> None:
@@ -347,10 +330,8 @@
             state.epoch = msg.epoch
             self._sync(now, state)
             return
-        state.heartbeat_mismatches = (
-            state.heartbeat_mismatches + 1 if msg.waiting != len(state.pending) else 0
-        )
-        if state.heartbeat_mismatches >= self._settings.mismatches_to_resync:
+        matches = msg.waiting == len(state.pending)
+        if state.local is None and state.schedule.on_heartbeat(now, matches):
             self._sync(now, state)
 
     def _on_query(self, now: float, host: str, msg: PermitQuery) -> None:
@@ -365,7 +346,10 @@
         if host != LOCAL_OWNER:
             self.conditions.send_all(now, host, state.pool)
         self._send_sizes(now, state, state.requests(), host)
-        self._reply(now, host, state.create_sync(now))
+        withdraws = host != LOCAL_OWNER and self._withdraws(now, state)
+        self._reply(now, host, state.create_sync(now, withdraws))
+        if host == state.owner:
+            state.mark_told(withdraws)
 
     def _refuse(
         self, permit_id: int, pending: PendingRequest, kind: ErrorKind, retry_after_s: float
@@ -385,14 +369,22 @@
         if state is not None and state.local is not None:
             state.local.on_message(now, self._name, msg)
 
-    def _cancel_everywhere(self, now: float, state: PoolState, permit_id: int) -> None:
-        self._cancel_elsewhere(now, state, None, permit_id)
+    def _cancel_everywhere(
+        self, now: float, state: PoolState, permit_id: int, pending: PendingRequest
+    ) -> None:
+        self._cancel_elsewhere(now, state, None, permit_id, pending)
 
     def _cancel_elsewhere(
-        self, now: float, state: PoolState, host: str | None, permit_id: int
+        self,
+        now: float,
+        state: PoolState,
+        host: str | None,
+        permit_id: int,
+        pending: PendingRequest,
     ) -> None:
+        """Cancel a request at the owners that know of it, except at `host`."""
         msg = PermitCancel(state.pool, permit_id)
-        if host != state.owner:
+        if host != state.owner and pending.owner_knows:
             self._send_to_owner(state, msg)
         if state.local is not None and host != LOCAL_OWNER:
             state.local.on_message(now, self._name, msg)
@@ -402,15 +394,17 @@
     def _record_owner_seen(self, now: float, state: PoolState, host: str) -> None:
         if host != state.owner:
             return
-        state.owner_seen_at = now
-        if state.local is not None:
+        state.schedule.on_owner_seen(now)
+        if state.local is None:
+            return
+        if state.schedule.has_answered(now):
             state.local = None
             self._sync(now, state)
+        elif state.schedule.take_doubt(now):
+            self._sync(now, state)
 
     def _check_owner(self, now: float, state: PoolState) -> None:
-        if state.local is not None or not state.pending:
-            return
-        if now - state.owner_seen_at < self._settings.owner_timeout_s:
+        if state.local is not None or not state.pending or not state.schedule.is_silent(now):
             return
 
         def send_local(_host: str, msg: Message) -> bool:
@@ -436,26 +430,26 @@
             self._delivering = False
 
     def _is_sync_due(self, now: float, state: PoolState) -> bool:
-        since_s = now - state.synced_at
-        if state.needs_sync:
-            return since_s >= self._settings.resync_period_s
         if state.local is not None:
-            return since_s >= self._settings.owner_timeout_s
-        if (
-            state.pending
-            and state.synced_at < state.owner_seen_at + self._settings.resync_after_s <= now
-        ):
-            return True
+            return state.schedule.take_doubt(now)
         has_content = bool(state.pending or state.held)
-        return has_content and since_s >= self._settings.sync_period_s
+        return state.schedule.is_due(now, bool(state.pending), has_content)
 
     def _sync(self, now: float, state: PoolState) -> None:
-        state.synced_at = now
-        state.heartbeat_mismatches = 0
-        state.needs_sync = False
+        state.schedule.on_synced(now)
+        withdraws = self._withdraws(now, state)
+        state.mark_told(withdraws)
         self.conditions.send_all(now, state.owner, state.pool)
         self._send_sizes(now, state, state.requests(), state.owner)
-        self._send_to_owner(state, state.create_sync(now))
+        self._send_to_owner(state, state.create_sync(now, withdraws))
+
+    def _withdraws(self, now: float, state: PoolState) -> bool:
+        """Return whether requests that wait for the local share are withdrawn from the owner.
+
+        A busy owner would order them for nothing. Of a pool with strict limits there is hardly any
+        local share, so that they wait for the owner after all.
+        """
+        return state.local is not None and not self.conditions.needs_all_reports(now, state.pool)
 
     def _send_sizes(
         self, now: float, state: PoolState, requests: dict[int, PermitRequest], host: str = ""
@@ -471,14 +465,15 @@
 
     def _send_to_owner(self, state: PoolState, msg: Message) -> None:
         if self._send(state.owner, msg) is False:
-            state.needs_sync = True
+            state.schedule.needs_sync = True
 
     # Bookkeeping
 
     def _state_of(self, now: float, pool: str) -> PoolState:
         state = self._pools.get(pool)
         if state is None:
-            state = PoolState(pool, self._owner_of(pool), now)
+            schedule = SyncSchedule(now, self._settings, self._rng)
+            state = PoolState(pool, self._owner_of(pool), schedule)
             self._pools[pool] = state
         return state
 
@@ -493,5 +488,11 @@
             pending = state.pending.pop(permit_id, None) if state is not None else None
             if state is None or pending is None:
                 continue
-            self._cancel_everywhere(now, state, permit_id)
+            self._cancel_everywhere(now, state, permit_id, pending)
             self._refuse(permit_id, pending, ErrorKind.DEADLINE_PASSED, 1.0)
+
+
+def _is_withdrawn(state: PoolState, host: str, permit_id: int) -> bool:
+    """Return whether the owner answers a waiting request that was withdrawn from it."""
+    pending = state.pending.get(permit_id)
+    return host == state.owner and pending is not None and not pending.owner_knows
--- a/tarragonwind/core/permit_ledgers.py
+++ b/tarragonwind/core/permit_ledgers.py
@@ -103,6 +103,7 @@
     """
 
     __slots__ = (
+        "_by_host",
         "_conditions",
         "_is_local",
         "_known_fraction",
@@ -129,6 +130,7 @@
         self._known_fraction = 1.0
         self._new_owner_at = -math.inf
         self._permits: dict[PermitKey, GrantedPermit] = {}
+        self._by_host: dict[str, set[PermitKey]] = {}
 
     def __len__(self) -> int:
         return len(self._permits)
@@ -197,6 +199,7 @@
     def add(self, now: float, permit: GrantedPermit) -> None:
         """Add a permit and its load."""
         self._permits[permit.key] = permit
+        self._by_host.setdefault(permit.host, set()).add(permit.key)
         load = self.loads[permit.upstream]
         load.add(now, permit.cost_tokens)
         load.strict.memory.used += permit.memory_tokens
@@ -208,7 +211,7 @@
 
     def release(self, now: float, key: PermitKey) -> GrantedPermit | None:
         """Remove a permit and its load; return it, or None if there is no such permit."""
-        permit = self._permits.pop(key, None)
+        permit = self._remove(key)
         if permit is not None:
             load = self.loads.get(permit.upstream)
             if load is not None:
@@ -216,6 +219,16 @@
                 load.strict.memory.used -= permit.memory_tokens
         return permit
 
+    def _remove(self, key: PermitKey) -> GrantedPermit | None:
+        permit = self._permits.pop(key, None)
+        if permit is None:
+            return None
+        of_host = self._by_host[permit.host]
+        of_host.remove(key)
+        if not of_host:
+            del self._by_host[permit.host]
+        return permit
+
     def clear(self, now: float) -> None:
         """Remove all permits and their load."""
         for key in list(self._permits):
@@ -227,7 +240,7 @@
 
     def keys_of(self, host: str) -> list[PermitKey]:
         """Return the keys of a host's permits."""
-        return [key for key in self._permits if key[0] == host]
+        return list(self._by_host.get(host, ()))
 
     def hosts(self, granted_before: float = float("inf")) -> set[str]:
         """Return the hosts that hold a permit granted before a time."""
@@ -272,4 +285,4 @@
     def _forget_upstream(self, name: str) -> None:
         del self.loads[name]
         for key in [key for key, permit in self._permits.items() if permit.upstream == name]:
-            del self._permits[key]
+            self._remove(key)
--- a/tarragonwind/core/permit_states.py
+++ b/tarragonwind/core/permit_states.py
@@ -17,6 +17,7 @@
 )
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.permits import PoolOwner
+from tarragonwind.core.sync_schedules import SyncSchedule
 from tarragonwind.core.upstream_limits import UpstreamLimits
 from tarragonwind.errors import ErrorKind
 from tarragonwind.records import dataclass
@@ -30,19 +31,41 @@
 
 @dataclass(slots=True)
 class PendingRequest:
-    """Hold a waiting permit request and its callbacks."""
+    """Hold a waiting permit request and its callbacks.
+
+    Attributes
+    ----------
+    request : PermitRequest
+        The request.
+    on_granted, on_refused : callable
+        Called with the permit, or with the kind of the refusal and the time to return after.
+    owner_knows : bool
+        Whether the pool's owner was told of the request.
+    """
 
     request: PermitRequest
     on_granted: OnGranted
     on_refused: OnRefused
+    owner_knows: bool = False
 
 
 @dataclass(slots=True)
 class PermitInUse:
-    """Hold a granted permit and the request that uses it."""
+    """Hold a granted permit and the request that uses it.
+
+    Attributes
+    ----------
+    permit : Permit
+        The permit.
+    request : PermitRequest
+        The request that uses it.
+    owner_knows : bool
+        Whether the pool's owner has granted the permit or was told of it.
+    """
 
     permit: Permit
     request: PermitRequest
+    owner_knows: bool
 
 
 class PoolState:
@@ -50,29 +73,23 @@
 
     __slots__ = (
         "epoch",
-        "heartbeat_mismatches",
         "held",
         "limits",
         "local",
-        "needs_sync",
         "owner",
-        "owner_seen_at",
         "pending",
         "pool",
-        "synced_at",
+        "schedule",
     )
 
-    def __init__(self, pool: str, owner: str, now: float) -> None:
+    def __init__(self, pool: str, owner: str, schedule: SyncSchedule) -> None:
         self.pool = pool
         self.owner = owner
+        self.schedule = schedule
         self.pending: dict[int, PendingRequest] = {}
         self.held: dict[int, PermitInUse] = {}
         self.limits = UpstreamLimits()
         self.epoch: int | None = None
-        self.owner_seen_at = now
-        self.synced_at = now
-        self.needs_sync = False
-        self.heartbeat_mismatches = 0
         self.local: PoolOwner | None = None
 
     def requests(self) -> dict[int, PermitRequest]:
@@ -80,11 +97,29 @@
         waiting = {permit_id: pending.request for permit_id, pending in self.pending.items()}
         return waiting | {permit_id: held.request for permit_id, held in self.held.items()}
 
-    def create_sync(self, now: float) -> PermitSync:
-        """Return the full state for the owner."""
+    def mark_told(self, withdraws: bool) -> None:
+        """Record what the owner was told by `create_sync`."""
+        for pending in self.pending.values():
+            pending.owner_knows = not withdraws
+        if not withdraws:
+            for held in self.held.values():
+                held.owner_knows = True
+
+    def create_sync(self, now: float, withdraws: bool = False) -> PermitSync:
+        """Return the full state for the owner.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        withdraws : bool
+            Whether to leave out the requests that wait for the local share, and the permits of that
+            share: the owner need not know them before it answers again.
+        """
+        waiting = {} if withdraws else self.pending
         requests = [
             permit_ask_fields(create_permit_ask(now, permit_id, pending.request))
-            for permit_id, pending in self.pending.items()
+            for permit_id, pending in waiting.items()
         ]
         permits = [
             held_permit_fields(
@@ -97,6 +132,7 @@
                 )
             )
             for permit_id, held in self.held.items()
+            if held.owner_knows or not withdraws
         ]
         limits = [
             upstream_limit_fields(
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -152,7 +152,14 @@
             self.prefixes,
         )
         self._heartbeats = OwnerHeartbeats(
-            pool, send, rng, self._queue, self._ledger, self._hosts, self._settings.query_after_s
+            pool,
+            send,
+            rng,
+            self._queue,
+            self._ledger,
+            self._hosts,
+            self._settings.query_after_s,
+            self._settings.heartbeat_period_s,
         )
         self._takeover = OwnerTakeover(
             pool,
@@ -164,6 +171,7 @@
         self._memory = MemoryAdmission(pool, conditions.memories, self._queue)
         self._grants_from = 0.0
         self._full_at = -math.inf
+        self._has_news = False
         self._last_call_at: float | None = None
         self._heartbeat_at = 0.0
         self._swept_at = 0.0
@@ -265,7 +273,7 @@
         self._grant_waiting(now)
         if now - self._heartbeat_at >= self._settings.heartbeat_period_s:
             self._heartbeat_at = now
-            self._heartbeats.send_to_waiting()
+            self._heartbeats.send_to_waiting(now)
         if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
             self._queue.evict_idle()
@@ -275,6 +283,16 @@
 
     def on_message(self, now: float, host: str, msg: Message) -> None:
         """Handle a message of a host; messages of other classes are ignored."""
+        self.apply_message(now, host, msg)
+        self.grant(now)
+
+    def grant(self, now: float) -> None:
+        """Grant permits after messages were applied, unless the pool was found full just now."""
+        if self._has_news or now - self._full_at >= FULL_RECHECK_S:
+            self._grant_waiting(now)
+
+    def apply_message(self, now: float, host: str, msg: Message) -> None:
+        """Handle a message of a host without granting; call `grant` after the last of several."""
         self._detect_pause(now)
         if isinstance(msg, PermitSizes):
             self._memory.on_sizes(host, msg)
@@ -282,7 +300,8 @@
         if isinstance(msg, PermitSync):
             self._on_sync(now, host, msg)
         elif isinstance(msg, PermitAsk):
-            self._on_ask(now, host, msg)
+            if self._heartbeats.ensure_synced(host):
+                self._enqueue(now, host, msg)
             return
         elif isinstance(msg, PermitCancel):
             self._heartbeats.ensure_synced(host)
@@ -292,13 +311,7 @@
                 self._heartbeats.ensure_synced(host)
             if self._outcomes.on_message(now, host, msg):
                 self._versions.rechoose_unservable(now)
-        self._grant_waiting(now)
-
-    def _on_ask(self, now: float, host: str, msg: PermitAsk) -> None:
-        if self._heartbeats.ensure_synced(host):
-            self._enqueue(now, host, msg)
-        if now - self._full_at >= FULL_RECHECK_S:
-            self._grant_waiting(now)
+        self._has_news = True
 
     # State
 
@@ -343,19 +356,19 @@
         self._set_latest_grant(now, req, msg)
         self._waits.add_asked(req)
         if self.active and not self._ledger.has_live(req.version, req.homes):
-            self._refuse(req, ErrorKind.NO_UPSTREAM)
+            self._refuse(now, req, ErrorKind.NO_UPSTREAM)
             return
         self._has_homes = self._has_homes or bool(homes)
         late = self.active and self._waits.exceeds_limit(now, req)
         if late and not self._has_room_beside_homes(now, req):
-            self._refuse(req, ErrorKind.DEADLINE_UNMEETABLE)
+            self._refuse(now, req, ErrorKind.DEADLINE_UNMEETABLE)
             return
         if self.active and self._waits.is_held_too_long(now, req):
-            self._refuse(req, ErrorKind.DEADLINE_UNMEETABLE, self._waits.hold_left_s(now, req))
+            self._refuse(now, req, ErrorKind.DEADLINE_UNMEETABLE, self._waits.hold_left_s(now, req))
             return
         shed = self._queue.push(req)
         if shed is not None:
-            self._refuse(shed, ErrorKind.SHED)
+            self._refuse(now, shed, ErrorKind.SHED)
 
     def _has_room_beside_homes(self, now: float, req: QueuedRequest) -> bool:
         """Return whether a request can be granted at once, as all work ahead waits for its homes.
@@ -391,39 +404,43 @@
                 hold_s = self._waits.hold_left_s(now, req)
             if kind is not None:
                 self._queue.remove(req.key)
-                self._refuse(req, kind, hold_s)
+                self._refuse(now, req, kind, hold_s)
 
-    def _refuse(self, req: QueuedRequest, kind: ErrorKind, min_wait_s: float = 0.0) -> None:
+    def _refuse(
+        self, now: float, req: QueuedRequest, kind: ErrorKind, min_wait_s: float = 0.0
+    ) -> None:
         """Refuse a request; its caller is told to come back after `min_wait_s` or later."""
         wait_s = max(min_wait_s, self._waits.retry_after_s(req.tier, req.rank, req.organisation))
         wait_ms = math.ceil(1_000 * wait_s)
         refusal = PermitRefusal(self.pool, req.permit_id, REFUSAL_KINDS.index(kind), wait_ms)
         self._send(req.host, refusal)
+        self._heartbeats.note_sent(now, req.host)
 
     def _drop_requests(self, host: str) -> None:
-        for req in self._queue:
-            if req.host == host:
-                self._queue.remove(req.key)
+        for req in self._queue.of_host(host):
+            self._queue.remove(req.key)
 
     # Grants
 
     def _grant_waiting(self, now: float) -> None:
         self._full_at = -math.inf
+        self._has_news = False
         if not self.active or now < self._grants_from:
             return
         if not self._takeover.may_grant(now, self._ledger.strict_share):
             return
-        available: list[UpstreamLoad] | None = None
-        while len(self._queue) > 0 and self._ledger.is_below_share():
-            known = self._ledger.loads.values() if available is None else available
-            available = [load for load in known if load.has_room(now)]
-            if not available:
-                self._full_at = now
-                return
+        if not len(self._queue) or not self._ledger.is_below_share():
+            return
+        available = [load for load in self._ledger.loads.values() if load.has_room(now)]
+        while available and len(self._queue) and self._ledger.is_below_share():
             found = self._take_next(now, available)
             if found is None:
                 return
-            self._grant(now, *found)
+            used = self._grant(now, *found)
+            if used is not None and not used.has_room(now):
+                available = [load for load in available if load is not used]
+        if not available:
+            self._full_at = now
 
     def _take_next(
         self, now: float, available: list[UpstreamLoad]
@@ -475,11 +492,14 @@
         share = self._ledger.strict_share
         return self._memory.fitting(now, req, loads, lambda: self._takeover.knows_all(now, share))
 
-    def _grant(self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]) -> None:
+    def _grant(
+        self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]
+    ) -> UpstreamLoad | None:
+        """Grant a permit for one of some upstreams with room; return it, None for a refusal."""
         loads = prefer_warm(now, loads, req)
         if self._packs_requests(self.pool, req.version):
             loads = choose_busiest_with_room(now, loads)
-        placement = self.placer.choose(now, self._rng, loads, req)
+        placement = self.placer.choose_with_room(now, self._rng, loads, req)
         if placement is None:
             raise AssertionError(
                 f"no upstream with room for the request popped from pool {self.pool!r}"
@@ -489,8 +509,8 @@
         is_typical = not placement.cached_share and not load.strict.is_cold(now)
         unread_tokens = req.prompt_tokens * (1.0 - placement.cached_share)
         if now + load.min_first_byte_s(now, unread_tokens) > req.latest_first_byte:
-            self._refuse(req, ErrorKind.DEADLINE_UNMEETABLE)
-            return
+            self._refuse(now, req, ErrorKind.DEADLINE_UNMEETABLE)
+            return None
         permit = GrantedPermit(
             host=req.host,
             permit_id=req.permit_id,
@@ -512,6 +532,8 @@
         if req.prefixes:
             self.hints.add(load.entry.name, req.prefixes)
         self._send(req.host, PermitGrant(self.pool, req.permit_id, permit.upstream, permit.version))
+        self._heartbeats.note_sent(now, req.host)
+        return load
 
     def _resend(self, now: float, permit: GrantedPermit) -> None:
         if now - permit.granted_at < self._settings.resend_after_s:
--- a/tarragonwind/core/placements.py
+++ b/tarragonwind/core/placements.py
@@ -187,10 +187,15 @@
         Upstreams that have already failed this request are used only if no other is left. An
         upstream that is many times slower than the fastest gets one request at a time.
         """
-        with_capacity = [load for load in loads if load.has_room(now)]
-        candidates = [
-            load for load in with_capacity if load.entry.name not in req.avoid
-        ] or with_capacity
+        return self.choose_with_room(now, rng, [load for load in loads if load.has_room(now)], req)
+
+    def choose_with_room(
+        self, now: float, rng: random.Random, loads: list[UpstreamLoad], req: QueuedRequest
+    ) -> Placement | None:
+        """Choose among upstreams that are known to have room, see `choose`."""
+        candidates = loads
+        if req.avoid:
+            candidates = [load for load in loads if load.entry.name not in req.avoid] or loads
         if not candidates:
             return None
         candidates = self._sample(now, rng, candidates, req)
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -12,6 +12,7 @@
 from tarragonwind.core.entries import UpstreamEntry
 from tarragonwind.core.fleet_shares import FleetShares
 from tarragonwind.core.homes import Homes
+from tarragonwind.core.owner_inboxes import Delivery
 from tarragonwind.core.owner_settings import (
     PermitSettings,
     Send,
@@ -191,21 +192,38 @@
                 owner.on_versions_changed(now)
 
     def on_message(self, now: float, host: str, msg: Message) -> None:
-        """Pass a message of `OWNER_MESSAGES` to the owner of its pool."""
+        """Pass a message of `OWNER_MESSAGES` to the owner of its pool, which then grants."""
+        owner = self._apply(now, host, msg)
+        if owner is not None:
+            owner.grant(now)
+
+    def on_messages(self, now: float, received: list[Delivery]) -> None:
+        """Pass messages to the owners of their pools, which grant once after the last of them."""
+        touched: dict[str, PoolOwner] = {}
+        for host, msg in received:
+            owner = self._apply(now, host, msg)
+            if owner is not None:
+                touched[owner.pool] = owner
+        for owner in touched.values():
+            owner.grant(now)
+
+    def _apply(self, now: float, host: str, msg: Message) -> PoolOwner | None:
+        """Apply a message; return the owner that may grant after it."""
         if isinstance(msg, PoolBrittle):
             self._deps.conditions.brittle.learn(
                 now, msg.pool, msg.rejections_per_s, msg.age_ms / 1_000
             )
-            return
+            return None
         if isinstance(msg, UpstreamCold):
             start = (msg.upstream, msg.incarnation)
             self._deps.conditions.cold.on_notice(now, start, msg.cold_ms / 1_000)
-            return
+            return None
         if not isinstance(msg, OWNER_MESSAGES):
-            return
+            return None
         owner = self._owners.get(msg.pool)
         if owner is not None:
-            owner.on_message(now, host, msg)
+            owner.apply_message(now, host, msg)
+        return owner
 
     def on_load_report(self, now: float, upstream: str, in_flight: int, age_s: float) -> None:
         """Pass a load report of an upstream to the owners."""
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -313,13 +313,14 @@
         Returns the weight of an organisation.
     """
 
-    __slots__ = ("_levels", "_max_waiting", "_requests", "_weight_of")
+    __slots__ = ("_by_host", "_levels", "_max_waiting", "_requests", "_weight_of")
 
     def __init__(self, max_waiting: int, weight_of: Callable[[str], float]) -> None:
         self._max_waiting = max_waiting
         self._weight_of = weight_of
         self._levels = [_FairQueue() for _ in range(LEVEL_COUNT)]
         self._requests: dict[PermitKey, QueuedRequest] = {}
+        self._by_host: dict[str, dict[PermitKey, QueuedRequest]] = {}
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -346,6 +347,7 @@
                 return req
             self.remove(to_shed.key)
         self._requests[req.key] = req
+        self._by_host.setdefault(req.host, {})[req.key] = req
         self._place(req, timely_level(priority_of(req.tier, req.rank)))
         return to_shed
 
@@ -361,6 +363,7 @@
             req = level_queue.pop(has_room, fits)
             if req is not None:
                 del self._requests[req.key]
+                self._forget_host(req)
                 return req
         return None
 
@@ -388,8 +391,28 @@
         req = self._requests.pop(key, None)
         if req is not None:
             self._levels[req.level].remove(req)
+            self._forget_host(req)
         return req
 
+    def _forget_host(self, req: QueuedRequest) -> None:
+        """Remove a request that no longer waits from those of its host."""
+        of_host = self._by_host[req.host]
+        del of_host[req.key]
+        if not of_host:
+            del self._by_host[req.host]
+
+    def of_host(self, host: str) -> list[QueuedRequest]:
+        """Return the waiting requests of a host."""
+        return list(self._by_host.get(host, {}).values())
+
+    def count_of(self, host: str) -> int:
+        """Return the number of waiting requests of a host."""
+        return len(self._by_host.get(host, ()))
+
+    def counts_by_host(self) -> dict[str, int]:
+        """Return the number of waiting requests of each host that has any."""
+        return {host: len(requests) for host, requests in self._by_host.items()}
+
     def work_before(self, tier: int, rank: int, organisation: str) -> float:
         """Return the estimated work, in tokens, ahead of a new request that can be on time."""
         level = timely_level(priority_of(tier, rank))
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -31,6 +31,7 @@
 from tarragonwind.core.homes import ANY_REGION, Homes, find_homes, is_at_home
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
+from tarragonwind.core.owner_inboxes import OwnerInbox
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
 from tarragonwind.core.permit_messages import Outcome, PermitDone
 from tarragonwind.core.permit_requests import Permit, PermitRequest
@@ -202,6 +203,8 @@
             peers.subscribe(to_client, self._on_client_message)
         members.subscribe(self._on_members_changed)
         versions.subscribe_version_change(self._on_versions_changed)
+        self._inbox = OwnerInbox()
+        self._is_handling = False
         self._is_ticking = False
         timers.call_every(IDLE_TICK_PERIOD_S, self._tick_idle)
 
@@ -478,10 +481,26 @@
         return entry.weight if isinstance(entry, OrganisationEntry) else 1.0
 
     def _on_owner_message(self, host: str, msg: Message) -> None:
-        self.owners.on_message(self._timers.now(), host, msg)
+        """Collect a message for the owners on this host until the others of this round are read."""
+        self._inbox.put(self._timers.now(), host, msg)
+        self._handle_inbox_soon()
         if isinstance(msg, PermitDone) and msg.hold_ms:
             self._timers.call_later(msg.hold_ms / 1000, self._tick)
 
+    def _handle_inbox_soon(self) -> None:
+        if not self._is_handling and len(self._inbox):
+            self._is_handling = True
+            self._timers.call_later(0.0, self._handle_inbox)
+
+    def _handle_inbox(self) -> None:
+        """Handle a part of the collected messages; the rest waits for the next round."""
+        self._is_handling = False
+        now = self._timers.now()
+        try:
+            self.owners.on_messages(now, self._inbox.take(now))
+        finally:
+            self._handle_inbox_soon()
+
     def _on_client_message(self, host: str, msg: Message) -> None:
         self.client.on_message(self._timers.now(), host, msg)
 
--- a/tests/busy_owners.py
+++ b/tests/busy_owners.py
@@ -12,7 +12,9 @@
 
 from permit_fleets import POOL, Fleet, create_request, create_upstream
 
+from tarragonwind.core.owner_inboxes import OwnerInbox
 from tarragonwind.core.permit_messages import Outcome, PermitSync
+from tarragonwind.core.pool_owners import OWNER_MESSAGES
 from tarragonwind.core.upstream_loads import LoadSettings
 
 OWNER = "h0"
@@ -24,6 +26,8 @@
 """Processor time for reading one message, in seconds."""
 HANDLE_S = 200e-6
 """Processor time for handling one message, in seconds."""
+ITEM_S = 20e-6
+"""Processor time for each request and permit in a full state, in seconds."""
 SEND_S = 120e-6
 """Processor time for sending one message, in seconds."""
 TOKEN_S = 0.0034
@@ -84,12 +88,13 @@
     def __init__(self, host_count, engine_count, seed=7):
         self.events = []
         self.sequence = itertools.count()
-        self.inbox = []
+        self.arrived = []
+        self.inbox = OwnerInbox()
         self.outbox = None
         self.owner_free_at = 0.0
         self.round_is_due = False
         self.running = False
-        self.handled = Counter()
+        self.read_count = Counter()
         self.engine_queues = {}
         upstreams = [
             create_upstream(f"u{number}", slots=ENGINE_SLOTS, tokens_per_s=1_200.0)
@@ -132,7 +137,7 @@
         if receiver != OWNER:
             self.hosts[receiver].receive(sender, msg)
             return
-        self.inbox.append((sender, msg))
+        self.arrived.append((sender, msg))
         self.begin_round_soon()
 
     def tick_of(self, name):
@@ -150,11 +155,16 @@
             self.call_at(max(self.now, self.owner_free_at), self.play_round)
 
     def play_round(self):
+        """Read all that has arrived, handle a part of it, and send what follows."""
         self.round_is_due = False
-        begin, batch = self.now, self.inbox
-        self.inbox, self.outbox = [], []
-        self.receive_batch(batch)
+        begin, batch = self.now, self.arrived
+        self.arrived, self.outbox = [], []
         owner = self.hosts[OWNER]
+        for sender, msg in batch:
+            self.read(owner, sender, msg)
+        received = self.inbox.take(self.now)
+        self.now += sum(handling_s(msg) for _, msg in received)
+        owner.owners.on_messages(self.now, received)
         owner.owners.tick(self.now)
         owner.client.tick(self.now)
         if self.now - begin >= PAUSE_S:
@@ -166,12 +176,17 @@
             self.post(self.now, OWNER, receiver, msg)
         self.owner_free_at = self.now
         self.now = begin
+        if len(self.inbox):
+            self.begin_round_soon()
 
-    def receive_batch(self, batch):
-        for sender, msg in batch:
-            self.handled[type(msg).__name__] += 1
-            self.now += RECEIVE_S + HANDLE_S * message_weight(msg)
-            self.hosts[OWNER].receive(sender, msg)
+    def read(self, owner, sender, msg):
+        self.read_count[type(msg).__name__] += 1
+        self.now += RECEIVE_S
+        if isinstance(msg, OWNER_MESSAGES):
+            self.inbox.put(self.now, sender, msg)
+        else:
+            self.now += HANDLE_S
+            owner.receive(sender, msg)
 
     # Callers and engines
 
@@ -256,6 +271,8 @@
         return sum(host.client.uses_local_share(POOL) for host in self.hosts.values())
 
 
-def message_weight(msg):
-    """Return how many messages' work a message is: a full state holds several."""
-    return 1 + len(msg.requests) + len(msg.permits) if isinstance(msg, PermitSync) else 1
+def handling_s(msg):
+    """Return the processor time for handling a message, in seconds."""
+    if isinstance(msg, PermitSync):
+        return HANDLE_S + ITEM_S * (len(msg.requests) + len(msg.permits))
+    return HANDLE_S
--- a/tests/test_permit_clients.py
+++ b/tests/test_permit_clients.py
@@ -3,7 +3,7 @@
 from permit_fleets import Fleet, create_request, create_upstream
 
 from tarragonwind.core.entries import UpstreamState
-from tarragonwind.core.permit_messages import Outcome, PermitGrant
+from tarragonwind.core.permit_messages import Outcome, PermitGrant, PermitSync
 from tarragonwind.errors import ErrorKind
 
 
@@ -220,3 +220,35 @@
     assert not host.granted
     assert host.refused[permit_id][0] is ErrorKind.DEADLINE_PASSED
     assert fleet.owner().in_flight() == 0
+
+
+def test_a_silent_owner_is_told_nothing_of_what_the_local_share_serves():
+    """Guards against an owner that reads releases and cancellations of permits it never gave."""
+    fleet = Fleet([create_upstream(f"u{number}", slots=6) for number in range(3)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    host.request_permit(create_request(deadline=fleet.now + 50))
+    fleet.advance(1.0)
+    assert host.client.uses_local_share("drafting")
+    del fleet.sent[:]
+    for _ in range(20):
+        permit_id = host.request_permit(create_request(deadline=fleet.now + 50))
+        fleet.advance(0.1)
+        host.client.release(fleet.now, permit_id, Outcome.OK, 10, 100, 10)
+    told = [msg for _, receiver, msg in fleet.sent if receiver == "h0"]
+    assert {type(msg) for msg in told} == {PermitSync}
+    assert not any(msg.requests for msg in told)
+    assert len(told) <= 4
+
+
+def test_a_grant_of_a_slow_owner_for_a_request_that_was_withdrawn_is_returned():
+    fleet = Fleet([create_upstream("u1", slots=3)])
+    host = fleet.hosts["h1"]
+    fleet.hosts["h0"].paused = True
+    first, second = (host.request_permit(create_request(deadline=fleet.now + 50)) for _ in "ab")
+    fleet.advance(1.0)
+    assert set(host.granted) == {first}
+    host.receive("h0", PermitGrant("drafting", second, "u1", "v1"))
+    assert set(host.granted) == {first}
+    returned = [msg for _, receiver, msg in fleet.sent if receiver == "h0"]
+    assert returned[-1].outcome == Outcome.UNUSED
