Adjust an organisation's sums by each report instead of summing up the fleet again

Cause: the host that aggregates an organisation's tokens summed up the reports of all hosts for each report of each host, five a second: quadratic in the fleet. Evidence: 92 us a report in a fleet of 6, 2,287 us with 195 hosts and 3,758 us with 320, which is 2.2 and 6.0 cores for one organisation that all hosts serve (decisions alone, one process, python3.11 on this machine). Aggregators and owners of pools are taken from the same largest hosts.

Change: the sums are kept, adjusted by each report, and built anew only when some report reaches an age at which it counts differently, so they are the same numbers at every time (a property test compares them). 43 us a report at any of these sizes.

tests/test_reported_usage.py counts the work; on the code before it failed with 357,639 reports summed up where 9,700 are allowed at 195 hosts.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -15,6 +15,7 @@
 
 from tarragonwind.core.aggregator_changes import AGGREGATOR_SETTLE_S, AggregatorChanges
 from tarragonwind.core.entries import OrganisationEntry
+from tarragonwind.core.reported_usage import REPORT_LATE_S, ReportedUsage
 from tarragonwind.core.usage_windows import (
     WINDOW_FRACTIONS,
     ZERO_TOTALS,
@@ -33,8 +34,6 @@
 TOTALS_FRESH_S = 0.3
 """Age of the aggregator's totals up to which a host may use all that is left. Beyond it, all hosts
 may be without totals, and each may use its part."""
-REPORT_LATE_S = 0.5
-"""Age of a live host's report from which that host may be without totals."""
 STARTUP_BURST_FRACTION = 0.25
 """Minimum fraction of the burst admitted from the start on, while earlier usage is unknown."""
 STARTUP_SLACK_FRACTION = 0.8
@@ -157,7 +156,7 @@
         self._windows: dict[str, UsageWindow] = {}
         self._limits: dict[str, tuple[float, ...]] = {}
         self._other_totals: dict[str, ReceivedTotals] = {}
-        self._reports: dict[str, dict[str, ReceivedTotals]] = {}
+        self._reports: dict[str, ReportedUsage] = {}
         self._reported: set[str] = set()
         self._live: frozenset[str] = frozenset([name])
         self._starts: dict[str, float] = {}
@@ -227,10 +226,10 @@
             self._keep_earlier_reports(host)
         rows: list[list] = []
         for name, *totals in msg.rows:
-            counts = self._reports.setdefault(name, {})
-            earlier = self._earlier_report(now, counts.get(host))
+            reports = self._reports_of(name)
+            earlier = self._earlier_report(now, reports.find(host))
             received = ReceivedTotals(tuple(totals), now, earlier=earlier)
-            counts[host] = received
+            reports.put(now, host, received)
             usage = self._fleet_usage(now, name)
             received.part_left = self._part_left(now, name, usage)
             if self._changes.aggregates(name):
@@ -254,10 +253,15 @@
 
     def _keep_earlier_reports(self, host: str) -> None:
         """Let the last reports of a host that has restarted count beside its next ones."""
-        for counts in self._reports.values():
-            if host in counts:
-                previous = counts[host]
-                counts[host] = ReceivedTotals(ZERO_TOTALS, previous.received_at, earlier=previous)
+        for reports in self._reports.values():
+            reports.keep_earlier(host)
+
+    def _reports_of(self, name: str) -> ReportedUsage:
+        reports = self._reports.get(name)
+        if reports is None:
+            reports = ReportedUsage(self._window_s)
+            self._reports[name] = reports
+        return reports
 
     def on_totals(self, now: float, msg: UsageTotals) -> None:
         """Store the totals of the other hosts."""
@@ -385,14 +389,8 @@
         The share of the lost hosts is already subtracted from the limit.
         """
         own = self._windows[name].totals(now) if name in self._windows else ZERO_TOTALS
-        live, known = own, own
-        for host, received in self._recent_reports(now, name).items():
-            remaining = received.remaining(now, self._window_s)
-            if now - received.received_at > REPORT_LATE_S:
-                remaining = (remaining[0] + received.part_left, *remaining[1:])
-            known = add_totals(known, remaining)
-            if host in self._live:
-                live = add_totals(live, remaining)
+        sums = self._reports_of(name).sums(now, self._live)
+        live, known = add_totals(own, sums.live), add_totals(own, sums.known)
         lost_share = 1.0 - self._fleet_share(now)
         limits = self._limits.get(name)
         if limits is None and lost_share > 0.0:
@@ -418,10 +416,10 @@
             return ZERO_TOTALS
         share = limits[0] / len(self._live)
         part = 0.0 if settled else self._last_part(now, name, limits)
-        reports = self._reports.get(name, {})
+        reports = self._reports_of(name)
         tokens = 0.0
         for host in self._live:
-            reported_at = reports[host].received_at if host in reports else -inf
+            reported_at = reports.reported_at(host)
             if reported_at < returned.get(host, -inf):
                 tokens += share
             elif host != self._name and now - reported_at > REPORT_LATE_S:
@@ -448,16 +446,6 @@
             return ZERO_TOTALS
         return received.remaining(now, self._window_s)
 
-    def _recent_reports(self, now: float, name: str) -> dict[str, ReceivedTotals]:
-        """Return the reports whose tokens can still be in a window, and drop the others."""
-        reports = {
-            host: received
-            for host, received in self._reports.get(name, {}).items()
-            if now - received.received_at < self._window_s
-        }
-        self._reports[name] = reports
-        return reports
-
     def _window(self, name: str) -> UsageWindow:
         window = self._windows.get(name)
         if window is None:
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from tarragonwind.records import dataclass
@@ -12,6 +13,18 @@
 """Lengths of the windows as fractions of the longest. The short windows prevent the tokens of the
 longest window from being used at once."""
 
+AGE_STEPS = tuple(
+    sorted(
+        {
+            longer - shorter
+            for longer in WINDOW_FRACTIONS
+            for shorter in (*WINDOW_FRACTIONS, 0.0)
+            if longer > shorter
+        }
+    )
+)
+"""Ages at which counts leave a window, as fractions of the longest one."""
+
 Totals = tuple[int, ...]
 """Tokens in each window, the longest first."""
 ZERO_TOTALS: Totals = (0,) * len(WINDOW_FRACTIONS)
@@ -22,6 +35,11 @@
     return tuple(one + other for one, other in zip(left, right, strict=True))
 
 
+def subtract_totals(left: Totals, right: Totals) -> Totals:
+    """Return the difference for each window."""
+    return tuple(one - other for one, other in zip(left, right, strict=True))
+
+
 def max_totals(left: Totals, right: Totals) -> Totals:
     """Return the maximum for each window."""
     return tuple(max(one, other) for one, other in zip(left, right, strict=True))
@@ -100,7 +118,16 @@
             return counts
         return add_totals(counts, self.earlier.remaining(now, window_s))
 
+    def next_change_at(self, now: float, window_s: float) -> float:
+        """Return the next time at which `remaining` returns something else, in seconds."""
+        ages_s = (fraction * window_s for fraction in AGE_STEPS)
+        times = (self.received_at + age_s for age_s in ages_s)
+        at = min((at for at in times if at > now), default=math.inf)
+        return at if self.earlier is None else min(at, self.earlier.next_change_at(now, window_s))
+
     def _remaining(self, age_s: float, window_s: float) -> Totals:
+        if age_s < AGE_STEPS[0] * window_s:
+            return self.totals
         return tuple(
             self._newer_than(fraction * window_s - age_s, window_s) for fraction in WINDOW_FRACTIONS
         )
