Go on with a change of the store when one part of the host fails on it

What could happen: an exception of one listener kept the others from the changes of that batch and ended the coroutine that watches the store, which nothing began again; the host then followed only what other hosts passed on. Found while reading for the report of odd entries among those of upstreams. Each listener is now called by itself, and a failure is logged with its stack (mirror_listener_failed).

--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -213,8 +213,15 @@
             self.state.position.revision,
             self.state.position.era,
         )
+        self._call_listeners(changes)
+
+    def _call_listeners(self, changes: list[MirrorItem]) -> None:
+        """Call each listener; one that fails stops neither the others nor the watch."""
         for listener in self._listeners:
-            listener(changes)
+            try:
+                listener(changes)
+            except Exception:
+                logger.exception("event=mirror_listener_failed prefix={}", self.prefix)
 
     def apply_snapshot(
         self,
@@ -236,8 +243,7 @@
             self._doubtful = self.state.position
         if enters_era and not applied:
             # Listeners tell a loss from a removal by the era in which they know the key.
-            for listener in self._listeners:
-                listener([])
+            self._call_listeners([])
         self.notify_listeners(applied, source)
 
     def apply_changes(
