Leave out odd entries of the store that were taken, or took sound ones with them

From other operators' reports: machines that read the list of engines ended again and again, or stopped following it, because of one odd entry.

- a time of an upstream's start that is negative, broken, or beyond 64 bits was taken, and then couldn't be packed into the messages on that upstream (OverflowError in the request that reported it);
- a quarantine key that is no number of 64 bits was taken, and failed each time that the gossip was packed, which every probe of the membership does;
- an odd entry at servers/x/NAME removed the sound upstream NAME;
- an address that is no IP address was taken for an upstream or another host's lease, so that a connect looked up a name;
- one odd number or list in a route or an organisation made the whole configuration unreadable, where its entry alone should be left out;
- a rollout's record with times that are no possible times, and an order with such a duration, were taken; a position from another host likewise.

Numbers have bounds where they are accepted: the incarnation 2^53, since messages and JSON hold it; times of a record in order and finite.

--- a/tarragonwind/configuration_watchers.py
+++ b/tarragonwind/configuration_watchers.py
@@ -144,7 +144,7 @@
 
         The first read brings all entries at once, when a host that starts has little time.
         """
-        name = item.key.rpartition("/")[2]
+        name = item.key.removeprefix(self._upstream_prefix)
         if item.value is None:
             logger.info("event=upstream_gone upstream={} revision={}", name, item.position.revision)
             self._registry.remove(now, name, self._mirror.recovered_at)
--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 from collections.abc import Callable
 from typing import Annotated, Any, ClassVar, TypeVar
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
 from tarragonwind.errors import EntryError
@@ -20,6 +21,9 @@
 Owner = Annotated[str, Field(min_length=1, max_length=200)]
 Tier = Annotated[int, Field(ge=0, lt=TIER_COUNT)]
 
+MAX_INCARNATION = 2**53 - 1
+"""Largest incarnation of an upstream: messages between hosts hold it, and so does JSON."""
+
 UpstreamStart = tuple[str, int]
 """Name and incarnation of an upstream."""
 
@@ -39,6 +43,12 @@
 """Entry classes by kind, filled by `register_entry_kind`."""
 
 
+def check_ip_address(text: str) -> str:
+    """Return a text that is an IP address; raise `ValueError` for any other, such as a name."""
+    ipaddress.ip_address(text)
+    return text
+
+
 def register_entry_kind(kind: str) -> Callable[[EntryT], EntryT]:
     """Return a decorator that registers an entry class under a kind."""
 
@@ -287,7 +297,7 @@
 
     pool: EntryName
     version: Annotated[str, Field(min_length=1, max_length=100)]
-    host: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$")]
+    host: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$"), AfterValidator(check_ip_address)]
     port: Annotated[int, Field(ge=1, le=65_535)]
     data_centre: EntryName
     slots: Annotated[int, Field(ge=1, le=10_000)] = 16
@@ -295,7 +305,7 @@
     checks_fencing: bool = False
     refusal_not_run: bool = False
     state: UpstreamState = UpstreamState.LIVE
-    incarnation: int = 0
+    incarnation: Annotated[int, Field(ge=0, le=MAX_INCARNATION)] = 0
     cold_s: Annotated[float, Field(ge=0)] | None = None
     revision: int = 0
     region: str = ""
--- a/tarragonwind/core/rollouts.py
+++ b/tarragonwind/core/rollouts.py
@@ -25,6 +25,10 @@
 
 OWNER = "operator"
 """Owner recorded on the derived entries."""
+MAX_TIME_S = 1e11
+"""Latest time that a record may name, in seconds since the epoch."""
+MAX_DURATION_S = 366 * 86_400
+"""Longest time that an order may give, in seconds."""
 DURATION_FRACTION = 0.85
 """Fraction of the ordered time in which the move is planned to end, so that its result is recorded
 in time."""
@@ -87,6 +91,16 @@
     done_by: float
 
 
+def check_order(order: RolloutOrder) -> RolloutOrder:
+    """Return an order with a possible duration; raise `ValueError` for any other."""
+    if not 0.0 < order.duration_s <= MAX_DURATION_S:
+        raise ValueError(
+            f"expected a duration of more than 0 and up to {MAX_DURATION_S} s, "
+            f"got {order.duration_s}"
+        )
+    return order
+
+
 def create_record(
     order: RolloutOrder, revision: int, from_version: str, now: float
 ) -> RolloutRecord:
@@ -128,7 +142,13 @@
     types = [type(value) for value in values] if isinstance(values, list) else []
     if types[:5] != [int, str, str, float, float]:
         raise ValueError(f"expected the five fields of a rollout record, got {types}")
-    return RolloutRecord(*values[:5])
+    record = RolloutRecord(*values[:5])
+    if not 0.0 <= record.starts_at <= record.done_by <= MAX_TIME_S:
+        raise ValueError(
+            f"expected times from 0 to {MAX_TIME_S:.0f} in order, got {record.starts_at} and "
+            f"{record.done_by}"
+        )
+    return record
 
 
 def live_versions(upstreams: Iterable[UpstreamEntry]) -> set[str]:
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -8,6 +8,7 @@
 import msgpack
 from loguru import logger
 
+from tarragonwind.core.entries import check_ip_address
 from tarragonwind.core.fleet_shares import FleetShares
 from tarragonwind.core.mirror_states import MirrorItem
 from tarragonwind.delays import delay
@@ -50,7 +51,7 @@
         raise ValueError(f"expected an array of host and port, got {type(fields).__name__}")
     if not 0 < fields[1] <= MAX_PORT:
         raise ValueError(f"expected a port from 1 to {MAX_PORT}, got {fields[1]}")
-    return Address(*fields[:2])
+    return Address(check_ip_address(fields[0]), fields[1])
 
 
 class HostLease:
--- a/tarragonwind/mirror_replicators.py
+++ b/tarragonwind/mirror_replicators.py
@@ -20,6 +20,8 @@
 MAX_OUTAGE_AGE_S = 10.0
 """Time after a store outage for which hosts tell each other of it, in seconds; longer than any
 period of grace that it begins."""
+MAX_POSITION_PART = (1 << 64) - 1
+"""Largest era or revision in `POSITION_FORMAT`."""
 POSITION_FORMAT = struct.Struct(">QQ")
 """Era and revision of the copy's position, as piggybacked on probes."""
 
@@ -159,18 +161,23 @@
     return age_ms / 1_000
 
 
+def is_position_part(value: object) -> bool:
+    """Return whether a value is an era or a revision that can be gossiped."""
+    return type(value) is int and 0 <= value <= MAX_POSITION_PART
+
+
 def unpack_position(msg: MirrorPart) -> StorePosition:
     """Return the position of the copy from which a part was sent.
 
     Raises
     ------
     MessageError
-        If era or revision is not an integer.
+        If era or revision is no integer that fits into `POSITION_FORMAT`.
     """
-    if not isinstance(msg.era, int) or not isinstance(msg.revision, int):
+    if not is_position_part(msg.era) or not is_position_part(msg.revision):
         raise MessageError(
-            "era and revision of a mirror part must be integers, got "
-            f"{type(msg.era).__name__} and {type(msg.revision).__name__}"
+            "era and revision of a mirror part must be integers of 64 bits, got "
+            f"{msg.era!r:.40} and {msg.revision!r:.40}"
         )
     return StorePosition(msg.era, msg.revision)
 
@@ -186,10 +193,10 @@
     if not isinstance(row, list) or len(row) != 3:
         raise MessageError("mirror item must be an array of key, value and revision")
     key, value, revision = row
-    valid = isinstance(key, str) and isinstance(revision, int)
+    valid = isinstance(key, str) and is_position_part(revision)
     if not valid or not (value is None or isinstance(value, bytes)):
         raise MessageError(
             "mirror item must have a string key, binary or nil value and integer revision, got "
-            f"{type(key).__name__}, {type(value).__name__} and {type(revision).__name__}"
+            f"{type(key).__name__}, {type(value).__name__} and {revision!r:.40}"
         )
     return MirrorItem(key, value, StorePosition(era, revision))
--- a/tarragonwind/platform/addresses.py
+++ b/tarragonwind/platform/addresses.py
@@ -29,6 +29,6 @@
 def parse_address(text: str) -> Address:
     """Parse an address of the form IP:PORT."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isascii() or not port.isdigit():
         raise DecodeError(f"expected an address of the form IP:PORT, got {text[:80]!r}")
     return Address(host, int(port))
--- a/tarragonwind/platform/configurations.py
+++ b/tarragonwind/platform/configurations.py
@@ -20,7 +20,6 @@
     format_validation_error,
 )
 from tarragonwind.platform.fields import (
-    DecodeError,
     parse_json_object,
     read_amount,
     read_field,
@@ -69,7 +68,7 @@
         for part in read_list(doc, name):
             try:
                 entries.append(decode(part))
-            except (DecodeError, ValidationError) as exc:
+            except Exception as exc:
                 why = format_validation_error(exc) if isinstance(exc, ValidationError) else str(exc)
                 logger.error(
                     "event=entry_unreadable version={} list={} why={!r}", version, name, why
@@ -151,7 +150,7 @@
 
     Its rate is in tokens if `unit` is ``token_stream``; otherwise each request counts as one token.
     """
-    keys = doc.get("apiKeys") or []
+    keys = read_field({"apiKeys": doc.get("apiKeys") or []}, "apiKeys", list)
     counts_tokens = doc.get("unit") == "token_stream"
     rate = read_number(doc, "ratePerS", 0)
     burst = read_number(doc, "burst", 0)
--- a/tarragonwind/platform/fields.py
+++ b/tarragonwind/platform/fields.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import sys
 from typing import Any, TypeVar
 
 ValueT = TypeVar("ValueT")
@@ -33,19 +34,19 @@
 
 
 def read_number(doc: dict[str, Any], name: str, default: float | None = None) -> float:
-    """Return a number; without a default the field is required."""
-    value = doc.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise DecodeError(f"field {name!r} is missing or not a number")
+    """Return a finite number; without a default the field is required."""
+    value: Any = doc.get(name, default)
+    if type(value) not in (int, float) or not abs(value) <= sys.float_info.max:
+        raise DecodeError(f"field {name!r}: expected a finite number, got {value!r:.40}")
     return float(value)
 
 
 def read_amount(doc: dict[str, Any], name: str, maximum: float) -> float:
     """Return a number within 0 and a maximum; 0 if it is absent, null or not finite."""
-    if doc.get(name) is None:
+    value = doc.get(name)
+    if value is None or (isinstance(value, float) and not math.isfinite(value)):
         return 0.0
-    value = read_number(doc, name)
-    return min(maximum, max(0.0, value)) if math.isfinite(value) else 0.0
+    return min(maximum, max(0.0, read_number(doc, name)))
 
 
 def read_names(doc: dict[str, Any], name: str) -> list[str]:
--- a/tarragonwind/platform/upstreams.py
+++ b/tarragonwind/platform/upstreams.py
@@ -78,7 +78,7 @@
             refusal_not_run=True,
             state=state,
             # The start time of the upstream serves as its incarnation.
-            incarnation=int(read_number(doc, "born", 0)),
+            incarnation=read_field(doc, "born", int) if "born" in doc else 0,
             cold_s=read_cold_s(doc),
         )
     except ValidationError as exc:
--- a/tarragonwind/quarantine_replicators.py
+++ b/tarragonwind/quarantine_replicators.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import re
 import struct
 
 from loguru import logger
@@ -18,6 +19,8 @@
 from tarragonwind.store_mirrors import StoreMirror
 
 GOSSIP_NAME = "quarantines"
+STORED_KEY = re.compile("[0-9a-f]{1,16}")
+"""Key of a quarantine in the store, behind the prefix: 64 bits, as in the gossip."""
 GOSSIP_FORMAT = struct.Struct(">QI")
 """Key, and the time that is left of its quarantine in milliseconds."""
 MAX_PER_PAYLOAD = 4
@@ -144,12 +147,11 @@
         for item in changes:
             if not item.key.startswith(self._prefix) or item.value is None:
                 continue
-            try:
-                key = int(item.key.removeprefix(self._prefix), 16)
-            except ValueError:
+            digits = item.key.removeprefix(self._prefix)
+            if STORED_KEY.fullmatch(digits) is None:
                 logger.warning("event=quarantine_key_unreadable key={!r}", item.key)
                 continue
-            self._add(key, QUARANTINE_S, "store")
+            self._add(int(digits, 16), QUARANTINE_S, "store")
 
     def _write_missing(self) -> None:
         """Write the quarantines whose keys were already missing at the check before."""
--- a/tarragonwind/rollout_states.py
+++ b/tarragonwind/rollout_states.py
@@ -12,6 +12,7 @@
     RolloutRecord,
     RolloutState,
     RolloutStatus,
+    check_order,
     unpack_record,
 )
 from tarragonwind.records import dataclass
@@ -114,7 +115,7 @@
             self._on_changed(changed)
 
     def _apply_order(self, rollout: PoolRollout, item: MirrorItem) -> None:
-        order = None if item.value is None else self._codec.decode_order(item.value)
+        order = None if item.value is None else check_order(self._codec.decode_order(item.value))
         rollout.order, rollout.order_revision = order, item.position.revision
 
     def _apply_status(self, rollout: PoolRollout, item: MirrorItem) -> None:
