--- a/tarragonwind/core/stream_cursors.py
+++ b/tarragonwind/core/stream_cursors.py
@@ -58,18 +58,23 @@
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.event_count = 0
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, data: bytes) -> bytes:
-        """Append data and return the complete events; buffer the rest."""
-        data = self._partial + data
-        ends = [match.end() for match in _BLANK_LINE.finditer(data)]
-        end = ends[-1] if ends else 0
-        self._partial = data[end:]
-        complete = data[:end]
-        if complete:
-            self.event_count += len(ends)
-            self._update_last_id(complete)
+        """Append data and return the complete events; buffer the rest.
+
+        What is buffered holds no blank line, so only the end of it is searched again.
+        """
+        partial = self._partial
+        begin = max(0, len(partial) - LONGEST_EVENT_END_BYTES + 1)
+        partial += data
+        ends = [match.end() for match in _BLANK_LINE.finditer(partial, begin)]
+        if not ends:
+            return b""
+        complete = bytes(partial[: ends[-1]])
+        del partial[: ends[-1]]
+        self.event_count += len(ends)
+        self._update_last_id(complete)
         return complete
 
     @property
@@ -79,12 +84,12 @@
 
     def drop_partial(self) -> None:
         """Discard the buffered part of an incomplete event."""
-        self._partial = b""
+        self._partial.clear()
 
     def take_rest(self) -> bytes:
         """Return and clear the buffered data after the last complete event."""
-        rest = self._partial
-        self._partial = b""
+        rest = bytes(self._partial)
+        self._partial.clear()
         return rest
 
     def _update_last_id(self, complete: bytes) -> None:
--- a/tests/test_stream_cursors.py
+++ b/tests/test_stream_cursors.py
@@ -4,7 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tarragonwind.core.stream_cursors import EventTail, StreamCursor
+from tarragonwind.core import stream_cursors
+from tarragonwind.core.stream_cursors import _BLANK_LINE, EventTail, StreamCursor
 
 EVENTS = [b"id: %d\ndata: part-%d\n\n" % (number, number) for number in range(1, 30)]
 
@@ -70,3 +71,34 @@
     assert cursor.feed(events[1][7:]) == events[1]
     assert cursor.feed(events[2]) == events[2]
     assert (cursor.last_id, cursor.event_count) == (3, 3)
+
+
+@given(st.lists(st.sampled_from([b"a", b"\n", b"\r", b"\r\n", b"id: 7\n", b"data: x\n\n"])))
+def test_a_stream_in_single_bytes_has_the_events_of_one_that_is_searched_whole(parts):
+    stream = b"".join(parts)
+    cursor, complete, partial = StreamCursor(), b"", b""
+    for at in range(len(stream)):
+        complete += cursor.feed(stream[at : at + 1])
+        partial += stream[at : at + 1]
+        ends = [match.end() for match in _BLANK_LINE.finditer(partial)]
+        if ends:
+            partial = partial[ends[-1] :]
+    assert complete + cursor.take_rest() == stream
+    assert partial == stream[len(complete) :]
+
+
+def test_an_event_without_end_is_searched_once(monkeypatch):
+    """Guards against a search of all that is buffered at each read, which held up the loop."""
+    searched = []
+
+    class Pattern:
+        def finditer(self, data, begin=0):
+            searched.append(len(data) - begin)
+            return _BLANK_LINE.finditer(data, begin)
+
+    monkeypatch.setattr(stream_cursors, "_BLANK_LINE", Pattern())
+    cursor = StreamCursor()
+    for _ in range(1_000):
+        assert cursor.feed(b"data: x\n" * 100) == b""
+    assert cursor.partial_bytes == 800_000
+    assert sum(searched) <= 2 * 800_000
