Answer what has not ended when a stop's grace is over, and begin nothing to be cut

From other operators' reports: in a planned stop in calm, requests that came late in the grace were passed on, and cut with no answer at its end, among them such that may not be repeated. Requests that come after the notice were refused here before (503, not run).

Now a request that may not be repeated is dispatched only if all its time is left, others while 2 s are; what isn't is refused as not run, so that its caller goes to another host. At the end those that wait get 503 (not run), those that run 502 (outcome unknown), which nobody takes for a promise; responses that have begun are cut visibly, as before. PEER_FLUSH_S is left for the answers to go out.

--- a/tarragonwind/adapters/gateway_contexts.py
+++ b/tarragonwind/adapters/gateway_contexts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import field
 from typing import TYPE_CHECKING, Protocol
@@ -25,6 +26,10 @@
     from tarragonwind.claims import Claims
 
 
+REPEATABLE_LEFT_S = 2.0
+"""Time before the end of a stop from which on nothing that may be repeated is begun, in seconds."""
+
+
 class Allotments(Protocol):
     """Enforce the token allotments of organisations over all hosts."""
 
@@ -84,6 +89,8 @@
         Number of requests shed since the start, by tier.
     stopping : bool
         Whether new requests are refused.
+    ends_at : float
+        Time at which requests in progress are ended, in seconds; infinite until it is known.
     waiting_requests, waiting_bytes : int
         Number of requests that wait for a permit, and the total size of their bodies.
     dispatched_requests : int
@@ -107,10 +114,25 @@
     hold: Callable[[], Future[None] | None] = lambda: None
     sheds: list[int] = field(default_factory=lambda: [0] * TIER_COUNT)
     stopping: bool = False
+    ends_at: float = math.inf
     waiting_requests: int = 0
     waiting_bytes: int = 0
     dispatched_requests: int = 0
 
+    def check_time_left(self, remaining_s: float, repeatable: bool) -> None:
+        """Raise `RequestError` if a request that may take some time would be cut by a stop.
+
+        Parameters
+        ----------
+        remaining_s : float
+            Time that the request may take, in seconds.
+        repeatable : bool
+            Whether it may be repeated. One that may begins while most of its kind still end.
+        """
+        needed_s = min(remaining_s, REPEATABLE_LEFT_S) if repeatable else remaining_s
+        if self.loop.timers.now() + needed_s > self.ends_at:
+            raise RequestError(ErrorKind.STOPPING, "this host stops before the request can end")
+
     async def wait_while_held(self) -> None:
         """Return when new requests are not held."""
         while (held := self.hold()) is not None:
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -93,6 +93,16 @@
         self.context.stopping = True
         self._server.stop()
 
+    def set_end(self, ends_at: float) -> None:
+        """Begin no dispatch from now on that `end_requests` at a time, in seconds, would cut."""
+        self.context.ends_at = ends_at
+
+    def end_requests(self) -> None:
+        """Answer the requests in progress, those that wait as not run; responses end as cut."""
+        self.context.ends_at = self.context.loop.timers.now()
+        for handler in list(self._active):
+            handler.end()
+
     def close_idle(self) -> int:
         """Close the connections without a request; return how many wait for theirs to be read."""
         return self._server.close_idle()
--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -91,6 +91,7 @@
         self._cursor: StreamCursor | None = None
         self._buffered_response: BufferedResponse | None = None
         self._relay: Relay | None = None
+        self._running: Relay | None = None
         self._charge = AllotmentCharge(context.allotments)
         self._budget_taken = False
         self._grant_was_outdated = False
@@ -136,6 +137,7 @@
         self._exchange.events = NO_EVENTS
         self._permit_future = None
         self._relay = None
+        self._running = None
         self._standby = None
 
     async def _run(self) -> None:
@@ -221,6 +223,8 @@
         """Return whether to dispatch again; unless nothing was sent, charge the retry budget."""
         if self._exchange.disconnected or not self._retry_policy.allows_retry(outcome):
             return False
+        if self._context.loop.timers.now() >= self._context.ends_at:
+            return False
         return outcome is DispatchOutcome.NOT_SENT or self._take_retry_budget(
             scheduling_request.pool
         )
@@ -298,6 +302,7 @@
             return DispatchOutcome.NOT_SENT
         try:
             remaining_s = self._check_deadline(request_class)
+            self._context.check_time_left(remaining_s, request_class.route.repeatable)
             check_quarantines(self._context.scheduler, request_class)
             self._claim.check()
         except RequestError:
@@ -306,7 +311,9 @@
         relay = self._start_relay(permit, upstream, remaining_s)
         self._standby = self._create_standby(relay, permit, request_class, scheduling_request)
         self._context.dispatched_requests += 1
+        self._running = relay
         outcome = await relay.end
+        self._running = None
         self._context.dispatched_requests -= 1
         self._standby.stop_asking()
         self._exchange.events = self
@@ -458,6 +465,15 @@
         )
         return self._context.dialect.forward(forward_context)
 
+    def end(self) -> None:
+        """End the request, as this host ends: as not run while it waits for a permit."""
+        if self._permit_future is not None and not self._permit_future.done():
+            self._context.scheduler.cancel(self._permit_id)
+            error = RequestError(ErrorKind.STOPPING, "this host has stopped; ask again")
+            self._permit_future.set_exception(error)
+        elif self._running is not None:
+            self._running.abandon("this host has stopped")
+
     def on_caller_disconnected(self) -> None:
         """Cancel the permit request if the caller disconnects while it waits."""
         if self._permit_future is not None and not self._permit_future.done():
--- a/tarragonwind/graceful_shutdowns.py
+++ b/tarragonwind/graceful_shutdowns.py
@@ -21,7 +21,9 @@
     """Drain one daemon and end it.
 
     New requests are accepted during the notice period, since the balancer needs time to see that
-    the host is not ready. The grace period for requests in progress starts after it.
+    the host is not ready. The grace period for requests in progress starts after it. Those that
+    have not ended by then are answered: as not run if nothing was sent, else with an unknown
+    outcome.
 
     Parameters
     ----------
@@ -72,8 +74,10 @@
         self._timers.call_later(self._cfg.notice_s, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
+        deadline = self._timers.now() + self._cfg.grace_s
         self._gateway.stop()
-        self._wait_for_requests(self._timers.now() + self._cfg.grace_s)
+        self._gateway.set_end(deadline)
+        self._wait_for_requests(deadline)
 
     def _wait_for_requests(self, deadline: float) -> None:
         unread = self._gateway.close_idle()
@@ -87,4 +91,5 @@
                 "event=stop_grace_over in_progress={} hint=raise_stop.grace_s",
                 self._gateway.in_progress,
             )
+            self._gateway.end_requests()
         self._timers.call_later(PEER_FLUSH_S, self._on_end)
--- a/tests/test_graceful_shutdowns.py
+++ b/tests/test_graceful_shutdowns.py
@@ -13,6 +13,13 @@
         self.in_progress = 1
         self.unsent_bytes = 0
         self.unread = 0
+        self.ends_at = None
+
+    def set_end(self, ends_at):
+        self.ends_at = ends_at
+
+    def end_requests(self):
+        self.calls.append("end_requests")
 
     def announce_close(self):
         self.calls.append("announce_close")
@@ -67,5 +74,22 @@
 
 def test_an_unfinished_request_does_not_delay_the_end_beyond_the_grace_period():
     components, timers = start_shutdown()
+    began_at = timers.now()
     timers.advance(2.0 + 3.0 + PEER_FLUSH_S + 0.1)
     assert components.calls[-1] == "end"
+    assert components.ends_at == began_at + 2.0 + 3.0
+
+
+def test_requests_that_have_not_ended_are_answered_before_the_end():
+    components, timers = start_shutdown()
+    timers.advance(2.0 + 3.0 + 0.1)
+    assert components.calls[-1] == "end_requests"
+    timers.advance(PEER_FLUSH_S)
+    assert components.calls[-1] == "end"
+
+
+def test_nothing_is_ended_where_all_requests_have_ended():
+    components, timers = start_shutdown()
+    components.in_progress = 0
+    timers.advance(2.0 + 3.0 + PEER_FLUSH_S + 0.1)
+    assert "end_requests" not in components.calls
