--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -37,26 +37,24 @@
 )
 from tarragonwind.core.permit_outcomes import PermitOutcomes
 from tarragonwind.core.placements import (
-    Placement,
     Placer,
     choose_busiest_with_room,
     prefer_warm,
 )
 from tarragonwind.core.prefix_hints import PrefixHints
 from tarragonwind.core.prefix_plans import PrefixPlanner
+from tarragonwind.core.queue_sweeps import find_unmeetable
 from tarragonwind.core.queued_requests import create_queued_request, set_latest_grant
-from tarragonwind.core.queues import LEVEL_COUNT, QueuedRequest, TierQueue
+from tarragonwind.core.queues import QueuedRequest, TierQueue
 from tarragonwind.core.suspicions import Suspicions
 from tarragonwind.core.upstream_conditions import UpstreamConditions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
+from tarragonwind.core.upstream_searches import UpstreamSearch
 from tarragonwind.core.version_draws import VersionDraws
 from tarragonwind.core.wait_estimates import (
     SWEEP_PERIOD_S,
     WaitEstimates,
-    filter_by_homes,
-    filter_by_version,
-    max_wait_s,
 )
 from tarragonwind.errors import ErrorKind
 from tarragonwind.messages import Message
@@ -169,6 +167,18 @@
             self._settings.is_local,
         )
         self._memory = MemoryAdmission(pool, conditions.memories, self._queue)
+        self._search = UpstreamSearch(
+            pool,
+            self._queue,
+            self._ledger,
+            self._waits,
+            self._memory,
+            self._takeover,
+            self.placer,
+            self.prefixes,
+            packs_requests,
+            rng,
+        )
         self._grants_from = 0.0
         self._full_at = -math.inf
         self._has_news = False
@@ -375,10 +385,7 @@
 
         Without homes nothing waits while an upstream has room, but for want of memory.
         """
-        if not self._has_homes:
-            return False
-        loads = filter_by_version(req.version, list(self._ledger.loads.values()))
-        return any(load.has_room(now) for load in self._usable(now, req, loads))
+        return self._has_homes and self._search.has_room(now, req)
 
     def _set_latest_grant(self, now: float, req: QueuedRequest, msg: PermitAsk) -> None:
         has_target = msg.target_ms >= 0
@@ -387,24 +394,9 @@
         set_latest_grant(now, req, msg.target_ms, first_byte_s)
 
     def _refuse_unmeetable(self, now: float) -> None:
-        waits_s = self._waits.by_level_s() if self.active else [0.0] * LEVEL_COUNT
-        for req in self._queue.lowest_first():
-            kind = None
-            if req.deadline <= now:
-                kind = ErrorKind.DEADLINE_PASSED
-            elif self.active and not self._ledger.has_live(req.version, req.homes):
-                kind = ErrorKind.NO_UPSTREAM
-            elif not self._waits.is_feasible(now, req):
-                kind = ErrorKind.DEADLINE_UNMEETABLE
-            if kind is None and waits_s[req.level] > max_wait_s(now, req):
-                kind = ErrorKind.DEADLINE_UNMEETABLE
-            hold_s = 0.0
-            if kind is None and self._waits.is_held_too_long(now, req):
-                kind = ErrorKind.DEADLINE_UNMEETABLE
-                hold_s = self._waits.hold_left_s(now, req)
-            if kind is not None:
-                self._queue.remove(req.key)
-                self._refuse(now, req, kind, hold_s)
+        for found in find_unmeetable(now, self._queue, self._ledger, self._waits, self.active):
+            self._queue.remove(found.req.key)
+            self._refuse(now, found.req, found.kind, found.hold_s)
 
     def _refuse(
         self, now: float, req: QueuedRequest, kind: ErrorKind, min_wait_s: float = 0.0
@@ -433,7 +425,7 @@
             return
         available = [load for load in self._ledger.loads.values() if load.has_room(now)]
         while available and len(self._queue) and self._ledger.is_below_share():
-            found = self._take_next(now, available)
+            found = self._search.take_next(now, available)
             if found is None:
                 return
             used = self._grant(now, *found)
@@ -442,56 +434,6 @@
         if not available:
             self._full_at = now
 
-    def _take_next(
-        self, now: float, available: list[UpstreamLoad]
-    ) -> tuple[QueuedRequest, list[UpstreamLoad]] | None:
-        """Remove the next queued request that an upstream with room can serve.
-
-        Returns
-        -------
-        tuple of QueuedRequest and list of UpstreamLoad, or None
-            The request, and the upstreams with room that may serve it.
-        """
-        loads: list[UpstreamLoad] = []
-        versions = {"", *(load.entry.version for load in available)}
-
-        def fits(req: QueuedRequest) -> bool:
-            nonlocal loads
-            loads = self._usable(now, req, filter_by_version(req.version, available))
-            if not loads:
-                return False
-            if self._packs_requests(self.pool, req.version):
-                return True
-            if req.deadline_is_total and not self.placer.should_place_now(
-                now, loads, self._waits.fastest(now, req.version, req.homes), req
-            ):
-                return False
-            return not req.parts or not self._should_wait(now, req, loads)
-
-        req = self._queue.pop(versions.__contains__, fits)
-        return None if req is None else (req, loads)
-
-    def _should_wait(self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]) -> bool:
-        """Return whether a request should wait for a full engine that keeps its prompt."""
-
-        def choose() -> Placement | None:
-            return self.placer.choose(now, self._rng, prefer_warm(now, loads, req), req)
-
-        def allowed(full: list[UpstreamLoad]) -> list[UpstreamLoad]:
-            at_home = self._waits.without_held(now, req, filter_by_homes(req.homes, full))
-            return self._memory.without_reserved(req, at_home)
-
-        return self.prefixes.waits.should_wait(now, req, choose, allowed)
-
-    def _usable(
-        self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]
-    ) -> list[UpstreamLoad]:
-        """Return those in a request's homes that take requests of its host and have memory."""
-        loads = self._waits.without_held(now, req, filter_by_homes(req.homes, loads))
-        loads = self.prefixes.waits.without_awaited(now, req, loads)
-        share = self._ledger.strict_share
-        return self._memory.fitting(now, req, loads, lambda: self._takeover.knows_all(now, share))
-
     def _grant(
         self, now: float, req: QueuedRequest, loads: list[UpstreamLoad]
     ) -> UpstreamLoad | None:
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -6,7 +6,6 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from loguru import logger
 
@@ -31,7 +30,6 @@
 from tarragonwind.core.homes import ANY_REGION, Homes, find_homes, is_at_home
 from tarragonwind.core.move_trials import Outcome as TrialOutcome
 from tarragonwind.core.move_trials import Trial
-from tarragonwind.core.owner_inboxes import OwnerInbox
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
 from tarragonwind.core.permit_messages import Outcome, PermitDone
 from tarragonwind.core.permit_requests import Permit, PermitRequest
@@ -46,6 +44,8 @@
 from tarragonwind.core.version_selectors import VersionSelector
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
+from tarragonwind.owner_mailboxes import OwnerMailbox
+from tarragonwind.path_checkers import PathChecker, SoundPaths
 from tarragonwind.ports import Members, Peers, Timers
 from tarragonwind.records import dataclass
 from tarragonwind.telemetry import Telemetry
@@ -87,28 +87,6 @@
 """Outcomes that a lost path to the upstream can cause as well."""
 
 
-class PathChecker(Protocol):
-    """Know whether this host's own path to an upstream is lost while other hosts reach it."""
-
-    def is_lost(self, upstream: UpstreamEntry) -> bool:
-        """Return whether the path is known to be lost."""
-
-    def check(self, upstream: UpstreamEntry, on_checked: Callable[[bool], object]) -> None:
-        """Find out whether the path is lost."""
-
-
-class SoundPaths(PathChecker):
-    """Take all paths for sound."""
-
-    def is_lost(self, upstream: UpstreamEntry) -> bool:
-        """Return False."""
-        return False
-
-    def check(self, upstream: UpstreamEntry, on_checked: Callable[[bool], object]) -> None:
-        """Report at once that the path is not lost."""
-        on_checked(False)
-
-
 @dataclass(slots=True)
 class DispatchRecord:
     """Keep the request and the trial of a permit until its dispatch ends."""
@@ -203,8 +181,7 @@
             peers.subscribe(to_client, self._on_client_message)
         members.subscribe(self._on_members_changed)
         versions.subscribe_version_change(self._on_versions_changed)
-        self._inbox = OwnerInbox()
-        self._is_handling = False
+        self._mailbox = OwnerMailbox(timers, self.owners)
         self._is_ticking = False
         timers.call_every(IDLE_TICK_PERIOD_S, self._tick_idle)
 
@@ -481,26 +458,10 @@
         return entry.weight if isinstance(entry, OrganisationEntry) else 1.0
 
     def _on_owner_message(self, host: str, msg: Message) -> None:
-        """Collect a message for the owners on this host until the others of this round are read."""
-        self._inbox.put(self._timers.now(), host, msg)
-        self._handle_inbox_soon()
+        self._mailbox.put(host, msg)
         if isinstance(msg, PermitDone) and msg.hold_ms:
             self._timers.call_later(msg.hold_ms / 1000, self._tick)
 
-    def _handle_inbox_soon(self) -> None:
-        if not self._is_handling and len(self._inbox):
-            self._is_handling = True
-            self._timers.call_later(0.0, self._handle_inbox)
-
-    def _handle_inbox(self) -> None:
-        """Handle a part of the collected messages; the rest waits for the next round."""
-        self._is_handling = False
-        now = self._timers.now()
-        try:
-            self.owners.on_messages(now, self._inbox.take(now))
-        finally:
-            self._handle_inbox_soon()
-
     def _on_client_message(self, host: str, msg: Message) -> None:
         self.client.on_message(self._timers.now(), host, msg)
 
