Log and count ended requests in a module of their own

adapters/request_handlers.py is shorter by what it tells of a request at its end, which is now a record with one function for the metrics and one for the line. No behaviour changes.

--- a/tarragonwind/adapters/request_handlers.py
+++ b/tarragonwind/adapters/request_handlers.py
@@ -26,6 +26,7 @@
 from tarragonwind.adapters.relay_options import BufferedResponse, RelayOptions
 from tarragonwind.adapters.relays import FIRST_FAILURE_STATUS, Relay
 from tarragonwind.adapters.request_claims import RequestClaim
+from tarragonwind.adapters.request_records import RequestRecord, log_outcome, record_metrics
 from tarragonwind.adapters.standby_permits import StandbyPermit
 from tarragonwind.core.classifications import RequestClass
 from tarragonwind.core.dispatches import DispatchOutcome, RetryPolicy
@@ -52,8 +53,6 @@
 """Error kinds that count as load shedding."""
 STALL_FACTOR = 2.5
 """Multiple of the route's target latency or event gap after which a silent upstream has stalled."""
-EXPECTED_OUTCOMES = frozenset([Outcome.ANSWERED, Outcome.CALLER_LEFT])
-"""Outcomes that are logged at INFO instead of WARNING."""
 
 
 class RequestHandler(ExchangeEvents):
@@ -125,8 +124,10 @@
                 self._charge.refund()
             if self._admission is not None:
                 self._context.limits.end(self._context.loop.timers.now(), self._admission)
-            self._record_metrics()
-            self._log_outcome()
+            record = self._describe()
+            self._trace.finish(record.outcome_name)
+            record_metrics(self._context.telemetry, record)
+            log_outcome(record, self._trace.trace_id)
             self._drop_references()
 
     def _drop_references(self) -> None:
@@ -505,51 +506,23 @@
             exc.message,
         )
 
-    def _record_metrics(self) -> None:
-        telemetry = self._context.telemetry
-        request_class = self._request_class
-        outcome = self._lifecycle.outcome.value if self._lifecycle.outcome is not None else "none"
-        self._trace.finish(outcome)
-        if request_class is None:
-            return
-        telemetry.requests.add(1, request_class.tier, outcome, self._refusal)
-        took_s = self._context.loop.timers.now() - self._started_at
-        telemetry.duration.record(took_s, request_class.tier)
-        if self._first_byte_at:
-            telemetry.first_byte.record(self._first_byte_at - self._started_at, request_class.tier)
-        if self._waited_s:
-            telemetry.wait.record(self._waited_s, request_class.tier)
-        if self._response_complete and self._response_succeeded:
-            telemetry.goodput.add(1, request_class.tier)
-        if self._sent and not self._first_byte_seen and not self._response_complete:
-            telemetry.wasted_prefill.add(request_class.prompt_tokens)
-
-    def _log_outcome(self) -> None:
-        request_class = self._request_class
-        outcome = self._lifecycle.outcome
-        permit = self._permit
-        logger.log(
-            "INFO" if outcome in EXPECTED_OUTCOMES else "WARNING",
-            "event=request_ended request={} trace={} outcome={} kind={} organisation={} route={} "
-            "tier={} catalogue={} upstream={} granted_by={} sent={} unsent={} status={} {} "
-            "reason={!r} parts={} key={} waited_ms={:.1f} took_ms={:.1f}",
-            self.name,
-            self._trace.trace_id,
-            outcome.value if outcome is not None else "none",
-            self._refusal or "-",
-            request_class.organisation.name if request_class else "-",
-            request_class.route.name if request_class else "-",
-            request_class.tier if request_class else "-",
-            self._catalogue_number,
-            permit.upstream if permit else "-",
-            (permit.granted_by or "local") if permit else "-",
-            self._retry_policy.sent,
-            self._retry_policy.unsent,
-            self._status,
-            describe_response_end(self._relay),
-            self._reason,
-            describe_parts(request_class),
-            describe_key(request_class),
-            self._waited_s * 1000,
-            (self._context.loop.timers.now() - self._started_at) * 1000,
+    def _describe(self) -> RequestRecord:
+        """Return what is told of the request when it has ended."""
+        now = self._context.loop.timers.now()
+        return RequestRecord(
+            name=self.name,
+            outcome=self._lifecycle.outcome,
+            refusal=self._refusal,
+            request_class=self._request_class,
+            catalogue_number=self._catalogue_number,
+            permit=self._permit,
+            policy=self._retry_policy,
+            status=self._status,
+            relay=self._relay,
+            reason=self._reason,
+            waited_s=self._waited_s,
+            first_byte_s=self._first_byte_at - self._started_at if self._first_byte_at else 0.0,
+            took_s=now - self._started_at,
+            succeeded=self._response_complete and self._response_succeeded,
+            wasted=self._sent and not self._first_byte_seen and not self._response_complete,
         )
