--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -20,9 +20,9 @@
     CLOSED_BY_PEER,
     Connection,
     ConnectionEvents,
-    Listener,
     open_connection,
 )
+from tarragonwind.adapters.listeners import Listener
 from tarragonwind.ports import Address
 
 DRIP_PERIOD_S = 0.05
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -9,8 +9,8 @@
 
 from tarragonwind.adapters.caller_connections import FIRST_REQUEST_S, CallerConnection
 from tarragonwind.adapters.caller_exchanges import CallerExchange
-from tarragonwind.adapters.connections import Listener
 from tarragonwind.adapters.http_requests import CallerRequest, HttpLimits
+from tarragonwind.adapters.listeners import Listener
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.memory_guards import MemoryGuard
 from tarragonwind.errors import RequestError
--- a/tarragonwind/adapters/tunnels.py
+++ b/tarragonwind/adapters/tunnels.py
@@ -18,9 +18,9 @@
     CLOSED_BY_PEER,
     Connection,
     ConnectionEvents,
-    Listener,
 )
 from tarragonwind.adapters.connects import ConnectAttempt, DirectConnect, OnFailed, OnOpen
+from tarragonwind.adapters.listeners import Listener
 from tarragonwind.adapters.loops import Loop
 from tarragonwind.adapters.memory_guards import MemoryGuard, TunnelHolding
 from tarragonwind.adapters.tunnel_openings import (
--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 from collections.abc import Callable
 from typing import Annotated, Any, ClassVar, TypeVar
 
 from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
+from tarragonwind.core.ip_addresses import check_ip_address
 from tarragonwind.errors import EntryError
 
 TIER_COUNT = 4
@@ -43,12 +43,6 @@
 """Entry classes by kind, filled by `register_entry_kind`."""
 
 
-def check_ip_address(text: str) -> str:
-    """Return a text that is an IP address; raise `ValueError` for any other, such as a name."""
-    ipaddress.ip_address(text)
-    return text
-
-
 def register_entry_kind(kind: str) -> Callable[[EntryT], EntryT]:
     """Return a decorator that registers an entry class under a kind."""
 
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -8,8 +8,8 @@
 import msgpack
 from loguru import logger
 
-from tarragonwind.core.entries import check_ip_address
 from tarragonwind.core.fleet_shares import FleetShares
+from tarragonwind.core.ip_addresses import check_ip_address
 from tarragonwind.core.mirror_states import MirrorItem
 from tarragonwind.delays import delay
 from tarragonwind.errors import StoreError
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -3,32 +3,24 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 from dataclasses import field
 from typing import Annotated
 
 from pydantic import AfterValidator, ConfigDict, Field
 from pydantic.dataclasses import dataclass
 
+from tarragonwind.core.ip_addresses import check_ip_address
 from tarragonwind.ports import Address
 
 SECTION_CONFIG = ConfigDict(extra="forbid", defer_build=True)
 
 
-def _check_ip(value: str) -> str:
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        raise ValueError("not an IP address") from None
-    return value
-
-
 def _check_optional_ip(value: str) -> str:
-    return _check_ip(value) if value else value
+    return check_ip_address(value) if value else value
 
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-IpAddress = Annotated[str, AfterValidator(_check_ip), Field(description="an IP address")]
+IpAddress = Annotated[str, AfterValidator(check_ip_address), Field(description="an IP address")]
 OptionalIp = Annotated[
     str, AfterValidator(_check_optional_ip), Field(description="an IP address, or empty")
 ]
