--- a/tarragonwind/core/owner_inboxes.py
+++ b/tarragonwind/core/owner_inboxes.py
@@ -46,19 +46,12 @@
 
 
 class OwnerInbox:
-    """Hold the messages that owners have not handled yet.
+    """Hold the messages that owners have not handled yet."""
 
-    Attributes
-    ----------
-    dropped : int
-        Messages that others have superseded.
-    """
-
-    __slots__ = ("_received", "dropped")
+    __slots__ = ("_received",)
 
     def __init__(self) -> None:
         self._received: list[Received] = []
-        self.dropped = 0
 
     def __len__(self) -> int:
         return len(self._received)
@@ -76,7 +69,6 @@
         kept = self._received
         if len(kept) > 1:
             kept = drop_superseded(kept)
-            self.dropped += len(self._received) - len(kept)
         if len(kept) > MAX_BATCH:
             kept.sort(key=_urgency)
         self._received = kept[MAX_BATCH:]
@@ -117,7 +109,7 @@
 
 
 def _aged(now: float, received: Received) -> Message:
-    """Return a message with the time that has passed taken off the deadlines of a request."""
+    """Return the message; the deadlines of a request are reduced by the time that has passed."""
     msg = received.msg
     waited_ms = round(1_000 * (now - received.at))
     if isinstance(msg, PermitAsk) and waited_ms > 0:
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -181,7 +181,7 @@
         )
         self._grants_from = 0.0
         self._full_at = -math.inf
-        self._has_news = False
+        self._may_have_room = False
         self._last_call_at: float | None = None
         self._heartbeat_at = 0.0
         self._swept_at = 0.0
@@ -298,7 +298,7 @@
 
     def grant(self, now: float) -> None:
         """Grant permits after messages were applied, unless the pool was found full just now."""
-        if self._has_news or now - self._full_at >= FULL_RECHECK_S:
+        if self._may_have_room or now - self._full_at >= FULL_RECHECK_S:
             self._grant_waiting(now)
 
     def apply_message(self, now: float, host: str, msg: Message) -> None:
@@ -321,7 +321,7 @@
                 self._heartbeats.ensure_synced(host)
             if self._outcomes.on_message(now, host, msg):
                 self._versions.rechoose_unservable(now)
-        self._has_news = True
+        self._may_have_room = True
 
     # State
 
@@ -416,7 +416,7 @@
 
     def _grant_waiting(self, now: float) -> None:
         self._full_at = -math.inf
-        self._has_news = False
+        self._may_have_room = False
         if not self.active or now < self._grants_from:
             return
         if not self._takeover.may_grant(now, self._ledger.strict_share):
--- a/tarragonwind/core/sync_schedules.py
+++ b/tarragonwind/core/sync_schedules.py
@@ -23,10 +23,10 @@
     Attributes
     ----------
     resync_after_s : float
-        Time without a message of the owner after which the full state is sent again, in seconds.
+        Time without a message of the owner after which the full state is sent again, in seconds. An
+        answer to a state within this time ends the use of the local share.
     owner_timeout_s : float
-        Time without a message of the owner after which the local share is used, in seconds. An
-        owner that answers within it after that ends the use.
+        Time without a message of the owner after which the local share is used, in seconds.
     first_doubt_period_s, max_doubt_period_s : float
         Shortest and longest interval between two states sent in doubt, in seconds; it doubles.
     forget_doubt_s : float
