--- /dev/null
+++ b/review/harness-2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes that the cases of this review share."""
