--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A crashing part that stands behind many others in its prompts is never kept from engines."""
+"""A part crashes engines: sound requests that share another new part are refused for it."""
 
 from __future__ import annotations
 
@@ -18,15 +18,16 @@
 )
 from worlds import World, run_case  # noqa: E402
 
-TURNS = 66
-"""Parts of a long conversation before its newest ones."""
-CONVERSATION = [f"{0x91bd0000 + turn:x}" for turn in range(TURNS)]
-SOUND_TURN = "a1b2c3d4"
+TEMPLATE = "a1b2c3d4"
+FIRST_DOSSIER = "91bd3f06"
+NEXT_DOSSIER = "77e0c412"
 CALM_S = 8.0
 """Time of sound requests before the first crash, in seconds."""
 SOUND_GAP_S = 0.2
-CRASHING_GAP_S = 0.25
-LAST_PHASE_S = 25.0
+FIRST_CRASHES = 3
+CRASH_GAP_S = 1.0
+LATER_CRASHING_GAP_S = 2.0
+LAST_PHASE_S = 22.0
 
 
 async def play(world: World) -> bool:
@@ -34,13 +35,20 @@
     case = CrashingParts(world, crash_before_events)
     case.add_engines()
     await world.start(CONFIGURATION)
-    await case.send_for([*CONVERSATION, SOUND_TURN], True, CALM_S, SOUND_GAP_S)
+    calm_from = world.now()
+    await case.send_for([TEMPLATE, FIRST_DOSSIER], True, CALM_S, SOUND_GAP_S)
+    calm_to = world.now()
+    world.record("next_dossier", crashing=CRASHING_PART, shared=NEXT_DOSSIER)
+    for _ in range(FIRST_CRASHES):
+        case.send([CRASHING_PART, NEXT_DOSSIER], sound=False)
+        await case.send_for([TEMPLATE, FIRST_DOSSIER], True, CRASH_GAP_S, SOUND_GAP_S)
     await asyncio.gather(
-        case.send_for([*CONVERSATION, SOUND_TURN], True, LAST_PHASE_S, SOUND_GAP_S),
-        case.send_for([*CONVERSATION, CRASHING_PART], False, LAST_PHASE_S, CRASHING_GAP_S),
+        case.send_for([TEMPLATE, NEXT_DOSSIER], True, LAST_PHASE_S, SOUND_GAP_S),
+        case.send_for([CRASHING_PART, NEXT_DOSSIER], False, LAST_PHASE_S, LATER_CRASHING_GAP_S),
     )
+    ended = world.now()
     await asyncio.sleep(2.0)
-    return case.judge_crashing()
+    return case.judge_sound(calm_from, calm_to, ended)
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A part crashes engines once their answer has begun: it is never kept from them."""
+"""A crashing part that stands behind many others in its prompts is never kept from engines."""
 
 from __future__ import annotations
 
@@ -14,12 +14,14 @@
     CRASHING_PART,
     HOSTS,
     CrashingParts,
-    crash_after_first_event,
+    crash_before_events,
 )
 from worlds import World, run_case  # noqa: E402
 
-TEMPLATE = "a1b2c3d4"
-DOSSIER = "91bd3f06"
+TURNS = 66
+"""Parts of a long conversation before its newest ones."""
+CONVERSATION = [f"{0x91bd0000 + turn:x}" for turn in range(TURNS)]
+SOUND_TURN = "a1b2c3d4"
 CALM_S = 8.0
 """Time of sound requests before the first crash, in seconds."""
 SOUND_GAP_S = 0.2
@@ -29,13 +31,13 @@
 
 async def play(world: World) -> bool:
     """Play the case; return whether the rule held."""
-    case = CrashingParts(world, crash_after_first_event)
+    case = CrashingParts(world, crash_before_events)
     case.add_engines()
     await world.start(CONFIGURATION)
-    await case.send_for([TEMPLATE, DOSSIER], True, CALM_S, SOUND_GAP_S)
+    await case.send_for([*CONVERSATION, SOUND_TURN], True, CALM_S, SOUND_GAP_S)
     await asyncio.gather(
-        case.send_for([TEMPLATE, DOSSIER], True, LAST_PHASE_S, SOUND_GAP_S),
-        case.send_for([CRASHING_PART, DOSSIER], False, LAST_PHASE_S, CRASHING_GAP_S),
+        case.send_for([*CONVERSATION, SOUND_TURN], True, LAST_PHASE_S, SOUND_GAP_S),
+        case.send_for([*CONVERSATION, CRASHING_PART], False, LAST_PHASE_S, CRASHING_GAP_S),
     )
     await asyncio.sleep(2.0)
     return case.judge_crashing()
