Let no copy of the store count as complete beyond what it holds

Cause: ways by which a copy takes itself for complete up to a position that it isn't complete up to. A removed upstream came back and stayed on one host for good.

A copy is unsettled until it has passed the last page it was read from, tells so (MirrorPart, level 3), leaves a gap that begins there, and doesn't move over an item that the other host's changes leave unexplained.

Two tests name a level "above ours" by OWN_LEVEL + 1 now instead of 3, and tests/test_upgrades.py asks for this build's own level.

--- a/tarragonwind/core/mirror_messages.py
+++ b/tarragonwind/core/mirror_messages.py
@@ -7,6 +7,10 @@
 
 NO_OUTAGE_MS = -1
 """Value of `MirrorPart.outage_age_ms` without a recent outage."""
+MAX_POSITION_PART = (1 << 64) - 1
+"""Largest era or revision of a position."""
+UNKNOWN_SINCE = -2
+"""Value of `MirrorPart.since` from a host that doesn't tell it."""
 
 
 @message(60)
@@ -49,6 +53,11 @@
     outage_age_ms : int
         Time since the end of a recent store outage in milliseconds, `NO_OUTAGE_MS` for none. What
         expired during the outage has a grace period on the receiving host too.
+    settled_at : int
+        Store revision from which on the sender's copy holds exactly the keys of its position;
+        unknown from a host below level 3.
+    since : int
+        `MirrorAsk.since` of the request; unknown from a host below level 3.
     """
 
     prefix: str
@@ -57,3 +66,5 @@
     items: list[list]
     era: int = 0
     outage_age_ms: int = added_field(2, NO_OUTAGE_MS)
+    settled_at: int = added_field(3, MAX_POSITION_PART)
+    since: int = added_field(3, UNKNOWN_SINCE)
--- a/tarragonwind/messages.py
+++ b/tarragonwind/messages.py
@@ -21,7 +21,7 @@
 """Maximum size of a packed message that a daemon accepts, in bytes."""
 FIRST_LEVEL = 1
 """Protocol level of the build of commit 077a292, which announces none."""
-OWN_LEVEL = 2
+OWN_LEVEL = 3
 """Protocol level of this build. Level 2 reads messages with missing or additional trailing fields
 and skips messages with unknown numbers."""
 
--- a/tarragonwind/mirror_replicators.py
+++ b/tarragonwind/mirror_replicators.py
@@ -6,7 +6,13 @@
 
 from loguru import logger
 
-from tarragonwind.core.mirror_messages import NO_OUTAGE_MS, MirrorAsk, MirrorPart
+from tarragonwind.core.mirror_messages import (
+    MAX_POSITION_PART,
+    NO_OUTAGE_MS,
+    UNKNOWN_SINCE,
+    MirrorAsk,
+    MirrorPart,
+)
 from tarragonwind.core.mirror_states import MirrorItem
 from tarragonwind.core.store_positions import ORIGIN, StorePosition
 from tarragonwind.messages import MessageError
@@ -20,8 +26,6 @@
 MAX_OUTAGE_AGE_S = 10.0
 """Time after a store outage for which hosts tell each other of it, in seconds; longer than any
 period of grace that it begins."""
-MAX_POSITION_PART = (1 << 64) - 1
-"""Largest era or revision in `POSITION_FORMAT`."""
 POSITION_FORMAT = struct.Struct(">QQ")
 """Era and revision of the copy's position, as piggybacked on probes."""
 
@@ -68,7 +72,7 @@
         mirror.subscribe(self._on_changed)
 
     def _provide(self) -> bytes | None:
-        position = self._mirror.state.position
+        position = self._mirror.shared_position
         return POSITION_FORMAT.pack(position.era, position.revision)
 
     def _on_payload(self, sender: str, value: bytes) -> None:
@@ -85,8 +89,8 @@
             self._request(others[0])
 
     def _on_changed(self, changes: list[MirrorItem]) -> None:
-        if self._mirror.state.position > self._gossiped_position:
-            self._gossiped_position = self._mirror.state.position
+        if self._mirror.shared_position > self._gossiped_position:
+            self._gossiped_position = self._mirror.shared_position
             self._gossip.push_payloads()
 
     def _request(self, host: str) -> None:
@@ -101,7 +105,7 @@
             return
         self._requested_at = now
         state = self._mirror.state
-        since = state.position.revision if state.loaded else -1
+        since = state.position.revision if state.loaded and not state.needs_snapshot else -1
         self._peers.send(host, MirrorAsk(self._mirror.prefix, since, state.position.era))
 
     def _retry_request(self, host: str) -> None:
@@ -113,7 +117,8 @@
         if msg.prefix != self._mirror.prefix or not state.loaded:
             return
         since = StorePosition(msg.era, msg.since)
-        changes = state.changes_since(since) if msg.since >= 0 else None
+        position = self._mirror.shared_position
+        changes = state.changes_since(since, position) if msg.since >= 0 else None
         whole = changes is None
         if changes is not None:
             items = changes
@@ -122,12 +127,11 @@
         else:
             items = state.capped_items()
         rows: list[list] = [[one.key, one.value, one.position.revision] for one in items]
-        position = state.position
         outage_age_ms = pack_age_ms(self._mirror.outage_age_s())
-        self._peers.send(
-            sender,
-            MirrorPart(msg.prefix, position.revision, whole, rows, position.era, outage_age_ms),
-        )
+        part = MirrorPart(msg.prefix, position.revision, whole, rows, position.era, outage_age_ms)
+        part.settled_at = state.settled_at.revision
+        part.since = msg.since
+        self._peers.send(sender, part)
 
     def _on_part(self, sender: str, msg: MirrorPart) -> None:
         if msg.prefix != self._mirror.prefix:
@@ -137,10 +141,12 @@
         doubtful = not self._peers.supports(sender, PAGED_READ_LEVEL)
         if msg.outage_age_ms != NO_OUTAGE_MS:
             self._mirror.note_outage_end(unpack_age_s(msg.outage_age_ms))
+        settled_at = StorePosition(msg.era, msg.settled_at)
         if msg.whole:
-            self._mirror.apply_snapshot(items, position, sender, doubtful)
+            self._mirror.apply_snapshot(items, position, sender, doubtful, settled_at)
         else:
-            self._mirror.apply_changes(items, sender, position, doubtful)
+            begin = None if msg.since == UNKNOWN_SINCE else StorePosition(msg.era, msg.since)
+            self._mirror.apply_changes(items, sender, position, doubtful, settled_at, begin)
 
 
 def pack_age_ms(age_s: float) -> int:
@@ -172,12 +178,13 @@
     Raises
     ------
     MessageError
-        If era or revision is no integer that fits into `POSITION_FORMAT`.
+        If era or a revision is no integer that fits into `POSITION_FORMAT`.
     """
-    if not is_position_part(msg.era) or not is_position_part(msg.revision):
+    parts = (msg.era, msg.revision, msg.settled_at)
+    if not all(is_position_part(one) for one in parts) or type(msg.since) is not int:
         raise MessageError(
-            "era and revision of a mirror part must be integers of 64 bits, got "
-            f"{msg.era!r:.40} and {msg.revision!r:.40}"
+            "era and revisions of a mirror part must be integers of 64 bits, got "
+            f"{msg.era!r:.40}, {msg.revision!r:.40}, {msg.settled_at!r:.40} and {msg.since!r:.40}"
         )
     return StorePosition(msg.era, msg.revision)
 
--- a/tarragonwind/platform/stores.py
+++ b/tarragonwind/platform/stores.py
@@ -105,13 +105,14 @@
             doc = decode_answer(await self._call("range", "GET", target))
             page = [decode_item(item) for item in decode_list(doc, "items")]
             items += page
+            read_at = decode_field(doc, "at", int)
             if revision is None:
-                revision = decode_field(doc, "at", int)
+                revision = read_at
                 era = self._era or 0
             if era != (self._era or 0):
                 raise StoreError("the store's era changed between two pages")
             if not doc.get("hasMore") or not page:
-                return RangeResult(items, revision, era)
+                return RangeResult(items, revision, era, read_at)
             after = page[-1].key
 
     def commit(self, compares: list[Compare], ops: list[Put | Delete]) -> Future[TxnResult]:
--- a/tarragonwind/ports.py
+++ b/tarragonwind/ports.py
@@ -93,11 +93,24 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Contain the sorted keys under a prefix, and the store's era and revision of the read."""
+    """Contain the sorted keys under a prefix, and the store's era and revision of the read.
+
+    Attributes
+    ----------
+    items : list of KeyValue
+        Existing keys; those of later pages may be newer than `revision`.
+    revision : int
+        Revision of the store when the first page was read.
+    era : int
+        Era of the store, 0 for a store that has none.
+    last_revision : int
+        Revision of the store when the last page was read, 0 for a read of one page.
+    """
 
     items: list[KeyValue]
     revision: int
     era: int = 0
+    last_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonwind/store_mirrors.py
+++ b/tarragonwind/store_mirrors.py
@@ -127,8 +127,17 @@
         self._batch_delay_s = batch_delay_s(0, bound_s)
         self._stopped = False
         self._doubtful = ORIGIN
+        self._undoubted = ORIGIN
         self._outage_ended_at = float("-inf")
 
+    @property
+    def shared_position(self) -> StorePosition:
+        """Return the position up to which other hosts may take this copy for complete.
+
+        While changes up to the copy's own position may be missing, it is the one before them.
+        """
+        return self.state.position if self._doubtful == ORIGIN else self._undoubted
+
     def subscribe(self, listener: ChangeListener) -> None:
         """Register a listener that receives each batch of changes to the copy."""
         self._listeners.append(listener)
@@ -229,18 +238,21 @@
         position: StorePosition,
         source: str,
         doubtful: bool = False,
+        last: StorePosition = ORIGIN,
     ) -> None:
         """Apply a full snapshot of the store, which may be the first of a new era.
 
-        `doubtful` has the same meaning as for `apply_changes`.
+        `doubtful` has the same meaning as for `apply_changes`; `last` is the position of the last
+        page that was read, or that at which another host's copy is settled.
         """
         enters_era = self.state.loaded and position.era > self.state.position.era
         if enters_era:
             # Upstreams and hosts need time to write again what the older copy lacks.
             self._set_recovered(self._timers.now())
-        applied = self.state.apply_snapshot(items, position)
+        shared = self.shared_position
+        applied = self.state.apply_snapshot(items, position, last)
         if doubtful:
-            self._doubtful = self.state.position
+            self._begin_doubt(shared)
         if enters_era and not applied:
             # Listeners tell a loss from a removal by the era in which they know the key.
             self._call_listeners([])
@@ -252,6 +264,8 @@
         source: str,
         end: StorePosition = ORIGIN,
         doubtful: bool = False,
+        settled_at: StorePosition = ORIGIN,
+        begin: StorePosition | None = None,
     ) -> None:
         """Apply changes of the store.
 
@@ -266,10 +280,15 @@
         doubtful : bool
             Whether some may be missing: hosts of the first protocol level take a copy that was
             read in pages for complete up to its newest item.
+        settled_at : StorePosition
+            Position at which the other host's copy is settled.
+        begin : StorePosition, optional
+            Position that this copy had when it asked.
         """
-        applied = self.state.apply_changes(changes, end)
+        shared = self.shared_position
+        applied = self.state.apply_changes(changes, end, settled_at, begin)
         if doubtful:
-            self._doubtful = self.state.position
+            self._begin_doubt(shared)
         elif source == WATCH_SOURCE:
             self._end_doubt(max((item.position for item in changes), default=ORIGIN))
         watch = self._watch
@@ -280,6 +299,11 @@
             self._expect_return()
         self.notify_listeners(applied, source)
 
+    def _begin_doubt(self, shared: StorePosition) -> None:
+        """Doubt the copy up to its position; before, it was complete up to `shared`."""
+        self._doubtful = position = self.state.position
+        self._undoubted = shared if shared.era == position.era else StorePosition(position.era, 0)
+
     def _end_doubt(self, position: StorePosition) -> None:
         """Trust the copy again if the store itself has shown the changes up to a position."""
         if position >= self._doubtful:
@@ -331,7 +355,8 @@
             MirrorItem(one.key, one.value, StorePosition(result.era, one.mod_revision))
             for one in result.items
         ]
-        self.apply_snapshot(items, position, "store")
+        last = StorePosition(result.era, max(result.revision, result.last_revision))
+        self.apply_snapshot(items, position, "store", last=last)
         self._end_doubt(position)
         return position
 
--- a/tests/test_fleet_levels.py
+++ b/tests/test_fleet_levels.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tarragonwind.fleet_levels import FleetLevels
+from tarragonwind.messages import OWN_LEVEL
 
 from .peer_helpers import Bench, exchange_addresses
 
@@ -37,7 +38,7 @@
     levels, _ = create_levels(bench, monkeypatch, *transports)
     assert not levels.all_support(2)
     bench.wait(lambda: levels.all_support(2), "all levels known")
-    assert not levels.all_support(3)
+    assert not levels.all_support(OWN_LEVEL + 1)
 
 
 def test_one_old_host_ends_it_and_its_replacement_brings_it_back(bench, monkeypatch):
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -23,6 +23,7 @@
 from standins.fleets import set_faults, wait_until
 from standins.platform_fleets import LOOKUP_PATH, STAMP_PATH, STREAM_PATH, PlatformFleet
 from tarragonwind.core.rendezvous import choose_owner
+from tarragonwind.messages import OWN_LEVEL
 
 pytestmark = [pytest.mark.process, pytest.mark.xdist_group("upgrades")]
 PREVIOUS_BUILD = "077a292"
@@ -253,4 +254,4 @@
 def test_hosts_of_this_build_know_which_hosts_are_old(played):
     for name, log in played.logs.items():
         levels = set(re.findall(r"event=peer_level host=\S+ level=(\d+)", log))
-        assert levels == {"1", "2"}, name
+        assert levels == {"1", str(OWN_LEVEL)}, name
