Suspect parts together when the evidence fits each of them

Cause: of several parts with the same evidence the later one in its prompt was convicted. Position is no evidence, and nothing that is kept from engines can be cleared.

Change: core/suspicions.py convicts a part only where the evidence fits no other.

--- a/tarragonwind/core/owner_settings.py
+++ b/tarragonwind/core/owner_settings.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from tarragonwind.core.homes import ANY_REGION, Homes
+from tarragonwind.core.suspicions import CombinationChange
 from tarragonwind.messages import Message
 from tarragonwind.records import dataclass
 
@@ -72,3 +73,7 @@
 
 def ignore_conviction(key: int) -> None:
     """Do nothing with a key on which upstreams keep crashing."""
+
+
+def ignore_combination(change: CombinationChange) -> None:
+    """Do nothing with parts that are equally suspect."""
--- a/tarragonwind/core/permit_outcomes.py
+++ b/tarragonwind/core/permit_outcomes.py
@@ -15,7 +15,7 @@
 )
 from tarragonwind.core.prefix_hints import PrefixHints
 from tarragonwind.core.prefix_plans import PrefixPlanner
-from tarragonwind.core.suspicions import Suspicions
+from tarragonwind.core.suspicions import CombinationChange, Suspicions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import UpstreamLoad
 from tarragonwind.messages import Message
@@ -45,6 +45,8 @@
         Evidence on the pool's requests.
     on_key_convicted : callable
         Called with each key of requests on which upstreams keep crashing.
+    on_combination : callable
+        Called with each change of a combination of parts that are equally suspect.
     prefixes : PrefixPlanner
         What engines probably keep of prompts.
     """
@@ -53,6 +55,7 @@
         "_hints",
         "_holds",
         "_ledger",
+        "_on_combination",
         "_on_key_convicted",
         "_prefixes",
         "_rng",
@@ -67,6 +70,7 @@
         rng: random.Random,
         suspicions: Suspicions,
         on_key_convicted: Callable[[int], None],
+        on_combination: Callable[[CombinationChange], None],
         prefixes: PrefixPlanner,
     ) -> None:
         self._prefixes = prefixes
@@ -76,6 +80,7 @@
         self._rng = rng
         self._suspicions = suspicions
         self._on_key_convicted = on_key_convicted
+        self._on_combination = on_combination
 
     def on_message(self, now: float, host: str, msg: Message) -> bool:
         """Handle a message on the use of a permit; return whether an upstream is ejected now."""
@@ -132,7 +137,7 @@
             load.on_limit(now, msg.limit_mps / 1_000, now - msg.age_ms / 1_000)
 
     def check_suspicions(self, now: float) -> None:
-        """Convict the part whose crashes are confirmed by now, if any."""
+        """Convict what crashes have confirmed by now, if anything."""
         self._convict(self._suspicions.take_confirmed(now))
 
     def _observe_keys(
@@ -141,13 +146,16 @@
         """Record whether the upstream has begun to answer the prompt or has crashed on it."""
         start = load.entry.start
         if msg.outcome == Outcome.OK or msg.output_tokens > 0:
-            self._suspicions.on_answered(now, permit.granted_at, start, permit.keys)
+            self._convict(self._suspicions.on_answered(now, permit.granted_at, start, permit.keys))
         elif msg.outcome == Outcome.CONNECTION_LOST:
             self._convict(self._suspicions.on_crash(now, start, permit.keys))
 
     def _convict(self, keys: list[int]) -> None:
+        """Pass on convicted keys, and what has changed for combinations."""
         for key in keys:
             self._on_key_convicted(key)
+        for change in self._suspicions.take_combinations():
+            self._on_combination(change)
 
     def _may_eject(self, load: UpstreamLoad) -> bool:
         """Return whether enough other upstreams of the pool are available to eject this one."""
--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -19,6 +19,7 @@
     Send,
     VersionChooser,
     allow_any_region,
+    ignore_combination,
     ignore_conviction,
     never_pack,
 )
@@ -47,7 +48,7 @@
 from tarragonwind.core.queue_sweeps import find_unmeetable
 from tarragonwind.core.queued_requests import create_queued_request, set_latest_grant
 from tarragonwind.core.queues import QueuedRequest, TierQueue
-from tarragonwind.core.suspicions import Suspicions
+from tarragonwind.core.suspicions import CombinationChange, Suspicions
 from tarragonwind.core.upstream_conditions import UpstreamConditions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings, UpstreamLoad
@@ -100,6 +101,8 @@
         on one host.
     homes_of : callable
         Returns the homes of requests by route and organisation.
+    on_combination : callable
+        Called with each change of a combination of parts that are equally suspect.
     """
 
     def __init__(
@@ -117,6 +120,7 @@
         on_key_convicted: Callable[[int], None] = ignore_conviction,
         conditions: UpstreamConditions | None = None,
         homes_of: Callable[[str, str], Homes] = allow_any_region,
+        on_combination: Callable[[CombinationChange], None] = ignore_combination,
     ) -> None:
         conditions = conditions or UpstreamConditions()
         self.pool = pool
@@ -148,6 +152,7 @@
             rng,
             suspicions if suspicions is not None else Suspicions(),
             on_key_convicted,
+            on_combination,
             self.prefixes,
         )
         self._heartbeats = OwnerHeartbeats(
--- a/tarragonwind/core/pool_owners.py
+++ b/tarragonwind/core/pool_owners.py
@@ -18,6 +18,7 @@
     Send,
     VersionChooser,
     allow_any_region,
+    ignore_combination,
     ignore_conviction,
     never_pack,
 )
@@ -31,7 +32,7 @@
 )
 from tarragonwind.core.permits import PoolOwner
 from tarragonwind.core.strict_limits import RETENTION_S
-from tarragonwind.core.suspicions import Suspicions
+from tarragonwind.core.suspicions import CombinationChange, Suspicions
 from tarragonwind.core.upstream_conditions import UpstreamConditions
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.messages import Message
@@ -74,6 +75,8 @@
         Returns whether requests of a pool's version fill one upstream before the next.
     on_key_convicted : callable
         Called with each key of requests on which upstreams keep crashing.
+    on_combination : callable
+        Called with each change of a combination of parts that are equally suspect.
     conditions : UpstreamConditions
         Which upstreams are cold or brittle, and the memory of engines.
     homes_of : callable
@@ -89,6 +92,7 @@
     rtt_s: dict[str, float] = dataclasses.field(default_factory=dict)
     packs_requests: Callable[[str, str], bool] = never_pack
     on_key_convicted: Callable[[int], None] = ignore_conviction
+    on_combination: Callable[[CombinationChange], None] = ignore_combination
     conditions: UpstreamConditions = dataclasses.field(default_factory=UpstreamConditions)
     homes_of: Callable[[str, str], Homes] = allow_any_region
 
@@ -111,6 +115,7 @@
         deps.on_key_convicted,
         deps.conditions,
         deps.homes_of,
+        deps.on_combination,
     )
 
 
--- a/tarragonwind/core/quarantines.py
+++ b/tarragonwind/core/quarantines.py
@@ -10,14 +10,32 @@
 MAX_QUARANTINES = 1_024
 """Maximum number of keys in quarantine; the one that ends first is dropped first."""
 
+MAX_COMBINATIONS = 64
+"""Maximum number of combinations in quarantine; the one that ends first is dropped first."""
+
 
 class Quarantines:
-    """Hold the end of each key's quarantine."""
+    """Hold the end of each quarantine, of a key or of a combination of several parts."""
 
-    __slots__ = ("_until",)
+    __slots__ = ("_combinations", "_until")
 
     def __init__(self) -> None:
         self._until: dict[int, float] = {}
+        self._combinations: dict[frozenset[int], float] = {}
+
+    def add_combination(self, now: float, parts: frozenset[int], seconds: float) -> bool:
+        """Quarantine prompts with all of some parts; return False if they are already."""
+        if self._combinations.get(parts, now) > now or seconds <= 0:
+            return False
+        self._combinations[parts] = now + min(seconds, QUARANTINE_S)
+        while len(self._combinations) > MAX_COMBINATIONS:
+            first = min(self._combinations, key=self._combinations.__getitem__)
+            del self._combinations[first]
+        return True
+
+    def end_combination(self, parts: frozenset[int]) -> bool:
+        """End the quarantine of a combination; return whether it was in quarantine."""
+        return self._combinations.pop(parts, None) is not None
 
     def add(self, now: float, key: int, seconds: float = QUARANTINE_S) -> bool:
         """Quarantine a key; return False if it is in quarantine already, which then stays."""
@@ -29,10 +47,13 @@
         return True
 
     def left_s(self, now: float, keys: Iterable[int]) -> float:
-        """Return the longest time for which any of the keys stays in quarantine, in seconds."""
-        if not self._until:
+        """Return the longest time for which prompts with these keys are kept back, in seconds."""
+        if not self._until and not self._combinations:
             return 0.0
-        return max((max(0.0, self._until.get(key, now) - now) for key in keys), default=0.0)
+        held = frozenset(keys)
+        ends = [self._until[key] for key in held if key in self._until]
+        ends += [until for parts, until in self._combinations.items() if parts <= held]
+        return max(0.0, max(ends, default=now) - now)
 
     def active(self, now: float) -> dict[int, float]:
         """Return the time left of each key in quarantine, in seconds."""
--- a/tarragonwind/core/suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -5,9 +5,14 @@
 too, and one for the request itself. A key that was answered anywhere is sound. A key is convicted
 when several upstreams have crashed on it and it was never answered in between.
 
-Each request with enough crashes is convicted, as that costs no other request. Of several parts only
-one is: the one that was never answered, or longest ago; and none whose crashes all belong to
-convicted requests.
+Each request with enough crashes is convicted, as that costs no other request. A part is convicted
+only if the evidence fits no other part as well, and not if its crashes all belong to convicted
+requests. A part that was never answered is suspected before one that was, one with more crashes
+before one with fewer; where it stands in its prompt is no evidence.
+
+Of parts that are equally suspect all that is known is that upstreams crash on the combination: only
+prompts that hold all of them are kept from upstreams. Prompts with some of them go on: an answer
+clears those, a crash shows that the cause is among them (adaptive group testing).
 """
 
 from __future__ import annotations
@@ -17,6 +22,7 @@
 
 from tarragonwind.core.entries import UpstreamStart
 from tarragonwind.core.request_keys import is_request_key
+from tarragonwind.records import dataclass
 
 CRASHES_TO_CONVICT = 3
 """Crashes of upstreams that convict a key which was never answered."""
@@ -49,22 +55,18 @@
         Time at which each upstream crashed, in seconds.
     convicted : bool
         Whether the key was convicted; it is convicted again at the next crash on it.
-    position : int
-        Last position at which a request had the key; later parts are more specific.
     """
 
-    __slots__ = ("convicted", "crashes", "position")
+    __slots__ = ("convicted", "crashes")
 
     def __init__(self) -> None:
         self.crashes: dict[UpstreamStart, float] = {}
         self.convicted = False
-        self.position = 0
 
-    def add(self, now: float, start: UpstreamStart, position: int) -> None:
+    def add(self, now: float, start: UpstreamStart) -> None:
         """Add the crash of an upstream; a second one of the same start has no effect."""
         self.drop_before(now - MEMORY_S)
         self.crashes.setdefault(start, now)
-        self.position = position
 
     def drop_starts(self, starts: Iterable[UpstreamStart]) -> None:
         """Drop crashes that another key has caused."""
@@ -95,12 +97,30 @@
         return max(self.count_moments(), confirmed)
 
 
+@dataclass(frozen=True, slots=True)
+class CombinationChange:
+    """Tell that a combination of parts is under suspicion, or no longer.
+
+    Attributes
+    ----------
+    parts : frozenset of int
+        Keys of parts that are equally suspect.
+    is_cleared : bool
+        Whether each of them was answered since.
+    """
+
+    parts: frozenset[int]
+    is_cleared: bool
+
+
 class Suspicions:
     """Collect the evidence on the keys of the requests that one pool gets."""
 
-    __slots__ = ("_answered_at", "_crashed_at", "_suspects")
+    __slots__ = ("_answered_at", "_changes", "_combinations", "_crashed_at", "_suspects")
 
     def __init__(self) -> None:
+        self._combinations: dict[frozenset[int], frozenset[int]] = {}
+        self._changes: list[CombinationChange] = []
         self._suspects: OrderedDict[int, Suspect] = OrderedDict()
         self._answered_at: OrderedDict[int, float] = OrderedDict()
         self._crashed_at: dict[UpstreamStart, float] = {}
@@ -129,15 +149,20 @@
         if now - crashed_at >= SAME_MOMENT_S:
             # It has not answered since it crashed, so this request found it gone.
             return []
-        for position, key in enumerate(keys):
-            self._suspect(key).add(now, start, position)
+        for key in keys:
+            self._suspect(key).add(now, start)
         while len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
         return self._convict(now, keys)
 
+    def take_combinations(self) -> list[CombinationChange]:
+        """Return the changes of combinations since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
     def on_answered(
         self, now: float, granted_at: float, start: UpstreamStart, keys: Iterable[int]
-    ) -> None:
+    ) -> list[int]:
         """Clear the keys of a request that was answered, and what is held against its upstream.
 
         Parameters
@@ -148,7 +173,13 @@
             Upstream that has answered.
         keys : iterable of int
             Keys of the answered request.
+
+        Returns
+        -------
+        list of int
+            Keys that are convicted because the others of their combination are cleared.
         """
+        keys = list(keys)
         for key in keys:
             self._suspects.pop(key, None)
             self._answered_at[key] = now
@@ -157,6 +188,7 @@
             self._answered_at.popitem(last=False)
         if start in self._crashed_at:
             self._drop_disproved(granted_at, start)
+        return self._narrow(frozenset(keys)) if self._combinations else []
 
     def take_confirmed(self, now: float) -> list[int]:
         """Convict the keys whose crashes are confirmed by now; forget old suspects."""
@@ -166,6 +198,11 @@
             suspect.drop_before(oldest)
             if not suspect.crashes and not suspect.convicted:
                 del self._suspects[key]
+        self._combinations = {
+            whole: rest
+            for whole, rest in self._combinations.items()
+            if all(part in self._suspects for part in rest)
+        }
         return self._convict(now, self._suspects)
 
     def _suspect(self, key: int) -> Suspect:
@@ -206,11 +243,50 @@
             for key in candidates
             if not is_request_key(key) and not self._suspects[key].crashes.keys() <= caused
         ]
-        if parts:
-            part = max(parts, key=self._likelihood)
-            self._suspects[part].convicted = True
-            self._drop_caused_by(part)
-            convicts.append(part)
+        return convicts + self._convict_part(parts)
+
+    def _convict_part(self, parts: list[int]) -> list[int]:
+        """Convict the part that is more suspect than all others, or suspect equal ones together."""
+        if not parts:
+            return []
+        suspects = self._most_suspect(parts)
+        if len(suspects) > 1:
+            self._suspect_together(suspects)
+            return []
+        (part,) = suspects
+        self._suspects[part].convicted = True
+        self._drop_caused_by(part)
+        for whole, rest in list(self._combinations.items()):
+            if part in rest:
+                del self._combinations[whole]
+        return [part]
+
+    def _most_suspect(self, parts: list[int]) -> frozenset[int]:
+        """Return the part with the most evidence, and those with the same evidence."""
+        unanswered = [part for part in parts if part not in self._answered_at]
+        parts = unanswered or parts
+        first = max(parts, key=lambda part: len(self._suspects[part].crashes))
+        starts = self._suspects[first].crashes.keys()
+        return frozenset(part for part in parts if self._suspects[part].crashes.keys() == starts)
+
+    def _suspect_together(self, parts: frozenset[int]) -> None:
+        """Remember parts that are equally suspect; the next crash on them tells so again."""
+        self._combinations[parts] = parts
+        self._changes.append(CombinationChange(parts, is_cleared=False))
+
+    def _narrow(self, cleared: frozenset[int]) -> list[int]:
+        """Take cleared parts from the combinations; return the parts that are left alone."""
+        convicts = []
+        for whole, rest in list(self._combinations.items()):
+            left = frozenset(part for part in rest - cleared if part in self._suspects)
+            if left == rest:
+                continue
+            self._combinations[whole] = left
+            if not left:
+                del self._combinations[whole]
+                self._changes.append(CombinationChange(whole, is_cleared=True))
+            elif len(left) == 1:
+                convicts += self._convict_part(list(left))
         return convicts
 
     def _drop_caused_by(self, convict: int) -> None:
@@ -228,8 +304,3 @@
             if self._suspects[key].convicted
             for start in self._suspects[key].crashes
         }
-
-    def _likelihood(self, part: int) -> tuple[float, int]:
-        """Rank parts: the one answered longest ago or never first, then the later in its prompt."""
-        answered_at = self._answered_at.get(part, float("-inf"))
-        return (-answered_at, self._suspects[part].position)
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -24,6 +24,7 @@
 from tarragonwind.adapters.status_pages import create_status_pages
 from tarragonwind.adapters.store_backends import create_store
 from tarragonwind.allotments import AllotmentRunner
+from tarragonwind.combination_replicators import CombinationReplicator
 from tarragonwind.configuration_watchers import ConfigurationWatcher
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.entries import UpstreamEntry
@@ -82,6 +83,8 @@
 """Prefix of the keys that hosts hold under their leases."""
 QUARANTINE_PREFIX = "tarragonwind/quarantines/"
 """Prefix of the keys of prompt parts that are kept from upstreams."""
+COMBINATION_PREFIX = "tarragonwind/combinations/"
+"""Prefix of the keys of combinations of prompt parts that are kept from upstreams."""
 ALL_KEYS_PREFIX = ""
 """Prefix of all keys, so that one watch covers configuration, upstreams and hosts."""
 ENGINE_LOAD_SETTINGS = LoadSettings(
@@ -191,6 +194,7 @@
             lambda key: self.quarantines.announce(key),
             self.tunnels,
             cold_bounds(cfg),
+            lambda change: self.combinations.announce(change),
         )
         self.quarantines = QuarantineReplicator(
             QUARANTINE_PREFIX,
@@ -203,6 +207,15 @@
             timers,
             rng,
         )
+        self.combinations = CombinationReplicator(
+            COMBINATION_PREFIX,
+            self.scheduler.quarantines,
+            self.mirror,
+            self.store,
+            self.membership,
+            self.peers,
+            timers,
+        )
         self.allotments = AllotmentRunner(
             self.membership,
             self.peers,
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -36,9 +36,10 @@
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerDependencies, PoolOwners
 from tarragonwind.core.pool_usages import UNLIMITED_S, PoolUsage
-from tarragonwind.core.quarantines import Quarantines
+from tarragonwind.core.quarantines import QUARANTINE_S, Quarantines
 from tarragonwind.core.request_metadata import PUBLIC_ORGANISATION
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
+from tarragonwind.core.suspicions import CombinationChange
 from tarragonwind.core.upstream_conditions import UpstreamConditions
 from tarragonwind.core.upstream_holds import UpstreamHolds
 from tarragonwind.core.upstream_loads import LoadSettings
@@ -124,6 +125,9 @@
         State of this host's paths to upstreams, which tells nothing of the upstreams.
     cold_bounds : ColdBounds, optional
         What cold upstreams may get beyond their rate.
+    on_combination : callable, optional
+        Called with each change of a combination of parts that are equally suspect; by default it
+        is applied on this host alone.
 
     Attributes
     ----------
@@ -143,6 +147,7 @@
         on_key_convicted: Callable[[int], None] | None = None,
         paths: PathChecker | None = None,
         cold_bounds: ColdBounds | None = None,
+        on_combination: Callable[[CombinationChange], None] | None = None,
     ) -> None:
         self.conditions = UpstreamConditions(cold_bounds)
         self._paths = paths or SoundPaths()
@@ -167,6 +172,7 @@
             packs_requests=versions.packs_requests,
             homes_of=self._homes_of,
             on_key_convicted=on_key_convicted or self._quarantine_here,
+            on_combination=on_combination or self._apply_combination_here,
             conditions=self.conditions,
         )
         self.owners = PoolOwners(members.name, deps, members.owner_of, members.running, fleet)
@@ -308,6 +314,12 @@
     def _quarantine_here(self, key: int) -> None:
         self.quarantines.add(self._timers.now(), key)
 
+    def _apply_combination_here(self, change: CombinationChange) -> None:
+        if change.is_cleared:
+            self.quarantines.end_combination(change.parts)
+        else:
+            self.quarantines.add_combination(self._timers.now(), change.parts, QUARANTINE_S)
+
     def hold_left_s(self, upstream: str) -> float:
         """Return the time for which an upstream wants no requests of this host, in seconds."""
         return self._holds.left_s(self._timers.now(), upstream)
--- a/tests/permit_fleets.py
+++ b/tests/permit_fleets.py
@@ -62,6 +62,7 @@
         self.granted = {}
         self.refused = {}
         self.convicted = []
+        self.combinations = []
         self.conditions = UpstreamConditions()
         self.shares = None
         if fleet.tracks_shares:
@@ -79,6 +80,7 @@
             on_key_convicted=self.convicted.append,
             conditions=self.conditions,
             homes_of=fleet.homes_of,
+            on_combination=self.combinations.append,
         )
         self.owners = PoolOwners(
             name, deps, lambda pool: self.owner_name, lambda: self.live, self.shares
