Neither advance nor end a move whose new version can't carry the requests

Cause: the judge counts what the new version answered since the start, and time. Whether it has an upstream now, nobody told it.

--- a/tarragonwind/core/move_completions.py
+++ b/tarragonwind/core/move_completions.py
@@ -17,6 +17,8 @@
 SETTLE_S = 1.0
 """Time for which no request must have held a permit for the old version, in seconds: longer than a
 grant takes to its host and the host's report to the judge, with the difference of two clocks."""
+MAX_GAP_S = 1.5
+"""Time without an observation after which hosts that vanished may have been missed, in seconds."""
 LATE_START_S = 3.0
 """Time after the start of a move from which on a judge that begins may have missed hosts that have
 vanished before, in seconds."""
@@ -60,10 +62,11 @@
         Start of the move, in seconds since the epoch.
     """
 
-    __slots__ = ("_granted_until", "_hosts", "_since", "_starts_at")
+    __slots__ = ("_granted_until", "_hosts", "_observed_at", "_since", "_starts_at")
 
     def __init__(self, now: float, starts_at: float) -> None:
         self._since = now
+        self._observed_at = now
         self._starts_at = starts_at
         self._hosts: dict[str, HostUse] = {}
         self._granted_until = now
@@ -84,8 +87,16 @@
         """Return the time that requests of the old version may take to end, in seconds."""
         return max((use.longest_s for use in self._hosts.values()), default=0.0)
 
-    def observe(self, now: float, running: Collection[str], granted_others: int) -> None:
-        """Note the running hosts, and the permits for other versions at the pool's owner here."""
+    def observe(
+        self, now: float, running: Collection[str], granted_others: int, isolated: bool = False
+    ) -> None:
+        """Note the running hosts, and the permits for other versions at the pool's owner here.
+
+        A host that was paused, or cut off from most others, may have missed hosts that vanished.
+        """
+        if isolated or not 0.0 <= now - self._observed_at <= MAX_GAP_S:
+            self._since = now
+        self._observed_at = now
         for host in running:
             use = self._hosts.setdefault(host, HostUse(now))
             use.heard_at = max(use.heard_at, now)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -7,6 +7,7 @@
 from tarragonwind.core.entries import MoveEntry
 from tarragonwind.core.evidence import CellKey, Side, load_level
 from tarragonwind.core.host_moves import HostMove
+from tarragonwind.core.move_capacities import VersionCapacity
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
 from tarragonwind.core.move_steps import COMPLETE_STEP, FIRST_LOADED_STEP
 from tarragonwind.core.move_trials import LatencyHistory, Outcome, Trial
@@ -361,7 +362,8 @@
         pool, to_version = move.entry.pool, move.entry.to_version
         move.count_others(count_others(self.usage.held(pool), to_version))
         granted = count_others(self.usage.granted(pool), to_version)
-        move.judge.old_use.observe(now, self._members.running(), granted)
+        members = self._members
+        move.judge.old_use.observe(now, members.running(), granted, members.isolated)
         outgoing = self._report(now, move, {owner, deputy})
         is_judge = name in (owner, deputy) or now < move.judging_until
         if is_judge or move.lacks_judge(now, self.report_period_s):
@@ -402,13 +404,14 @@
     def _advance_as_owner(self, now: float, move: HostMove) -> list[Outgoing]:
         """Advance the share as the pool's owner, and record "done" once it may be."""
         judge = move.judge
+        self._observe_capacity(now, move)
         if not self._has_read_record(now, move):
             return []
         step = judge.step
         live = self._members.live()
         judge.advance_step(now, live, self.report_period_s)
         if judge.step == COMPLETE_STEP:
-            judge.why = COMPLETE_WHY
+            judge.why = judge.capacity.obstacle or COMPLETE_WHY
             if judge.can_complete(now, live, self.report_period_s):
                 self._record_completion(now, move)
         if judge.step == step and bool(judge.doubt) == move.in_doubt:
@@ -416,6 +419,19 @@
         others = [host for host in live if host != self._members.name]
         return [Outgoing(host, self._create_share(move, host, 0)) for host in others]
 
+    def _observe_capacity(self, now: float, move: HostMove) -> None:
+        """Note whether the new version can carry its requests, as the pool's owner knows it."""
+        pool, to_version = move.entry.pool, move.entry.to_version
+        capacity = None
+        slots = self.usage.live_slots(pool)
+        if slots is not None:
+            new_slots = slots.get(to_version, 0)
+            needed = sum(self.usage.granted(pool).values())
+            capacity = VersionCapacity(new_slots, sum(slots.values()) - new_slots, needed)
+        judge = move.judge
+        totals = judge.evidence.totals
+        judge.capacity.observe(now, judge.step, capacity, totals, self.report_period_s)
+
     def _record_completion(self, now: float, move: HostMove) -> None:
         """Record "done" unless requests may depend on the old version."""
         judge = move.judge
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -17,6 +17,7 @@
     Signal,
     Tally,
 )
+from tarragonwind.core.move_capacities import CapacityWatch
 from tarragonwind.core.move_completions import SETTLE_S, OldVersionUse
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
@@ -161,6 +162,8 @@
         Why the new version seems worse than its step allows, empty if it does not.
     old_use : OldVersionUse
         Which hosts may still use another version than the new one.
+    capacity : CapacityWatch
+        Whether the new version can carry its requests.
     """
 
     __slots__ = (
@@ -169,6 +172,7 @@
         "_evaluated_at",
         "_reports",
         "_valid_from",
+        "capacity",
         "doubt",
         "evidence",
         "finding",
@@ -191,6 +195,7 @@
         self.why = "not started"
         self.doubt = ""
         self.old_use = OldVersionUse(now, move.starts_at)
+        self.capacity = CapacityWatch(now)
         self.finding: Finding = NO_FINDING
         period_s = max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move))
         expected = math.ceil(duration_s(move) / period_s)
@@ -277,11 +282,15 @@
         """Return whether "done" may be recorded: all traffic moved, no sign of a regression."""
         if self.taken_back or self.step != COMPLETE_STEP:
             return False
-        has_dwelt = now - self.step_since >= MIN_DWELL_FRACTION * duration_s(self.move)
-        if not has_dwelt or self._doubt(COMPLETE_STEP):
+        if self.capacity.obstacle or not self._has_dwelt(now) or self._doubt(COMPLETE_STEP):
             return False
         return self.has_enough_reports(now, live, report_period_s, COMPLETE_STEP)
 
+    def _has_dwelt(self, now: float) -> bool:
+        """Return whether the new version has carried its step for the shortest time of a step."""
+        since = max(self.step_since, self.capacity.steady_since)
+        return now - since >= MIN_DWELL_FRACTION * duration_s(self.move)
+
     def _obstacle(self, now: float, live: Collection[str], report_period_s: float) -> str:
         """Return why the move can't advance to its next step, empty if it can."""
         step = self.step + 1
@@ -289,12 +298,12 @@
             return "not started"
         if not self.has_enough_reports(now, live, report_period_s, 0):
             return "too few hosts have reported"
-        if step == FIRST_STEP:
-            return ""
+        if step == FIRST_STEP or self.capacity.obstacle:
+            return self.capacity.obstacle
         doubt = self._doubt(step)
         if doubt:
             return doubt
-        if now - self.step_since < MIN_DWELL_FRACTION * duration_s(self.move):
+        if not self._has_dwelt(now):
             return f"step {self.step} of {COMPLETE_STEP} in force"
         trials = self._trials()
         if trials < STEPS[step].min_trials:
--- a/tarragonwind/core/pool_usages.py
+++ b/tarragonwind/core/pool_usages.py
@@ -25,6 +25,9 @@
     def time_limit_s(self, pool: str) -> float:
         """Return the longest time that a request of the pool may take, in seconds."""
 
+    def live_slots(self, pool: str) -> Mapping[str, int] | None:
+        """Return the slots of the pool's live upstreams by version, None if they aren't known."""
+
 
 class UnknownUsage(PoolUsage):
     """Stand for the usage of pools before a scheduler is connected."""
@@ -41,6 +44,10 @@
         """Return the time for a route without a limit."""
         return UNLIMITED_S
 
+    def live_slots(self, pool: str) -> Mapping[str, int] | None:
+        """Return None."""
+        return None
+
 
 def count_others(permits: Mapping[str, int], version: str) -> int:
     """Return the number of permits for other versions than one."""
--- a/tarragonwind/move_runners.py
+++ b/tarragonwind/move_runners.py
@@ -12,7 +12,6 @@
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.entries import MoveEntry, PoolEntry
 from tarragonwind.core.move_messages import MoveFacts, MoveReport, MoveShare
-from tarragonwind.core.move_steps import COMPLETE_STEP
 from tarragonwind.core.move_tables import TICK_PERIOD_S, MoveTable, Outgoing
 from tarragonwind.core.move_trials import Outcome, Trial
 from tarragonwind.core.moves import MoveResult, VerdictRecorder, move_identity
@@ -166,12 +165,9 @@
         self.table.usage = usage
 
     def is_ending(self, name: str) -> bool:
-        """Return whether the active move with a name has taken its last step."""
-        moves = self.table.active_moves()
-        return any(
-            move.entry.name == name and move.judge.step == COMPLETE_STEP and not move.in_doubt
-            for move in moves
-        )
+        """Return whether the active move with a name has taken its last step, and carries it."""
+        moves = [move for move in self.table.active_moves() if move.entry.name == name]
+        return any(move.replaces_all and not move.judge.capacity.obstacle for move in moves)
 
     def take_back(self, name: str, why: str) -> None:
         """Take back the active move with a name."""
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -443,6 +443,14 @@
         owner = self.owners.owner(pool)
         return owner.permits_by_version() if owner is not None and owner.active else Counter()
 
+    def live_slots(self, pool: str) -> Counter[str]:
+        """Return the slots of the pool's live upstreams, by version."""
+        slots: Counter[str] = Counter()
+        for entry in self._catalogue.upstreams_of(pool):
+            if entry.state is UpstreamState.LIVE:
+                slots[entry.version] += entry.slots
+        return slots
+
     def time_limit_s(self, pool: str) -> float:
         """Return the longest time that a request of the pool may take, in seconds."""
         return self._time_limits.get(pool, UNLIMITED_S)
--- a/tests/test_move_completions.py
+++ b/tests/test_move_completions.py
@@ -62,6 +62,9 @@
     def time_limit_s(self, pool):
         return LIMIT_S
 
+    def live_slots(self, pool):
+        return self.sim.slots
+
 
 class Recorder(FakeVerdictRecorder):
     """Check the fleet whenever "done" is recorded."""
@@ -89,6 +92,7 @@
         self.returned_at = {}
         self.done_at = None
         self.late_starts = []
+        self.slots = None
         for host, table in self.fleet.tables.items():
             table.usage = Usage(self, host)
             table._recorder = Recorder(self, host)
@@ -119,7 +123,7 @@
         chooser = host if is_local else owner
         if chooser in fleet.stopped:
             return
-        version = fleet.tables[chooser].choose_version(fleet.now, self.rng, POOL, "chat")
+        version = self.choose_version(fleet.tables[chooser])
         req = Request(host, "" if is_local else owner, version)
         if is_local:
             self.begin(req)
@@ -127,9 +131,13 @@
             self.granted.add(req)
             fleet.call_later(MESSAGE_S * self.rng.random(), lambda: self.begin(req))
 
+    def choose_version(self, table):
+        """Return the version that a host or an owner chooses."""
+        return table.choose_version(self.fleet.now, self.rng, POOL, "chat")
+
     def begin(self, req):
         fleet = self.fleet
-        if fleet.tables[req.host].replacement_of(POOL, req.version):
+        if self.is_replaced(req):
             self.granted.discard(req)
             return
         self.held.add(req)
@@ -141,6 +149,10 @@
         fleet.call_later(time_s / 2, lambda: self.answer(req, trial))
         fleet.call_later(time_s, lambda: self.end(req, trial))
 
+    def is_replaced(self, req):
+        """Return whether the host of a granted request sends nothing to its version any more."""
+        return bool(self.fleet.tables[req.host].replacement_of(POOL, req.version))
+
     def answer(self, req, trial):
         if trial is not None:
             self.fleet.tables[req.host].first_byte(self.fleet.now, trial)
@@ -213,6 +225,8 @@
 def create_use(now=100.0):
     """Return the use of a version by two hosts that have reported no request since `now`."""
     use = OldVersionUse(now - 20.0, now - 20.0)
+    for tick in range(21):
+        use.observe(now - 20.0 + tick, HOSTS, 0)
     for host in HOSTS:
         use.on_report(host, report(now))
     return use
@@ -240,7 +254,7 @@
 
 def test_a_host_that_has_not_reported_is_waited_for():
     use = create_use()
-    use.observe(103.0, (*HOSTS, "c"), 0)
+    use.observe(100.5, (*HOSTS, "c"), 0)
     assert "at c" in use.obstacle(105.0, (*HOSTS, "c"), 95.0, LIMIT_S)
 
 
@@ -260,9 +274,18 @@
 
 def test_permits_that_the_owner_has_granted_are_waited_for():
     use = create_use()
-    use.observe(105.0, HOSTS, granted_others=1)
-    assert "permits" in use.obstacle(105.5, HOSTS, 95.0, LIMIT_S)
-    assert use.obstacle(105.0 + SETTLE_S, HOSTS, 95.0, LIMIT_S) == ""
+    use.observe(100.5, HOSTS, granted_others=1)
+    assert "permits" in use.obstacle(101.0, HOSTS, 95.0, LIMIT_S)
+    assert use.obstacle(100.5 + SETTLE_S, HOSTS, 95.0, LIMIT_S) == ""
+
+
+@pytest.mark.parametrize(("gap_s", "isolated"), [(5.0, False), (0.5, True)])
+def test_a_judge_that_was_paused_or_isolated_may_have_missed_hosts_that_vanished(gap_s, isolated):
+    use = create_use()
+    now = 100.0 + gap_s
+    use.observe(now, HOSTS, 0, isolated)
+    assert "vanished" in use.obstacle(now + LIMIT_S - 0.1, HOSTS, 95.0, LIMIT_S)
+    assert use.obstacle(now + LIMIT_S, HOSTS, 95.0, LIMIT_S) == ""
 
 
 def test_a_judge_that_begins_late_waits_for_hosts_that_it_never_saw():
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -24,12 +24,15 @@
 LONG_PATH = "/long/stream"
 LONG_INTERVAL_S = 0.4
 LONG_CALLERS = 8
-SHORT_CALLERS = 6
+SHORT_CALLERS = 12
 CALLER_PAUSE_S = 0.05
 TIMEOUT_MS = 6_000
 ORDER_S = 20.0
 CALM_S = 5.0
 AFTER_S = 2.0
+EMPTIED_AFTER_S = 11.0
+DRAIN_S = 5.0
+"""Time for which draining engines serve on, in seconds: longer than the streams take."""
 LATE_S = 6.0
 """Time after that of the order for which its end is waited for, in seconds."""
 
@@ -106,6 +109,15 @@
             self.stop_engines("old")
         return state
 
+    def empty_new_engines(self):
+        """Empty the new engines and take them away, as planned work does."""
+        names = [f"i-new{number}" for number in range(ENGINES)]
+        for name in names:
+            process = self.site.fleet.processes[name]
+            self.site.register(name, POOL, process.port, state="draining")
+        time.sleep(DRAIN_S)
+        self.stop_engines("new")
+
     def stop_engines(self, kind):
         for number in range(ENGINES):
             self.site.fleet.processes[f"i-{kind}{number}"].kill()
@@ -175,3 +187,17 @@
     load.end()
     assert load.failed_since(load.ordered_at) == [], load.reasons()
     assert load.ended_at - load.ordered_at <= ORDER_S
+
+
+def test_a_rollout_whose_new_engines_are_taken_away_is_not_completed(load):
+    """The old engines were stopped too, and nothing was served any more (issue 49, LOST)."""
+    time.sleep(CALM_S)
+    start_engines(load.site, "new", "v2")
+    load.order()
+    time.sleep(EMPTIED_AFTER_S)
+    load.empty_new_engines()
+    assert load.await_end() == "rolled_back", load.reasons()
+    assert load.ended_at - load.ordered_at <= ORDER_S
+    time.sleep(AFTER_S)
+    load.end()
+    assert load.failed_since(load.ordered_at) == [], load.reasons()
