Follow every part of a prompt, so that a crashing one is found behind any others

Cause: only the first 64 parts of a prompt were followed, and those behind counted as sound.

Change: hosts check all parts of their requests. A permit request names the first 64 as before; the owner learns the others from the outcome (PermitDone, level 3): all of them when an upstream crashes, those not told for 10 s when it answers, 64 at most. MAX_SUSPECTS exceeds what a head of 64 KiB can name.

--- a/tarragonwind/core/classifications.py
+++ b/tarragonwind/core/classifications.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import Any, Protocol
 
+from tarragonwind.core.answered_parts import MAX_ASKED_PARTS
 from tarragonwind.core.entries import TIER_COUNT, OrganisationEntry, RouteEntry
 from tarragonwind.core.homes import ANY_REGION, Homes, find_homes
 from tarragonwind.core.json_bounds import MAX_JSON_ITEMS, has_too_many_items
@@ -120,6 +121,16 @@
     request_key: int = 0
     homes: Homes = ANY_REGION
 
+    @property
+    def asked_keys(self) -> tuple[int, ...]:
+        """Return the keys that a permit request names: first parts of the prompt, the request."""
+        return (*self.shared_parts[:MAX_ASKED_PARTS], self.request_key)
+
+    @property
+    def later_parts(self) -> tuple[int, ...]:
+        """Return the keys of the parts that a permit request doesn't name."""
+        return self.shared_parts[MAX_ASKED_PARTS:]
+
     @property
     def quarantine_keys(self) -> tuple[int, ...]:
         """Return the keys of all that upstreams may crash on, the most specific last."""
--- a/tarragonwind/core/permit_clients.py
+++ b/tarragonwind/core/permit_clients.py
@@ -5,7 +5,7 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tarragonwind.core.condition_reports import ConditionReports
 from tarragonwind.core.entries import UpstreamStart
@@ -149,6 +149,7 @@
         cached_tokens: int = 0,
         hold_ms: int = 0,
         limited: bool = False,
+        later_parts: Sequence[int] = (),
     ) -> None:
         """Release a permit with the outcome of its use; has no effect on a released permit."""
         state = self._find(permit_id)
@@ -166,6 +167,7 @@
             hold_ms=hold_ms,
             upstream=held.permit.upstream if hold_ms else "",
             limited=limited,
+            later_parts=later_parts,
         )
         if held.owner_knows or hold_ms:
             self._send_to_owner(state, msg)
--- a/tarragonwind/core/permit_messages.py
+++ b/tarragonwind/core/permit_messages.py
@@ -166,6 +166,9 @@
         Upstream of the permit, empty if `hold_ms` is 0.
     limited : bool
         Whether the upstream named a limit in its response.
+    later_parts : sequence of int
+        Keys of parts of the prompt that the permit request didn't name: all of them if the upstream
+        has crashed, answered ones that weren't told lately if it has answered.
     """
 
     pool: str
@@ -178,6 +181,7 @@
     hold_ms: int = 0
     upstream: str = ""
     limited: bool = False
+    later_parts: Sequence[int] = added_field(3, ())
 
 
 @dataclass(slots=True)
--- a/tarragonwind/core/permit_outcomes.py
+++ b/tarragonwind/core/permit_outcomes.py
@@ -145,10 +145,11 @@
     ) -> None:
         """Record whether the upstream has begun to answer the prompt or has crashed on it."""
         start = load.entry.start
+        keys = (*permit.keys, *msg.later_parts)
         if msg.outcome == Outcome.OK or msg.output_tokens > 0:
-            self._convict(self._suspicions.on_answered(now, permit.granted_at, start, permit.keys))
+            self._convict(self._suspicions.on_answered(now, permit.granted_at, start, keys))
         elif msg.outcome == Outcome.CONNECTION_LOST:
-            self._convict(self._suspicions.on_crash(now, start, permit.keys))
+            self._convict(self._suspicions.on_crash(now, start, keys))
 
     def _convict(self, keys: list[int]) -> None:
         """Pass on convicted keys, and what has changed for combinations."""
--- a/tarragonwind/core/request_metadata.py
+++ b/tarragonwind/core/request_metadata.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import Protocol
 
+from tarragonwind.core.answered_parts import MAX_ASKED_PARTS
 from tarragonwind.core.classifications import RequestClass, parse_target_path
 from tarragonwind.core.entries import OrganisationEntry, RouteEntry
 from tarragonwind.core.homes import find_homes
@@ -24,10 +25,6 @@
 """Placeholder for the organisation of requests to public routes."""
 
 
-MAX_SHARED_PARTS = 64
-"""Maximum number of a prompt's parts that are considered, counted from its beginning."""
-
-
 MIN_SHARED_TOKENS = 512
 """Minimum length of a prompt's shared parts for which the owner of a pool follows them, in tokens.
 Reading fewer takes less time than the choice of another engine costs."""
@@ -152,12 +149,12 @@
 
 def select_shared_parts(parts: list[PromptPart]) -> tuple[int, ...]:
     """Return the keys of all parts but the last, which belongs to its request or session."""
-    return tuple(part.part_id & PART_KEY_MASK for part in parts[:-1][:MAX_SHARED_PARTS])
+    return tuple(part.part_id & PART_KEY_MASK for part in parts[:-1])
 
 
 def select_part_tokens(parts: list[PromptPart]) -> tuple[int, ...]:
     """Return the tokens of all parts, nothing if the shared ones are too short to be followed."""
-    if not 1 < len(parts) <= MAX_SHARED_PARTS + 1:
+    if not 1 < len(parts) <= MAX_ASKED_PARTS + 1:
         return ()
     if sum(part.tokens for part in parts[:-1]) < MIN_SHARED_TOKENS:
         return ()
--- a/tarragonwind/core/schedulers.py
+++ b/tarragonwind/core/schedulers.py
@@ -59,6 +59,8 @@
         worth following.
     last_part : int
         Key of the prompt's last part.
+    later_parts : tuple of int
+        Keys of further shared parts, which a permit request doesn't name.
     """
 
     pool: str
@@ -81,6 +83,7 @@
     homes: Homes = ANY_REGION
     part_tokens: tuple[int, ...] = ()
     last_part: int = 0
+    later_parts: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
--- a/tarragonwind/core/suspicions.py
+++ b/tarragonwind/core/suspicions.py
@@ -42,8 +42,12 @@
 MAX_ANSWERED = 16_384
 """Maximum number of keys whose last answer is remembered."""
 
-MAX_SUSPECTS = 1_024
-"""Maximum number of keys under suspicion; the one suspected longest ago is dropped first."""
+MAX_SUSPECTS = 16_384
+"""Maximum number of keys under suspicion, more than the head of a prompt of 64 KiB can name; the
+one suspected longest ago is dropped first."""
+
+MAX_COMBINED = 1_024
+"""Maximum number of parts of a combination. Of more, prompts with these are kept back."""
 
 
 class Suspect:
@@ -271,6 +275,7 @@
 
     def _suspect_together(self, parts: frozenset[int]) -> None:
         """Remember parts that are equally suspect; the next crash on them tells so again."""
+        parts = frozenset(sorted(parts)[:MAX_COMBINED])
         self._combinations[parts] = parts
         self._changes.append(CombinationChange(parts, is_cleared=False))
 
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -6,11 +6,12 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from loguru import logger
 
 from tarragonwind.condition_monitors import ConditionMonitor, create_sender
+from tarragonwind.core.answered_parts import AnsweredParts
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.cold_upstreams import ColdBounds
 from tarragonwind.core.entries import (
@@ -158,6 +159,7 @@
         self._estimator = CostEstimator()
         self._dispatched: dict[int, DispatchRecord] = {}
         self._catalogue = Catalogue()
+        self._answered = AnsweredParts()
         self._slots: dict[str, int] = {}
         self._time_limits: dict[str, float] = {}
         self._held: dict[str, int] = {}
@@ -406,6 +408,7 @@
             tokens,
             hold_ms=math.ceil(hold_s * 1000),
             limited=report.limited,
+            later_parts=self._later_parts(permit, report.outcome, tokens),
         )
         record = self._dispatched.pop(permit.permit_id, None)
         if record is None:
@@ -426,6 +429,17 @@
             outcome = trial_outcome(report.outcome, report.complete)
             self._versions.finish(record.trial, outcome, tokens)
 
+    def _later_parts(self, permit: Permit, outcome: Outcome, tokens: int) -> Sequence[int]:
+        """Return the parts beyond those of the permit request that its owner has to learn of."""
+        record = self._dispatched.get(permit.permit_id)
+        if record is None or not record.request.later_parts:
+            return ()
+        if outcome is Outcome.CONNECTION_LOST:
+            return record.request.later_parts
+        if outcome is Outcome.OK or tokens > 0:
+            return self._answered.select(self._timers.now(), record.request.later_parts)
+        return ()
+
     def resume(self) -> None:
         """Resynchronise owners and the client after a pause of this process."""
         now = self._timers.now()
--- a/tests/test_crashing_part_searches.py
+++ b/tests/test_crashing_part_searches.py
@@ -1,7 +1,8 @@
 """Test how a hidden part that crashes upstreams is found among sound ones, in random traffic.
 
 Prompts with the crashing part come beside sound ones that share their other parts. Parts are new at
-random times, some come with the crashing one first; outcomes arrive late.
+random times, some come with the crashing one first; outcomes arrive late. The owner learns some
+parts from permit requests, and the others from outcomes alone.
 """
 
 import heapq
@@ -10,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tarragonwind.core.answered_parts import AnsweredParts
 from tarragonwind.core.quarantines import QUARANTINE_S, Quarantines
 from tarragonwind.core.suspicions import Suspicions
 
@@ -43,6 +45,8 @@
         self.crashes = []
         self.bad_runs = []
         self.sound = []
+        self.answered = AnsweredParts()
+        self.asked = self.rng.choice([0, 2, 8])
         self.delay_s = self.rng.choice([0.01, 0.1, 0.5])
         self.new_at = {part: self.rng.choice([0.0, 0.0, CALM_S]) for part in range(1, 9)}
         self.new_at[1] = 0.0
@@ -102,7 +106,9 @@
         self.later(delay_s, lambda: self.on_answered(granted_at, start, parts))
 
     def on_answered(self, granted_at, start, parts):
-        self.apply(self.suspicions.on_answered(self.now, granted_at, start, parts))
+        told = self.answered.select(self.now, parts[self.asked :])
+        keys = [*parts[: self.asked], *told]
+        self.apply(self.suspicions.on_answered(self.now, granted_at, start, keys))
 
     def crash(self, upstream, start):
         if upstream not in self.up or start[1] != self.starts[upstream]:
