--- a/tarragonwind/core/permits.py
+++ b/tarragonwind/core/permits.py
@@ -25,6 +25,7 @@
 )
 from tarragonwind.core.owner_takeovers import OwnerTakeover
 from tarragonwind.core.permit_adoptions import adopt_state
+from tarragonwind.core.permit_grants import create_permit
 from tarragonwind.core.permit_ledgers import GrantedPermit, PermitLedger
 from tarragonwind.core.permit_messages import (
     REFUSAL_KINDS,
@@ -457,26 +458,11 @@
                 f"no upstream with room for the request popped from pool {self.pool!r}"
             )
         load = placement.load
-        # A cold upstream is slow for another reason than its load or its hardware.
-        is_typical = not placement.cached_share and not load.strict.is_cold(now)
         unread_tokens = req.prompt_tokens * (1.0 - placement.cached_share)
         if now + load.min_first_byte_s(now, unread_tokens) > req.latest_first_byte:
             self._refuse(now, req, ErrorKind.DEADLINE_UNMEETABLE)
             return None
-        permit = GrantedPermit(
-            host=req.host,
-            permit_id=req.permit_id,
-            upstream=load.entry.name,
-            version=load.entry.version,
-            tier=req.tier,
-            cost_tokens=req.cost_tokens,
-            granted_at=now,
-            first_byte_s=placement.first_byte_s if is_typical else 0.0,
-            token_s=0.0 if load.strict.is_cold(now) else placement.token_s,
-            keys=req.keys,
-            memory_tokens=req.memory_tokens,
-            expected_s=placement.expected_s,
-        )
+        permit = create_permit(now, req, placement)
         self._ledger.add(now, permit)
         if req.memory_tokens:
             self.prefixes.on_granted(now, req, permit, placement)
--- a/tarragonwind/schedulers.py
+++ b/tarragonwind/schedulers.py
@@ -5,15 +5,20 @@
 import dataclasses
 import math
 import random
-from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from tarragonwind.condition_monitors import ConditionMonitor, create_sender
-from tarragonwind.core.answered_parts import AnsweredParts
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.cold_upstreams import ColdBounds
+from tarragonwind.core.dispatch_outcomes import (
+    FAILURE_OUTCOMES,
+    PATH_OUTCOMES,
+    REFUSAL_MESSAGES,
+    TOO_LARGE_MESSAGE,
+    trial_outcome,
+)
 from tarragonwind.core.entries import (
     TIER_COUNT,
     OrganisationEntry,
@@ -30,13 +35,10 @@
 )
 from tarragonwind.core.fleet_shares import FleetShares
 from tarragonwind.core.homes import ANY_REGION, Homes, find_homes, is_at_home
-from tarragonwind.core.move_trials import Outcome as TrialOutcome
-from tarragonwind.core.move_trials import Trial
 from tarragonwind.core.permit_clients import CLIENT_MESSAGES, PermitClient
 from tarragonwind.core.permit_messages import Outcome, PermitDone
 from tarragonwind.core.permit_requests import Permit, PermitRequest
 from tarragonwind.core.pool_owners import OWNER_MESSAGES, OwnerDependencies, PoolOwners
-from tarragonwind.core.pool_usages import UNLIMITED_S, PoolUsage
 from tarragonwind.core.quarantines import QUARANTINE_S, Quarantines
 from tarragonwind.core.request_metadata import PUBLIC_ORGANISATION
 from tarragonwind.core.schedulers import DispatchReport, Scheduler, SchedulingRequest
@@ -46,12 +48,12 @@
 from tarragonwind.core.upstream_loads import LoadSettings
 from tarragonwind.core.upstream_statuses import UpstreamReport
 from tarragonwind.core.version_selectors import VersionSelector
+from tarragonwind.dispatch_records import DispatchRecords, SchedulerUsage
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.messages import Message
 from tarragonwind.owner_mailboxes import OwnerMailbox
 from tarragonwind.path_checkers import PathChecker, SoundPaths
 from tarragonwind.ports import Members, Peers, Timers
-from tarragonwind.records import dataclass
 from tarragonwind.telemetry import Telemetry
 
 TICK_PERIOD_S = 0.05
@@ -64,43 +66,8 @@
 in seconds. By then it knows as well; without it, a busy pool's owner would grant the idle upstreams
 of an evacuated data centre again and again."""
 
-TOO_LARGE_MESSAGE = "the prompt and the maximum of the output exceed the memory of an engine"
-
-REFUSAL_MESSAGES: dict[ErrorKind, str] = {
-    ErrorKind.SHED: "capacity is short and more important requests come first",
-    ErrorKind.DEADLINE_UNMEETABLE: "the deadline can't be met with the work that waits",
-    ErrorKind.DEADLINE_PASSED: "the deadline passed while the request waited",
-    ErrorKind.NO_UPSTREAM: "no upstream of the pool takes work now",
-}
-
-FAILURE_OUTCOMES = frozenset(
-    [
-        Outcome.CONNECT_FAILED,
-        Outcome.FAILED,
-        Outcome.REFUSED,
-        Outcome.TIMED_OUT,
-        Outcome.CONNECTION_LOST,
-    ]
-)
-"""Outcomes that count as failures of the version that served the request."""
-
-
-PATH_OUTCOMES = frozenset(
-    [Outcome.CONNECT_FAILED, Outcome.FAILED, Outcome.TIMED_OUT, Outcome.CONNECTION_LOST]
-)
-"""Outcomes that a lost path to the upstream can cause as well."""
-
-
-@dataclass(slots=True)
-class DispatchRecord:
-    """Keep the request, the version and the trial of a permit until its dispatch ends."""
-
-    request: SchedulingRequest
-    version: str
-    trial: Trial | None = None
-
 
-class PermitScheduler(Scheduler, PoolUsage):
+class PermitScheduler(Scheduler):
     """Connect the gateway with permit clients, pool owners and moves on this host.
 
     Parameters
@@ -157,11 +124,9 @@
         self._timers = timers
         self._versions = versions
         self._estimator = CostEstimator()
-        self._dispatched: dict[int, DispatchRecord] = {}
+        self._dispatched = DispatchRecords()
         self._catalogue = Catalogue()
-        self._answered = AnsweredParts()
         self._slots: dict[str, int] = {}
-        self._time_limits: dict[str, float] = {}
         self._held: dict[str, int] = {}
         self._failures: dict[str, int] = {}
         self._holds: UpstreamHolds[str] = UpstreamHolds()
@@ -178,6 +143,7 @@
             conditions=self.conditions,
         )
         self.owners = PoolOwners(members.name, deps, members.owner_of, members.running, fleet)
+        self.usage = SchedulerUsage(self._dispatched, self.owners)
         self.client = PermitClient(
             members.name,
             create_sender(peers),
@@ -195,7 +161,7 @@
         versions.subscribe_version_change(self._on_versions_changed)
         self._mailbox = OwnerMailbox(timers, self.owners)
         self._is_ticking = False
-        versions.set_usage(self)
+        versions.set_usage(self.usage)
         timers.call_every(IDLE_TICK_PERIOD_S, self._tick_idle)
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
@@ -207,7 +173,7 @@
             if isinstance(entry, UpstreamEntry)
         ]
         self._slots = {entry.name: entry.slots for entry in upstreams}
-        self._time_limits = find_time_limits(catalogue)
+        self.usage.set_catalogue(catalogue)
         now = self._timers.now()
         pools = catalogue.contents("pool")
         entries = [entry for entry in pools.values() if isinstance(entry, PoolEntry)]
@@ -249,7 +215,7 @@
             return 0
 
         def granted(permit: Permit) -> None:
-            self._dispatched[permit.permit_id] = DispatchRecord(request, permit.version)
+            self._dispatched.add(permit.permit_id, request, permit.version)
             on_granted(permit)
 
         def refused(kind: ErrorKind, retry_after_s: float) -> None:
@@ -291,8 +257,7 @@
         version = self._versions.replacement_of(permit.pool, permit.version)
         if not version:
             return False
-        record = self._dispatched.get(permit.permit_id)
-        homes = record.request.homes if record is not None else ANY_REGION
+        homes = self._dispatched.homes(permit.permit_id)
         return any(
             entry.version == version
             and entry.state is UpstreamState.LIVE
@@ -305,8 +270,7 @@
         entry = self._upstream(permit)
         if entry is None:
             return True
-        record = self._dispatched.get(permit.permit_id)
-        homes = record.request.homes if record is not None else ANY_REGION
+        homes = self._dispatched.homes(permit.permit_id)
         return entry.state is UpstreamState.LIVE and is_at_home(homes, entry)
 
     def quarantine_left_s(self, keys: Iterable[int]) -> float:
@@ -328,7 +292,7 @@
 
     def on_dispatched(self, permit: Permit) -> None:
         """Start a trial of the version that serves the dispatch."""
-        record = self._dispatched.get(permit.permit_id)
+        record = self._dispatched.find(permit.permit_id)
         if record is None:
             return
         self._held[permit.upstream] = self._held.get(permit.upstream, 0) + 1
@@ -358,7 +322,7 @@
 
     def on_first_byte(self, permit: Permit) -> None:
         """Record the first byte of the response in the trial."""
-        record = self._dispatched.get(permit.permit_id)
+        record = self._dispatched.find(permit.permit_id)
         if record is not None and record.trial is not None:
             self._versions.first_byte(record.trial)
 
@@ -408,9 +372,11 @@
             tokens,
             hold_ms=math.ceil(hold_s * 1000),
             limited=report.limited,
-            later_parts=self._later_parts(permit, report.outcome, tokens),
+            later_parts=self._dispatched.later_parts(
+                self._timers.now(), permit.permit_id, report.outcome, tokens
+            ),
         )
-        record = self._dispatched.pop(permit.permit_id, None)
+        record = self._dispatched.pop(permit.permit_id)
         if record is None:
             return
         if report.outcome in FAILURE_OUTCOMES:
@@ -429,46 +395,12 @@
             outcome = trial_outcome(report.outcome, report.complete)
             self._versions.finish(record.trial, outcome, tokens)
 
-    def _later_parts(self, permit: Permit, outcome: Outcome, tokens: int) -> Sequence[int]:
-        """Return the parts beyond those of the permit request that its owner has to learn of."""
-        record = self._dispatched.get(permit.permit_id)
-        if record is None or not record.request.later_parts:
-            return ()
-        if outcome is Outcome.CONNECTION_LOST:
-            return record.request.later_parts
-        if outcome is Outcome.OK or tokens > 0:
-            return self._answered.select(self._timers.now(), record.request.later_parts)
-        return ()
-
     def resume(self) -> None:
         """Resynchronise owners and the client after a pause of this process."""
         now = self._timers.now()
         self.owners.on_resumed(now)
         self.client.on_resumed(now)
 
-    def held(self, pool: str) -> Counter[str]:
-        """Return the number of permits that requests of this host hold, by version."""
-        return Counter(
-            record.version for record in self._dispatched.values() if record.request.pool == pool
-        )
-
-    def granted(self, pool: str) -> Counter[str]:
-        """Return the number of permits in use or about to be at the pool's owner, by version."""
-        owner = self.owners.owner(pool)
-        return owner.permits_by_version() if owner is not None and owner.active else Counter()
-
-    def live_slots(self, pool: str) -> Counter[str]:
-        """Return the slots of the pool's live upstreams, by version."""
-        slots: Counter[str] = Counter()
-        for entry in self._catalogue.upstreams_of(pool):
-            if entry.state is UpstreamState.LIVE:
-                slots[entry.version] += entry.slots
-        return slots
-
-    def time_limit_s(self, pool: str) -> float:
-        """Return the longest time that a request of the pool may take, in seconds."""
-        return self._time_limits.get(pool, UNLIMITED_S)
-
     def waiting_by_tier(self) -> list[int]:
         """Return the number of requests that wait at the owners on this host, by tier."""
         counts = [0] * TIER_COUNT
@@ -569,23 +501,3 @@
         now = self._timers.now()
         self.owners.tick(now)
         self.client.tick(now)
-
-
-def find_time_limits(catalogue: Catalogue) -> dict[str, float]:
-    """Return the longest time that a request may take, by pool, in seconds."""
-    limits: dict[str, float] = {}
-    for route in catalogue.contents("route").values():
-        if isinstance(route, RouteEntry):
-            limit_s = route.answer_timeout_s or UNLIMITED_S
-            for pool in [route.pool, *(share.pool for share in route.shares)]:
-                limits[pool] = max(limits.get(pool, 0.0), limit_s)
-    return limits
-
-
-def trial_outcome(outcome: Outcome, is_complete: bool) -> TrialOutcome:
-    """Map the outcome of a dispatch to the trial outcome of the version that served it."""
-    if outcome is Outcome.OK:
-        return TrialOutcome.OK
-    if outcome not in FAILURE_OUTCOMES:
-        return TrialOutcome.IGNORED
-    return TrialOutcome.FAILED if is_complete else TrialOutcome.UNANSWERED
