Report the last step of a move at once, and go on from the store's own changes

tests/test_move_completions.py: a host that learned of the step by another host's report had to report at once, and did not before.

--- a/tarragonwind/core/host_moves.py
+++ b/tarragonwind/core/host_moves.py
@@ -81,6 +81,7 @@
     __slots__ = (
         "_judge_seen_at",
         "_last_tick_at",
+        "_reported_step",
         "_resumed_at",
         "_share_credits",
         "acknowledged",
@@ -122,6 +123,7 @@
         self.in_doubt = False
         self.others = 0
         self.must_report = False
+        self._reported_step = 0
         self._last_tick_at = now
         self._resumed_at = float("-inf")
 
@@ -159,8 +161,6 @@
 
     def apply_share(self, now: float, msg: MoveShare, is_owner: bool) -> None:
         """Apply the share that a judge has sent; only the owner's reason is stored."""
-        if msg.step == COMPLETE_STEP != self.judge.step:
-            self.must_report = True
         self.judge.adopt_step(msg.step, msg.step_since)
         self._judge_seen_at = now
         self.report_often = msg.report_often
@@ -170,7 +170,8 @@
 
     def count_others(self, others: int) -> None:
         """Note how many requests of this host hold a permit for another version."""
-        if self.judge.step == COMPLETE_STEP and bool(others) != bool(self.others):
+        is_new = self._reported_step != COMPLETE_STEP or bool(others) != bool(self.others)
+        if self.judge.step == COMPLETE_STEP and is_new:
             self.must_report = True
         self.others = others
 
@@ -211,6 +212,7 @@
 
     def report_for(self, now: float, judge_host: str, incarnation: int) -> MoveReport:
         """Return a report of the cells that a judge has not acknowledged."""
+        self._reported_step = self.judge.step
         _, acknowledged = self.acknowledged.get(judge_host, (0, 0))
         evidence = self.counter.evidence
         return MoveReport(
--- a/tarragonwind/core/mirror_states.py
+++ b/tarragonwind/core/mirror_states.py
@@ -108,14 +108,17 @@
             up to there that they don't explain was removed before a snapshot of that host: the
             copy then keeps its position and needs a snapshot itself.
         settled_at : StorePosition
-            The other copy's `settled_at`.
+            The other copy's `settled_at`, `ORIGIN` for changes of the store itself, as for `end`.
         begin : StorePosition, optional
             Position that this copy had when it asked, its present one by default: it may have got
             items since, and their removals may be in a gap of the other copy.
         """
         current = [item for item in changes if item.position.era == self.position.era]
         last = max((item.position for item in current), default=self.position)
-        if self.loaded and end.era == self.position.era:
+        if end == ORIGIN:
+            # The store's own changes go on from the copy's position, and explain all its items.
+            self.needs_snapshot = False
+        elif self.loaded and end.era == self.position.era:
             last = max(last, end)
             first = self.position if begin is None else min(begin, self.position)
             self.needs_snapshot = self._has_unexplained(current, first, end)
--- a/tests/test_move_completions.py
+++ b/tests/test_move_completions.py
@@ -16,10 +16,11 @@
 
 from bench.move_fleets import FakeVerdictRecorder, Fleet
 from tarragonwind.core.entries import MoveEntry
+from tarragonwind.core.host_moves import HostMove
 from tarragonwind.core.move_completions import SETTLE_S, OldVersionUse
 from tarragonwind.core.move_messages import UNKNOWN_COUNT, MoveReport
 from tarragonwind.core.move_steps import COMPLETE_STEP, earliest_at, latest_at
-from tarragonwind.core.move_trials import Outcome
+from tarragonwind.core.move_trials import LatencyHistory, Outcome
 from tarragonwind.core.moves import MoveResult
 from tarragonwind.core.pool_usages import PoolUsage
 
@@ -28,6 +29,7 @@
 """Longest time of a request, in seconds."""
 LONGEST_S = 0.9 * LIMIT_S
 DURATION_S = 30.0
+FIRST_BYTE_S = 0.03
 MESSAGE_S = 0.02
 CONTACT_S = 3.0
 """Time after its return in which a host may not know what the others know, in seconds."""
@@ -146,7 +148,7 @@
             self.late_starts.append(req)
         trial = fleet.tables[req.host].start(fleet.now, POOL, "chat", req.version, 0.1)
         time_s = self.rng.choice([0.05, 0.05, 0.05, 0.5, LONGEST_S])
-        fleet.call_later(time_s / 2, lambda: self.answer(req, trial))
+        fleet.call_later(FIRST_BYTE_S, lambda: self.answer(req, trial))
         fleet.call_later(time_s, lambda: self.end(req, trial))
 
     def is_replaced(self, req):
@@ -215,6 +217,43 @@
     assert all(move.judge.step == COMPLETE_STEP for move in sim.host_moves())
 
 
+@pytest.mark.parametrize("hosts", [3, 60])
+def test_all_hosts_report_the_last_step_at_once_in_any_fleet(hosts):
+    """Reports are as rare as the fleet is large; the end of a move would wait for each of them."""
+    sim = PermitTraffic(1, hosts, rate=60.0 + hosts)
+    sim.fleet.delivery_count = lambda out: 1
+    while not any(move.judge.step == COMPLETE_STEP for move in sim.host_moves()):
+        sim.fleet.run_until(sim.fleet.now + 0.25)
+        assert sim.fleet.now < 4 * DURATION_S
+    sim.fleet.run_until(sim.fleet.now + 1.5)
+    (move,) = sim.fleet.tables[sim.fleet.owner_of(POOL)].moves()
+    uses = move.judge.old_use._hosts.values()
+    assert len(uses) == hosts and all(use.is_last_step for use in uses)
+
+
+def test_a_host_reports_the_last_step_at_once_wherever_it_learned_of_it():
+    """A deputy learns of it by other hosts' reports, the owner takes it itself."""
+    entry = MoveEntry(
+        name="m",
+        owner="tests",
+        pool=POOL,
+        from_version="v1",
+        to_version="v2",
+        starts_at=0.0,
+        done_by=DURATION_S,
+    )
+    move = HostMove(entry, 0.0, LatencyHistory())
+    move.judge.adopt_step(COMPLETE_STEP, 20.0)
+    move.count_others(0)
+    assert move.must_report
+    move.must_report = False
+    move.report_for(20.1, "judge", 1)
+    move.count_others(0)
+    assert not move.must_report
+    move.count_others(1)
+    assert move.must_report
+
+
 def report(sent_at, step=COMPLETE_STEP, others=0):
     return MoveReport("m", 1, 1, sent_at, step, 0.0, "", [], others)
 
