--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import random
+from collections import Counter
 
 import pytest
 
@@ -12,6 +13,7 @@
 from tarragonwind.core.evidence import Side
 from tarragonwind.core.move_trials import Outcome
 from tarragonwind.core.permit_messages import Outcome as PermitOutcome
+from tarragonwind.core.pool_usages import UnknownUsage
 from tarragonwind.core.rollouts import RolloutRecord, pack_record, unpack_record
 from tarragonwind.futures import Future
 from tarragonwind.platform import rollouts as platform_rollouts
@@ -30,6 +32,9 @@
 """Requests that a bad version may get, as a share of all and beside it."""
 ANSWER_S = 0.2
 SLOWDOWN = 6.0
+LONG_S = 7.0
+LONG_SHARE = 0.4
+LONG_LIMIT_S = 10.0
 
 
 class RolloutSite:
@@ -253,6 +258,81 @@
             self.timers.call_later(self.deadline_s, lambda: runner.finish(trial, outcome, 0))
 
 
+class HeldVersions(UnknownUsage):
+    """Count the requests of one host by version."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def held(self, pool):
+        return self.counts
+
+    def time_limit_s(self, pool):
+        return LONG_LIMIT_S
+
+
+class LongStreamSite(RolloutFleetSite):
+    """Run rollouts where many answers are long streams, whose failures show at their end."""
+
+    def start_host(self):
+        super().start_host()
+        self.usages = {runner: HeldVersions() for runner in self.runners}
+        for runner, usage in self.usages.items():
+            runner.set_usage(usage)
+
+    def serve_version(self, version, bad=None, slow=None):
+        runner = self.runner
+        spoiled = self.rng.random() < 0.4
+        first_byte_s = ANSWER_S * self.rng.uniform(0.25, 0.75)
+        if spoiled and version == slow:
+            first_byte_s *= SLOWDOWN
+        answer_s = first_byte_s + (LONG_S if self.rng.random() < LONG_SHARE else ANSWER_S)
+        self.sent.append((self.timers.now(), version))
+        counts = self.usages[runner].counts
+        counts[version] += 1
+        trial = runner.start(POOL, "trade", version, 0.3)
+        outcome = Outcome.FAILED if spoiled and version == bad else Outcome.OK
+        self.timers.call_later(first_byte_s, lambda: trial and runner.first_byte(trial))
+        self.timers.call_later(answer_s, lambda: self.end(runner, version, trial, outcome))
+
+    def end(self, runner, version, trial, outcome):
+        self.usages[runner].counts[version] -= 1
+        if trial is not None:
+            runner.finish(trial, outcome, 10)
+
+    def count_held(self, version):
+        return sum(usage.counts[version] for usage in self.usages.values())
+
+
+@pytest.mark.parametrize("fault", ["bad", "slow"])
+@pytest.mark.parametrize("rate", [10.0, 40.0])
+def test_a_bad_version_gets_few_requests_beside_long_streams(fault, rate):
+    """The steps come earlier by the time that streams of the old version take to end."""
+    for seed in range(1, 6):
+        site = LongStreamSite(v1=8, v2=8)
+        site.rng.seed(seed)
+        site.load(12.0, rate=rate, **{fault: "v2"})
+        before = len(site.sent)
+        site.order("v2")
+        site.load(DURATION_S, rate=rate, **{fault: "v2"})
+        sent = len(site.sent) - before
+        exposed = sum(version == "v2" for _, version in site.sent)
+        assert exposed <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
+
+
+def test_a_good_version_completes_in_time_beside_long_streams_and_cuts_none():
+    for seed in range(1, 6):
+        site = LongStreamSite(v1=8, v2=8)
+        site.rng.seed(seed)
+        site.load(12.0)
+        site.order("v2")
+        end = site.timers.now() + DURATION_S
+        while site.timers.now() < end and site.status()["state"] != "completed":
+            site.load(0.1)
+        assert site.status() == {"state": "completed", "target": "v2"}
+        assert site.count_held("v1") == 0
+
+
 def test_without_an_order_any_version_serves():
     site = RolloutSite(v1=3, v2=1)
     site.load(1.0)
