--- a/tests/test_load_monitors.py
+++ b/tests/test_load_monitors.py
@@ -8,6 +8,7 @@
 from bench.virtual_clocks import VirtualTimers
 from tarragonwind.adapters.loops import LoopLoad, create_loop
 from tarragonwind.adapters.peer_settings import TrafficCounters
+from tarragonwind.core.version_selectors import UnrestrictedVersionSelector
 from tarragonwind.load_monitors import LoadMonitor
 from tarragonwind.schedulers import PermitScheduler
 from tarragonwind.telemetry import create_unexported_telemetry
@@ -24,13 +25,6 @@
         return load
 
 
-class Versions:
-    choose_version = packs_requests = None
-
-    def subscribe_version_change(self, callback):
-        pass
-
-
 @pytest.fixture
 def lines():
     messages = []
@@ -52,7 +46,7 @@
         LoopbackPeers(Site.timers),
         Site.timers,
         random.Random(1),
-        Versions(),
+        UnrestrictedVersionSelector(),
     )
     Site.scheduler = scheduler
     Site.monitor = LoadMonitor(Site.timers, Site.poller, Site.traffic, scheduler, Site.telemetry)
