Ask the new version for answers only where requests of a route end without one

Cause: from the step of 90 in 100 on, each route needed a recent good answer of the new version. One route fails in both versions, and rare ones had hardly been sent to the new one; move_step named them.

Change: a route stops the move when more than five of its requests have ended since the new version answered one, with whatever status; failures belong to the comparison of the versions.

--- a/tarragonwind/core/move_capacities.py
+++ b/tarragonwind/core/move_capacities.py
@@ -1,12 +1,13 @@
 """Decide whether the new version of a move can carry the requests that its next step gives it.
 
 The invariant: a step is neither taken nor held out, and "done" not recorded, while the new version
-has no live upstream, has far fewer slots than its requests need, or has not answered lately on a
-route that is in use.
+has no live upstream, has far fewer slots than its requests need, or no longer answers on a route
+in use. Whether its answers are good is not decided here but by the comparison of the versions.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 
 from tarragonwind.core.evidence import Cell, CellKey, Side
@@ -16,8 +17,11 @@
 MAX_NEED_RATIO = 2.0
 """Largest ratio of requests, with those that wait, to the slots of the new version, unless it has
 as many slots as the others: some waiting is usual, refusals follow from more."""
-MIN_FRESH_S = 3.0
-"""Shortest time for which an answer of the new version counts as recent, in seconds."""
+MIN_RECENT_S = 3.0
+"""Shortest time for which a route counts as in use after a request has ended, in seconds."""
+MAX_UNANSWERED = 5
+"""Requests of a route that may end one after another without an answer of the new version while it
+gets nearly all of them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +43,33 @@
 
 @dataclass(slots=True)
 class RouteAnswers:
-    """Hold the counts of one route, and when they rose, in seconds since the epoch."""
+    """Hold what ended on one route.
 
-    outcomes: int = 0
-    outcome_at: float = float("-inf")
+    Attributes
+    ----------
+    ended : int
+        Requests that have ended or are overdue.
+    ended_at : float
+        Time at which `ended` rose, in seconds since the epoch.
+    answers : int
+        Answers of the new version that have begun or ended, whatever their status.
+    unanswered : int
+        Requests that ended since the new version has answered one.
+    """
+
+    ended: int = 0
+    ended_at: float = float("-inf")
     answers: int = 0
-    answered_at: float = float("-inf")
+    unanswered: int = 0
+
+    def update(self, now: float, ended: int, answers: int) -> None:
+        """Apply new counts."""
+        if ended > self.ended:
+            self.unanswered += ended - self.ended
+            self.ended, self.ended_at = ended, now
+        if answers > self.answers:
+            self.answers = answers
+            self.unanswered = 0
 
 
 class CapacityWatch:
@@ -93,36 +118,30 @@
         report_period_s : float
             Time between two reports of a host, in seconds.
         """
-        self._count(now, totals)
-        fresh_s = max(MIN_FRESH_S, 3.0 * report_period_s)
-        obstacle = describe_shortage(step, capacity)
-        if not obstacle and step >= LAST_CONTROLLED_STEP:
-            obstacle = self._unanswered_route(now, fresh_s)
+        self._count(now, totals, may_be_unanswered=step >= LAST_CONTROLLED_STEP)
+        recent_s = max(MIN_RECENT_S, 3.0 * report_period_s)
+        obstacle = describe_shortage(step, capacity) or self._unanswered_route(now, recent_s)
         if obstacle:
             self.steady_since = now
         self.obstacle = obstacle
 
-    def _count(self, now: float, totals: Mapping[CellKey, Cell]) -> None:
-        outcomes: dict[str, int] = {}
-        answers: dict[str, int] = {}
+    def _count(self, now: float, totals: Mapping[CellKey, Cell], may_be_unanswered: bool) -> None:
+        ended: Counter[str] = Counter()
+        answers: Counter[str] = Counter()
         for key, cell in totals.items():
-            ended = cell.answer_trials + cell.first_byte_trials
-            outcomes[key.route] = outcomes.get(key.route, 0) + ended
+            ended[key.route] += cell.answer_trials
             if key.side is Side.NEW:
-                good = cell.finished - cell.failed + cell.first_byte_trials
-                answers[key.route] = answers.get(key.route, 0) + good
-        for route, count in outcomes.items():
+                answers[key.route] += cell.finished + cell.first_byte_trials
+        for route, count in ended.items():
             known = self._routes.setdefault(route, RouteAnswers())
-            if count > known.outcomes:
-                known.outcomes, known.outcome_at = count, now
-            if answers.get(route, 0) > known.answers:
-                known.answers, known.answered_at = answers[route], now
+            known.update(now, count, answers[route])
+            if not may_be_unanswered:
+                known.unanswered = 0
 
-    def _unanswered_route(self, now: float, fresh_s: float) -> str:
+    def _unanswered_route(self, now: float, recent_s: float) -> str:
         """Return which route in use has no recent answer of the new version, empty if none."""
         for route, known in self._routes.items():
-            in_use = now - known.outcome_at <= fresh_s
-            if in_use and known.outcome_at - known.answered_at > fresh_s:
+            if known.unanswered > MAX_UNANSWERED and now - known.ended_at <= recent_s:
                 return f"no recent answer of the new version on route {route}"
         return ""
 
