Refuse responses whose status is none, such as 000

Callers saw: an engine in trouble answered with status 000, and the caller got "HTTP/1.1 0 Unknown" with the engine's body as an answer (MIXED); 099, 600 and 999 went through as well. On unsafe, safe and stream routes, framed by length, by chunks and by the close alike.

Cause: the library's parser takes any three digits, and nothing behind it asked whether they are a status (RFC 9110, 15: 100 to 599). In the exchange, status 0 stood for "no head yet" besides.

Change: `core/response_rules.py` states which heads are responses, as registered rules; the status is the first. A refused response fails the exchange with a log line (`response_rejected`) that tells what was expected and what came: 502 or a further try, as after any failure that may have run, and a failure of the upstream in the evidence.

--- a/tarragonwind/adapters/client_exchanges.py
+++ b/tarragonwind/adapters/client_exchanges.py
@@ -2,25 +2,20 @@
 
 from __future__ import annotations
 
-import httptools
 from loguru import logger
 
+from tarragonwind.adapters.caller_dialects import Headers
 from tarragonwind.adapters.connection_pools import ConnectionPool, ConnectionUses
 from tarragonwind.adapters.connections import CLOSED_BY_PEER, Connection, ConnectionEvents
 from tarragonwind.adapters.connects import ConnectAttempt, Connector
 from tarragonwind.adapters.response_headers import Framing, find_framing
+from tarragonwind.adapters.response_parsers import MAX_HEAD_BYTES, ResponseParser
 from tarragonwind.adapters.response_sinks import ResponseSink
 from tarragonwind.core.response_matches import ResponseVerdict, judge_response
 from tarragonwind.ports import Address, HttpError, HttpRequest
 
-MAX_HEAD_BYTES = 64 * 1024
-"""Longest run of bytes that are no body, as those of a head or of trailers."""
-MAX_HEADER_FIELDS = 256
-"""Maximum number of header fields; each takes some 150 bytes of memory beside its own bytes."""
 NO_SINK = ResponseSink()
 """Sink of an exchange that has ended."""
-NO_PARSER = httptools.HttpResponseParser(object())
-"""Parser of an exchange that has ended."""
 NO_REQUEST = HttpRequest("GET", "/")
 """Request of an exchange that has ended."""
 
@@ -68,9 +63,7 @@
         "_discarding",
         "_early",
         "_ended",
-        "_error",
         "_generation",
-        "_head_bytes",
         "_head_passed",
         "_headers",
         "_idle_bytes",
@@ -84,7 +77,6 @@
         "_reused",
         "_sent",
         "_sink",
-        "_status",
         "_used_before",
         "_uses",
         "address",
@@ -108,10 +100,8 @@
         self._sink = sink
         self._headers: list[tuple[bytes, bytes]] = []
         self._body_parts: list[bytes] = []
-        self._head_bytes = 0
         self._head_passed = False
         self._idle_bytes = 0
-        self._status = 0
         self._sent = False
         self._received = False
         self._reused = False
@@ -120,12 +110,11 @@
         self._reusable = True
         self._may_be_early = False
         self._early = False
-        self._error = ""
         self._complete = False
         self._discarding = False
         self._keep_alive = False
         self._ended = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = ResponseParser(self)
         self._conn: Connection | None = None
         self._connect_attempt: ConnectAttempt | None = None
 
@@ -197,15 +186,14 @@
         self._received = True
         error = ""
         try:
-            self._parser.feed_data(data)
+            self._parser.feed(data)
             self._check_progress(len(data))
-        except httptools.HttpParserUpgrade:
-            error = "the response switches protocols"
-        except (httptools.HttpParserError, ValueError) as exc:
-            error = self._error or f"malformed response: {exc}"[:200]
+        except ValueError as exc:
+            error = str(exc)
         if self._ended:
             return
         if error and not self._complete:
+            logger.warning("event=response_rejected upstream={} reason={!r}", self.address, error)
             self._fail(error)
             return
         self._flush_body()
@@ -219,9 +207,10 @@
         The parser would keep an endless field to itself, and skip other endless bytes for ever.
         """
         progress = bool(self._body_parts) or self._discarding or self._complete
-        if progress or (self._status and not self._head_passed):
+        accepted = self._parser.accepted
+        if progress or (accepted and not self._head_passed):
             self._idle_bytes = 0
-            self._head_passed = bool(self._status)
+            self._head_passed = accepted
             return
         self._idle_bytes += size
         if self._idle_bytes > MAX_HEAD_BYTES:
@@ -252,37 +241,22 @@
         """Pass the event to the sink."""
         self._sink.on_request_drained()
 
-    def on_message_begin(self) -> None:
+    def on_response_begin(self) -> None:
         """Note bytes behind the response, and ones sent before the server received the request."""
         self._early = self._may_be_early
         if self._complete:
             self._reusable = False
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field, limiting their total size and number."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
-            raise ValueError("response headers are too large")
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Pass the head to the sink, unless it is interim or no response to this request."""
-        if self._ended:
-            return
-        status = self._parser.get_status_code()
-        if 100 <= status < 200:
-            self._headers = []
-            return
-        if self._status:
-            raise ValueError("a second response on one exchange")
+    def on_response_head(self, status: int, headers: Headers) -> bool:
+        """Pass the head to the sink, and return True, if it belongs to the request."""
+        self._headers = headers
         if not self._belongs_to_request(status):
-            return
-        self._status = status
-        self.framing = find_framing(status, self._headers, self._req.method)
-        self._sink.on_head(status, self._headers)
-        if self._req.method == "HEAD":
-            # The parser would wait for a body, which a response to HEAD does not have.
-            self._complete = True
+            return False
+        self.framing = find_framing(status, headers, self._req.method)
+        # The parser would wait for a body, which a response to HEAD does not have.
+        self._complete = self._req.method == "HEAD"
+        self._sink.on_head(status, headers)
+        return True
 
     def _belongs_to_request(self, status: int) -> bool:
         """Return whether a response is passed on; raise `ValueError` if there is no valid one."""
@@ -293,8 +267,7 @@
         self._reusable = False
         if verdict is ResponseVerdict.REJECT:
             logger.warning("event=unsealed_answer upstream={} status={}", self.address, status)
-            self._error = "a success without the upstream's seal"
-            raise ValueError(self._error)
+            raise ValueError("a success without the upstream's seal")
         if verdict is ResponseVerdict.DISCARD:
             self._discard_response(status)
         return verdict is ResponseVerdict.ACCEPT_LAST
@@ -309,18 +282,17 @@
         logger.warning("event=foreign_answer_dropped upstream={} status={}", self.address, status)
         self._discarding = True
 
-    def on_body(self, data: bytes) -> None:
+    def on_response_body(self, data: bytes) -> None:
         """Collect body bytes, which are passed on once for each read."""
         if not self._discarding:
             self._body_parts.append(data)
 
-    def on_message_complete(self) -> None:
+    def on_response_end(self) -> None:
         """Record the end of the response, or of the one being discarded."""
         if self._discarding:
             self._discarding = False
             self._headers = []
-            self._head_bytes = 0
-        elif self._status and not self._ended:
+        elif self.framing is not None and not self._ended:
             # Read here, since the parser resets the flag after this callback.
             self._keep_alive = self._parser.should_keep_alive()
             self._complete = True
@@ -377,7 +349,7 @@
         sink = self._sink
         self._sink = NO_SINK
         self._req = NO_REQUEST
-        self._parser = NO_PARSER
+        self._parser.close()
         self._body_parts = []
         return sink
 
--- /dev/null
+++ b/tarragonwind/adapters/response_parsers.py
@@ -0,0 +1,146 @@
+"""Parse the responses on a connection, and refuse what the parser takes that is no response."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import httptools
+
+from tarragonwind.adapters.caller_dialects import Headers
+from tarragonwind.core.response_rules import MalformedResponse, ResponseHead, check_head
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of the header fields and trailers of a response."""
+MAX_HEADER_FIELDS = 256
+"""Maximum number of header fields; each takes some 150 bytes of memory beside its own bytes."""
+MAX_ERROR_LENGTH = 200
+NO_PARSER = httptools.HttpResponseParser(object())
+"""Parser of the library after `ResponseParser.close`."""
+
+
+class ResponseEvents(Protocol):
+    """Receive what is parsed."""
+
+    def on_response_begin(self) -> None:
+        """Handle the first byte of a response."""
+
+    def on_response_head(self, status: int, headers: Headers) -> bool:
+        """Handle the head of a final response; return whether it answers the request.
+
+        Another response may follow one that does not.
+        """
+
+    def on_response_body(self, data: bytes) -> None:
+        """Handle bytes of the body."""
+
+    def on_response_end(self) -> None:
+        """Handle the end of a final response."""
+
+
+class ResponseParser:
+    """Parse the responses to one request: interim ones, ones to other requests, and its own.
+
+    Parameters
+    ----------
+    events : ResponseEvents
+        Receiver of what is parsed; `ValueError` that it raises ends the parsing.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the head of the request's own response has been parsed.
+    """
+
+    __slots__ = (
+        "_closed",
+        "_events",
+        "_head_bytes",
+        "_headers",
+        "_in_interim",
+        "_parser",
+        "accepted",
+    )
+
+    def __init__(self, events: ResponseEvents) -> None:
+        self.accepted = False
+        self._events = events
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._in_interim = False
+        self._closed = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        ValueError
+            If they are no response, or the receiver of the events refuses it.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise MalformedResponse("the response switches protocols") from None
+        except httptools.HttpParserCallbackError as exc:
+            cause = exc.__context__
+            if isinstance(cause, ValueError):
+                raise cause from None
+            raise ValueError(f"the response was not handled: {cause!r}") from cause
+        except httptools.HttpParserError as exc:
+            message = f"malformed response: {exc}"[:MAX_ERROR_LENGTH]
+            raise MalformedResponse(message) from None
+
+    def should_keep_alive(self) -> bool:
+        """Return whether the connection may be used again; call it in `on_response_end`."""
+        return bool(self._parser.should_keep_alive())
+
+    def close(self) -> None:
+        """Parse no further.
+
+        The parser of the library refers to this object, and would form a ring of references.
+        """
+        self._closed = True
+        self._parser = NO_PARSER
+
+    def on_message_begin(self) -> None:
+        """Pass the event on."""
+        self._events.on_response_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field, limiting their total size and number."""
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
+            raise ValueError("response headers are too large")
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check a head, and pass that of a final response on."""
+        if self._closed:
+            return
+        if self.accepted:
+            raise ValueError("a second response on one exchange")
+        status = self._parser.get_status_code()
+        headers = self._headers
+        check_head(ResponseHead(status, headers))
+        self._in_interim = status < 200
+        if self._in_interim:
+            return
+        self.accepted = self._events.on_response_head(status, headers)
+
+    def on_body(self, data: bytes) -> None:
+        """Pass body bytes on."""
+        self._events.on_response_body(data)
+
+    def on_message_complete(self) -> None:
+        """Pass the end of a final response on, and expect another one behind other ones."""
+        if not self._in_interim:
+            self._events.on_response_end()
+        if not self.accepted:
+            self._await_next()
+
+    def _await_next(self) -> None:
+        """Expect another response behind an interim one, or behind one to another request."""
+        if not self._in_interim:
+            self._head_bytes = 0
+        self._headers = []
--- /dev/null
+++ b/tests/test_broken_responses.py
@@ -0,0 +1,201 @@
+"""Play upstreams that send broken responses to entry hosts that run as processes."""
+
+import re
+import socket
+
+import pytest
+
+from standins.platform_fleets import (
+    AUTHORITY,
+    KEYS,
+    LOOKUP_PATH,
+    STAMP_PATH,
+    STREAM_PATH,
+    PlatformFleet,
+)
+from tests.response_forms import BODY, CHUNKS, GOOD, REFUSED_HEADS, SOUND, fill
+from tests.test_faulty_engines import ScriptedEngine
+
+pytestmark = [pytest.mark.process, pytest.mark.xdist_group("broken-responses")]
+ENGINES_PER_POOL = 2
+PATHS = {"stream": STREAM_PATH, "safe": LOOKUP_PATH, "unsafe": STAMP_PATH}
+FORMS = {
+    f"{fault}/{name}": each
+    for fault, forms in REFUSED_HEADS.items()
+    for name, each in forms.items()
+}
+FORMS |= {f"chunks/{name}": each for name, each in CHUNKS.items()}
+FORMS |= {f"sound/{name}": each for name, (_, each) in SOUND.items()}
+PROMISES_NOT_RUN = {408, 421, 429, 503}
+PROMISES_NOTHING = {502, 504}
+CLOSED = 0
+"""Stands for a connection that was closed or reset before a whole response."""
+MIN_UPLOAD_BYTES = 1_000
+"""Size from which a request of the route of lookups is sent with its body."""
+HEAD_END = b"\r\n\r\n"
+STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9]{2}) [\x20-\x7e]*\r\n")
+FIELD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+: ?[\t\x20-\x7e\x80-\xff]*")
+
+
+class KeptCaller:
+    """Send requests on one connection as long as it stays open, and read answers strictly."""
+
+    def __init__(self, address):
+        self._address = address
+        self._sock = None
+        self._rest = b""
+
+    def ask(self, path, attempt, form, upload=b"text"):
+        """Return the status of the answer and its body; the status is `CLOSED` if it has no end."""
+        if self._sock is None:
+            self._sock = socket.create_connection(self._address, timeout=10)
+            self._rest = b""
+        method = "GET" if path == LOOKUP_PATH and len(upload) < MIN_UPLOAD_BYTES else "POST"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {AUTHORITY}\r\nAttempt-Id: {attempt}\r\n"
+            f"Authorization: Bearer {KEYS['officina']}\r\nForm: {form}\r\n"
+            "Request-Deadline: 4000\r\nToken-Counts: 100,50\r\nModel: m\r\n"
+        )
+        if method == "POST":
+            head += f"Content-Length: {len(upload)}\r\n"
+        try:
+            self._sock.sendall(head.encode() + b"\r\n" + (upload if method == "POST" else b""))
+            return self._read_answer()
+        except (ConnectionError, EOFError):
+            self.close()
+            return CLOSED, b""
+
+    def _read_answer(self):
+        head = self._read_until(HEAD_END)
+        line, _, lines = head.partition(b"\r\n")
+        matched = STATUS_LINE.fullmatch(line + b"\r\n")
+        assert matched, f"no status line: {line!r}"
+        lines = lines.removesuffix(HEAD_END).split(b"\r\n")
+        assert all(FIELD.fullmatch(each) for each in lines), f"no fields: {lines}"
+        fields = {
+            name.lower(): value.strip() for name, _, value in (x.partition(b":") for x in lines)
+        }
+        if fields.get(b"transfer-encoding") == b"chunked":
+            body = b"".join(self._read_chunks())
+        else:
+            body = self._read(int(fields[b"content-length"]))
+        if fields.get(b"connection") == b"close":
+            assert not self._rest and self._sock.recv(1) == b""
+            self.close()
+        return int(matched[1]), body
+
+    def _read_chunks(self):
+        while size := int(self._read_until(b"\r\n"), 16):
+            yield self._read(size)
+            assert self._read(2) == b"\r\n"
+        assert self._read(2) == b"\r\n"
+
+    def _read_until(self, end):
+        while end not in self._rest:
+            self._receive()
+        size = self._rest.index(end) + len(end)
+        return self._read(size)
+
+    def _read(self, size):
+        while len(self._rest) < size:
+            self._receive()
+        data, self._rest = self._rest[:size], self._rest[size:]
+        return data
+
+    def _receive(self):
+        data = self._sock.recv(65_536)
+        if not data:
+            raise EOFError
+        self._rest += data
+
+    def close(self):
+        """Close the connection."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+
+def respond(engine, conn, seen):
+    """Send the response that the request names; sound ones with a length keep the connection."""
+    attempt = seen[-1]["attempt-id"]
+    engine.runs.append(attempt)
+    response = fill(FORMS[seen[-1]["form"]], attempt.encode())
+    conn.sendall(response)
+    return seen[-1]["form"] == "sound/plain"
+
+
+class Site:
+    """Run a host before upstreams that send the responses that requests name."""
+
+    def __init__(self, directory):
+        self.fleet = PlatformFleet(directory)
+        self.fleet.start(engines=0, services=0, hosts=1)
+        self.engines = [ScriptedEngine(respond) for _ in range(2 * ENGINES_PER_POOL)]
+        for number, engine in enumerate(self.engines):
+            pool = "registry" if number % 2 else "drafting"
+            self.fleet.register(f"i-scripted-{number}", pool, engine.port)
+        self.number = 0
+
+    def caller(self):
+        """Return a caller of the host."""
+        return KeptCaller((self.fleet.addresses["front-0"], self.fleet.ports["callers"]))
+
+    def ask(self, caller, path, form):
+        """Send a request; return its status and body, and how often it ran."""
+        self.number += 1
+        attempt = f"form-{self.number}"
+        status, body = caller.ask(path, attempt, form)
+        runs = sum(engine.runs.count(attempt) for engine in self.engines)
+        return status, body, runs
+
+    def close(self):
+        """Stop all processes."""
+        self.fleet.__exit__()
+        for engine in self.engines:
+            engine.close()
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    site = Site(tmp_path_factory.mktemp("broken"))
+    try:
+        caller = site.caller()
+        for path in PATHS.values():
+            for _ in range(100):
+                if site.ask(caller, path, "sound/plain")[0] == 200:
+                    break
+        yield site
+    finally:
+        site.close()
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("fault", [*REFUSED_HEADS, "chunks"])
+def test_no_broken_response_reaches_a_caller_as_an_answer(site, fault, kind):
+    caller = site.caller()
+    wrong = []
+    for form in [each for each in FORMS if each.startswith(f"{fault}/")]:
+        assert site.ask(caller, PATHS[kind], "sound/plain")[:2] == (200, GOOD)
+        try:
+            status, body, runs = site.ask(caller, PATHS[kind], form)
+        except (AssertionError, ValueError) as exc:
+            wrong.append((form, str(exc)[:80]))
+            caller.close()
+            continue
+        true = status in PROMISES_NOTHING or status == CLOSED
+        true = true or (status in PROMISES_NOT_RUN and not runs)
+        once = kind != "unsafe" or runs <= 1
+        if not (true and once and BODY not in body):
+            wrong.append((form, status, body, runs))
+    assert not wrong
+
+
+@pytest.mark.parametrize("kind", PATHS)
+def test_a_sound_response_reaches_a_caller_unchanged(site, kind):
+    caller = site.caller()
+    wrong = []
+    for name, (expected, _) in SOUND.items():
+        status, body, runs = site.ask(caller, PATHS[kind], f"sound/{name}")
+        if (status, body) != (expected, GOOD):
+            wrong.append((name, status, body, runs))
+    assert not wrong
