Refuse responses of other protocols and versions, and lines before the status line

Callers saw: "RTSP/1.1 200 OK", "ICE/1.0 200 OK", "HTTP/0.9 200 OK" and "HTTP/2.0 200 OK" of an engine came to them as its answer, and so did a response behind empty lines, bare ones too.

Cause: the library's parser takes the start lines of three protocols and of four versions, skips line ends before them, and doesn't tell which protocol it was (RTSP/1.1 reads as version 1.1).

Change: a rule requires "HTTP/1.1 " or "HTTP/1.0 " as the first bytes of every response (RFC 9112, 2.1, 2.3 and 4). So that it is known where a response begins, also behind an interim one or one to another request, the library is fed line by line up to the head of the request's own response; its body goes in whole, as before.

Evidence: with the tests of this commit on the code before it 19 fail: the group other-protocols on safe, unsafe and stream routes through a host as a process, and each of its forms alone and behind a response to another request. All pass now; HTTP/1.0 with and without a length still passes, and a reason that reads "RTSP/1.0 200 OK".

--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -7,6 +7,7 @@
 import httptools
 
 from tarragonwind.adapters.caller_dialects import Headers
+from tarragonwind.adapters.response_headers import content_length
 from tarragonwind.core.response_rules import MalformedResponse, ResponseHead, check_head
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -40,6 +41,10 @@
 class ResponseParser:
     """Parse the responses to one request: interim ones, ones to other requests, and its own.
 
+    Up to the head of the request's own response, the library is fed line by line, so that it is
+    known where a response begins: it skips empty lines, and takes the status lines of other
+    protocols.
+
     Parameters
     ----------
     events : ResponseEvents
@@ -52,12 +57,15 @@
     """
 
     __slots__ = (
+        "_awaits_line",
         "_closed",
         "_events",
         "_head_bytes",
         "_headers",
         "_in_interim",
         "_parser",
+        "_skipped_bytes",
+        "_status_line",
         "accepted",
     )
 
@@ -67,7 +75,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head_bytes = 0
+        self._status_line = b""
+        self._awaits_line = True
         self._in_interim = False
+        self._skipped_bytes = 0
         self._closed = False
 
     def feed(self, data: bytes) -> None:
@@ -79,7 +90,7 @@
             If they are no response, or the receiver of the events refuses it.
         """
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except httptools.HttpParserUpgrade:
             raise MalformedResponse("the response switches protocols") from None
         except httptools.HttpParserCallbackError as exc:
@@ -103,6 +114,29 @@
         self._closed = True
         self._parser = NO_PARSER
 
+    def _feed(self, data: bytes) -> None:
+        begin = 0
+        while begin < len(data) and not self.accepted and not self._closed:
+            end = self._find_piece_end(data, begin)
+            self._feed_piece(data[begin:end])
+            begin = end
+        if begin < len(data) and not self._closed:
+            self._parser.feed_data(data[begin:] if begin else data)
+
+    def _find_piece_end(self, data: bytes, begin: int) -> int:
+        """Return the end of a line, or of a body of known length that belongs to no request."""
+        if self._skipped_bytes:
+            return min(len(data), begin + self._skipped_bytes)
+        return data.find(b"\n", begin) + 1 or len(data)
+
+    def _feed_piece(self, piece: bytes) -> None:
+        if self._awaits_line:
+            self._status_line += piece
+            self._awaits_line = not piece.endswith(b"\n")
+        if self._skipped_bytes:
+            self._skipped_bytes -= len(piece)
+        self._parser.feed_data(piece)
+
     def on_message_begin(self) -> None:
         """Pass the event on."""
         self._events.on_response_begin()
@@ -122,18 +156,20 @@
             raise ValueError("a second response on one exchange")
         status = self._parser.get_status_code()
         headers = self._headers
-        check_head(ResponseHead(status, headers))
+        check_head(ResponseHead(self._status_line.rstrip(b"\r\n"), status, headers))
         self._in_interim = status < 200
         if self._in_interim:
             return
         self.accepted = self._events.on_response_head(status, headers)
+        if not self.accepted:
+            self._skipped_bytes = content_length(headers) or 0
 
     def on_body(self, data: bytes) -> None:
         """Pass body bytes on."""
         self._events.on_response_body(data)
 
     def on_message_complete(self) -> None:
-        """Pass the end of a final response on, and expect another one behind other ones."""
+        """Pass the end of a final response on, and expect a status line behind other ones."""
         if not self._in_interim:
             self._events.on_response_end()
         if not self.accepted:
@@ -144,3 +180,6 @@
         if not self._in_interim:
             self._head_bytes = 0
         self._headers = []
+        self._skipped_bytes = 0
+        self._status_line = b""
+        self._awaits_line = True
--- a/tarragonwind/core/response_rules.py
+++ b/tarragonwind/core/response_rules.py
@@ -10,7 +10,11 @@
 
 from tarragonwind.records import dataclass
 
+PROTOCOLS = (b"HTTP/1.1 ", b"HTTP/1.0 ")
+"""Beginnings of the status line."""
 FIRST_STATUS, LAST_STATUS = 100, 599
+MAX_SHOWN_BYTES = 60
+"""Maximum number of bytes of a malformed line in an error."""
 
 
 class MalformedResponse(ValueError):
@@ -23,12 +27,15 @@
 
     Attributes
     ----------
+    status_line : bytes
+        First line, without its line end.
     status : int
         Status code as the parser has read it.
     headers : list of (bytes, bytes)
         Header fields.
     """
 
+    status_line: bytes
     status: int
     headers: list[tuple[bytes, bytes]]
 
@@ -52,6 +59,14 @@
             raise MalformedResponse(error)
 
 
+@head_rule
+def check_protocol(head: ResponseHead) -> str:
+    """Require a version of HTTP/1 at the very beginning (RFC 9112, 2.1, 2.3 and 4)."""
+    if head.status_line.startswith(PROTOCOLS):
+        return ""
+    return f"expected HTTP/1.1 or HTTP/1.0, got {head.status_line[:MAX_SHOWN_BYTES]!r}"
+
+
 @head_rule
 def check_status(head: ResponseHead) -> str:
     """Require a status code of one of the five classes (RFC 9110, 15)."""
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -54,6 +54,21 @@
 } | {"bare-line-ends": with_status_line(b"HTTP/1.1 200 OK").replace(b"\r\n", b"\n")}
 """Status lines that the parser refuses by itself."""
 
+OTHER_PROTOCOLS = {
+    name: with_status_line(line)
+    for name, line in {
+        "rtsp": b"RTSP/1.0 200 OK",
+        "rtsp-1.1": b"RTSP/1.1 200 OK",
+        "ice": b"ICE/1.0 200 OK",
+        "version-0.9": b"HTTP/0.9 200 OK",
+        "version-2.0": b"HTTP/2.0 200 OK",
+        "empty-line-before": b"\r\nHTTP/1.1 200 OK",
+        "bare-line-before": b"\nHTTP/1.1 200 OK",
+        "rtsp-after-interim": b"HTTP/1.1 103 Early\r\n\r\nRTSP/1.1 200 OK",
+    }.items()
+}
+"""Status lines of other protocols or versions, or with something before them."""
+
 ODD_NAMES = [b"A B", b"A ", b" A", b"A\t", b"\tA", b""]
 ODD_NAMES += [b"A%cB" % byte for byte in (0, 1, 8, 11, 12, 27, 0x7F, 0x80, 0xFF)]
 ODD_NAMES += [b"A%cB" % byte for byte in b'()<>@,;\\"/[]?={}']
@@ -121,6 +136,7 @@
 REFUSED_HEADS = {
     "no-status": NO_STATUS,
     "odd-status-lines": ODD_STATUS_LINES,
+    "other-protocols": OTHER_PROTOCOLS,
     "field-names": FIELD_NAMES,
     "field-values": FIELD_VALUES,
     "lengths": LENGTHS,
