Refuse status lines with control bytes in the reason

Callers saw: the body of a response whose reason held NUL, ESC, DEL or another control byte, as an answer of the engine. The reason itself is never passed on.

Cause: the library's parser takes any byte but a line end as a part of the reason.

Change: a rule allows what RFC 9112, 4, does: tabs, blanks, visible and non-ASCII bytes.

All pass now; no reason, an empty one, one with a tab and one beyond ASCII still pass.

--- a/tarragonwind/core/response_rules.py
+++ b/tarragonwind/core/response_rules.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from tarragonwind.records import dataclass
@@ -13,6 +14,8 @@
 PROTOCOLS = (b"HTTP/1.1 ", b"HTTP/1.0 ")
 """Beginnings of the status line."""
 FIRST_STATUS, LAST_STATUS = 100, 599
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Bytes that a reason must not hold; a tab may stand in it."""
 MAX_SHOWN_BYTES = 60
 """Maximum number of bytes of a malformed line in an error."""
 
@@ -73,3 +76,11 @@
     if FIRST_STATUS <= head.status <= LAST_STATUS:
         return ""
     return f"expected a status from {FIRST_STATUS} to {LAST_STATUS}, got {head.status:03}"
+
+
+@head_rule
+def check_reason(head: ResponseHead) -> str:
+    """Require a status line without control bytes (RFC 9112, 4)."""
+    if CONTROL_BYTE.search(head.status_line) is None:
+        return ""
+    return f"expected no control byte, got {head.status_line[:MAX_SHOWN_BYTES]!r}"
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -69,6 +69,12 @@
 }
 """Status lines of other protocols or versions, or with something before them."""
 
+CONTROLS_IN_REASON = {
+    f"reason-{byte:02x}": with_status_line(b"HTTP/1.1 200 O" + bytes([byte]) + b"K")
+    for byte in (0x00, 0x01, 0x08, 0x0B, 0x1B, 0x7F)
+}
+"""Reasons with a control byte (RFC 9112, 4)."""
+
 ODD_NAMES = [b"A B", b"A ", b" A", b"A\t", b"\tA", b""]
 ODD_NAMES += [b"A%cB" % byte for byte in (0, 1, 8, 11, 12, 27, 0x7F, 0x80, 0xFF)]
 ODD_NAMES += [b"A%cB" % byte for byte in b'()<>@,;\\"/[]?={}']
@@ -137,6 +143,7 @@
     "no-status": NO_STATUS,
     "odd-status-lines": ODD_STATUS_LINES,
     "other-protocols": OTHER_PROTOCOLS,
+    "controls-in-reason": CONTROLS_IN_REASON,
     "field-names": FIELD_NAMES,
     "field-values": FIELD_VALUES,
     "lengths": LENGTHS,
