Refuse responses with a transfer coding that is not plain chunks

Callers saw: of "Transfer-Encoding: gzip, chunked" the coded bytes as the engine's body, without any field that names the coding (the field is one of the connection and is not passed on), so a body that is not the engine's; the same for chunks named twice and for chunks in HTTP/1.0, whose framing is faulty by RFC 9112, 6.1. Of a coding without chunks at the end, such as "gzip" or "chunked;q=1", a success began and was cut at its end, where a refusal could have been retried.

Cause: the parser looks only at whether the last field ends with the word for chunks, and otherwise reads to the end of the connection; `find_framing` calls any coding chunks.

Change: a rule requires that the only coding is one `chunked` in HTTP/1.1, in a form that the parser reads as chunks. Two forms that RFC 9110 allows are refused with it, as the parser doesn't take them for chunks and none of them ever passed as whole: a tab or an empty element at the end.

--- a/tarragonwind/core/response_rules.py
+++ b/tarragonwind/core/response_rules.py
@@ -16,6 +16,7 @@
 FIRST_STATUS, LAST_STATUS = 100, 599
 CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Bytes that a reason must not hold; a tab may stand in it."""
+CHUNKED = b"chunked"
 MAX_SHOWN_BYTES = 60
 """Maximum number of bytes of a malformed line in an error."""
 
@@ -84,3 +85,22 @@
     if CONTROL_BYTE.search(head.status_line) is None:
         return ""
     return f"expected no control byte, got {head.status_line[:MAX_SHOWN_BYTES]!r}"
+
+
+@head_rule
+def check_transfer_coding(head: ResponseHead) -> str:
+    """Require that chunks are the only transfer coding, if there is one (RFC 9112, 6.1 and 7).
+
+    No other coding was asked for, and callers would get a body without its coding's name. The
+    parser takes only a field that ends with the word for chunks.
+    """
+    values = [value for name, value in head.headers if name.lower() == b"transfer-encoding"]
+    if not values:
+        return ""
+    elements = [element.strip(b" \t") for value in values for element in value.split(b",")]
+    codings = [element.lower() for element in elements if element]
+    ends_with_it = values[-1].rstrip(b" ").lower().endswith(CHUNKED)
+    if codings == [CHUNKED] and ends_with_it and head.status_line.startswith(b"HTTP/1.1"):
+        return ""
+    got = b", ".join(values)[:MAX_SHOWN_BYTES]
+    return f"expected no transfer coding but chunked, and in HTTP/1.1 only, got {got!r}"
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -117,6 +117,30 @@
 }
 """Lengths that the parser refuses by itself."""
 
+CODINGS = {
+    name: with_fields(b"Transfer-Encoding: " + coding + b"\r\n", b"\r\n" + CHUNK + b"0\r\n\r\n")
+    for name, coding in {
+        "coded-and-chunked": b"gzip, chunked",
+        "coded-in-two-fields": b"gzip\r\nTransfer-Encoding: chunked",
+        "chunked-twice": b"chunked, chunked",
+        "chunked-in-two-fields": b"chunked\r\nTransfer-Encoding: chunked",
+        "coded": b"gzip",
+        "identity": b"identity",
+        "identity-and-chunked": b"identity, chunked",
+        "chunked-before-another": b"chunked, gzip",
+        "chunked-with-parameter": b"chunked;q=1",
+        "chunked-quoted": b'"chunked"',
+        "chunked-and-tab": b"chunked\t",
+        "comma-after-chunked": b"chunked,",
+        "no-coding": b",",
+    }.items()
+} | {
+    "chunked-in-1.0": with_status_line(
+        b"HTTP/1.0 200 OK", b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n"
+    )
+}
+"""Transfer codings other than one `chunked` of HTTP/1.1 (RFC 9112, 6.1 and 7)."""
+
 CHUNKED = with_fields(b"Transfer-Encoding: chunked\r\n", b"\r\n")
 CHUNKS = {
     name: CHUNKED + rest
@@ -147,6 +171,7 @@
     "field-names": FIELD_NAMES,
     "field-values": FIELD_VALUES,
     "lengths": LENGTHS,
+    "codings": CODINGS,
 }
 """Responses of which nothing may reach a caller, by their fault."""
 
