Refuse interim responses with a body

Callers saw: of "HTTP/1.1 199" or "104" with a length or chunks, the body's bytes alone on their connection, with no status line and no head: bytes that are no answer in the protocol. On a kept connection the caller's next request then got what belonged to the one before (in the test, the answer to a sound request was the forged one).

Cause: the library's parser knows that 100 to 103 have no body, and gives other interim responses one. The exchange dropped the head of each interim response, but passed the body on.

Change: body bytes of an interim response are malformed (RFC 9112, 6.3, and RFC 9110, 8.6).

--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -165,7 +165,9 @@
             self._skipped_bytes = content_length(headers) or 0
 
     def on_body(self, data: bytes) -> None:
-        """Pass body bytes on."""
+        """Pass body bytes on; an interim response has none (RFC 9112, 6.3)."""
+        if self._in_interim:
+            raise MalformedResponse("expected no body of an interim response, got one")
         self._events.on_response_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -163,6 +163,18 @@
 }
 """Bodies in chunks that are none; their heads are sound."""
 
+INNER = b"HTTP/1.1 200 OK\r\n" + SIZED
+INTERIM_BODIES = {
+    "interim-with-length": b"HTTP/1.1 199 X\r\n" + SEALED + SIZED,
+    "interim-with-chunks": b"HTTP/1.1 104 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + CHUNK
+    + b"0\r\n\r\n",
+    "interim-with-an-answer": b"HTTP/1.1 199 X\r\nContent-Length: %d\r\n\r\n" % len(INNER) + INNER,
+    "interim-alone": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "switch": b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + BODY,
+}
+"""Interim responses with a body, which have none (RFC 9112, 6.3), or without a final one."""
+
 REFUSED_HEADS = {
     "no-status": NO_STATUS,
     "odd-status-lines": ODD_STATUS_LINES,
@@ -172,6 +184,7 @@
     "field-values": FIELD_VALUES,
     "lengths": LENGTHS,
     "codings": CODINGS,
+    "interim-bodies": INTERIM_BODIES,
 }
 """Responses of which nothing may reach a caller, by their fault."""
 
