Keep fields behind the last chunk out of the header fields

Readers of answers saw: trailers as header fields, where they read the fields after the head had come. A failure that was held back for a retry was passed on with its trailers in its head; a fetched response (store, checks and reports of upstreams) had them among its header fields; and a trailer could set how long the connection is kept.

Cause: the parser reports both alike, and they went into one list, which the receiver of the head held as well. RFC 9110, 6.5.1: trailers must not be merged unless their definition allows it.

Change: what comes behind the head of the request's own response counts toward the limit on its size and is dropped; callers were never sent trailers.

Evidence: test_fields_behind_the_last_chunk_are_no_header_fields fails on the code before.

--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -142,11 +142,12 @@
         self._events.on_response_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field, limiting their total size and number."""
+        """Collect a header field, limiting their total size and number; trailers are dropped."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
             raise ValueError("response headers are too large")
-        self._headers.append((name, value))
+        if not self.accepted:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check a head, and pass that of a final response on."""
--- a/tests/test_response_rules.py
+++ b/tests/test_response_rules.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.client_exchange_players import Played, split
-from tests.response_forms import BODY, CHUNKS, GOOD, REFUSED_HEADS, SOUND, fill
+from tests.response_forms import BODY, CHUNKED, CHUNKS, GOOD, REFUSED_HEADS, SOUND, fill
 
 REFUSED = {
     f"{fault}/{name}": each for fault, f in REFUSED_HEADS.items() for name, each in f.items()
@@ -54,3 +54,12 @@
         for size in (1, 7, 1 << 20):
             played = Played(split(both, size), foreign=b"foreign")
             assert (played.sink.ended, played.sink.events) == ("failed", [])
+
+
+def test_fields_behind_the_last_chunk_are_no_header_fields():
+    response = fill(CHUNKED) + b"1\r\na\r\n0\r\nServer-Leaving: 1\r\nKeep-Alive: timeout=0\r\n\r\n"
+    for size in (1, 7, 1 << 20):
+        played = Played(split(response, size))
+        assert played.sink.ended == "complete"
+        assert b"Server-Leaving" not in dict(played.sink.headers)
+        assert played.kept
