Let bytes behind the head of a response to HEAD belong to no request

Callers saw: a whole answer to HEAD and then a reset, where the engine had sent a body with it.

Cause: the exchange is complete with the head, but body bytes in the same read went to the sink, whose answer had no room for them.

Change: such bytes are dropped, and the connection is not used again.

Evidence: three tests of test_response_rules.py fail on the code before.

--- a/tarragonwind/adapters/client_exchanges.py
+++ b/tarragonwind/adapters/client_exchanges.py
@@ -284,7 +284,10 @@
 
     def on_response_body(self, data: bytes) -> None:
         """Collect body bytes, which are passed on once for each read."""
-        if not self._discarding:
+        if self._complete:
+            # A response to HEAD has ended with its head.
+            self._reusable = False
+        elif not self._discarding:
             self._body_parts.append(data)
 
     def on_response_end(self) -> None:
--- a/tests/test_response_rules.py
+++ b/tests/test_response_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.client_exchange_players import Played, split
+from tests.client_exchange_players import Played, play, split
 from tests.response_forms import BODY, CHUNKED, CHUNKS, GOOD, REFUSED_HEADS, SOUND, fill
 
 REFUSED = {
@@ -63,3 +63,17 @@
         assert played.sink.ended == "complete"
         assert b"Server-Leaving" not in dict(played.sink.headers)
         assert played.kept
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 4\r\n\r\nbody",
+        b"\r\nbody",
+        b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+    ],
+)
+def test_bytes_behind_the_head_of_a_response_to_head_belong_to_no_request(rest):
+    played = play(b"HTTP/1.1 200 OK\r\n" + rest, method="HEAD")
+    assert (played.sink.ended, played.sink.status, played.sink.body) == ("complete", 200, b"")
+    assert not played.kept
