--- a/tarragonwind/tools/operator_clients.py
+++ b/tarragonwind/tools/operator_clients.py
@@ -9,6 +9,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
+from tarragonwind.core.response_rules import MalformedResponse, ResponseHead, check_head
 from tarragonwind.operator_services import CatalogueItem, OperatorError, OperatorErrorKind
 from tarragonwind.ports import Address
 from tarragonwind.records import dataclass
@@ -98,13 +99,33 @@
         try:
             conn.request(method, path, body, {"Authorization": f"Bearer {token}"})
             resp = conn.getresponse()
+            check_response(resp)
             return RawResponse(resp.status, resp.read(MAX_RESPONSE_BYTES))
         except (OSError, http.client.HTTPException) as exc:
             raise ResponseLost(f"{address}: {type(exc).__name__}") from exc
+        except MalformedResponse as exc:
+            raise ResponseLost(f"{address}: {exc}") from exc
     finally:
         conn.close()
 
 
+def check_response(resp: http.client.HTTPResponse) -> None:
+    """Refuse a head that the standard library takes and that is no response.
+
+    Raises
+    ------
+    MalformedResponse
+        If a line is no header field, or a rule for heads is broken.
+    """
+    if resp.msg.defects:
+        raise MalformedResponse("expected header fields, got a line that is none")
+    status_line = f"HTTP/1.{resp.version % 10} {resp.status:03} {resp.reason}"
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1")) for name, value in resp.getheaders()
+    ]
+    check_head(ResponseHead(status_line.encode("latin-1"), resp.status, headers))
+
+
 class OperatorClient:
     """Send requests to hosts, in order of their addresses.
 
