Never let a connection that was reset end as one that was closed in an orderly way

Callers saw: an engine answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is being written.

Cause: Linux hands a socket's pending error out once, to whichever call comes first. `_send_first` dropped the error of a write and waited for the next poll, `has_input` that of a look; the next read then returned no bytes, which counts as an orderly close, and a response that ends with its connection is whole by that. A host that writes a request in one go hardly meets the order; the far end of a tunnel writes each piece of the upload as it comes, and handed the close on as an orderly one. The same end also counted as proof that a kept connection's upstream had read nothing (`peer_closed_unread`), after which a request is sent again: one that must run once could run twice.

Change: an invariant of `Connection`. The first error that any call meets is kept and is the reason of the end; bytes that came before it are read first. A write error asks for the next poll itself, so that none that leaves the socket open goes unnoticed.

Early answers that are whole, with a length or to an orderly end, still reach callers on both paths, and an orderly close stays one in any order of reads and polls.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -69,6 +69,10 @@
 class Connection(SocketHandler):
     """Read and write one non-blocking TCP socket.
 
+    The operating system reports the error of a socket once, to whichever call comes first, and
+    later reads look like an orderly close. So the first error is kept, whatever call has met it,
+    and is the reason for which the connection ends; what came before it is read first.
+
     Parameters
     ----------
     loop : Loop
@@ -102,6 +106,7 @@
         "_acked_before",
         "_closing",
         "_connecting",
+        "_error",
         "_fileno",
         "_mask",
         "_over_high_water",
@@ -137,6 +142,7 @@
         self.read_bytes = READ_CHUNK_BYTES
         self.on_unsent: Callable[[int], None] | None = None
         self._acked_before = 0
+        self._error = ""
         self._poller = loop.poller
         self._timers = loop.timers
         self._fileno = sock.fileno()
@@ -177,14 +183,23 @@
             sent = self.sock.send(data)
         except BlockingIOError:
             sent = 0
-        except OSError:
-            # The next poll reports the error and ends the connection.
+        except OSError as exc:
+            self._keep_error(exc)
+            # The next poll ends the connection, also after an error that leaves the socket open.
+            self._set_mask(self._mask | POLL_WRITE)
             return
         self.sent_bytes += sent
         if sent < len(data):
             self._send_buffer += data[sent:]
             self._set_mask(self._mask | POLL_WRITE)
 
+    def _keep_error(self, exc: OSError) -> None:
+        """Keep the first error as the reason for the end."""
+        if not self._error:
+            # A reset reads as this error where the peer had closed its sending side before.
+            closed_before = exc.errno == errno.EPIPE
+            self._error = RESET_AFTER_CLOSE if closed_before else str(exc)
+
     def congested(self) -> bool:
         """Return whether the writer should pause until `on_drained`."""
         return self._over_high_water
@@ -257,8 +272,8 @@
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
-        except OSError:
-            return True
+        except OSError as exc:
+            self._keep_error(exc)
         return True
 
     def _close_if_stalled(self, sent_bytes: int) -> None:
@@ -352,13 +367,17 @@
             return
         if events & POLL_READ:
             self._read()
-        if not self.closed and events & POLL_WRITE:
+        if not self.closed and events & POLL_WRITE and not self._error:
             self._flush()
-        if not self.closed and events & (POLL_HANGUP | POLL_PEER_CLOSED):
+        if not self.closed and (self._error or events & (POLL_HANGUP | POLL_PEER_CLOSED)):
             self._handle_end(events)
 
     def _handle_end(self, events: int) -> None:
-        if events & POLL_HANGUP:
+        if self._error:
+            # Bytes that came before the error are read at the next polls.
+            if self._closing or not events & POLL_READ:
+                self._end_connection(self._error)
+        elif events & POLL_HANGUP:
             self._end_connection("connection reset")
         elif not self._mask & POLL_READ:
             self._end_connection(CLOSED_BY_PEER)
@@ -379,14 +398,16 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            reset_after_close = exc.errno == errno.EPIPE
-            self._end_connection(RESET_AFTER_CLOSE if reset_after_close else str(exc))
+            self._keep_error(exc)
+            self._end_connection(self._error)
             return
         if data and self._closing:
             self.dropped_bytes += len(data)
             return
         if data:
             self.events.on_data(data)
+        elif self._error:
+            self._end_connection(self._error)
         elif self._closing or not self.events.on_input_ended():
             self._end_connection(CLOSED_BY_PEER)
 
@@ -396,7 +417,7 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._end_connection(str(exc))
+            self._keep_error(exc)
             return
         self.sent_bytes += sent
         del self._send_buffer[:sent]
