Read what came before a reset to its end

Callers saw: an answer of over 64 KB that was whole by its length, as one of several pieces sent at once, was cut where the engine reset its connection behind it.

Cause: the poll that reports the hang-up also reports input; one read took 64 KB, and the connection ended with the hang-up though more had arrived.

Change: while the connection is read, its end is what a read meets, and a hang-up ends it only where it isn't read (paused, or closing).

Evidence: test_bytes_before_a_reset_are_read with 200,000 bytes fails on the code before where nothing is written meanwhile, and on with writes too.

--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -373,10 +373,11 @@
             self._handle_end(events)
 
     def _handle_end(self, events: int) -> None:
+        if events & POLL_READ and not self._closing:
+            # What came before the end is read first, at the next polls.
+            return
         if self._error:
-            # Bytes that came before the error are read at the next polls.
-            if self._closing or not events & POLL_READ:
-                self._end_connection(self._error)
+            self._end_connection(self._error)
         elif events & POLL_HANGUP:
             self._end_connection("connection reset")
         elif not self._mask & POLL_READ:
--- a/tests/test_connection_resets.py
+++ b/tests/test_connection_resets.py
@@ -158,7 +158,7 @@
 
 
 @pytest.mark.parametrize("writes", [0, 1, 2])
-@pytest.mark.parametrize("size", [1_000, 60_000])
+@pytest.mark.parametrize("size", [1_000, 60_000, 200_000])
 def test_bytes_before_a_reset_are_read(loop, listener, size, writes):
     """An early answer that is whole by its length is received before its connection's error."""
     pair = Pair(loop, listener)
