--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -11,7 +11,7 @@
 from tarragonwind.core.response_rules import MalformedResponse, ResponseHead, check_head
 
 MAX_HEAD_BYTES = 64 * 1024
-"""Maximum size of the header fields and trailers of a response."""
+"""Longest run of bytes that are no body, as those of a head or of trailers."""
 MAX_HEADER_FIELDS = 256
 """Maximum number of header fields; each takes some 150 bytes of memory beside its own bytes."""
 MAX_ERROR_LENGTH = 200
@@ -41,9 +41,9 @@
 class ResponseParser:
     """Parse the responses to one request: interim ones, ones to other requests, and its own.
 
-    Up to the head of the request's own response, the library is fed line by line, so that it is
-    known where a response begins: it skips empty lines, and takes the status lines of other
-    protocols.
+    The library skips empty lines before a response and takes status lines of other protocols. Up to
+    the head of the request's own response it is fed line by line, so that each status line is
+    known and can be checked here.
 
     Parameters
     ----------
@@ -59,12 +59,12 @@
     __slots__ = (
         "_awaits_line",
         "_closed",
+        "_discard_left",
         "_events",
         "_head_bytes",
         "_headers",
         "_in_interim",
         "_parser",
-        "_skipped_bytes",
         "_status_line",
         "accepted",
     )
@@ -78,7 +78,7 @@
         self._status_line = b""
         self._awaits_line = True
         self._in_interim = False
-        self._skipped_bytes = 0
+        self._discard_left = 0
         self._closed = False
 
     def feed(self, data: bytes) -> None:
@@ -125,16 +125,16 @@
 
     def _find_piece_end(self, data: bytes, begin: int) -> int:
         """Return the end of a line, or of a body of known length that belongs to no request."""
-        if self._skipped_bytes:
-            return min(len(data), begin + self._skipped_bytes)
+        if self._discard_left:
+            return min(len(data), begin + self._discard_left)
         return data.find(b"\n", begin) + 1 or len(data)
 
     def _feed_piece(self, piece: bytes) -> None:
         if self._awaits_line:
             self._status_line += piece
             self._awaits_line = not piece.endswith(b"\n")
-        if self._skipped_bytes:
-            self._skipped_bytes -= len(piece)
+        if self._discard_left:
+            self._discard_left -= len(piece)
         self._parser.feed_data(piece)
 
     def on_message_begin(self) -> None:
@@ -163,7 +163,7 @@
             return
         self.accepted = self._events.on_response_head(status, headers)
         if not self.accepted:
-            self._skipped_bytes = content_length(headers) or 0
+            self._discard_left = content_length(headers) or 0
 
     def on_body(self, data: bytes) -> None:
         """Pass body bytes on; an interim response has none (RFC 9112, 6.3)."""
@@ -183,6 +183,6 @@
         if not self._in_interim:
             self._head_bytes = 0
         self._headers = []
-        self._skipped_bytes = 0
+        self._discard_left = 0
         self._status_line = b""
         self._awaits_line = True
