Refuse successes with a content coding on the platform, and play broken answers to resumed streams

Callers saw: a 200 of an engine with "Content-Encoding: gzip" came to them as its answer.

Cause: only event streams that are resumed were asked for their coding.

Change: the platform's dialect tells of an encoded success, which is rejected like one without its seal: 502, a further try or a cut. `identity` and failures pass. Other dialects are as they were.

Evidence: on the group encoded of tests/test_broken_responses.py fails on all three kinds of route.

--- a/tarragonwind/adapters/client_exchanges.py
+++ b/tarragonwind/adapters/client_exchanges.py
@@ -265,6 +265,8 @@
         if verdict is ResponseVerdict.ACCEPT:
             return True
         self._reusable = False
+        if verdict is ResponseVerdict.REJECT and identity.encoded:
+            raise ValueError("expected a body without a content coding, got one")
         if verdict is ResponseVerdict.REJECT:
             logger.warning("event=unsealed_answer upstream={} status={}", self.address, status)
             raise ValueError("a success without the upstream's seal")
--- a/tarragonwind/adapters/response_headers.py
+++ b/tarragonwind/adapters/response_headers.py
@@ -7,6 +7,7 @@
 from tarragonwind.adapters.caller_dialects import Headers
 
 EVENT_STREAM_TYPE = b"text/event-stream"
+NO_CODING = (b"", b"identity")
 BODILESS_STATUSES = frozenset([204, 304])
 STREAM_ID_HEADER = b"stream-id"
 """Response header with the id under which an upstream can resume or cancel the stream."""
@@ -37,8 +38,13 @@
     """Return whether the body consists of server-sent events that are not compressed."""
     fields = {name.lower(): value for name, value in headers}
     media_type = fields.get(b"content-type", b"").partition(b";")[0].strip().lower()
-    coding = fields.get(b"content-encoding", b"identity").strip().lower()
-    return media_type == EVENT_STREAM_TYPE and coding == b"identity"
+    return media_type == EVENT_STREAM_TYPE and not has_content_coding(headers)
+
+
+def has_content_coding(headers: Headers) -> bool:
+    """Return whether the body is encoded, so that its bytes aren't the content."""
+    codings = [value for name, value in headers if name.lower() == b"content-encoding"]
+    return any(coding.strip().lower() not in NO_CODING for coding in codings)
 
 
 def content_length(headers: Headers) -> int | None:
--- a/tarragonwind/core/response_matches.py
+++ b/tarragonwind/core/response_matches.py
@@ -41,10 +41,13 @@
         Which request it names.
     sealed : bool
         False if it is a success without the field that a complete response carries.
+    encoded : bool
+        Whether it is a success whose body has a content coding, so that it isn't the upstream's.
     """
 
     name: ResponseName
     sealed: bool = True
+    encoded: bool = False
 
 
 UNNAMED_PROTOCOL = ResponseIdentity(ResponseName.UNUSED)
@@ -74,7 +77,7 @@
         return ResponseVerdict.DISCARD
     if identity.name is ResponseName.MISSING and used_before:
         return ResponseVerdict.DISCARD
-    if not identity.sealed:
+    if not identity.sealed or identity.encoded:
         return ResponseVerdict.REJECT
     if identity.name is ResponseName.MISSING:
         return ResponseVerdict.ACCEPT_LAST
--- a/tarragonwind/platform/callers.py
+++ b/tarragonwind/platform/callers.py
@@ -19,6 +19,7 @@
 )
 from tarragonwind.adapters.http_requests import CallerRequest
 from tarragonwind.adapters.refusals import Refusal
+from tarragonwind.adapters.response_headers import has_content_coding
 from tarragonwind.core.classifications import RequestClass
 from tarragonwind.core.entries import OrganisationEntry, UpstreamEntry
 from tarragonwind.core.request_metadata import (
@@ -148,13 +149,13 @@
         return UpstreamNotice(leaving, hold_s, limit_per_s, rejections_per_s, cold_s)
 
     def identify_response(self, name: str, status: int, headers: Headers) -> ResponseIdentity:
-        """Return whether a response names the request, and whether a success has its seal."""
-        sealed = any(key.lower() == SEAL for key, _ in headers) or not 200 <= status < 300
-        named = [value.decode("latin-1") for key, value in headers if key.lower() == REQUEST_ID]
-        if not named:
-            return ResponseIdentity(ResponseName.MISSING, sealed)
-        own = all(one == name for one in named)
-        return ResponseIdentity(ResponseName.OWN if own else ResponseName.OTHER, sealed)
+        """Return whether a response names the request, and whether a success is the upstream's."""
+        success = 200 <= status < 300
+        sealed = not success or any(key.lower() == SEAL for key, _ in headers)
+        encoded = success and has_content_coding(headers)
+        names = {value.decode("latin-1") for key, value in headers if key.lower() == REQUEST_ID}
+        named = ResponseName.OWN if names == {name} else ResponseName.OTHER
+        return ResponseIdentity(named if names else ResponseName.MISSING, sealed, encoded)
 
     def refuse(self, exc: RequestError, not_run: NotRun) -> Refusal:
         """Build the refusal of a request.
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -175,6 +175,18 @@
 }
 """Interim responses with a body, which have none (RFC 9112, 6.3), or without a final one."""
 
+ENCODED = {
+    name: with_fields(b"Content-Encoding: " + value + b"\r\n", SIZED)
+    for name, value in {
+        "gzip": b"gzip",
+        "upper-case": b"GZIP",
+        "two": b"identity, gzip",
+        "second-field": b"identity\r\nContent-Encoding: br",
+        "unknown": b"x",
+    }.items()
+}
+"""Successes with an encoded body, which is not the upstream's by the platform's protocol."""
+
 REFUSED_HEADS = {
     "no-status": NO_STATUS,
     "odd-status-lines": ODD_STATUS_LINES,
@@ -241,6 +253,8 @@
     ),
     "token-names": (200, good(fields=b"!#$%&'*+-.^_`|~09: 1\r\n")),
     "value-beyond-ascii": (200, good(fields=b"A: \xe9\xff\r\n")),
+    "no-content-coding": (200, good(fields=b"Content-Encoding: Identity\r\n")),
+    "failure-encoded": (500, good(b"HTTP/1.1 500 X", b"Content-Encoding: gzip\r\n")),
     "value-empty": (200, good(fields=b"A:\r\n")),
     "value-tabs": (200, good(fields=b"A:\tx\ty \r\n")),
     "length-zeros": (200, good(rest=GOOD_SIZED.replace(b": ", b": 00", 1))),
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -14,7 +14,16 @@
     STREAM_PATH,
     PlatformFleet,
 )
-from tests.response_forms import BODY, CHUNKS, GOOD, REFUSED_HEADS, SOUND, fill
+from tests.response_forms import (
+    BODY,
+    CHUNKS,
+    ENCODED,
+    GOOD,
+    REFUSED_HEADS,
+    SOUND,
+    fill,
+    with_fields,
+)
 from tests.test_faulty_engines import ScriptedEngine
 
 pytestmark = [pytest.mark.process, pytest.mark.xdist_group("broken-responses")]
@@ -26,6 +35,7 @@
     for name, each in forms.items()
 }
 FORMS |= {f"chunks/{name}": each for name, each in CHUNKS.items()}
+FORMS |= {f"encoded/{name}": each for name, each in ENCODED.items()}
 FORMS |= {f"sound/{name}": each for name, (_, each) in SOUND.items()}
 PROMISES_NOT_RUN = {408, 421, 429, 503}
 PROMISES_NOTHING = {502, 504}
@@ -35,6 +45,11 @@
 """Longest time until a request runs, in seconds."""
 MIN_UPLOAD_BYTES = 1_000
 """Size from which a request of the route of lookups is sent with its body."""
+RESUMED = "resumed/"
+"""Beginning of forms with which an upstream goes on with a stream that broke off at another."""
+RESUMED_FORMS = 8
+"""Forms of each fault that are played so, at most."""
+FIRST_EVENT = b"id: 1\ndata: begun\n\n"
 HEAD_END = b"\r\n\r\n"
 STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9]{2}) [\x20-\x7e]*\r\n")
 FIELD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+: ?[\t\x20-\x7e\x80-\xff]*")
@@ -122,10 +137,25 @@
     """Send the response that the request names; sound ones that are framed keep the connection."""
     attempt, form = seen[-1]["attempt-id"], seen[-1]["form"]
     engine.runs.append(attempt)
-    conn.sendall(fill(FORMS[form], attempt.encode()))
+    response = fill(FORMS[form.removeprefix(RESUMED)], attempt.encode())
+    if form.startswith(RESUMED):
+        goes_on = "last-event-id" in seen[-1]
+        response = as_events(response) if goes_on else begin_stream(attempt)
+    conn.sendall(response)
     return form.startswith("sound/") and "unframed" not in form
 
 
+def begin_stream(attempt):
+    """Return a stream that breaks off behind its first event."""
+    head = fill(with_fields(b"Transfer-Encoding: chunked\r\n", b"\r\n"), attempt.encode())
+    return as_events(head) + b"%x\r\n" % len(FIRST_EVENT) + FIRST_EVENT + b"\r\n"
+
+
+def as_events(response):
+    """Return a response whose body consists of events."""
+    return response.replace(b"Server-Seal", b"Content-Type: text/event-stream\r\nServer-Seal")
+
+
 class Site:
     """Run a host before upstreams that send the responses that requests name."""
 
@@ -179,7 +209,7 @@
 
 
 @pytest.mark.parametrize("kind", PATHS)
-@pytest.mark.parametrize("fault", [*REFUSED_HEADS, "chunks"])
+@pytest.mark.parametrize("fault", [*REFUSED_HEADS, "chunks", "encoded"])
 def test_no_broken_response_reaches_a_caller_as_an_answer(site, fault, kind):
     caller = site.caller()
     wrong = []
@@ -199,6 +229,31 @@
     assert not wrong
 
 
+@pytest.mark.parametrize("fault", [*REFUSED_HEADS, "chunks", "encoded"])
+def test_no_broken_response_goes_on_with_a_stream(site, fault):
+    forms = [each for each in FORMS if each.startswith(f"{fault}/")]
+    answers = {form: ask_resumed(site, form) for form in forms[:: len(forms) // RESUMED_FORMS + 1]}
+    assert {form: each for form, each in answers.items() if each != (CLOSED, b"", 2)} == {}
+
+
+def test_a_sound_response_goes_on_with_a_stream(site):
+    assert ask_resumed(site, "sound/unframed") == (200, FIRST_EVENT + GOOD, 2)
+
+
+def ask_resumed(site, form):
+    """Ask for a stream that another upstream goes on with, until one is free to; see `Site.ask`.
+
+    Repeats are bounded by a share of all requests as well.
+    """
+    ends_at = time.monotonic() + SERVED_AGAIN_S
+    caller = site.caller()
+    while True:
+        status, body, runs = site.ask(caller, STREAM_PATH, RESUMED + form)
+        if runs != 1 or status != CLOSED or time.monotonic() > ends_at:
+            return status, body, runs
+        site.ask(caller, STREAM_PATH, "sound/plain")
+
+
 @pytest.mark.parametrize("kind", PATHS)
 def test_a_sound_response_reaches_a_caller_unchanged(site, kind):
     caller = site.caller()
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -64,3 +64,20 @@
 )
 def test_notices_in_the_head_of_a_response(status, headers, notice):
     assert DIALECT.read_notice(status, headers) == notice
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "encoded"),
+    [
+        (200, [], False),
+        (200, [(b"Content-Encoding", b"gzip")], True),
+        (206, [(b"content-encoding", b" BR ")], True),
+        (200, [(b"Content-Encoding", b"identity"), (b"Content-Encoding", b"x")], True),
+        (200, [(b"Content-Encoding", b" Identity ")], False),
+        (200, [(b"Content-Encoding", b"")], False),
+        (500, [(b"Content-Encoding", b"gzip")], False),
+    ],
+)
+def test_an_encoded_success_is_not_the_upstreams(status, fields, encoded):
+    headers = [(b"Server-Seal", b"s"), (b"Attempt-Id", b"a"), *fields]
+    assert DIALECT.identify_response("a", status, headers).encoded is encoded
