--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -11,7 +11,7 @@
 
 from standins.platform_fleets import LOOKUP_PATH, STAMP_PATH, STREAM_PATH, PlatformFleet
 from tarragonwind.adapters.connections import RESET_ON_CLOSE
-from tests.test_broken_responses import CLOSED, MIN_UPLOAD_BYTES, PROMISES_NOT_RUN, KeptCaller
+from tests.strict_callers import CLOSED, MIN_UPLOAD_BYTES, PROMISES_NOT_RUN, StrictCaller
 
 pytestmark = [pytest.mark.process, pytest.mark.xdist_group("early-responses")]
 PATHS = {"stream": STREAM_PATH, "safe": LOOKUP_PATH, "unsafe": STAMP_PATH}
@@ -95,7 +95,7 @@
 
     def caller(self, where):
         """Return a caller of one host."""
-        return KeptCaller((self.fleet.addresses[HOSTS[where]], self.fleet.ports["callers"]))
+        return StrictCaller((self.fleet.addresses[HOSTS[where]], self.fleet.ports["callers"]))
 
     def _wait_until_served(self, where, path):
         caller = self.caller(where)
