Leave no ring of references between an exchange and its response parser

`ResponseParser.close` now drops its receiver as it drops the library's parser, and the error of a callback is handed on without a local name, which would tie it to its own frames.

The lifetimes are tested for refused responses too, by a rule and by the library, and parsers and errors of responses count among the objects that must be gone.

--- a/tarragonwind/adapters/client_exchanges.py
+++ b/tarragonwind/adapters/client_exchanges.py
@@ -9,7 +9,7 @@
 from tarragonwind.adapters.connections import CLOSED_BY_PEER, Connection, ConnectionEvents
 from tarragonwind.adapters.connects import ConnectAttempt, Connector
 from tarragonwind.adapters.response_headers import Framing, find_framing
-from tarragonwind.adapters.response_parsers import MAX_HEAD_BYTES, ResponseParser
+from tarragonwind.adapters.response_parsers import MAX_HEAD_BYTES, ResponseEvents, ResponseParser
 from tarragonwind.adapters.response_sinks import ResponseSink
 from tarragonwind.core.response_matches import ResponseVerdict, judge_response
 from tarragonwind.ports import Address, HttpError, HttpRequest
@@ -32,7 +32,7 @@
     return b"".join(head) + req.body
 
 
-class ClientExchange(ConnectionEvents):
+class ClientExchange(ConnectionEvents, ResponseEvents):
     """Perform one request-response exchange over one connection.
 
     Parameters
--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import httptools
 
 from tarragonwind.adapters.caller_dialects import Headers
@@ -19,9 +17,11 @@
 """Parser of the library after `ResponseParser.close`."""
 
 
-class ResponseEvents(Protocol):
+class ResponseEvents:
     """Receive what is parsed."""
 
+    __slots__ = ()
+
     def on_response_begin(self) -> None:
         """Handle the first byte of a response."""
 
@@ -30,6 +30,7 @@
 
         Another response may follow one that does not.
         """
+        return False
 
     def on_response_body(self, data: bytes) -> None:
         """Handle bytes of the body."""
@@ -38,6 +39,18 @@
         """Handle the end of a final response."""
 
 
+NO_EVENTS = ResponseEvents()
+"""Receiver of what is parsed after `ResponseParser.close`."""
+
+
+def find_cause(exc: httptools.HttpParserCallbackError) -> ValueError:
+    """Return the error that ended a callback, as one of the response."""
+    cause = exc.__context__
+    if isinstance(cause, ValueError):
+        return cause
+    return ValueError(f"the response was not handled: {cause!r}")
+
+
 class ResponseParser:
     """Parse the responses to one request: interim ones, ones to other requests, and its own.
 
@@ -94,10 +107,7 @@
         except httptools.HttpParserUpgrade:
             raise MalformedResponse("the response switches protocols") from None
         except httptools.HttpParserCallbackError as exc:
-            cause = exc.__context__
-            if isinstance(cause, ValueError):
-                raise cause from None
-            raise ValueError(f"the response was not handled: {cause!r}") from cause
+            raise find_cause(exc) from None
         except httptools.HttpParserError as exc:
             message = f"malformed response: {exc}"[:MAX_ERROR_LENGTH]
             raise MalformedResponse(message) from None
@@ -109,9 +119,11 @@
     def close(self) -> None:
         """Parse no further.
 
-        The parser of the library refers to this object, and would form a ring of references.
+        The receiver of the events and the parser of the library refer to this object, and would
+        form rings of references with it.
         """
         self._closed = True
+        self._events = NO_EVENTS
         self._parser = NO_PARSER
 
     def _feed(self, data: bytes) -> None:
--- a/tests/test_request_lifetimes.py
+++ b/tests/test_request_lifetimes.py
@@ -25,9 +25,11 @@
 from tarragonwind.adapters.relays import Relay
 from tarragonwind.adapters.request_handlers import RequestHandler
 from tarragonwind.adapters.request_parsers import RequestParser
+from tarragonwind.adapters.response_parsers import ResponseParser
 from tarragonwind.adapters.response_sinks import FetchSink
 from tarragonwind.adapters.standby_permits import StandbyPermit
 from tarragonwind.core.entries import RouteEntry, UpstreamEntry
+from tarragonwind.core.response_rules import MalformedResponse
 from tarragonwind.futures import Future, Task
 from tarragonwind.ports import Address, HttpError, HttpRequest
 from tests.support import TOKEN, FakeCatalogue, RoundRobinScheduler, run_until
@@ -44,9 +46,11 @@
     FetchSink,
     Future,
     HttpError,
+    MalformedResponse,
     Relay,
     RequestHandler,
     RequestParser,
+    ResponseParser,
     StandbyPermit,
     Task,
 )
@@ -221,6 +225,14 @@
     exchange.answer(503, [], b"full")
 
 
+def answer_without_status(exchange):
+    exchange.answer(600, [], b"no response")
+
+
+def answer_without_http(exchange):
+    exchange._conn.write(b"no response\r\n\r\n")
+
+
 def cut(exchange):
     exchange.start(200, [], 10)
     exchange.write(b"half")
@@ -252,6 +264,8 @@
         pytest.param(refuse, {}, 503, id="refused-and-retried"),
         pytest.param(cut, {}, 0, id="response-cut"),
         pytest.param(reset, {}, 502, id="upstream-reset"),
+        pytest.param(answer_without_status, {}, 502, id="no-status"),
+        pytest.param(answer_without_http, {}, 502, id="no-http"),
         pytest.param(stream, {}, 200, id="stream"),
         pytest.param(stay_silent, {"timeout_s": 0.1}, 0, id="caller-left"),
         pytest.param(
