Feed the parser a response's head in one piece where it came whole

A head with nine lines is nine calls.

Where a status line is awaited and the bytes hold the head's end, the first line is read beside the parser and the head goes to it in one call; a head that came in part goes line by line as before.

The same responses are accepted and refused: the table's tests, whole and in pieces of several sizes, and the generated ones.

--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -13,6 +13,8 @@
 MAX_HEADER_FIELDS = 256
 """Maximum number of header fields; each takes some 150 bytes of memory beside its own bytes."""
 MAX_ERROR_LENGTH = 200
+EMPTY_LINE = b"\n\r\n"
+"""End of a head, from the end of its last line on."""
 NO_PARSER = httptools.HttpResponseParser(object())
 """Parser of the library after `ResponseParser.close`."""
 
@@ -55,8 +57,8 @@
     """Parse the responses to one request: interim ones, ones to other requests, and its own.
 
     The library skips empty lines before a response and takes status lines of other protocols. Up to
-    the head of the request's own response it is fed line by line, so that each status line is
-    known and can be checked here.
+    the head of the request's own response it is fed whole heads, or single lines of a head that
+    came in part, so that each status line is known and can be checked here.
 
     Parameters
     ----------
@@ -129,25 +131,36 @@
     def _feed(self, data: bytes) -> None:
         begin = 0
         while begin < len(data) and not self.accepted and not self._closed:
-            end = self._find_piece_end(data, begin)
-            self._feed_piece(data[begin:end])
-            begin = end
+            begin = self._feed_head(data, begin) or self._feed_piece(data, begin)
         if begin < len(data) and not self._closed:
             self._parser.feed_data(data[begin:] if begin else data)
 
-    def _find_piece_end(self, data: bytes, begin: int) -> int:
-        """Return the end of a line, or of a body of known length that belongs to no request."""
+    def _feed_head(self, data: bytes, begin: int) -> int:
+        """Parse one head if all of it is there; return its end, 0 if it is not."""
+        if not self._awaits_line or self._status_line or self._discard_left:
+            return 0
+        empty_line = data.find(EMPTY_LINE, begin)
+        if empty_line < 0:
+            return 0
+        end = empty_line + len(EMPTY_LINE)
+        self._status_line = data[begin : data.find(b"\n", begin) + 1]
+        self._awaits_line = False
+        self._parser.feed_data(data[begin:end])
+        return end
+
+    def _feed_piece(self, data: bytes, begin: int) -> int:
+        """Parse a line, or a body of known length that belongs to no request; return its end."""
         if self._discard_left:
-            return min(len(data), begin + self._discard_left)
-        return data.find(b"\n", begin) + 1 or len(data)
-
-    def _feed_piece(self, piece: bytes) -> None:
+            end = min(len(data), begin + self._discard_left)
+            self._discard_left -= end - begin
+        else:
+            end = data.find(b"\n", begin) + 1 or len(data)
+        piece = data[begin:end]
         if self._awaits_line:
             self._status_line += piece
             self._awaits_line = not piece.endswith(b"\n")
-        if self._discard_left:
-            self._discard_left -= len(piece)
         self._parser.feed_data(piece)
+        return end
 
     def on_message_begin(self) -> None:
         """Pass the event on."""
--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -65,6 +65,7 @@
         "empty-line-before": b"\r\nHTTP/1.1 200 OK",
         "bare-line-before": b"\nHTTP/1.1 200 OK",
         "rtsp-after-interim": b"HTTP/1.1 103 Early\r\n\r\nRTSP/1.1 200 OK",
+        "rtsp-after-bare-interim": b"HTTP/1.1 103 Early\n\nRTSP/1.1 200 OK",
     }.items()
 }
 """Status lines of other protocols or versions, or with something before them."""
