Tests: blanks in the extensions of a chunk are a form that the parser refuses

40,000 random examples of the generated-responses test failed on "12 ;a=b": its reference reads the blank, the library's parser does not, on as now.

RFC 9110, 5.6.3: no sender may write these blanks, though a reader should remove them. The parsing stays with the library, which refuses; no response that passed is refused.

--- a/tests/response_forms.py
+++ b/tests/response_forms.py
@@ -155,6 +155,8 @@
         "longer-than-size": CHUNK.removesuffix(b"\r\n") + b"x\r\n0\r\n\r\n",
         "bare-line-ends": (CHUNK + b"0\r\n\r\n").replace(b"\r\n", b"\n"),
         "control-in-extension": b"%x;\x01\r\n" % len(BODY) + BODY + b"\r\n0\r\n\r\n",
+        "blank-before-extension": b"%x ;a=b\r\n" % len(BODY) + BODY + b"\r\n0\r\n\r\n",
+        "blank-in-extension": b"%x;a= b\r\n" % len(BODY) + BODY + b"\r\n0\r\n\r\n",
         "no-last-chunk": CHUNK,
         "trailer-blank": CHUNK + b"0\r\nA B: 1\r\n\r\n",
         "trailer-control": CHUNK + b"0\r\nA\x01: 1\r\n\r\n",
