--- a/tarragonwind/adapters/response_parsers.py
+++ b/tarragonwind/adapters/response_parsers.py
@@ -136,7 +136,11 @@
             self._parser.feed_data(data[begin:] if begin else data)
 
     def _feed_head(self, data: bytes, begin: int) -> int:
-        """Parse one head if all of it is there; return its end, 0 if it is not."""
+        """Parse one head if all of it is there; return its end, 0 if it is not.
+
+        Should the parser meet a second status line among these bytes, none is known for it, which
+        `check_head` refuses.
+        """
         if not self._awaits_line or self._status_line or self._discard_left:
             return 0
         empty_line = data.find(EMPTY_LINE, begin)
--- a/tests/strict_responses.py
+++ b/tests/strict_responses.py
@@ -106,7 +106,7 @@
 
     A list of codings may end with a tab or an empty element. An interim response must have no
     length and no coding (RFC 9110, 8.6, and RFC 9112, 6.1), though a client could skip them. No
-    sender may write blanks in the extensions of a chunk, though a client could remove them.
+    sender may write blanks in the extensions of a chunk, though a client must remove them.
     """
     text = raw.lower()
     return bool(
