--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -189,23 +189,22 @@
         self._members = members
         self._timers = timers
         self._on_tick = on_tick
-        self._leased: set[str] = set()
+        self._leased: frozenset[str] = frozenset()
         mirror.subscribe(self._on_changes)
         timers.call_every(TICK_PERIOD_S, self._update_shares)
 
     def _on_changes(self, changes: list[MirrorItem]) -> None:
+        leases = {
+            item.key.removeprefix(self._prefix): item.value
+            for item in changes
+            if item.key.startswith(self._prefix)
+        }
+        if not leases:
+            return
+        held = {name: value for name, value in leases.items() if value is not None}
+        self._leased = (self._leased - leases.keys()) | held.keys()
         running = set(self._members.running())
-        unknown: dict[str, bytes] = {}
-        for item in changes:
-            if not item.key.startswith(self._prefix):
-                continue
-            name = item.key.removeprefix(self._prefix)
-            if item.value is None:
-                self._leased.discard(name)
-                continue
-            self._leased.add(name)
-            if name not in running:
-                unknown[name] = item.value
+        unknown = {name: value for name, value in held.items() if name not in running}
         for name in self._rng.sample(sorted(unknown), min(MAX_DISCOVERED_PER_BATCH, len(unknown))):
             self._report_discovered(name, unknown[name])
 
