Count running members and order them on rings as they come and go, and skip records that are known

The view keeps the running members, their places on the rings (core/hash_rings.py, compared with rings that are sorted anew by a hypothesis test) and each record as it is sent; a received record that is the same costs one comparison. After a change a host sets the addresses of the members that have changed, and chooses the large hosts once instead of for each key.

--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -91,6 +91,7 @@
         self._changed: list[Callable[[], None]] = []
         self._resumed: list[Callable[[], None]] = []
         self._owners: dict[str, str] = {}
+        self._large: list[str] | None = None
         self._seeds = [seed for seed in cfg.seeds if seed != identity.address]
         self._pending_seeds = set(self._seeds)
         self._timer: Timer | None = None
@@ -148,7 +149,9 @@
         """Return the live daemon on a large host that owns a key; this one if none is live."""
         owner = self._owners.get(key)
         if owner is None:
-            owner = choose_owner(key, select_large_hosts(self._live_sizes()) or (self.name,))
+            if self._large is None:
+                self._large = select_large_hosts(self._live_sizes()) or [self.name]
+            owner = choose_owner(key, self._large)
             self._owners[key] = owner
         return owner
 
@@ -294,7 +297,8 @@
 
     def _notify_changed(self) -> None:
         self._owners.clear()
-        for member in self._core.view.members.values():
+        self._large = None
+        for member in self._core.view.take_changed():
             self._peers.set_address(member.name, member.address)
         logger.info(
             "event=members_changed live={} isolated={}", len(self._core.live()), self.isolated
--- a/tarragonwind/catalogue_replicators.py
+++ b/tarragonwind/catalogue_replicators.py
@@ -18,8 +18,7 @@
 from tarragonwind.core.catalogue_states import CatalogueState, Divergence
 from tarragonwind.core.catalogues import Catalogue
 from tarragonwind.core.changes import Change, from_wire, to_wire
-from tarragonwind.core.memberships import RING_COUNT
-from tarragonwind.core.rendezvous import choose_neighbours
+from tarragonwind.core.hash_rings import RING_COUNT, choose_neighbours
 from tarragonwind.delays import delay
 from tarragonwind.futures import Future, spawn
 from tarragonwind.ports import Members, Peers, Timer, Timers
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from tarragonwind.core.hash_rings import HashRings
 from tarragonwind.messages import MessageError
 from tarragonwind.ports import Address
 from tarragonwind.records import dataclass
@@ -139,14 +140,20 @@
         Record of the daemon itself; replaced with `put_own` only, which updates the digests.
     members : dict of str to Member
         Records of the other members by name.
+    rings : HashRings
+        Members that are not dead, on the rings that tell the neighbours.
     """
 
-    __slots__ = ("_buckets", "members", "own")
+    __slots__ = ("_buckets", "_changed", "_records", "_running", "members", "own", "rings")
 
     def __init__(self, own: Member) -> None:
         self.own = own
         self.members: dict[str, Member] = {}
+        self.rings = HashRings(own.name)
         self._buckets = [0] * BUCKET_COUNT
+        self._records: dict[str, list[Any]] = {}
+        self._running: dict[str, None] = {}
+        self._changed: dict[str, None] = {}
         self._toggle_digest(own)
 
     def get(self, name: str) -> Member | None:
@@ -155,8 +162,14 @@
 
     def put(self, member: Member) -> None:
         """Insert a record, replacing one of the same name."""
-        self.remove(member.name)
-        self.members[member.name] = member
+        name = member.name
+        previous = self.members.get(name)
+        if previous is not None:
+            self._toggle_digest(previous)
+        self.members[name] = member
+        self._records[name] = pack_member(member)
+        self._changed[name] = None
+        self._set_running(name, member.health is not Health.DEAD)
         self._toggle_digest(member)
 
     def put_own(self, member: Member) -> None:
@@ -169,20 +182,49 @@
         """Remove the record of a member, if there is one."""
         member = self.members.pop(name, None)
         if member is not None:
+            del self._records[name]
+            self._changed.pop(name, None)
+            self._set_running(name, False)
             self._toggle_digest(member)
 
+    def _set_running(self, name: str, is_running: bool) -> None:
+        if is_running and name not in self._running:
+            self._running[name] = None
+            self.rings.add(name)
+        elif not is_running and name in self._running:
+            del self._running[name]
+            self.rings.remove(name)
+
+    def record(self, name: str) -> list[Any]:
+        """Return the record of a member, or of the daemon itself, in its wire format."""
+        return pack_member(self.own) if name == self.own.name else self._records[name]
+
+    def has_record(self, record: Any) -> bool:
+        """Return whether a received record is the one that is known of another member."""
+        if not isinstance(record, list) or not record or not isinstance(record[0], str):
+            return False
+        return self._records.get(record[0]) == record
+
+    def take_changed(self) -> list[Member]:
+        """Return the other members whose records were inserted since the last call."""
+        changed = [self.members[name] for name in self._changed]
+        self._changed.clear()
+        return changed
+
     def in_buckets(self, buckets: Collection[int]) -> list[Member]:
         """Return the records whose names hash to the given buckets, this daemon's included."""
         all_members = [self.own, *self.members.values()]
+        if len(buckets) >= BUCKET_COUNT:
+            return all_members
         return [member for member in all_members if _bucket_of(member.name) in buckets]
 
     def running(self) -> list[str]:
         """Return the names of members that are not dead."""
-        return [m.name for m in self.members.values() if m.health is not Health.DEAD]
+        return list(self._running)
 
     def running_count(self) -> int:
         """Return the number of members that are not dead."""
-        return sum(1 for m in self.members.values() if m.health is not Health.DEAD)
+        return len(self._running)
 
     def failed(self) -> list[str]:
         """Return the names of dead members that have not announced a graceful shutdown."""
--- a/tarragonwind/core/membership_builders.py
+++ b/tarragonwind/core/membership_builders.py
@@ -76,7 +76,7 @@
         records = []
         for member in self._view.in_buckets(buckets or range(BUCKET_COUNT)):
             if member.health is not Health.DEAD or trusted:
-                records.append(pack_member(member))
+                records.append(self._view.record(member.name))
         return Sync(records, list(buckets), answer, trusted)
 
     def compare(self) -> Compare:
@@ -93,7 +93,6 @@
         own = self._view.own
         records = []
         for name in self._broadcasts.take(count, target if refutable else ""):
-            record = own if name == own.name else self._view.get(name)
-            if record is not None:
-                records.append(pack_member(record))
+            if name == own.name or self._view.get(name) is not None:
+                records.append(self._view.record(name))
         return records
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -15,6 +15,7 @@
 
 from tarragonwind.core.broadcast_queues import BroadcastQueue
 from tarragonwind.core.fleet_statuses import FleetStatus
+from tarragonwind.core.hash_rings import RING_COUNT
 from tarragonwind.core.member_merges import MemberMerger
 from tarragonwind.core.member_views import Health, Member, MemberView, check_list, unpack_member
 from tarragonwind.core.membership_builders import MessageBuilder, PayloadSource
@@ -31,12 +32,9 @@
 )
 from tarragonwind.core.probe_times import ProbeTimes
 from tarragonwind.core.probes import ProbeTable, Relay
-from tarragonwind.core.rendezvous import choose_neighbours
 from tarragonwind.messages import Message
 from tarragonwind.records import dataclass
 
-RING_COUNT = 4
-"""Number of hash rings, and so of successors that a daemon probes in turn."""
 RELAY_COUNT = 3
 """Members that send an indirect probe after a failed direct one."""
 DEAD_RETENTION_S = 120.0
@@ -145,7 +143,7 @@
     def neighbours(self) -> list[str]:
         """Return the ring successors that this daemon probes and pushes updates to."""
         if self._neighbours is None:
-            self._neighbours = choose_neighbours(self.own.name, self.view.running(), RING_COUNT)
+            self._neighbours = self.view.rings.successors()
         return self._neighbours
 
     def take_outbox(self) -> list[Outgoing]:
@@ -435,8 +433,10 @@
             self._send(sender, self._build.sync(self._is_trusted(), True, buckets))
 
     def _apply_records(self, now: float, records: Any) -> None:
+        """Merge received records; most are known, as each reaches a host on several ways."""
         for record in check_list(records):
-            self._merger.apply(now, unpack_member(record))
+            if not self.view.has_record(record):
+                self._merger.apply(now, unpack_member(record))
 
 
 _HANDLERS: dict[type[Message], Callable[[MembershipCore, float, str, Any], None]] = {
--- a/tarragonwind/core/rendezvous.py
+++ b/tarragonwind/core/rendezvous.py
@@ -1,10 +1,9 @@
-"""Assign keys to members by rendezvous hashing, and order members on hash rings."""
+"""Assign keys to members by rendezvous hashing."""
 
 from __future__ import annotations
 
-import bisect
 import heapq
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
@@ -16,10 +15,6 @@
     return xxhash.xxh64_intdigest(f"{key}\x00{name}".encode())
 
 
-def _ring_position(name: str, ring: int) -> int:
-    return xxhash.xxh64_intdigest(name.encode(), seed=ring)
-
-
 def choose_owner(key: str, names: Iterable[str]) -> str:
     """Return the owner of a key; removing a name moves only the keys that it owned.
 
@@ -44,39 +39,3 @@
 def rank_names(key: str, names: Iterable[str], count: int) -> list[str]:
     """Return the `count` highest-ranked names for a key, the owner first."""
     return heapq.nlargest(count, names, key=lambda name: (_score(key, name), name))
-
-
-def choose_neighbours(name: str, names: Collection[str], ring_count: int) -> list[str]:
-    """Return the successors of a member on independent hash rings.
-
-    Parameters
-    ----------
-    name : str
-        Member whose successors are returned.
-    names : collection of str
-        Members on the rings.
-    ring_count : int
-        Number of rings, and so the maximum number of neighbours.
-
-    Returns
-    -------
-    list of str
-        Distinct names in ring order, without `name`. If there are at most `ring_count` others,
-        all of them, sorted.
-    """
-    others = sorted(other for other in names if other != name)
-    if len(others) <= ring_count:
-        return others
-    neighbours: dict[str, None] = {}
-    for ring in range(ring_count):
-        neighbours[_successor(name, others, ring, neighbours)] = None
-    return list(neighbours)
-
-
-def _successor(name: str, others: list[str], ring: int, taken: Collection[str]) -> str:
-    positions = sorted(
-        (_ring_position(other, ring), other) for other in others if other not in taken
-    )
-    own_position = (_ring_position(name, ring), name)
-    index = bisect.bisect_right(positions, own_position)
-    return positions[index % len(positions)][1]
--- a/tests/test_member_merges.py
+++ b/tests/test_member_merges.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from tarragonwind.core.broadcast_queues import BroadcastQueue
+from tarragonwind.core.hash_rings import choose_neighbours
 from tarragonwind.core.member_merges import MemberMerger
 from tarragonwind.core.member_views import (
     Health,
@@ -17,7 +18,6 @@
     unpack_member,
 )
 from tarragonwind.core.rendezvous import (
-    choose_neighbours,
     choose_owner,
     rank_names,
     select_large_hosts,
--- a/tests/test_work_by_fleet_size.py
+++ b/tests/test_work_by_fleet_size.py
@@ -8,6 +8,10 @@
 from tarragonwind.core.allotments import AllotmentLedger, AllotmentSettings, UsageReport
 from tarragonwind.core.entries import OrganisationEntry
 from tarragonwind.core.fleet_shares import FleetShares
+from tarragonwind.core.member_views import Health, Member, pack_member
+from tarragonwind.core.membership_messages import Ack, Ping, Push, Sync
+from tarragonwind.core.memberships import MembershipCore
+from tarragonwind.ports import Address
 
 SIZES = [6, 65, 195, 320]
 WINDOW_S = 8.0
@@ -22,10 +26,9 @@
     return tuple(f"h{number:03}" for number in range(size))
 
 
-def assert_flat(measure):
-    smallest = measure(SIZES[0])
-    work = {size: measure(size) for size in SIZES}
-    assert all(count <= GROWTH * smallest for count in work.values()), work
+def assert_flat(measure, sizes=SIZES):
+    work = {size: measure(size) for size in sizes}
+    assert all(count <= GROWTH * work[sizes[0]] for count in work.values()), work
 
 
 class Aggregator:
@@ -116,3 +119,58 @@
         return count_instructions(tick)
 
     assert_flat(measure)
+
+
+def create_member(name, incarnation=1):
+    return Member(name, Address("127.0.0.1", 7_600), "etna", incarnation)
+
+
+def create_settled_core(size):
+    """Return the membership of a host that knows all others, and their records."""
+    core = MembershipCore(create_member("h000"), random.Random(1), 0.0)
+    records = [pack_member(create_member(name)) for name in names_of(size)[1:]]
+    core.on_message(0.0, "h001", Sync(records, [], False, True))
+    core.set_listed(0.0, names_of(size), ())
+    for number in range(40):
+        core.tick(0.1 * number)
+        core.on_message(0.1 * number, "h001", ping(core, number))
+        core.take_outbox()
+    return core, records
+
+
+def ping(core, seq):
+    return Ping(seq, 1, False, core.view.digest(), [], [])
+
+
+def test_probes_and_known_records_cost_a_host_the_same_in_every_fleet():
+    """Guards against a membership that counts or sorts all members for each message."""
+
+    def measure(size):
+        core, records = create_settled_core(size)
+        count, now = 0, 4.0
+        for number in range(16):
+            now += 0.05
+            messages = [
+                ping(core, number),
+                Ack(0, 1, False, core.view.digest(), records[:4], []),
+                Push(records[:5], []),
+            ]
+            for msg in messages:
+                count += count_instructions(lambda: core.on_message(now, "h001", msg))  # noqa: B023
+            count += count_instructions(lambda: core.tick(now))  # noqa: B023
+            core.take_outbox()
+        return count
+
+    assert_flat(measure)
+
+
+def test_the_neighbours_after_a_change_cost_the_same_in_every_fleet_that_has_more():
+    def measure(size):
+        core, _ = create_settled_core(size)
+        member = create_member("h003", incarnation=2)
+        member.health = Health.DEAD
+        core.view.put(member)
+        core.invalidate()
+        return count_instructions(core.neighbours)
+
+    assert_flat(measure, SIZES[1:])
