Keep the sums of a host's own tokens, and do on idle hosts only what the fleet's changes ask for

An idle host listed all members for those that leave four times a second, all hosts for the gossip of moves of which there are none, and looked through the empty queues of pools that it doesn't own; it converted the set of leases at each tick.

--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -92,6 +92,8 @@
         self._resumed: list[Callable[[], None]] = []
         self._owners: dict[str, str] = {}
         self._large: list[str] | None = None
+        self._leaving: tuple[str, ...] = ()
+        self._leaving_version = -1
         self._seeds = [seed for seed in cfg.seeds if seed != identity.address]
         self._pending_seeds = set(self._seeds)
         self._timer: Timer | None = None
@@ -134,7 +136,11 @@
 
     def leaving_hosts(self) -> tuple[str, ...]:
         """Return the names of daemons that announced a graceful shutdown, including exited ones."""
-        return tuple(member.name for member in self.members() if member.leaving)
+        version = self._core.view.version
+        if version != self._leaving_version:
+            self._leaving_version = version
+            self._leaving = tuple(member.name for member in self.members() if member.leaving)
+        return self._leaving
 
     def running(self) -> tuple[str, ...]:
         """Return the names of daemons that may send: live ones and those in a graceful shutdown."""
--- a/tarragonwind/adapters/peer_levels.py
+++ b/tarragonwind/adapters/peer_levels.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from loguru import logger
 
 from tarragonwind.adapters.peer_handshakes import PeerIdentity
@@ -60,6 +62,10 @@
         """Return whether a host's level is known from a handshake."""
         return host == self._name or host in self._levels
 
+    def unknown(self, hosts: Iterable[str]) -> list[str]:
+        """Return the hosts whose level is not known from a handshake."""
+        return [host for host in hosts if host not in self._levels and host != self._name]
+
     def supports(self, host: str, level: int) -> bool:
         """Return whether the last handshake with a host showed a level or a higher one.
 
--- a/tarragonwind/core/member_views.py
+++ b/tarragonwind/core/member_views.py
@@ -142,14 +142,26 @@
         Records of the other members by name.
     rings : HashRings
         Members that are not dead, on the rings that tell the neighbours.
+    version : int
+        Number of changes so far, so that what follows from the records can be kept between them.
     """
 
-    __slots__ = ("_buckets", "_changed", "_records", "_running", "members", "own", "rings")
+    __slots__ = (
+        "_buckets",
+        "_changed",
+        "_records",
+        "_running",
+        "members",
+        "own",
+        "rings",
+        "version",
+    )
 
     def __init__(self, own: Member) -> None:
         self.own = own
         self.members: dict[str, Member] = {}
         self.rings = HashRings(own.name)
+        self.version = 0
         self._buckets = [0] * BUCKET_COUNT
         self._records: dict[str, list[Any]] = {}
         self._running: dict[str, None] = {}
@@ -162,6 +174,7 @@
 
     def put(self, member: Member) -> None:
         """Insert a record, replacing one of the same name."""
+        self.version += 1
         name = member.name
         previous = self.members.get(name)
         if previous is not None:
@@ -174,6 +187,7 @@
 
     def put_own(self, member: Member) -> None:
         """Replace the record of the daemon itself."""
+        self.version += 1
         self._toggle_digest(self.own)
         self.own = member
         self._toggle_digest(member)
@@ -182,6 +196,7 @@
         """Remove the record of a member, if there is one."""
         member = self.members.pop(name, None)
         if member is not None:
+            self.version += 1
             del self._records[name]
             self._changed.pop(name, None)
             self._set_running(name, False)
--- a/tarragonwind/core/move_tables.py
+++ b/tarragonwind/core/move_tables.py
@@ -494,7 +494,7 @@
     def _gossip(self, rng: random.Random) -> list[Outgoing]:
         """Send all facts to one random host occasionally, to repair lost messages."""
         facts = [fact for fact in (move.fact() for move in self._moves.values()) if fact]
-        others = self._others()
-        if not facts or not others or rng.random() > TICK_PERIOD_S / self.report_period_s:
+        others = self._others() if facts else []
+        if not others or rng.random() > TICK_PERIOD_S / self.report_period_s:
             return []
         return [Outgoing(rng.choice(others), MoveFacts(facts))]
--- a/tarragonwind/core/queues.py
+++ b/tarragonwind/core/queues.py
@@ -441,6 +441,8 @@
 
     def lowest_first(self) -> Iterator[QueuedRequest]:
         """Iterate over waiting requests, lowest priority and late ones first, each newest first."""
+        if not self._requests:
+            return
         for priority in reversed(range(PRIORITY_COUNT)):
             for level in (late_level(priority), urgent_level(priority), timely_level(priority)):
                 yield from list(reversed(self._levels[level].requests.values()))
--- a/tarragonwind/core/usage_windows.py
+++ b/tarragonwind/core/usage_windows.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
 import math
-from collections import deque
+from operator import add, sub
 
 from tarragonwind.records import dataclass
 
@@ -25,6 +26,9 @@
 )
 """Ages at which counts leave a window, as fractions of the longest one."""
 
+DROPPED_BUCKETS = 64
+"""Buckets behind the longest window that are dropped together."""
+
 Totals = tuple[int, ...]
 """Tokens in each window, the longest first."""
 ZERO_TOTALS: Totals = (0,) * len(WINDOW_FRACTIONS)
@@ -32,55 +36,77 @@
 
 def add_totals(left: Totals, right: Totals) -> Totals:
     """Return the sum for each window."""
-    return tuple(one + other for one, other in zip(left, right, strict=True))
+    return tuple(map(add, left, right))
 
 
 def subtract_totals(left: Totals, right: Totals) -> Totals:
     """Return the difference for each window."""
-    return tuple(one - other for one, other in zip(left, right, strict=True))
+    return tuple(map(sub, left, right))
 
 
 def max_totals(left: Totals, right: Totals) -> Totals:
     """Return the maximum for each window."""
-    return tuple(max(one, other) for one, other in zip(left, right, strict=True))
+    return tuple(map(max, left, right))
 
 
 class UsageWindow:
-    """Sum tokens over sliding windows."""
+    """Sum tokens over sliding windows; the sums are kept and adjusted as buckets leave a window.
+
+    Times must not decrease from call to call.
+    """
 
-    __slots__ = ("_buckets", "_window_s")
+    __slots__ = ("_amounts", "_first", "_sums", "_times", "_window_s")
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._buckets: deque[list[float]] = deque()
+        self._times: list[float] = []
+        self._amounts: list[int] = []
+        self._first = [0] * len(WINDOW_FRACTIONS)
+        self._sums = [0] * len(WINDOW_FRACTIONS)
 
     def add(self, now: float, tokens: int) -> None:
         """Add tokens."""
-        if not self._buckets or now - self._buckets[-1][0] >= BUCKET_WIDTH_S:
-            self._buckets.append([now, 0.0])
-        self._buckets[-1][1] += tokens
+        if not self._times or now - self._times[-1] >= BUCKET_WIDTH_S:
+            self._times.append(now)
+            self._amounts.append(0)
+        self._change(len(self._amounts) - 1, tokens)
 
     def refund(self, taken_at: float, tokens: int) -> None:
         """Remove tokens that were added at a time, unless they have left the longest window.
 
         Removed later, they would outlast the tokens that they make up for.
         """
-        for bucket in reversed(self._buckets):
-            if bucket[0] <= taken_at:
-                bucket[1] -= tokens
-                return
+        index = bisect.bisect_right(self._times, taken_at) - 1
+        if index >= 0:
+            self._change(index, -tokens)
+
+    def _change(self, index: int, tokens: int) -> None:
+        """Change the amount of a bucket, and the sums of the windows that contain it."""
+        self._amounts[index] += tokens
+        for number, first in enumerate(self._first):
+            if index >= first:
+                self._sums[number] += tokens
 
     def totals(self, now: float) -> Totals:
         """Return the tokens in each window and drop buckets that have left the longest window."""
-        while self._buckets and self._buckets[0][0] <= now - self._window_s - BUCKET_WIDTH_S:
-            self._buckets.popleft()
-        return tuple(
-            self._sum_since(now - BUCKET_WIDTH_S - fraction * self._window_s)
-            for fraction in WINDOW_FRACTIONS
-        )
-
-    def _sum_since(self, start: float) -> int:
-        return int(sum(amount for at, amount in self._buckets if at > start))
+        for number, fraction in enumerate(WINDOW_FRACTIONS):
+            self._leave(number, now - BUCKET_WIDTH_S - fraction * self._window_s)
+        if self._first[0] >= DROPPED_BUCKETS:
+            self._drop(self._first[0])
+        return tuple(self._sums)
+
+    def _leave(self, number: int, start: float) -> None:
+        """Take the buckets up to a time out of the sum of a window."""
+        first = self._first[number]
+        while first < len(self._times) and self._times[first] <= start:
+            self._sums[number] -= self._amounts[first]
+            first += 1
+        self._first[number] = first
+
+    def _drop(self, count: int) -> None:
+        del self._times[:count]
+        del self._amounts[:count]
+        self._first = [first - count for first in self._first]
 
 
 @dataclass(slots=True)
--- a/tarragonwind/fleet_levels.py
+++ b/tarragonwind/fleet_levels.py
@@ -39,8 +39,7 @@
 
     def _learn_next(self) -> None:
         """Connect to one running host that has not been connected since it started."""
-        levels = self._peers.levels
-        unknown = [host for host in self._members.running() if not levels.is_known(host)]
+        unknown = self._peers.levels.unknown(self._members.running())
         if unknown:
             # In turn, since some may be unreachable.
             self._turn += 1
--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -202,7 +202,7 @@
         if not leases:
             return
         held = {name: value for name, value in leases.items() if value is not None}
-        self._leased = (self._leased - leases.keys()) | held.keys()
+        self._leased = frozenset(self._leased - leases.keys() | held.keys())
         running = set(self._members.running())
         unknown = {name: value for name, value in held.items() if name not in running}
         for name in self._rng.sample(sorted(unknown), min(MAX_DISCOVERED_PER_BATCH, len(unknown))):
