Admit a request beyond the limit of an unused organisation only if it exceeds the whole allotment

One of two causes, found by simulating fleets whose hosts have all just started: a host admits any request while its organisation has used nothing, so that one larger than the whole allotment can be served at all. On hosts that are apart, after a common start or on sides of a cut, this compared with the host's share, so each of them admitted one request beyond it: the excess grows with the number of hosts. Only a request that exceeds the whole allotment by itself has this exception now.

Red before: the new test for 6, 65, 195 and 320 hosts that are all apart.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -188,7 +188,9 @@
         own = window.totals(now)
         used = self._used(now, name, own, limits)
         excess = max(count + tokens - limit for count, limit in zip(used, limits, strict=True))
-        if excess > 0 and any(used):
+        # Hosts that are apart may not each admit a request beyond their share of the limit.
+        exceeds_whole = any(tokens > limit for limit in whole_limits)
+        if excess > 0 and (any(used) or not exceeds_whole):
             wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
             raise RequestError(
                 ErrorKind.OVER_ALLOTMENT,
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -209,3 +209,29 @@
             fleet.ledgers[refunded].refund(ORGANISATION, 4_000, taken_at)
         fleet.step(4_000 / (6 * RATE))
     assert fleet.largest_window() <= BOUND
+
+
+def admits(ledger, now, tokens):
+    try:
+        ledger.take(now, ORGANISATION, tokens)
+    except RequestError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("hosts", [6, 65, 195, 320])
+def test_hosts_that_are_all_apart_admit_no_request_each_beyond_the_allotment(hosts):
+    """Guards against a limit whose excess grows by one request with each host."""
+    ledgers = [
+        AllotmentLedger(f"h{number}", SETTINGS, 0.0, lambda name: "", lambda now: 1.0 / hosts)
+        for number in range(hosts)
+    ]
+    tokens = BOUND // hosts * 3 // 2
+    admitted = sum(tokens for ledger in ledgers if admits(ledger, 20.0, tokens))
+    assert admitted <= BOUND
+
+
+def test_a_request_larger_than_the_whole_allotment_is_admitted_when_nothing_is_used():
+    ledger = AllotmentLedger("h0", SETTINGS, 0.0, lambda name: "h0")
+    assert admits(ledger, 20.0, 2 * LIMIT)
+    assert not admits(ledger, 21.0, 10)
