Let the leases that come with the first copy of the store bind a host's share at once

A host that starts reads configuration and leases in one copy, and serves from then on. The leases counted only with the next tick, up to 0.25 s and more on a busy host later; until then each host of a fleet took itself for the whole of it, and admitted what had waited for it against the whole limit. The leases are applied before the configuration that comes with them.

--- a/tarragonwind/host_leases.py
+++ b/tarragonwind/host_leases.py
@@ -203,6 +203,8 @@
             return
         held = {name: value for name, value in leases.items() if value is not None}
         self._leased = frozenset(self._leased - leases.keys() | held.keys())
+        # Before the configuration that came with the leases lets the host serve.
+        self._update_shares()
         running = set(self._members.running())
         unknown = {name: value for name, value in held.items() if name not in running}
         for name in self._rng.sample(sorted(unknown), min(MAX_DISCOVERED_PER_BATCH, len(unknown))):
