Admit a request beyond the whole allotment only on the side that reaches most of the fleet

At most one side of a cut has more than half of the fleet, and hosts that have just started have not; only there the exception holds.

--- a/tarragonwind/core/allotments.py
+++ b/tarragonwind/core/allotments.py
@@ -188,9 +188,7 @@
         own = window.totals(now)
         used = self._used(now, name, own, limits)
         excess = max(count + tokens - limit for count, limit in zip(used, limits, strict=True))
-        # Hosts that are apart may not each admit a request beyond their share of the limit.
-        exceeds_whole = any(tokens > limit for limit in whole_limits)
-        if excess > 0 and (any(used) or not exceeds_whole):
+        if excess > 0 and (any(used) or not self._may_exceed(share, tokens, whole_limits)):
             wait_s = max(MIN_RETRY_AFTER_S, excess / organisation.tokens_per_s)
             raise RequestError(
                 ErrorKind.OVER_ALLOTMENT,
@@ -200,6 +198,14 @@
             )
         window.add(now, tokens)
 
+    def _may_exceed(self, share: float, tokens: int, whole_limits: tuple[float, ...]) -> bool:
+        """Return whether a request beyond the limit may be admitted where nothing was used.
+
+        It would never be admitted otherwise. Of hosts that are apart from each other, those that
+        reach no majority of the fleet may not each admit one.
+        """
+        return share > 0.5 and any(tokens > limit for limit in whole_limits)
+
     def refund(self, organisation: OrganisationEntry, tokens: int, taken_at: float) -> None:
         """Refund the tokens of a request that was not dispatched, as of the time of its `take`."""
         window = self._windows.get(organisation.name)
