Serve no request whose caller had left before it was read

Cause, one of several, by its log (untouched code): in the first second after the hosts were back 239 of the requests that were read had been abandoned by their callers while the processes started, and 51 in the next. Each was classified, charged to its organisation's allotment, queued at the pool's owner and some dispatched before the close behind it was read; 205 requests of callers that still waited were refused for the allotments that these had taken.

--- a/tarragonwind/adapters/caller_connections.py
+++ b/tarragonwind/adapters/caller_connections.py
@@ -59,6 +59,9 @@
     def remove_connection(self, conn: CallerConnection) -> None:
         """Remove a closed connection."""
 
+    def note_abandoned(self) -> None:
+        """Count a request whose caller had left before it was read."""
+
 
 class CallerConnection(ConnectionEvents):
     """Read requests from one caller's connection and respond to them in order."""
@@ -394,7 +397,10 @@
             return
         self._stop_timer()
         self._requested = True
-        if self._parser.ready:
+        if self._parser.ready and self._conn.peer_closed:
+            self._server.note_abandoned()
+            self.close()
+        elif self._parser.ready:
             request = self._parser.ready.popleft()
             exchange = CallerExchange(self, request)
             self._current = exchange
--- a/tarragonwind/adapters/connections.py
+++ b/tarragonwind/adapters/connections.py
@@ -90,6 +90,8 @@
         Whether the connection is closed.
     dropped_bytes : int
         Number of bytes that were read and discarded while the connection was being closed.
+    peer_closed : bool
+        Whether the peer has closed its sending side; what it sent before may not be read yet.
     peer_closed_unread : bool
         Whether the peer closed in an orderly way and had received nothing since `mark_acked`.
     high_water_bytes : int
@@ -119,6 +121,7 @@
         "events",
         "high_water_bytes",
         "on_unsent",
+        "peer_closed",
         "peer_closed_unread",
         "read_bytes",
         "sent_bytes",
@@ -136,6 +139,7 @@
         self.events = events
         self.closed = False
         self.dropped_bytes = 0
+        self.peer_closed = False
         self.peer_closed_unread = False
         self.sent_bytes = 0
         self.high_water_bytes = HIGH_WATER_BYTES
@@ -365,6 +369,8 @@
         if self._connecting:
             self._finish_connect()
             return
+        if events & POLL_PEER_CLOSED:
+            self.peer_closed = True
         if events & POLL_READ:
             self._read()
         if not self.closed and events & POLL_WRITE and not self._error:
--- a/tarragonwind/adapters/gateways.py
+++ b/tarragonwind/adapters/gateways.py
@@ -112,6 +112,11 @@
         """Return the number of requests in progress, with those that are being read."""
         return len(self._active) + self._server.reading_count
 
+    @property
+    def abandoned(self) -> int:
+        """Return the number of requests whose callers had left before they were read."""
+        return self._server.abandoned
+
     @property
     def unsent_bytes(self) -> int:
         """Return the response bytes that are not yet sent to callers."""
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -61,6 +61,8 @@
 
     Attributes
     ----------
+    abandoned : int
+        Requests so far whose callers had left before they were read.
     check_head : callable
         Called with a request whose body has not been read; returns the error with which to refuse
         it, or None.
@@ -83,6 +85,7 @@
         self.check_head: Callable[[CallerRequest], RequestError | None] = accept_head
         self.memory = memory or MemoryGuard(loop.timers)
         self.stopping = False
+        self.abandoned = 0
         self._connections: set[CallerConnection] = set()
         self._addresses: Counter[str] = Counter()
         self._held: list[tuple[socket.socket, Address]] = []
@@ -153,6 +156,14 @@
                 del self._addresses[address]
         conn.drop_input()
 
+    def note_abandoned(self) -> None:
+        """Count a request whose caller had left before it was read: it is not served.
+
+        Many come at once where callers have waited for a process that was starting. Served, they
+        would take room, allotments and processor time from those that still wait.
+        """
+        self.abandoned += 1
+
     def _accept(self, sock: socket.socket, peer: Address) -> None:
         place = self._find_place(peer.host)
         if place is Place.FREE:
--- a/tarragonwind/load_monitors.py
+++ b/tarragonwind/load_monitors.py
@@ -1,8 +1,8 @@
-"""Log and measure how busy the event loop of a host is, and with which messages of other hosts."""
+"""Log and measure how busy the event loop of a host is, and what it has no time for."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
@@ -35,6 +35,8 @@
         Permit client and pool owners of the host.
     telemetry : Telemetry
         Holds the metrics.
+    abandoned : callable
+        Returns the number of requests so far whose callers had left before they were read.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         traffic: Mapping[str, TrafficCounters],
         scheduler: PermitScheduler,
         telemetry: Telemetry,
+        abandoned: Callable[[], int] = lambda: 0,
     ) -> None:
         self._poller = poller
         self._traffic = traffic
@@ -53,6 +56,8 @@
         self._checked_at = timers.now()
         self._received: dict[str, int] = {}
         self._local_shares = 0
+        self._count_abandoned = abandoned
+        self._abandoned = 0
         timers.call_every(PERIOD_S, self.check)
 
     def check(self) -> None:
@@ -65,6 +70,7 @@
         self._telemetry.loop_longest_round.set(busy.longest_s)
         messages = self._take_messages()
         self._log_local_shares()
+        self._log_abandoned()
         if busy.total_s >= BUSY_FRACTION * elapsed_s:
             pools = self._scheduler.owners.active_pools()
             waiting = sum(self._scheduler.waiting_by_tier())
@@ -87,6 +93,12 @@
         since.sort(key=lambda item: -item[1])
         return [item for item in since[:MESSAGE_COUNT] if item[1]]
 
+    def _log_abandoned(self) -> None:
+        count = self._count_abandoned()
+        if count != self._abandoned:
+            logger.info("event=requests_abandoned count={}", count - self._abandoned)
+            self._abandoned = count
+
     def _log_local_shares(self) -> None:
         begun = self._scheduler.client.local_shares_begun
         if begun == self._local_shares:
--- a/tarragonwind/platform_daemons.py
+++ b/tarragonwind/platform_daemons.py
@@ -252,7 +252,12 @@
         )
         self.membership.subscribe_resumed(self.scheduler.resume)
         self.load = LoadMonitor(
-            timers, loop.poller, self.peers.traffic, self.scheduler, self.telemetry
+            timers,
+            loop.poller,
+            self.peers.traffic,
+            self.scheduler,
+            self.telemetry,
+            lambda: self.gateway.abandoned,
         )
         self.membership.subscribe(self.tunnels.on_members_changed)
 
