Check the records that the program builds itself without pydantic, a third of the processor time of a start

Of some 330 ms of processor time (a busy machine) about 120 went into pydantic: its import, its models of entries and settings, and their schemas at the first instance.

Entries and settings are plain dataclasses now that check their fields when they are built (tarragonwind/checked_records.py). Documents of files and of the operator API are still read by pydantic, by the same bounds, which implement its hook; it's imported there only.

--- a/tarragonwind/core/entries.py
+++ b/tarragonwind/core/entries.py
@@ -4,22 +4,23 @@
 
 import enum
 from collections.abc import Callable
-from typing import Annotated, Any, ClassVar, TypeVar
-
-from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
-from pydantic.dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING, Annotated, Any, ClassVar, TypeVar
 
+from tarragonwind.checked_records import Bounds, Checked, CheckedRecord
 from tarragonwind.core.ip_addresses import check_ip_address
 from tarragonwind.errors import EntryError
+from tarragonwind.records import dataclass
+
+if TYPE_CHECKING:
+    from pydantic import ValidationError
 
 TIER_COUNT = 4
 """Number of tiers; tier 0 is the highest."""
 
-ENTRY_CONFIG = ConfigDict(extra="forbid", defer_build=True)
-
-EntryName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Owner = Annotated[str, Field(min_length=1, max_length=200)]
-Tier = Annotated[int, Field(ge=0, lt=TIER_COUNT)]
+EntryName = Annotated[str, Bounds(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Owner = Annotated[str, Bounds(min_length=1, max_length=200)]
+Tier = Annotated[int, Bounds(ge=0, lt=TIER_COUNT)]
 
 MAX_INCARNATION = 2**53 - 1
 """Largest incarnation of an upstream: messages between hosts hold it, and so does JSON."""
@@ -68,8 +69,8 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
-class Entry:
+@dataclass(slots=True, kw_only=True)
+class Entry(CheckedRecord):
     """Hold the fields that every entry has.
 
     Attributes
@@ -92,7 +93,7 @@
 
 
 @register_entry_kind("organisation")
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class OrganisationEntry(Entry):
     """Describe an organisation that may send requests.
 
@@ -116,19 +117,19 @@
         Regions whose upstreams may get its requests; empty for all.
     """
 
-    token_sha256: list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]]
-    max_in_progress: Annotated[int, Field(ge=1, le=100_000)] = 1_000
-    requests_per_s: Annotated[float, Field(gt=0, le=100_000)] = 1_000.0
-    weight: Annotated[float, Field(gt=0, le=1_000)] = 1.0
+    token_sha256: list[Annotated[str, Bounds(pattern=r"^[0-9a-f]{64}$")]]
+    max_in_progress: Annotated[int, Bounds(ge=1, le=100_000)] = 1_000
+    requests_per_s: Annotated[float, Bounds(gt=0, le=100_000)] = 1_000.0
+    weight: Annotated[float, Bounds(gt=0, le=1_000)] = 1.0
     tier: Tier | None = None
-    tokens_per_s: Annotated[float, Field(ge=0)] = 0.0
-    token_burst: Annotated[float, Field(ge=0)] = 0.0
-    plain_tokens: Annotated[int, Field(ge=0)] = 0
-    allowed_regions: list[str] = Field(default_factory=list)
+    tokens_per_s: Annotated[float, Bounds(ge=0)] = 0.0
+    token_burst: Annotated[float, Bounds(ge=0)] = 0.0
+    plain_tokens: Annotated[int, Bounds(ge=0)] = 0
+    allowed_regions: list[str] = field(default_factory=list)
 
 
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
-class PoolShare:
+@dataclass(slots=True, kw_only=True)
+class PoolShare(CheckedRecord):
     """Assign a share of a route's requests to a pool.
 
     Attributes
@@ -140,11 +141,11 @@
     """
 
     pool: EntryName
-    weight: Annotated[float, Field(ge=0)]
+    weight: Annotated[float, Bounds(ge=0)]
 
 
 @register_entry_kind("pool")
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class PoolEntry(Entry):
     """Describe a pool: upstreams that can serve the same requests.
 
@@ -165,15 +166,15 @@
     """
 
     back_end: BackEndKind
-    version: Annotated[str, Field(min_length=1, max_length=100)]
-    tokens_per_event: Annotated[int, Field(ge=1, le=10_000)] = 1
-    cold_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
-    cold_per_s: Annotated[float, Field(ge=0, le=1_000_000)] = 0.0
-    kv_capacity_tokens: Annotated[int, Field(ge=0)] = 0
+    version: Annotated[str, Bounds(min_length=1, max_length=100)]
+    tokens_per_event: Annotated[int, Bounds(ge=1, le=10_000)] = 1
+    cold_s: Annotated[float, Bounds(ge=0, le=3_600)] = 0.0
+    cold_per_s: Annotated[float, Bounds(ge=0, le=1_000_000)] = 0.0
+    kv_capacity_tokens: Annotated[int, Bounds(ge=0)] = 0
 
 
 @register_entry_kind("route")
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class RouteEntry(Entry):
     """Describe a class of requests and the pool that serves it.
 
@@ -228,22 +229,22 @@
     tier: Tier
     model: str = ""
     path_prefix: str = ""
-    methods: list[str] = Field(default_factory=list)
+    methods: list[str] = field(default_factory=list)
     idempotent: bool = True
-    max_in_progress: Annotated[int, Field(ge=1, le=1_000_000)] = 10_000
-    deadline_s: Annotated[float, Field(gt=0, le=3_600)] = 30.0
-    organisations: list[EntryName] = Field(default_factory=list)
+    max_in_progress: Annotated[int, Bounds(ge=1, le=1_000_000)] = 10_000
+    deadline_s: Annotated[float, Bounds(gt=0, le=3_600)] = 30.0
+    organisations: list[EntryName] = field(default_factory=list)
     authority: str = ""
-    shares: list[PoolShare] = Field(default_factory=list)
+    shares: list[PoolShare] = field(default_factory=list)
     public: bool = False
     streams: bool = False
     resumable: bool = False
-    max_attempts: Annotated[int, Field(ge=1, le=100)] = 1
-    answer_timeout_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
-    target_latency_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
-    event_gap_s: Annotated[float, Field(ge=0, le=3_600)] = 0.0
-    patience_s: Annotated[float, Field(ge=0, le=36_000)] = 0.0
-    allowed_regions: list[str] = Field(default_factory=list)
+    max_attempts: Annotated[int, Bounds(ge=1, le=100)] = 1
+    answer_timeout_s: Annotated[float, Bounds(ge=0, le=3_600)] = 0.0
+    target_latency_s: Annotated[float, Bounds(ge=0, le=3_600)] = 0.0
+    event_gap_s: Annotated[float, Bounds(ge=0, le=3_600)] = 0.0
+    patience_s: Annotated[float, Bounds(ge=0, le=36_000)] = 0.0
+    allowed_regions: list[str] = field(default_factory=list)
 
     @property
     def repeatable(self) -> bool:
@@ -252,7 +253,7 @@
 
 
 @register_entry_kind("upstream")
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class UpstreamEntry(Entry):
     """Describe one upstream.
 
@@ -290,17 +291,17 @@
     """
 
     pool: EntryName
-    version: Annotated[str, Field(min_length=1, max_length=100)]
-    host: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$"), AfterValidator(check_ip_address)]
-    port: Annotated[int, Field(ge=1, le=65_535)]
+    version: Annotated[str, Bounds(min_length=1, max_length=100)]
+    host: Annotated[str, Bounds(pattern=r"^[0-9a-fA-F.:]+$"), Checked(check_ip_address)]
+    port: Annotated[int, Bounds(ge=1, le=65_535)]
     data_centre: EntryName
-    slots: Annotated[int, Field(ge=1, le=10_000)] = 16
-    tokens_per_s: Annotated[float, Field(gt=0, le=10_000_000)] = 1_000.0
+    slots: Annotated[int, Bounds(ge=1, le=10_000)] = 16
+    tokens_per_s: Annotated[float, Bounds(gt=0, le=10_000_000)] = 1_000.0
     checks_fencing: bool = False
     refusal_not_run: bool = False
     state: UpstreamState = UpstreamState.LIVE
-    incarnation: Annotated[int, Field(ge=0, le=MAX_INCARNATION)] = 0
-    cold_s: Annotated[float, Field(ge=0)] | None = None
+    incarnation: Annotated[int, Bounds(ge=0, le=MAX_INCARNATION)] = 0
+    cold_s: Annotated[float, Bounds(ge=0)] | None = None
     revision: int = 0
     region: str = ""
 
@@ -318,7 +319,7 @@
 
 
 @register_entry_kind("move")
-@dataclass(slots=True, config=ENTRY_CONFIG, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class MoveEntry(Entry):
     """Describe a move: the gradual shift of a pool's traffic from one version to another.
 
@@ -337,8 +338,8 @@
     pool: EntryName
     from_version: str
     to_version: str
-    starts_at: Annotated[float, Field(ge=0)]
-    done_by: Annotated[float, Field(ge=0)]
+    starts_at: Annotated[float, Bounds(ge=0)]
+    done_by: Annotated[float, Bounds(ge=0)]
     state: MoveState = MoveState.RUNNING
 
 
@@ -358,6 +359,8 @@
         If the kind is unknown or a field is invalid. The message has one line per invalid field,
         with its path, the fault and the allowed range.
     """
+    from pydantic import TypeAdapter, ValidationError
+
     cls = ENTRY_KINDS.get(kind)
     if cls is None:
         known = ", ".join(sorted(ENTRY_KINDS))
@@ -382,6 +385,8 @@
 
     The fields of `LATER_FIELDS` are left out where they have their defaults.
     """
+    from pydantic import TypeAdapter
+
     doc: dict[str, Any] = TypeAdapter(type(entry)).dump_python(entry, mode="json")
     for name, default in LATER_FIELDS.items():
         if name in doc and doc[name] in (default, None):
--- a/tarragonwind/field_ranges.py
+++ b/tarragonwind/field_ranges.py
@@ -7,8 +7,6 @@
 import typing
 from typing import Any
 
-from pydantic.fields import FieldInfo
-
 _CONSTRAINTS = ("ge", "gt", "le", "lt", "min_length", "max_length", "pattern")
 
 
@@ -18,7 +16,7 @@
     Parameters
     ----------
     hint : type
-        Type hint, optionally ``Annotated`` with pydantic constraints.
+        Type hint, optionally ``Annotated`` with `tarragonwind.checked_records.Bounds`.
     """
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return " or ".join(str(member.value) for member in hint)
@@ -29,7 +27,7 @@
         return " or ".join(describe_allowed(part) for part in typing.get_args(base))
     if base is bool:
         return "true or false"
-    descriptions = [extra.description for extra in extras if isinstance(extra, FieldInfo)]
+    descriptions = [getattr(extra, "description", "") for extra in extras]
     for description in descriptions:
         if description:
             return description
@@ -43,11 +41,10 @@
 def _collect_bounds(extras: list[Any]) -> dict[str, Any]:
     bounds: dict[str, Any] = {}
     for extra in extras:
-        for constraint in getattr(extra, "metadata", ()):
-            for name in _CONSTRAINTS:
-                value = getattr(constraint, name, None)
-                if value is not None:
-                    bounds[name] = value
+        for name in _CONSTRAINTS:
+            value = getattr(extra, name, None)
+            if value is not None:
+                bounds[name] = value
     return bounds
 
 
--- a/tarragonwind/platform/configurations.py
+++ b/tarragonwind/platform/configurations.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from loguru import logger
-from pydantic import ValidationError
 
 from tarragonwind.core.configurations import CallerLimits, Configuration
 from tarragonwind.core.entries import (
@@ -17,7 +16,6 @@
     PoolEntry,
     PoolShare,
     RouteEntry,
-    format_validation_error,
 )
 from tarragonwind.platform.fields import (
     parse_json_object,
@@ -69,9 +67,8 @@
             try:
                 entries.append(decode(part))
             except Exception as exc:
-                why = format_validation_error(exc) if isinstance(exc, ValidationError) else str(exc)
                 logger.error(
-                    "event=entry_unreadable version={} list={} why={!r}", version, name, why
+                    "event=entry_unreadable version={} list={} why={!r}", version, name, str(exc)
                 )
     if "tenants" not in doc:
         # Without a list of organisations, requests carry no token, so every route is public.
--- a/tarragonwind/platform/upstreams.py
+++ b/tarragonwind/platform/upstreams.py
@@ -6,8 +6,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from pydantic import ValidationError
-
+from tarragonwind.checked_records import FieldError
 from tarragonwind.core.entries import UpstreamEntry, UpstreamState
 from tarragonwind.platform.addresses import parse_address
 from tarragonwind.platform.fields import (
@@ -81,5 +80,5 @@
             incarnation=read_field(doc, "born", int) if "born" in doc else 0,
             cold_s=read_cold_s(doc),
         )
-    except ValidationError as exc:
-        raise DecodeError(f"{exc.error_count()} fields are out of range") from exc
+    except FieldError as exc:
+        raise DecodeError(f"{exc.count} fields are out of range") from exc
--- a/tarragonwind/records.py
+++ b/tarragonwind/records.py
@@ -18,7 +18,7 @@
 
 @dataclass_transform(field_specifiers=(dataclasses.field,))
 def dataclass(
-    *, slots: bool = True, frozen: bool = False, eq: bool = True
+    *, slots: bool = True, frozen: bool = False, eq: bool = True, kw_only: bool = False
 ) -> Callable[[ClassT], ClassT]:
     """Return a decorator that makes a class a dataclass with slots.
 
@@ -30,12 +30,14 @@
         Whether instances are hashed by their values, as they aren't changed.
     eq : bool
         Whether instances are compared by their values.
+    kw_only : bool
+        Whether the fields are given by name only.
     """
     if not slots:
         raise ValueError("slots must be True")
 
     def decorate(cls: ClassT) -> ClassT:
-        made: Any = dataclasses.dataclass(slots=True, eq=False, repr=False)(cls)
+        made: Any = dataclasses.dataclass(slots=True, eq=False, repr=False, kw_only=kw_only)(cls)
         names = tuple(field.name for field in dataclasses.fields(made))
         if "__repr__" not in cls.__dict__:
             made.__repr__ = _create_repr(names)
--- a/tarragonwind/settings.py
+++ b/tarragonwind/settings.py
@@ -6,33 +6,30 @@
 from dataclasses import field
 from typing import Annotated
 
-from pydantic import AfterValidator, ConfigDict, Field
-from pydantic.dataclasses import dataclass
-
+from tarragonwind.checked_records import Bounds, Checked, CheckedRecord
 from tarragonwind.core.ip_addresses import check_ip_address
 from tarragonwind.ports import Address
-
-SECTION_CONFIG = ConfigDict(extra="forbid", defer_build=True)
+from tarragonwind.records import dataclass
 
 
 def _check_optional_ip(value: str) -> str:
     return check_ip_address(value) if value else value
 
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-IpAddress = Annotated[str, AfterValidator(check_ip_address), Field(description="an IP address")]
+Name = Annotated[str, Bounds(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+IpAddress = Annotated[str, Checked(check_ip_address), Bounds(description="an IP address")]
 OptionalIp = Annotated[
-    str, AfterValidator(_check_optional_ip), Field(description="an IP address, or empty")
+    str, Checked(_check_optional_ip), Bounds(description="an IP address, or empty")
 ]
-Port = Annotated[int, Field(strict=True, ge=1, le=65_535)]
-OptionalPort = Annotated[int, Field(strict=True, ge=0, le=65_535)]
-ShortSeconds = Annotated[float, Field(strict=True, ge=0.01, le=60)]
-LongSeconds = Annotated[float, Field(strict=True, ge=0.1, le=3_600)]
-Count = Annotated[int, Field(strict=True, ge=1, le=1_000_000)]
-Fraction = Annotated[float, Field(strict=True, ge=0, le=1)]
-Flag = Annotated[bool, Field(strict=True)]
-Text = Annotated[str, Field(max_length=4_096)]
-Url = Annotated[str, Field(pattern=r"^(https?://[^\s]+)?$")]
+Port = Annotated[int, Bounds(strict=True, ge=1, le=65_535)]
+OptionalPort = Annotated[int, Bounds(strict=True, ge=0, le=65_535)]
+ShortSeconds = Annotated[float, Bounds(strict=True, ge=0.01, le=60)]
+LongSeconds = Annotated[float, Bounds(strict=True, ge=0.1, le=3_600)]
+Count = Annotated[int, Bounds(strict=True, ge=1, le=1_000_000)]
+Fraction = Annotated[float, Bounds(strict=True, ge=0, le=1)]
+Flag = Annotated[bool, Bounds(strict=True)]
+Text = Annotated[str, Bounds(max_length=4_096)]
+Url = Annotated[str, Bounds(pattern=r"^(https?://[^\s]+)?$")]
 
 
 class StoreBackend(enum.Enum):
@@ -59,8 +56,8 @@
     BARE = "bare"
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class HostSettings:
+@dataclass(slots=True, kw_only=True)
+class HostSettings(CheckedRecord):
     """Identify this host.
 
     Attributes
@@ -78,12 +75,12 @@
 
     name: Name
     data_centre: Name
-    cores: Annotated[float, Field(gt=0, le=1_000)] = 1.0
+    cores: Annotated[float, Bounds(gt=0, le=1_000)] = 1.0
     regions: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class CallerSettings:
+@dataclass(slots=True, kw_only=True)
+class CallerSettings(CheckedRecord):
     """Configure the caller listener and limit what callers may send.
 
     Attributes
@@ -108,19 +105,19 @@
 
     listen_host: IpAddress = "127.0.0.1"
     listen_port: Port = 8080
-    max_header_bytes: Annotated[int, Field(strict=True, ge=1_024, le=1_048_576)] = 32_768
-    max_body_bytes: Annotated[int, Field(strict=True, ge=1_024, le=67_108_864)] = 4_194_304
+    max_header_bytes: Annotated[int, Bounds(strict=True, ge=1_024, le=1_048_576)] = 32_768
+    max_body_bytes: Annotated[int, Bounds(strict=True, ge=1_024, le=67_108_864)] = 4_194_304
     header_timeout_s: LongSeconds = 10.0
     body_timeout_s: LongSeconds = 30.0
     idle_timeout_s: LongSeconds = 60.0
     max_connections: Count = 10_000
-    address_share: Annotated[float, Field(strict=True, gt=0, le=1)] = 0.75
-    min_bytes_per_second: Annotated[float, Field(strict=True, ge=0, le=1_000_000)] = 1_024.0
+    address_share: Annotated[float, Bounds(strict=True, gt=0, le=1)] = 0.75
+    min_bytes_per_second: Annotated[float, Bounds(strict=True, ge=0, le=1_000_000)] = 1_024.0
     congestion_timeout_s: LongSeconds = 4.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class SeedSettings:
+@dataclass(slots=True, kw_only=True)
+class SeedSettings(CheckedRecord):
     """Configure a seed host, contacted at start to join the fleet.
 
     Attributes
@@ -140,8 +137,8 @@
         return Address(self.host, self.port)
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class PeerSettings:
+@dataclass(slots=True, kw_only=True)
+class PeerSettings(CheckedRecord):
     """Configure the transport between hosts.
 
     Attributes
@@ -170,8 +167,8 @@
         return Address(self.advertised_host or self.listen_host, self.listen_port)
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class OperatorSettings:
+@dataclass(slots=True, kw_only=True)
+class OperatorSettings(CheckedRecord):
     """Configure the operator API, which also serves health checks to the balancer.
 
     Attributes
@@ -191,13 +188,13 @@
     listen_host: IpAddress = "127.0.0.1"
     listen_port: Port = 7401
     token_file: Text = ""
-    max_body_bytes: Annotated[int, Field(strict=True, ge=1_024, le=16_777_216)] = 4_194_304
-    max_connections: Annotated[int, Field(strict=True, ge=1, le=1_000)] = 64
+    max_body_bytes: Annotated[int, Bounds(strict=True, ge=1_024, le=16_777_216)] = 4_194_304
+    max_connections: Annotated[int, Bounds(strict=True, ge=1, le=1_000)] = 64
     request_timeout_s: ShortSeconds = 5.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class StatusSettings:
+@dataclass(slots=True, kw_only=True)
+class StatusSettings(CheckedRecord):
     """Configure the separate listeners for readiness checks and for metrics in text format.
 
     Attributes
@@ -214,8 +211,8 @@
     metrics_port: OptionalPort = 0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class RetrySettings:
+@dataclass(slots=True, kw_only=True)
+class RetrySettings(CheckedRecord):
     """Limit retries to a pool, summed over all hosts.
 
     Attributes
@@ -230,11 +227,11 @@
 
     ratio: Fraction = 0.2
     window_s: LongSeconds = 10.0
-    allowance: Annotated[float, Field(ge=0, le=1_000_000)] = 10.0
+    allowance: Annotated[float, Bounds(ge=0, le=1_000_000)] = 10.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class AllotmentSettings:
+@dataclass(slots=True, kw_only=True)
+class AllotmentSettings(CheckedRecord):
     """Configure how the token allotments of organisations are counted.
 
     Attributes
@@ -249,11 +246,11 @@
 
     window_s: LongSeconds = 8.0
     overage: Fraction = 0.0
-    slack_tokens: Annotated[float, Field(ge=0, le=1_000_000_000)] = 0.0
+    slack_tokens: Annotated[float, Bounds(ge=0, le=1_000_000_000)] = 0.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class EndpointSettings:
+@dataclass(slots=True, kw_only=True)
+class EndpointSettings(CheckedRecord):
     """Configure one endpoint of the key-value service.
 
     Attributes
@@ -270,8 +267,8 @@
         return Address(self.host, self.port)
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class StoreSettings:
+@dataclass(slots=True, kw_only=True)
+class StoreSettings(CheckedRecord):
     """Configure the store that persists the catalogue and other durable state.
 
     Attributes
@@ -289,11 +286,11 @@
     backend: StoreBackend = StoreBackend.MEMORY
     endpoints: list[EndpointSettings] = field(default_factory=list)
     timeout_s: ShortSeconds = 2.0
-    prefix: Annotated[str, Field(pattern=r"^/([a-z0-9/_.-]{0,100}/)?$")] = "/tarragonwind/"
+    prefix: Annotated[str, Bounds(pattern=r"^/([a-z0-9/_.-]{0,100}/)?$")] = "/tarragonwind/"
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class HostListSettings:
+@dataclass(slots=True, kw_only=True)
+class HostListSettings(CheckedRecord):
     """Configure where the platform's list of hosts is read.
 
     Attributes
@@ -313,8 +310,8 @@
         return Address(self.host, self.port) if self.host else None
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class WeightSettings:
+@dataclass(slots=True, kw_only=True)
+class WeightSettings(CheckedRecord):
     """Configure access to the platform's store of model weights.
 
     Attributes
@@ -330,15 +327,15 @@
     host: OptionalIp = ""
     port: OptionalPort = 0
     timeout_s: ShortSeconds = 5.0
-    loads_per_second: Annotated[float, Field(strict=True, gt=0, le=1_000)] = 1.0
+    loads_per_second: Annotated[float, Bounds(strict=True, gt=0, le=1_000)] = 1.0
 
     def address(self) -> Address | None:
         """Return the store's address, or None when there is none."""
         return Address(self.host, self.port) if self.host else None
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class UpstreamSettings:
+@dataclass(slots=True, kw_only=True)
+class UpstreamSettings(CheckedRecord):
     """Configure timeouts and connection reuse towards upstreams.
 
     Attributes
@@ -367,14 +364,14 @@
     tunnel_port: OptionalPort = 0
     first_byte_timeout_s: LongSeconds = 120.0
     idle_timeout_s: LongSeconds = 60.0
-    kept_connections: Annotated[int, Field(strict=True, ge=0, le=1_000)] = 32
-    cold_overage: Annotated[float, Field(strict=True, ge=0, le=10)] = 1.5
-    cold_slack: Annotated[float, Field(strict=True, ge=0, le=1_000)] = 5.0
-    evacuate_s: Annotated[float, Field(strict=True, ge=0.1)] = 5.0
+    kept_connections: Annotated[int, Bounds(strict=True, ge=0, le=1_000)] = 32
+    cold_overage: Annotated[float, Bounds(strict=True, ge=0, le=10)] = 1.5
+    cold_slack: Annotated[float, Bounds(strict=True, ge=0, le=1_000)] = 5.0
+    evacuate_s: Annotated[float, Bounds(strict=True, ge=0.1)] = 5.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class StopSettings:
+@dataclass(slots=True, kw_only=True)
+class StopSettings(CheckedRecord):
     """Configure the graceful shutdown.
 
     Attributes
@@ -385,12 +382,12 @@
         Time allowed after the notice for requests in progress to end, in seconds.
     """
 
-    notice_s: Annotated[float, Field(strict=True, ge=0, le=60)] = 2.0
+    notice_s: Annotated[float, Bounds(strict=True, ge=0, le=60)] = 2.0
     grace_s: LongSeconds = 120.0
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class TelemetrySettings:
+@dataclass(slots=True, kw_only=True)
+class TelemetrySettings(CheckedRecord):
     """Configure the sampling and the export of metrics and traces.
 
     Attributes
@@ -414,11 +411,11 @@
     trace_fraction: Fraction = 0.01
     export_period_s: LongSeconds = 10.0
     export_timeout_s: ShortSeconds = 2.0
-    max_queued_spans: Annotated[int, Field(strict=True, ge=64, le=65_536)] = 2_048
+    max_queued_spans: Annotated[int, Bounds(strict=True, ge=64, le=65_536)] = 2_048
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class LogSettings:
+@dataclass(slots=True, kw_only=True)
+class LogSettings(CheckedRecord):
     """Configure the log.
 
     Attributes
@@ -433,8 +430,8 @@
     format: LogFormat = LogFormat.TIMED
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class LimitSettings:
+@dataclass(slots=True, kw_only=True)
+class LimitSettings(CheckedRecord):
     """Limit the requests waiting and in progress on this host.
 
     Attributes
@@ -450,17 +447,17 @@
     """
 
     max_waiting_requests: Count = 10_000
-    max_waiting_bytes: Annotated[int, Field(strict=True, ge=1_048_576, le=1_073_741_824)] = (
+    max_waiting_bytes: Annotated[int, Bounds(strict=True, ge=1_048_576, le=1_073_741_824)] = (
         67_108_864
     )
     max_in_progress: Count = 10_000
-    memory_bytes: Annotated[int, Field(strict=True, ge=134_217_728, le=1_099_511_627_776)] = (
+    memory_bytes: Annotated[int, Bounds(strict=True, ge=134_217_728, le=1_099_511_627_776)] = (
         200_000_000
     )
 
 
-@dataclass(slots=True, config=SECTION_CONFIG, kw_only=True)
-class Settings:
+@dataclass(slots=True, kw_only=True)
+class Settings(CheckedRecord):
     """Configure one daemon.
 
     Attributes
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -56,3 +56,11 @@
     )
     assert result.returncode != -signal.SIGHUP
     assert "/nonexistent/settings.json" in result.stderr
+
+
+def test_the_start_does_not_import_pydantic(tmp_path):
+    """Guards against a return after a loss of power that a third of each start makes longer."""
+    module = tmp_path / "pydantic.py"
+    module.write_text("raise RuntimeError('imported')\n")
+    code = START.format(path=[str(tmp_path), *sys.path])
+    subprocess.run([sys.executable, "-c", code], timeout=60, check=True)
