Let a new version in doubt clear itself by what it does from the begin of the doubt on

Cause: all outcomes of the step count for the doubt. The slow ones of its first moments are outweighed only by two or three times as many good ones, which come ten times as slowly now. Each further doubt at the step takes twice as many. Suspicion, rollback, the next step and the end are judged by all outcomes, as before.

Red before: the first test of tests/test_move_doubts.py (12 of 20 first bytes slow just after the step, then none of 8). Versions that stay slow in 3 of 8 stay in doubt.

--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -11,6 +11,7 @@
 from tarragonwind.core.evidence import (
     ERROR_SIGNALS,
     Cell,
+    Cells,
     LoadLevel,
     MergedEvidence,
     Side,
@@ -19,6 +20,7 @@
 )
 from tarragonwind.core.move_capacities import CapacityWatch
 from tarragonwind.core.move_completions import SETTLE_S, OldVersionUse
+from tarragonwind.core.move_doubts import DoubtWindow
 from tarragonwind.core.move_messages import MoveReport
 from tarragonwind.core.move_steps import (
     COMPLETE_STEP,
@@ -169,6 +171,7 @@
     __slots__ = (
         "_changed",
         "_detector",
+        "_doubt_window",
         "_evaluated_at",
         "_reports",
         "_valid_from",
@@ -200,6 +203,7 @@
         period_s = max(MIN_RESTART_S, RESTART_FRACTION * duration_s(move))
         expected = math.ceil(duration_s(move) / period_s)
         self._detector = LateRegressionDetector(move.starts_at, period_s, expected)
+        self._doubt_window = DoubtWindow()
         self._reports: dict[str, HostReport] = {}
         self._evaluated_at = now
         self._valid_from = 0.0
@@ -242,7 +246,7 @@
         self.finding = self._find(now)
         if self.finding.excess >= 0.0:
             self.take_back(self.finding.why)
-        self.doubt = self._doubt(self.step)
+        self.doubt = self._current_doubt()
 
     def _find(self, now: float) -> Finding:
         totals = self.evidence.totals
@@ -378,20 +382,29 @@
                 total += max(cell.finished, cell.first_byte_trials)
         return total
 
-    def _pairs(self, signal: Signal, steps: Iterable[int]) -> list[Pair]:
+    def _pairs(
+        self, signal: Signal, steps: Iterable[int], totals: Cells | None = None
+    ) -> list[Pair]:
         """Return a signal's tallies as one pair for each step and load level."""
         pairs = []
         for step in steps:
             for level in LoadLevel:
-                new = self._sum(step, Side.NEW, level, level).tally(signal)
-                old = self._sum(step, Side.OLD, level, level).tally(signal)
+                new = self._sum(step, Side.NEW, level, level, totals).tally(signal)
+                old = self._sum(step, Side.OLD, level, level, totals).tally(signal)
                 if new.trials and old.trials:
                     pairs.append(Pair(new, old))
         return pairs
 
-    def _sum(self, step: int, side: Side, lowest: LoadLevel, highest: LoadLevel) -> Cell:
+    def _sum(
+        self,
+        step: int,
+        side: Side,
+        lowest: LoadLevel,
+        highest: LoadLevel,
+        totals: Cells | None = None,
+    ) -> Cell:
         total = Cell()
-        for key, cell in self.evidence.totals.items():
+        for key, cell in (self.evidence.totals if totals is None else totals).items():
             if key.step == step and key.side is side and lowest <= key.level <= highest:
                 total = total.plus(cell)
         return total
@@ -402,35 +415,55 @@
             return f"under suspicion: {self.finding.why}"
         return self._worse_signal(step)
 
-    def _worse_signal(self, step: int) -> str:
-        """Return which signal is worse than a step's margin allows, empty if none is."""
+    def _current_doubt(self) -> str:
+        """Return why the new version seems worse than its own step allows, empty if it does not."""
+        if self.is_suspect():
+            return f"under suspicion: {self.finding.why}"
+
+        def worse_signal(cells: Cells, clearness: float) -> str:
+            return self._worse_signal(self.step, cells, clearness)
+
+        return self._doubt_window.find(self.step, self.evidence.totals, worse_signal)
+
+    def _worse_signal(self, step: int, cells: Cells | None = None, clearness: float = 1.0) -> str:
+        """Return which signal is worse than a step's margin allows, empty if none is.
+
+        Parameters
+        ----------
+        step : int
+            Step whose margin holds.
+        cells : Cells, optional
+            Outcomes that count, all by default.
+        clearness : float
+            Factor of the standard errors by which an excess must stand out.
+        """
+        totals = self.evidence.totals if cells is None else cells
         for signal in Signal:
             is_answered = signal is not Signal.UNANSWERED
             std_errors = DOUBT_STD_ERRORS if is_answered else UNANSWERED_DOUBT_STD_ERRORS
-            comparisons = self._comparisons(signal)
-            excess = max(excess_lower_bound(pairs, std_errors) for pairs in comparisons)
+            comparisons = self._comparisons(signal, totals)
+            excess = max(excess_lower_bound(pairs, clearness * std_errors) for pairs in comparisons)
             if excess > noninferiority_margin(signal, step):
                 return f"in doubt: {signal.name.lower()} higher by {excess:.3f} or more"
         return ""
 
-    def _comparisons(self, signal: Signal) -> list[list[Pair]]:
+    def _comparisons(self, signal: Signal, totals: Cells) -> list[list[Pair]]:
         """Return the pairs over all steps, over this step, and of this step against history."""
-        comparisons = [self._pairs(signal, range(FIRST_STEP, self.step + 1))]
-        comparisons.append(self._pairs(signal, [self.step]))
-        totals = self.evidence.totals
+        comparisons = [self._pairs(signal, range(FIRST_STEP, self.step + 1), totals)]
+        comparisons.append(self._pairs(signal, [self.step], totals))
         is_uncontrolled = self.step > LAST_CONTROLLED_STEP
         if is_uncontrolled or not may_be_shared_regression(totals, self.step, signal):
-            comparisons.append(self._pairs_vs_history(signal))
+            comparisons.append(self._pairs_vs_history(signal, totals))
         return comparisons
 
-    def _pairs_vs_history(self, signal: Signal) -> list[Pair]:
+    def _pairs_vs_history(self, signal: Signal, totals: Cells) -> list[Pair]:
         """Return this step's new version paired with the old version over all steps."""
         pairs = []
         for level in LoadLevel:
-            new = self._sum(self.step, Side.NEW, level, level).tally(signal)
+            new = self._sum(self.step, Side.NEW, level, level, totals).tally(signal)
             old = Tally(0, 0)
             for step in range(FIRST_STEP, self.step + 1):
-                old = old + self._sum(step, Side.OLD, level, level).tally(signal)
+                old = old + self._sum(step, Side.OLD, level, level, totals).tally(signal)
             if new.trials and old.trials:
                 pairs.append(Pair(new, old))
         return pairs
--- a/tarragonwind/core/regression_detectors.py
+++ b/tarragonwind/core/regression_detectors.py
@@ -307,7 +307,7 @@
         return best
 
     def _find_since(self, restart: Restart, recent: Cells, cells: Cells) -> Finding:
-        window = _subtract(recent, restart.cells)
+        window = subtract_cells(recent, restart.cells)
         alpha = restart_alpha(REGRESSION_ALPHA / 4.0, restart.number, self._expected)
         best = find_regression(window, alpha, REGRESSION_MARGINS)
         if self._step >= LAST_CONTROLLED_STEP:
@@ -327,7 +327,7 @@
         self._restarts = sorted(kept.values(), key=lambda restart: restart.number)
 
 
-def _subtract(cells: Cells, earlier: Cells) -> Cells:
+def subtract_cells(cells: Cells, earlier: Cells) -> Cells:
     """Return the counts added to cells since an earlier snapshot."""
     changes: dict[CellKey, Cell] = {}
     for key, cell in cells.items():
