Leave out of the answer to a host's view the records that it has just sent

A host that sent its whole view got the whole view of the other back; after a common start of 195 hosts each sends 17 such messages, most of which tell nothing new. The answer has the records that the sender lacks or has in another state.

The tests of the membership with loss, partitions and pauses pass.

--- a/tarragonwind/core/membership_builders.py
+++ b/tarragonwind/core/membership_builders.py
@@ -68,13 +68,22 @@
         """Return a push of the daemon's own record only, sent before the process exits."""
         return Push([pack_member(self._view.own)], [])
 
-    def sync(self, trusted: bool, answer: bool, buckets: Collection[int] = ()) -> Sync:
+    def sync(
+        self,
+        trusted: bool,
+        answer: bool,
+        buckets: Collection[int] = (),
+        known: Collection[str] = (),
+    ) -> Sync:
         """Return the records of the given buckets, or of all if there are none.
 
-        An untrusted daemon, which may be isolated, omits dead members.
+        An untrusted daemon, which may be isolated, omits dead members. Those whose records the
+        receiver is known to have are left out too.
         """
         records = []
         for member in self._view.in_buckets(buckets or range(BUCKET_COUNT)):
+            if member.name in known:
+                continue
             if member.health is not Health.DEAD or trusted:
                 records.append(self._view.record(member.name))
         return Sync(records, list(buckets), answer, trusted)
--- a/tarragonwind/core/memberships.py
+++ b/tarragonwind/core/memberships.py
@@ -423,7 +423,8 @@
         self._mismatches = 0
         if msg.answer:
             buckets = check_buckets(msg.buckets)
-            self._send(sender, self._build.sync(self._is_trusted(), False, buckets))
+            known = {record[0] for record in msg.records if self.view.has_record(record)}
+            self._send(sender, self._build.sync(self._is_trusted(), False, buckets, known))
         else:
             self.stale = False
 
--- a/tests/test_work_by_fleet_size.py
+++ b/tests/test_work_by_fleet_size.py
@@ -174,3 +174,18 @@
         return count_instructions(core.neighbours)
 
     assert_flat(measure, SIZES[1:])
+
+
+def test_the_answer_to_a_host_with_the_same_view_has_only_what_it_lacks():
+    """Guards against whole views that are sent back to the host that has just sent them."""
+
+    def answered_records(size):
+        core = MembershipCore(create_member("h000"), random.Random(1), 0.0)
+        records = [pack_member(create_member(name)) for name in names_of(size)[1:]]
+        core.on_message(0.0, "h001", Sync(records, [], False, True))
+        core.take_outbox()
+        core.on_message(0.1, "h002", Sync([*records[1:], pack_member(core.own)], [], True, True))
+        answers = [one.msg for one in core.take_outbox() if isinstance(one.msg, Sync)]
+        return sorted(record[0] for record in answers[0].records)
+
+    assert [answered_records(size) for size in SIZES] == [["h000", "h001"]] * len(SIZES)
