--- a/bench/fleet_costs.py
+++ b/bench/fleet_costs.py
@@ -16,7 +16,8 @@
 import fire
 from loguru import logger
 
-from bench.simulated_fleets import SimulatedFleet, SimulatedHost
+from bench.simulated_fleets import SimulatedFleet
+from bench.simulated_hosts import SimulatedHost
 from bench.work_meters import Work
 from tarragonwind.core.permit_requests import Permit
 from tarragonwind.errors import RequestError
@@ -116,12 +117,14 @@
     def refused(_exc: RequestError) -> None:
         """Let the caller go."""
 
-    host.work("request", 0.0, lambda: fleet.request(host, granted, refused))
+    host.work("request", host.costs.request_s, lambda: fleet.request(host, granted, refused))
 
 
 def finish(fleet: SimulatedFleet, host: SimulatedHost, permit: Permit) -> None:
     """End a request."""
-    host.work("end of a request", 0.0, lambda: fleet.finish(host, permit, REQUEST_S))
+    host.work(
+        "end of a request", host.costs.finish_s, lambda: fleet.finish(host, permit, REQUEST_S)
+    )
 
 
 def measure_imports() -> float:
--- a/tests/returning_fleets.py
+++ b/tests/returning_fleets.py
@@ -68,9 +68,16 @@
 class ReturningFleet:
     """Send requests to random hosts of a fleet, and lose and return its hosts."""
 
-    def __init__(self, size, seed):
+    def __init__(self, size, seed, share=None):
         self.rng = random.Random(seed)
-        self.fleet = SimulatedFleet(size, seed, engine_count=max(8, size), slots=4)
+        self.fleet = SimulatedFleet(
+            size,
+            seed,
+            engine_count=max(8, size),
+            slots=4,
+            share=share,
+            has_processors=share is not None,
+        )
         self.fleet.start_all()
         self.copy = None
         self.fleet.advance(3.0)
@@ -83,13 +90,17 @@
         end = fleet.clock.now() + seconds
         while fleet.clock.now() < end:
             fleet.advance(self.rng.expovariate(REQUESTS_PER_HOST_S * len(fleet.names)))
-            self.ask(fleet.hosts[self.rng.choice(fleet.names)], service)
+            self.send(fleet.hosts[self.rng.choice(fleet.names)], service)
         fleet.advance(TIMELY_S)
         return service
 
-    def ask(self, host, service):
+    def send(self, host, service):
         asked_at = self.fleet.clock.now()
         service.asked += 1
+        if host.alive:
+            host.work("request", host.costs.request_s, lambda: self.ask(host, service, asked_at))
+
+    def ask(self, host, service, asked_at):
         if not host.ready or host.pause_guard.held() is not None:
             return
 
--- a/tests/test_returning_fleets.py
+++ b/tests/test_returning_fleets.py
@@ -23,3 +23,18 @@
     fleet.load_until(back_at + RETURN_S)
     after = fleet.load(2.0)
     assert after.share() >= SERVED_SHARE, (order, after)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("share", [0.12, 0.05])
+def test_hosts_with_little_of_a_processor_serve_again_soon_after_their_starts(seed, share):
+    """Guards against hosts that take the work of their return for pauses, again and again."""
+    fleet = ReturningFleet(18, seed, share)
+    start_s = fleet.fleet.costs.start_s / share
+    fleet.fleet.advance(start_s)
+    assert fleet.load(1.0).share() >= SERVED_SHARE
+    order = draw_order(random.Random(seed))
+    back_at = fleet.play(order)
+    fleet.load_until(back_at + start_s + RETURN_S)
+    after = fleet.load(2.0)
+    assert after.share() >= SERVED_SHARE, (order, after)
