--- a/tests/test_withheld_dispatches.py
+++ b/tests/test_withheld_dispatches.py
@@ -71,6 +71,7 @@
 
     def run(self):
         response, conn = self.harness.post(chat())
+        response.read()
         self.status = response.status
         conn.close()
 
