Split what a caller's connection waits for, reserves and asks of its server from the connection itself

How long idle connections stay open (connection_times.py), the room of a body (body_reservations.py), whether a caller reads (send_progress.py) and what a connection needs of its server (connection_servers.py) have modules of their own.

--- a/tarragonwind/adapters/caller_connections.py
+++ b/tarragonwind/adapters/caller_connections.py
@@ -3,71 +3,44 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 from loguru import logger
 
+from tarragonwind.adapters.body_reservations import BODY_COPIES, room_for_body
 from tarragonwind.adapters.caller_exchanges import CallerExchange
+from tarragonwind.adapters.connection_servers import ConnectionServer
+from tarragonwind.adapters.connection_times import (
+    FIRST_REQUEST_S,
+    KEPT_S,
+    STOPPED_S,
+)
 from tarragonwind.adapters.connections import READ_CHUNK_BYTES, Connection, ConnectionEvents
 from tarragonwind.adapters.http_requests import (
     RATE_PERIOD_S,
     CallerRequest,
-    HttpLimits,
     ReadPhase,
 )
-from tarragonwind.adapters.loops import Loop
-from tarragonwind.adapters.memory_guards import MemoryGuard
 from tarragonwind.adapters.request_parsers import RequestParser
+from tarragonwind.adapters.send_progress import SendProgress
 from tarragonwind.core.memory_accounts import Stage
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.ports import Address, Timer
 
 MEMORY_RETRY_S = 1.0
 """Time after which a caller may repeat a request that there was no memory for, in seconds."""
-BODY_COPIES = 2
-"""Copies of a body that are held at a time: the caller's, and the one that is sent upstream."""
-CHUNKED_STEP_BYTES = 256 * 1024
-"""Room that is reserved at a time for a body of unknown length, in bytes."""
 SMALL_READ_BYTES = 4 * 1024
 """Size of a read from a body in small chunks: parsing 64 KiB of chunks of one byte takes 5 ms."""
 UNCHARGED_BYTES = 4 * 1024
 """Largest request that the charge of its connection covers."""
-STOPPED_S = 0.05
-"""Time without input after which a connection within a head, or without one, may be closed for
-others where there are too many, in seconds; a crowd would keep others out for longer ones."""
-KEPT_S = 2.0
-"""The same for a connection that is kept between two requests, in seconds."""
-FIRST_REQUEST_S = 0.25
-"""Time that a new connection has for its first request once the server stops, in seconds."""
 
 STAGES = {ReadPhase.IDLE: Stage.IDLE, ReadPhase.HEAD: Stage.HEAD, ReadPhase.BODY: Stage.BODY}
 
 
-class ConnectionServer(Protocol):
-    """Provide what a connection needs of the server that accepted it."""
-
-    loop: Loop
-    limits: HttpLimits
-    on_request: Callable[[CallerExchange], None]
-    on_request_error: Callable[[CallerExchange, RequestError], None]
-    check_head: Callable[[CallerRequest], RequestError | None]
-    memory: MemoryGuard
-    stopping: bool
-
-    def remove_connection(self, conn: CallerConnection) -> None:
-        """Remove a closed connection."""
-
-    def note_abandoned(self) -> None:
-        """Count a request whose caller had left before it was read."""
-
-
 class CallerConnection(ConnectionEvents):
     """Read requests from one caller's connection and respond to them in order."""
 
     __slots__ = (
-        "_accepted_at",
         "_conn",
         "_current",
         "_error",
@@ -77,29 +50,28 @@
         "_input_ended",
         "_phase",
         "_phase_began",
-        "_progress_at",
+        "_progress",
         "_read_at_check",
         "_requested",
-        "_sent_at_stall_check",
         "_server",
         "_timer",
         "_waiting",
         "peer",
     )
 
-    def __init__(self, server: ConnectionServer, sock: socket.socket, peer: Address) -> None:
+    def __init__(
+        self, server: ConnectionServer[CallerConnection], sock: socket.socket, peer: Address
+    ) -> None:
         self.peer = peer
         self._server = server
         self._parser = RequestParser(server.limits, holds_bodies=True)
         self._current: CallerExchange | None = None
         self._error: RequestError | None = None
         self._timer: Timer | None = None
-        self._sent_at_stall_check = 0
         self._conn = Connection(server.loop, sock, self)
         self._phase = ReadPhase.IDLE
         self._phase_began = 0.0
-        self._progress_at = 0.0
-        self._accepted_at = server.loop.timers.now()
+        self._progress = SendProgress()
         self._requested = False
         self._read_at_check = 0
         self._input_ended = False
@@ -137,8 +109,8 @@
     @property
     def expects_request(self) -> bool:
         """Return whether a request has been received and not read, or the first one is due."""
-        age_s = self._server.loop.timers.now() - self._accepted_at
-        return self._conn.has_input() or (not self._requested and age_s < FIRST_REQUEST_S)
+        idle_s = self._server.loop.timers.now() - self._phase_began
+        return self._conn.has_input() or (not self._requested and idle_s < FIRST_REQUEST_S)
 
     @property
     def eviction(self) -> tuple[int, float] | None:
@@ -211,11 +183,8 @@
 
     def _reserve_body(self) -> bool:
         """Reserve the room that the next bytes of a body need; return whether there is any."""
-        size = self._parser.announced_bytes
-        if size is None:
-            size = self._parser.body_bytes + READ_CHUNK_BYTES
-            size += CHUNKED_STEP_BYTES - size % CHUNKED_STEP_BYTES
-        reserved = BODY_COPIES * min(size, self._server.limits.max_body_bytes)
+        parser, max_bytes = self._parser, self._server.limits.max_body_bytes
+        reserved = room_for_body(parser.announced_bytes, parser.body_bytes, max_bytes)
         if self._parser.has_small_chunks:
             self._conn.read_bytes = SMALL_READ_BYTES
         if reserved <= self._holding.wanted_bytes:
@@ -357,8 +326,7 @@
         elif self.reading:
             self._go_on_reading()
         else:
-            self._progress_at = self._server.loop.timers.now()
-            self._sent_at_stall_check = self._conn.sent_bytes
+            self._progress.restart(self._server.loop.timers.now(), self._conn.sent_bytes)
             self._begin_phase(ReadPhase.IDLE)
 
     def close(self) -> None:
@@ -471,7 +439,7 @@
         if self.reading:
             self._error = RequestError(ErrorKind.REQUEST_TOO_SLOW, "the request came too slowly")
             self._refuse(self._error)
-        elif self._conn.has_input() or self._awaits_caller():
+        elif self._conn.has_input() or self._is_caller_reading():
             # The next request is read after this timer, or can't come yet.
             self._begin_phase(ReadPhase.IDLE)
         else:
@@ -484,24 +452,16 @@
         least = self._server.limits.min_bytes_per_second * RATE_PERIOD_S
         return self._parser.body_bytes - self._read_at_check < least
 
-    def _awaits_caller(self) -> bool:
-        """Return whether the last response is being sent, or its end was since the last call.
-
-        A caller that has stalled is not waited for.
-        """
+    def _is_caller_reading(self) -> bool:
+        """Return whether the caller still reads the last response."""
+        conn, limits = self._conn, self._server.limits
         now = self._server.loop.timers.now()
-        if self._conn.sent_bytes != self._sent_at_stall_check:
-            self._sent_at_stall_check = self._conn.sent_bytes
-            self._progress_at = now
-            return True
-        if not self._conn.unsent:
-            return False
-        return now - self._progress_at < self._server.limits.stall_timeout_s
+        return self._progress.is_reading(now, conn.sent_bytes, conn.unsent, limits.stall_timeout_s)
 
     def _start_stall_timer(self) -> None:
         limits = self._server.limits
         timeout_s = min(limits.stall_timeout_s, limits.congestion_timeout_s)
-        self._sent_at_stall_check = self._conn.sent_bytes
+        self._progress.begin_check(self._conn.sent_bytes)
         self._timer = self._server.loop.timers.call_later(timeout_s, self._check_stall)
 
     def _check_stall(self) -> None:
@@ -511,7 +471,7 @@
         limits = self._server.limits
         timeout_s = min(limits.stall_timeout_s, limits.congestion_timeout_s)
         least = max(1.0, limits.min_bytes_per_second * timeout_s)
-        if self._conn.sent_bytes - self._sent_at_stall_check >= least:
+        if self._progress.since_check(self._conn.sent_bytes) >= least:
             self._start_stall_timer()
             return
         logger.info("event=response_unread peer={} unsent={}", self.peer, self._conn.unsent)
--- a/tarragonwind/adapters/http_servers.py
+++ b/tarragonwind/adapters/http_servers.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from tarragonwind.adapters.caller_connections import FIRST_REQUEST_S, CallerConnection
+from tarragonwind.adapters.caller_connections import CallerConnection
 from tarragonwind.adapters.caller_exchanges import CallerExchange
 from tarragonwind.adapters.http_requests import CallerRequest, HttpLimits
 from tarragonwind.adapters.listeners import Listener
@@ -16,8 +16,6 @@
 from tarragonwind.errors import RequestError
 from tarragonwind.ports import Address
 
-__all__ = ["FIRST_REQUEST_S", "HttpServer"]
-
 EVICTION_BATCH = 16
 """Number of stopped connections that are closed at a time for others; finding them takes a scan."""
 EVICTION_PAUSE_S = 0.02
--- a/tests/test_http_servers.py
+++ b/tests/test_http_servers.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from standins.fleets import wait_until
+from tarragonwind.adapters.connection_times import FIRST_REQUEST_S
 from tarragonwind.adapters.http_requests import HttpLimits
-from tarragonwind.adapters.http_servers import FIRST_REQUEST_S, HttpServer
+from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.adapters.request_parsers import MAX_HEADER_FIELDS, RequestParser
 from tarragonwind.errors import ErrorKind, RequestError
 from tarragonwind.ports import Address
--- a/tests/test_requests_at_a_stop.py
+++ b/tests/test_requests_at_a_stop.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tarragonwind.adapters.http_servers import FIRST_REQUEST_S
+from tarragonwind.adapters.connection_times import FIRST_REQUEST_S
 from tests.support import TOKEN
 from tests.test_gateways import GatewayHarness
 
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -8,6 +8,7 @@
 
 from standins.fleets import FleetError, wait_until
 from tarragonwind.adapters import caller_connections
+from tarragonwind.adapters.connection_times import KEPT_S
 from tarragonwind.adapters.http_requests import HttpLimits
 from tarragonwind.adapters.http_servers import HttpServer
 from tarragonwind.adapters.memory_guards import MemoryGuard
@@ -158,7 +159,7 @@
     for sock in busy:
         sock.sendall(REQUEST)
     wait_until(lambda: len(exchanges) == 2, "both requests have been read")
-    time.sleep(caller_connections.KEPT_S)
+    time.sleep(KEPT_S)
     assert server.connect().recv(10) == b""
     server.runner.call(lambda: [one.answer(200, [], b"ok") for one in exchanges])
     assert all(sock.recv(100).startswith(b"HTTP/1.1 200") for sock in busy)
