Give a kept connection a moment for its next request where a stop was not announced on it

Cause, by the host's log: the host had been stopping for 1.7 s; an answer whose head had gone out before the stop, so that it announced no close, ended, the stop closed the idle connection in the same millisecond, and the caller's next request crossed the close. Only new connections had time for a request. A kept one has 0.1 s now; what is read meanwhile is answered with 'Connection: close', so it happens once.

Red before: the new test of tests/test_requests_at_a_stop.py (no connection was left open).

--- a/tarragonwind/adapters/caller_connections.py
+++ b/tarragonwind/adapters/caller_connections.py
@@ -13,6 +13,7 @@
 from tarragonwind.adapters.connection_times import (
     FIRST_REQUEST_S,
     KEPT_S,
+    NEXT_REQUEST_S,
     STOPPED_S,
 )
 from tarragonwind.adapters.connections import READ_CHUNK_BYTES, Connection, ConnectionEvents
@@ -108,9 +109,13 @@
 
     @property
     def expects_request(self) -> bool:
-        """Return whether a request has been received and not read, or the first one is due."""
+        """Return whether a request has been received and not read, or may be on its way."""
+        if self._conn.has_input():
+            return True
         idle_s = self._server.loop.timers.now() - self._phase_began
-        return self._conn.has_input() or (not self._requested and idle_s < FIRST_REQUEST_S)
+        if not self._requested:
+            return idle_s < FIRST_REQUEST_S
+        return self._server.stopping and idle_s < NEXT_REQUEST_S
 
     @property
     def eviction(self) -> tuple[int, float] | None:
--- a/tarragonwind/adapters/connection_times.py
+++ b/tarragonwind/adapters/connection_times.py
@@ -7,3 +7,6 @@
 """The same for a connection that is kept between two requests, in seconds."""
 FIRST_REQUEST_S = 0.25
 """Time that a new connection has for its first request once the server stops, in seconds."""
+NEXT_REQUEST_S = 0.1
+"""Time that a kept connection has for its next request after an answer that began before the server
+stopped, and so did not announce the close, in seconds."""
--- a/tests/test_requests_at_a_stop.py
+++ b/tests/test_requests_at_a_stop.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tarragonwind.adapters.connection_times import FIRST_REQUEST_S
+from tarragonwind.adapters.connection_times import FIRST_REQUEST_S, NEXT_REQUEST_S
 from tests.support import TOKEN
 from tests.test_gateways import GatewayHarness
 
@@ -85,3 +85,29 @@
     left_open = harness.runner.call(lambda: stop(harness))
     assert left_open == 0
     assert {status_of(sock) for sock in socks} == {b"closed"}
+
+
+def receive_kept_answer(harness):
+    """Return a connection on which an answer that didn't announce a close has just ended."""
+    sock = connect(harness)
+    sock.sendall(REQUEST)
+    answer = sock.recv(65536)
+    assert b"connection: close" not in answer.lower()
+    return sock
+
+
+def test_a_request_right_after_an_answer_that_announced_no_close_is_served(harness):
+    """Guards against a stop that closes a connection on which its caller goes on at once."""
+    sock = receive_kept_answer(harness)
+    assert harness.runner.call(lambda: stop(harness)) == 1
+    time.sleep(NEXT_REQUEST_S / 2)
+    sock.sendall(REQUEST)
+    assert status_of(sock) == b"503"
+
+
+def test_a_kept_connection_without_a_next_request_is_closed_soon(harness):
+    sock = receive_kept_answer(harness)
+    harness.runner.call(lambda: stop(harness))
+    time.sleep(NEXT_REQUEST_S + REST_S)
+    assert harness.runner.call(harness.gateway.close_idle) == 0
+    assert status_of(sock) == b"closed"
