Let the soak test's stopping stand-in sleep in short turns, so that it sees a signal that comes before a sleep

Traced: Python handles a signal that arrives between two instructions and the sleep that follows only when the sleep ends, 60 s later. What the test checks is unchanged.

--- a/tests/test_soak_runs.py
+++ b/tests/test_soak_runs.py
@@ -30,7 +30,9 @@
 import signal, sys, time
 signal.signal(signal.SIGTERM, lambda *_: (time.sleep(0.5), sys.exit()))
 print("up", flush=True)
-time.sleep(60)
+# Short sleeps: a signal that comes just before a sleep is handled after it.
+while True:
+    time.sleep(0.05)
 """
 
 
