Ask a doubt and its clearing as two questions, and count the work of a call without silenced checks

For a newcomer: the doubt's window took a callable with a factor that was 1 or 0; it takes doubt_of and excess_of. Sums of cells name their outcomes instead of taking all by default. tests/work_counters.py passes arguments on, so that no lambda in a loop needs its check silenced. Behaviour is unchanged.

--- a/tarragonwind/adapters/peer_levels.py
+++ b/tarragonwind/adapters/peer_levels.py
@@ -64,7 +64,7 @@
 
     def unknown(self, hosts: Iterable[str]) -> list[str]:
         """Return the hosts whose level is not known from a handshake."""
-        return [host for host in hosts if host not in self._levels and host != self._name]
+        return [host for host in hosts if not self.is_known(host)]
 
     def supports(self, host: str, level: int) -> bool:
         """Return whether the last handshake with a host showed a level or a higher one.
--- a/tarragonwind/core/move_doubts.py
+++ b/tarragonwind/core/move_doubts.py
@@ -17,9 +17,16 @@
 """Outcomes of the new version that clear the first doubt at a step. Each further doubt at the step
 takes twice as many, so that a bad version gains little by good spells."""
 
+FindDoubt = Callable[[Cells], str]
+"""Returns which signal is worse by some outcomes, empty if none is."""
+
 
 class DoubtWindow:
-    """Choose the outcomes that count for the doubt at the step in force."""
+    """Choose the outcomes that count for the doubt at the step in force.
+
+    `_counted_from` are the outcomes of the step before a doubt that was cleared, which count no
+    more, and `_begun_with` those before the doubt in force, None without one.
+    """
 
     __slots__ = ("_begun_with", "_counted_from", "_needed", "_step")
 
@@ -33,7 +40,7 @@
         self._begun_with: Cells | None = None
         self._needed = FIRST_CLEARING_TRIALS
 
-    def find(self, step: int, totals: Cells, worse_signal: Callable[[Cells, float], str]) -> str:
+    def find(self, step: int, totals: Cells, doubt_of: FindDoubt, excess_of: FindDoubt) -> str:
         """Return why the new version is in doubt, empty if it is not.
 
         Parameters
@@ -42,13 +49,15 @@
             Step in force.
         totals : Cells
             All outcomes.
-        worse_signal : callable
-            Returns which signal is worse than the step allows by some outcomes, empty if none is.
-            Its second argument scales how clearly it must be worse: 1 for a doubt, 0 to clear one.
+        doubt_of : callable
+            Returns which signal is clearly worse than the step allows by some outcomes, empty if
+            none is.
+        excess_of : callable
+            The same for a signal that is worse at all, which keeps a doubt from being cleared.
         """
         if step != self._step:
             self._begin_step(step)
-        doubt = worse_signal(self._since(totals, self._counted_from), 1.0)
+        doubt = doubt_of(self._since(totals, self._counted_from))
         if not doubt:
             self._begun_with = None
             return ""
@@ -56,7 +65,7 @@
             self._begun_with = self._of_step(totals)
             return doubt
         since = self._since(totals, self._begun_with)
-        if count_trials(since, step) < self._needed or worse_signal(since, 0.0):
+        if count_trials(since, step) < self._needed or excess_of(since):
             return doubt
         self._counted_from, self._begun_with = self._begun_with, None
         self._needed *= 2
--- a/tarragonwind/core/moves.py
+++ b/tarragonwind/core/moves.py
@@ -382,67 +382,58 @@
                 total += max(cell.finished, cell.first_byte_trials)
         return total
 
-    def _pairs(
-        self, signal: Signal, steps: Iterable[int], totals: Cells | None = None
-    ) -> list[Pair]:
+    def _pairs(self, signal: Signal, steps: Iterable[int], totals: Cells) -> list[Pair]:
         """Return a signal's tallies as one pair for each step and load level."""
         pairs = []
         for step in steps:
             for level in LoadLevel:
-                new = self._sum(step, Side.NEW, level, level, totals).tally(signal)
-                old = self._sum(step, Side.OLD, level, level, totals).tally(signal)
+                new = sum_cells(totals, step, Side.NEW, level, level).tally(signal)
+                old = sum_cells(totals, step, Side.OLD, level, level).tally(signal)
                 if new.trials and old.trials:
                     pairs.append(Pair(new, old))
         return pairs
 
-    def _sum(
-        self,
-        step: int,
-        side: Side,
-        lowest: LoadLevel,
-        highest: LoadLevel,
-        totals: Cells | None = None,
-    ) -> Cell:
-        total = Cell()
-        for key, cell in (self.evidence.totals if totals is None else totals).items():
-            if key.step == step and key.side is side and lowest <= key.level <= highest:
-                total = total.plus(cell)
-        return total
-
     def _doubt(self, step: int) -> str:
         """Return why the new version seems worse than a step allows, empty if it does not."""
-        if self.is_suspect():
-            return f"under suspicion: {self.finding.why}"
-        return self._worse_signal(step)
+        return self._suspicion() or self._worse_signal(step, self.evidence.totals)
 
     def _current_doubt(self) -> str:
-        """Return why the new version seems worse than its own step allows, empty if it does not."""
-        if self.is_suspect():
-            return f"under suspicion: {self.finding.why}"
+        """Return why the new version seems worse than its own step allows, empty if it does not.
+
+        Outcomes from before a doubt that was cleared don't count, see `DoubtWindow`.
+        """
+
+        def doubt_of(cells: Cells) -> str:
+            return self._worse_signal(self.step, cells)
 
-        def worse_signal(cells: Cells, clearness: float) -> str:
-            return self._worse_signal(self.step, cells, clearness)
+        def excess_of(cells: Cells) -> str:
+            return self._worse_signal(self.step, cells, std_errors_factor=0.0)
 
-        return self._doubt_window.find(self.step, self.evidence.totals, worse_signal)
+        totals = self.evidence.totals
+        return self._suspicion() or self._doubt_window.find(self.step, totals, doubt_of, excess_of)
+
+    def _suspicion(self) -> str:
+        """Return why the new version is under suspicion of a regression, empty if it is not."""
+        return f"under suspicion: {self.finding.why}" if self.is_suspect() else ""
 
-    def _worse_signal(self, step: int, cells: Cells | None = None, clearness: float = 1.0) -> str:
+    def _worse_signal(self, step: int, totals: Cells, std_errors_factor: float = 1.0) -> str:
         """Return which signal is worse than a step's margin allows, empty if none is.
 
         Parameters
         ----------
         step : int
             Step whose margin holds.
-        cells : Cells, optional
-            Outcomes that count, all by default.
-        clearness : float
+        totals : Cells
+            Outcomes that count.
+        std_errors_factor : float
             Factor of the standard errors by which an excess must stand out.
         """
-        totals = self.evidence.totals if cells is None else cells
         for signal in Signal:
             is_answered = signal is not Signal.UNANSWERED
             std_errors = DOUBT_STD_ERRORS if is_answered else UNANSWERED_DOUBT_STD_ERRORS
             comparisons = self._comparisons(signal, totals)
-            excess = max(excess_lower_bound(pairs, clearness * std_errors) for pairs in comparisons)
+            needed = std_errors_factor * std_errors
+            excess = max(excess_lower_bound(pairs, needed) for pairs in comparisons)
             if excess > noninferiority_margin(signal, step):
                 return f"in doubt: {signal.name.lower()} higher by {excess:.3f} or more"
         return ""
@@ -460,10 +451,10 @@
         """Return this step's new version paired with the old version over all steps."""
         pairs = []
         for level in LoadLevel:
-            new = self._sum(self.step, Side.NEW, level, level, totals).tally(signal)
+            new = sum_cells(totals, self.step, Side.NEW, level, level).tally(signal)
             old = Tally(0, 0)
             for step in range(FIRST_STEP, self.step + 1):
-                old = old + self._sum(step, Side.OLD, level, level, totals).tally(signal)
+                old = old + sum_cells(totals, step, Side.OLD, level, level).tally(signal)
             if new.trials and old.trials:
                 pairs.append(Pair(new, old))
         return pairs
@@ -471,7 +462,7 @@
     def _missing_evidence(self, step: int) -> str:
         """Return which evidence an early step still needs, empty if none."""
         for signal in Signal:
-            pairs = self._pairs(signal, [self.step])
+            pairs = self._pairs(signal, [self.step], self.evidence.totals)
             if signal not in ERROR_SIGNALS and not pairs:
                 continue
             evidence = noninferiority_log_evidence(pairs, noninferiority_margin(signal, step))
@@ -483,8 +474,18 @@
         """Return a message if the new version lacks outcomes under high load, else empty."""
         if self.step < FIRST_LOADED_STEP:
             return ""
-        old = self._sum(self.step, Side.OLD, LoadLevel.HIGH, LoadLevel.FULL)
-        new = self._sum(self.step, Side.NEW, LoadLevel.HIGH, LoadLevel.FULL)
+        totals = self.evidence.totals
+        old = sum_cells(totals, self.step, Side.OLD, LoadLevel.HIGH, LoadLevel.FULL)
+        new = sum_cells(totals, self.step, Side.NEW, LoadLevel.HIGH, LoadLevel.FULL)
         if old.finished >= MIN_LEVEL_TRIALS > new.finished:
             return f"gathering evidence under high load, {new.finished} requests seen"
         return ""
+
+
+def sum_cells(cells: Cells, step: int, side: Side, lowest: LoadLevel, highest: LoadLevel) -> Cell:
+    """Return the sum of the cells of a side at a step, from a load level up to another."""
+    total = Cell()
+    for key, cell in cells.items():
+        if key.step == step and key.side is side and lowest <= key.level <= highest:
+            total = total.plus(cell)
+    return total
--- a/tests/test_move_doubts.py
+++ b/tests/test_move_doubts.py
@@ -74,14 +74,17 @@
     }
 
 
-def is_worse(cells, clearness):
-    """Find a version worse once a third of its outcomes have failed, or a tenth to clear it."""
-    cell = cells[CellKey(STEP, Side.NEW, "chat", LoadLevel.LOW)]
-    return "worse" if cell.failed > cell.finished * (0.33 if clearness else 0.1) else ""
+def fails_more_than(share):
+    def find_doubt(cells):
+        cell = cells[CellKey(STEP, Side.NEW, "chat", LoadLevel.LOW)]
+        return "worse" if cell.failed > cell.finished * share else ""
+
+    return find_doubt
 
 
 def find(window, **counts):
-    return window.find(STEP, create_cells(**counts), is_worse)
+    """Doubt a version of whose outcomes a third failed; more than a tenth keeps the doubt."""
+    return window.find(STEP, create_cells(**counts), fails_more_than(0.33), fails_more_than(0.1))
 
 
 def test_a_version_that_is_doubted_again_needs_twice_as_much_to_clear_itself():
@@ -97,7 +100,7 @@
 def test_the_next_step_counts_anew():
     window = DoubtWindow()
     assert find(window, new_bad=60)
-    assert not window.find(STEP + 1, create_cells(), lambda cells, clearness: "")
+    assert not window.find(STEP + 1, create_cells(), lambda cells: "", lambda cells: "")
     assert find(window, new_bad=60, new_good=FIRST_CLEARING_TRIALS, old=200)
 
 
--- a/tests/test_work_by_fleet_size.py
+++ b/tests/test_work_by_fleet_size.py
@@ -73,9 +73,7 @@
             if now < until:
                 self.ledger.on_report(now, name, msg)
                 continue
-            costs.append(
-                count_instructions(lambda: self.ledger.on_report(now, name, msg))  # noqa: B023
-            )
+            costs.append(count_instructions(self.ledger.on_report, now, name, msg))
         return costs
 
     def report(self, name):
@@ -156,8 +154,8 @@
                 Push(records[:5], []),
             ]
             for msg in messages:
-                count += count_instructions(lambda: core.on_message(now, "h001", msg))  # noqa: B023
-            count += count_instructions(lambda: core.tick(now))  # noqa: B023
+                count += count_instructions(core.on_message, now, "h001", msg)
+            count += count_instructions(core.tick, now)
             core.take_outbox()
         return count
 
--- a/tests/work_counters.py
+++ b/tests/work_counters.py
@@ -3,7 +3,7 @@
 import sys
 
 
-def count_instructions(function):
+def count_instructions(function, *args):
     """Call a function; return how many bytecode instructions ran, which no load changes."""
     count = 0
 
@@ -18,7 +18,7 @@
     before = sys.gettrace()
     sys.settrace(trace)
     try:
-        function()
+        function(*args)
     finally:
         sys.settrace(before)
     return count
