--- a/bench/simulated_hosts.py
+++ b/bench/simulated_hosts.py
@@ -158,10 +158,8 @@
         self.peers = SimulatedPeers(self)
         self.store = HostStore(fleet.store, timers)
         seeds = [fleet.addresses[name] for name in fleet.seeds if name != self.name]
-        self.members = Membership(
-            self.peers, timers, MembershipSettings(seeds, self.size), rng  # type: ignore[arg-type]
-        )
-        self.levels = FleetLevels(self.members, self.peers, timers)  # type: ignore[arg-type]
+        self.members = Membership(self.peers, timers, MembershipSettings(seeds, self.size), rng)
+        self.levels = FleetLevels(self.members, self.peers, timers)
         self.mirror = StoreMirror(ALL_KEYS_PREFIX, self.store, timers, rng)
         self.replicator = MirrorReplicator(
             self.mirror, self.members, self.members, self.peers, timers
--- a/bench/simulated_peers.py
+++ b/bench/simulated_peers.py
@@ -7,6 +7,7 @@
 
 from tarragonwind.adapters.peer_handshakes import PeerIdentity
 from tarragonwind.adapters.peer_levels import PeerLevels
+from tarragonwind.adapters.peer_transports import PeerTransport
 from tarragonwind.messages import (
     OWN_LEVEL,
     Message,
@@ -14,7 +15,7 @@
     new_unpacker,
     pack_message,
 )
-from tarragonwind.ports import Address, Peers
+from tarragonwind.ports import Address
 
 if TYPE_CHECKING:
     from bench.simulated_hosts import SimulatedHost
@@ -23,7 +24,7 @@
 """Time after which a connection to a machine without power fails, in seconds."""
 
 
-class SimulatedPeers(Peers):
+class SimulatedPeers(PeerTransport):
     """Carry the messages of one host; each is packed and unpacked as on a connection.
 
     Parameters
--- a/tarragonwind/adapters/memberships.py
+++ b/tarragonwind/adapters/memberships.py
@@ -10,7 +10,7 @@
 
 from tarragonwind.adapters.payload_slots import PayloadSlot, PayloadSlots
 from tarragonwind.adapters.peer_handshakes import PeerIdentity
-from tarragonwind.adapters.peers import TcpPeers
+from tarragonwind.adapters.peer_transports import PeerTransport
 from tarragonwind.core.member_views import DEFAULT_SIZE, Health, Member
 from tarragonwind.core.memberships import (
     PROTOCOL_MESSAGES,
@@ -59,7 +59,7 @@
 
     Parameters
     ----------
-    peers : TcpPeers
+    peers : PeerTransport
         Transport between daemons.
     timers : Timers
         Clock and timers.
@@ -70,7 +70,7 @@
     """
 
     def __init__(
-        self, peers: TcpPeers, timers: Timers, cfg: MembershipSettings, rng: random.Random
+        self, peers: PeerTransport, timers: Timers, cfg: MembershipSettings, rng: random.Random
     ) -> None:
         identity = peers.identity
         self.name = identity.name
@@ -319,7 +319,7 @@
 
 
 def create_membership(
-    peers: TcpPeers, timers: Timers, cfg: MembershipSettings, rng: random.Random
+    peers: PeerTransport, timers: Timers, cfg: MembershipSettings, rng: random.Random
 ) -> Membership:
     """Create the membership of a daemon; call `start` on it once the loop runs."""
     return Membership(peers, timers, cfg, rng)
--- a/tarragonwind/adapters/peers.py
+++ b/tarragonwind/adapters/peers.py
@@ -13,6 +13,7 @@
 from tarragonwind.adapters.peer_handshakes import Hello, PeerIdentity, check_hello, create_hello
 from tarragonwind.adapters.peer_levels import PeerLevels
 from tarragonwind.adapters.peer_settings import PeerSettings, TrafficCounters
+from tarragonwind.adapters.peer_transports import PeerTransport
 from tarragonwind.messages import (
     FIRST_LEVEL,
     MAX_MESSAGE_BYTES,
@@ -21,7 +22,7 @@
     level_of,
     pack_message,
 )
-from tarragonwind.ports import Address, Peers, Timer
+from tarragonwind.ports import Address, Timer
 
 CONNECT_TIMEOUT_S = 2.0
 """Maximum time from the creation of a connection to the completed handshake, in seconds."""
@@ -40,7 +41,7 @@
 _LOCAL_CLOSE_REASONS = ("replaced", "dropped", "stopped", "peer_restarted", "yielded")
 
 
-class TcpPeers(Peers, ConnHandler):
+class TcpPeers(PeerTransport, ConnHandler):
     """Exchange messages with other daemons, over at most one connection per direction.
 
     A daemon sends to a peer over one connection until that breaks. On the first message over
--- a/tarragonwind/fleet_levels.py
+++ b/tarragonwind/fleet_levels.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tarragonwind.adapters.peers import TcpPeers
+from tarragonwind.adapters.peer_transports import PeerTransport
 from tarragonwind.ports import Members, Timers
 
 LEARN_PERIOD_S = 1.0
@@ -17,13 +17,13 @@
     ----------
     members : Members
         Membership of the fleet.
-    peers : TcpPeers
+    peers : PeerTransport
         Transport, whose handshakes tell the levels.
     timers : Timers
         Clock and timers.
     """
 
-    def __init__(self, members: Members, peers: TcpPeers, timers: Timers) -> None:
+    def __init__(self, members: Members, peers: PeerTransport, timers: Timers) -> None:
         self._members = members
         self._peers = peers
         self._turn = 0
