--- a/tarragonwind/core/fleet_shares.py
+++ b/tarragonwind/core/fleet_shares.py
@@ -39,6 +39,7 @@
     """
 
     __slots__ = (
+        "_given",
         "_leased",
         "_leaving",
         "_live",
@@ -46,7 +47,6 @@
         "_lost_at",
         "_recent",
         "_reserved",
-        "_sources",
         "_store_unavailable",
     )
 
@@ -56,7 +56,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._leased: frozenset[str] = frozenset()
         self._lost_at: dict[str, float] = {}
-        self._sources: tuple[object, object] = (None, None)
+        self._given: tuple[object, object] = (None, None)
         self._store_unavailable = True
         self._reserved: frozenset[str] = frozenset()
         self._recent: dict[float, RecentCount] = {}
@@ -64,11 +64,11 @@
     def set_live(self, now: float, live: Iterable[str], leaving: Iterable[str]) -> None:
         """Set the live hosts and the hosts that have announced a graceful shutdown.
 
-        The tuples that were passed last are known to be the same without a look at their hosts.
+        Several calls a second pass the tuples of the call before; these cost no look at the hosts.
         """
-        sources = (live, leaving)
-        if not is_same(sources, self._sources):
-            self._sources = sources
+        given = (live, leaving)
+        if not are_same_tuples(given, self._given):
+            self._given = given
             self._replace_hosts(frozenset(live) or self._live, frozenset(leaving))
         self._live_at = now
 
@@ -81,7 +81,10 @@
         self._on_changed()
 
     def set_leased(self, leased: Iterable[str], store_unavailable: bool) -> None:
-        """Set the hosts that hold a lease, and whether the store is unavailable."""
+        """Set the hosts that hold a lease, and whether the store is unavailable.
+
+        The frozenset of the call before costs no look at the hosts.
+        """
         self._store_unavailable = store_unavailable
         if leased is not self._leased:
             self._leased = frozenset(leased)
@@ -131,8 +134,8 @@
         return 1.0 / self.size(now)
 
 
-def is_same(sources: tuple[object, ...], others: tuple[object, ...]) -> bool:
-    """Return whether collections are those that were seen before, and can't have changed."""
+def are_same_tuples(given: tuple[object, ...], before: tuple[object, ...]) -> bool:
+    """Return whether collections are the same objects as before and can't have changed since."""
     return all(
-        type(one) is tuple and one is other for one, other in zip(sources, others, strict=True)
+        type(one) is tuple and one is other for one, other in zip(given, before, strict=True)
     )
