--- a/review/harness-3/cases.py
+++ b/review/harness-3/cases.py
@@ -305,6 +305,15 @@
             return headers["Attempt-Id"], None, type(exc).__name__
         return headers["Attempt-Id"], response, ""
 
+    def note_runs(self) -> None:
+        """Add what the engines have run to the record."""
+        offset = time.time() - self.now()
+        for run in sorted((run for one in self.engines for run in one.runs), key=lambda run: run.at):
+            at = run.at - offset
+            self.record.append(
+                f"{at:8.3f} {run.engine} ran {run.attempt} {run.method} {run.target}"
+            )
+
     def stop(self) -> None:
         """End all processes that were started."""
         for host in self.hosts:
@@ -330,6 +339,7 @@
         return NOT_RUN
     finally:
         deployment.stop()
+        deployment.note_runs()
 
 
 def run_case(folder: Path, play: Play) -> None:
