--- a/review/harness-3/cases.py
+++ b/review/harness-3/cases.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -29,6 +30,9 @@
 STANDIN_ADDRESS = "127.0.0.1"
 MAX_FDS = 4_100
 """Descriptors of a machine of a small deployment."""
+CROWD_PREFIX = "c"
+"""Beginning of the attempt ids of crowds, which ordinary callers never use."""
+CROWD_NAME_LENGTH = 8
 AUTHORITY = "a.example"
 KEY = "key-1"
 BOUNDS = {
@@ -306,13 +310,19 @@
         return headers["Attempt-Id"], response, ""
 
     def note_runs(self) -> None:
-        """Add what the engines have run to the record."""
+        """Add what the engines have run to the record; of a crowd, the number for each name."""
         offset = time.time() - self.now()
+        crowd: Counter[str] = Counter()
         for run in sorted((run for one in self.engines for run in one.runs), key=lambda run: run.at):
+            if run.attempt.startswith(CROWD_PREFIX):
+                crowd[run.attempt[:CROWD_NAME_LENGTH]] += 1
+                continue
             at = run.at - offset
             self.record.append(
                 f"{at:8.3f} {run.engine} ran {run.attempt} {run.method} {run.target}"
             )
+        for name, count in sorted(crowd.items()):
+            self.record.append(f"         engines ran {count} requests of crowd {name}")
 
     def stop(self) -> None:
         """End all processes that were started."""
--- a/review/harness-3/engines.py
+++ b/review/harness-3/engines.py
@@ -9,7 +9,8 @@
 
 from http1 import STREAM_LIMIT_BYTES, Request, encode_response, read_request
 
-WORK_S = 0.01
+WORK_S = 0.0225
+"""Work of the application's requests on the sheet of scaravilli-passaporti, in seconds."""
 BORN_MS = 1_700_000_000_000
 
 
