--- a/review/harness-3/cases.py
+++ b/review/harness-3/cases.py
@@ -193,13 +193,19 @@
         """Add a line with the time to the record."""
         self.record.append(f"{self.now():8.3f} {text}")
 
-    async def start(self, host_count: int, engine_count: int, routes: list[dict[str, Any]]) -> None:
+    async def start(
+        self,
+        host_count: int,
+        engine_count: int,
+        routes: list[dict[str, Any]],
+        engine_type: type[Engine] = Engine,
+    ) -> None:
         """Start all parts, and wait until each host is ready."""
         addresses = [f"127.0.0.{31 + number}" for number in range(host_count)]
         ports = find_ports(24 + engine_count, [STANDIN_ADDRESS, *addresses])
         await self.store.start(STANDIN_ADDRESS, ports[0])
         for number, port in enumerate(ports[24:]):
-            engine = Engine(f"i-app{number}", "app", STANDIN_ADDRESS, port, f"zone-{number % 3}")
+            engine = engine_type(f"i-app{number}", "app", STANDIN_ADDRESS, port, f"zone-{number % 3}")
             await engine.start()
             self.engines.append(engine)
             self.store.put(f"servers/{engine.name}", engine.entry())
--- a/review/harness-3/stores.py
+++ b/review/harness-3/stores.py
@@ -40,6 +40,12 @@
         self._set(key, value, 0)
         self._wake()
 
+    def delete(self, key: str) -> None:
+        """Remove a key as the operator or an engine."""
+        self.revision += 1
+        self._delete(key)
+        self._wake()
+
     def _set(self, key: str, value: bytes, lease: int) -> None:
         created = self.items.get(key, {}).get("created", self.revision)
         text = base64.b64encode(value).decode()
